--- /dev/null
+++ b/cmd/frosttide/main.go
@@ -0,0 +1,99 @@
+// Command frosttide is a dispatcher: it takes jobs from clients and has them run
+// by the runners that discovery lists. This file wires its parts together and
+// heeds signals; every decision is the module's.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magpierelay/internal/config"
+	"magpierelay/internal/core"
+	"magpierelay/internal/egress"
+	"magpierelay/internal/ingress"
+	"magpierelay/internal/routetable"
+)
+
+const (
+	// lingering is how long after SIGTERM clients are served as if nothing were:
+	// the front goes on sending new connections for a while.
+	lingering = 500 * time.Millisecond
+	// reserved descriptors are those of discovery, the log and the runtime.
+	reserved = 24
+)
+
+func main() {
+	log := logrus.New()
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
+	if err := run(log); err != nil {
+		log.WithError(err).Error("frosttide ends")
+		os.Exit(1)
+	}
+}
+
+func run(log *logrus.Logger) error {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	limit(cfg.Limits)
+	entry := log.WithField("name", cfg.Name)
+	budget := cfg.Limits.Sockets - reserved
+
+	table := routetable.New(cfg.Discovery, cfg.Names.Zones, cfg.Names.Kinds, cfg.Module.Limits.ConnectTimeout,
+		entry.WithField("part", "routetable"))
+	fleet := egress.NewFleet(egress.Config{ConnectTimeout: cfg.Module.Limits.ConnectTimeout,
+		Keepalive: cfg.Names.Keepalive, Sockets: budget * 3 / 8, Columns: cfg.Names.Columns,
+		Reports: len(cfg.Names.Columns) > 0}, entry.WithField("part", "egress"))
+	c, err := core.New(cfg.Module, cfg.Seed, fleet, table, entry.WithField("part", "core"))
+	if err != nil {
+		return err
+	}
+	fleet.ReportTo(c)
+	front := ingress.New(ingress.Config{Classes: cfg.Names.Classes, Columns: cfg.Names.Columns,
+		Clients: budget * 4 / 8, Sockets: budget * 5 / 8}, c, entry.WithField("part", "ingress"))
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	table.Load(cfg.Known, c)
+	go table.Run(ctx)
+	go c.Run(ctx)
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(listener) }()
+	entry.WithField("listen", cfg.Listen).Info("frosttide serves")
+
+	select {
+	case err := <-served:
+		return err
+	case sig := <-signals:
+		entry.WithField("signal", sig.String()).Info("frosttide drains")
+	}
+	time.Sleep(lingering)
+	if err := front.Drain(ctx); err != nil {
+		return err
+	}
+	entry.Info("frosttide has answered everything and ends")
+	return nil
+}
+
+// limit keeps the process within its machine. The memory limit leaves room for
+// stacks and what the kernel counts.
+func limit(l config.Limits) {
+	runtime.GOMAXPROCS(max(int(l.Cores), 1))
+	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 3 / 4)
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,606 @@
+// Package core is the actor of the decision module. It drains its mailbox into
+// one Step of the module, carries out the actions that come back, and owns the
+// state of requests and hops, the timers and the one final answer of each
+// request. It knows no protocol: fronts and egress targets stand behind the
+// small interfaces declared here.
+package core
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magpierelay"
+	"magpierelay/internal/mailbox"
+)
+
+// Job is what a client asks for, in no protocol's terms. What a runner is to
+// get passes through unchanged.
+type Job struct {
+	ID       string // the client's name for the request, unique among those that are open
+	Method   string
+	Resource string // path and query
+	Key      string // idempotency key, empty for none
+	Body     []byte
+
+	Class    int
+	Slots    float64
+	Memory   float64
+	Subject  uint64 // what the request concerns; 0 for none
+	Retry    bool   // a client's repeat
+	Deadline time.Time
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The final answers.
+const (
+	Served    Verdict = iota // Result is what a runner gave
+	Shed                     // refused: trying again is harmless
+	Failed                   // no promise about the effect
+	Duplicate                // a request of this id is open already; nothing was done
+)
+
+// Answer is the one final answer of a request.
+type Answer struct {
+	Verdict    Verdict
+	Result     []byte
+	RetryAfter time.Duration // for Shed; 0 for no advice
+}
+
+// Ingress is the client's side of a request. Answer is called exactly once,
+// unless the client has left before, and must not block.
+type Ingress interface{ Answer(Answer) }
+
+// HopRef names a hop: a request of this process and its attempt's number.
+type HopRef struct {
+	Request magpierelay.RequestID
+	Attempt int
+}
+
+// Hop is one attempt of a job at one egress target.
+type Hop struct {
+	Ref      HopRef
+	Job      *Job
+	Deadline time.Time // when the core stops waiting
+}
+
+// Target is an egress target. None of its methods may block. What becomes of a
+// hop is reported to the core by HopEnded, or by Report.
+type Target interface {
+	Send(Hop)
+	GiveUp(Hop)       // the core waits no longer: closes before the job is taken, recalls it after
+	Probe(time.Time)  // asks for a load report until the deadline; ProbeEnded tells
+	Move(addr string) // the address has changed
+	Close()           // the target has left the route table
+}
+
+// Targets makes the egress targets as the route table names them.
+type Targets interface {
+	Open(worker magpierelay.WorkerID, uid, addr string) Target
+}
+
+// RouteTable is discovery's list. None of its methods may block; what it finds
+// comes by ListReplaced, ListChanged and ListFailed.
+type RouteTable interface {
+	Watch()
+	Fetch()
+}
+
+// Route is one entry of the route table.
+type Route struct {
+	UID, Addr string
+	magpierelay.Member
+}
+
+// JobState is what a runner reports of a job.
+type JobState uint8
+
+// The states of a job at a runner.
+const (
+	JobStarted JobState = iota
+	JobRunning
+	JobDone
+	JobFailed
+	JobReturned // handed back unstarted
+	JobLost
+)
+
+// JobEvent is a runner's report on a job that it has been sent.
+type JobEvent struct {
+	ID, From string
+	State    JobState
+	Share    float64
+	Result   []byte
+	Load     []float32
+}
+
+// Core is the actor. Make it with New, start it with Run.
+type Core struct {
+	log     *logrus.Entry
+	cfg     magpierelay.Config
+	module  *magpierelay.Dispatcher
+	targets Targets
+	list    RouteTable
+	box     *mailbox.Box[func(*Core)]
+	start   time.Time
+
+	now      time.Duration
+	events   []magpierelay.Event // for the next Step
+	due      deadlines
+	requests map[magpierelay.RequestID]*request
+	byID     map[string]*request
+	lastID   magpierelay.RequestID
+	lastTo   magpierelay.WorkerID
+	workers  map[string]*worker // by uid
+	byNumber map[magpierelay.WorkerID]*worker
+	open     int           // requests without a final answer
+	idle     chan struct{} // asked for by Idle, closed when open is 0
+}
+
+// request is a request from its arrival until it is answered and none of its
+// hops is out.
+type request struct {
+	ref      magpierelay.RequestID
+	job      *Job
+	ingress  Ingress
+	deadline time.Duration
+	answered bool
+	hops     []hop
+}
+
+// hop is one attempt. The core ends it exactly once, whatever the target and
+// the runner report, and in whatever order.
+type hop struct {
+	to       *worker
+	deadline time.Duration
+	ended    bool
+}
+
+// worker is an egress target as the core knows it.
+type worker struct {
+	number magpierelay.WorkerID
+	uid    string
+	addr   string
+	target Target
+}
+
+// New makes the core. Seed is for the module's random numbers.
+func New(cfg magpierelay.Config, seed uint64, targets Targets, list RouteTable, log *logrus.Entry) (*Core, error) {
+	module, err := magpierelay.New(cfg, seed)
+	if err != nil {
+		return nil, fmt.Errorf("making the module: %w", err)
+	}
+	return &Core{log: log, cfg: cfg, module: module, targets: targets, list: list, box: mailbox.New[func(*Core)](),
+		start: time.Now(), requests: map[magpierelay.RequestID]*request{}, byID: map[string]*request{},
+		workers: map[string]*worker{}, byNumber: map[magpierelay.WorkerID]*worker{}}, nil
+}
+
+// Run works until the context ends.
+func (c *Core) Run(ctx context.Context) {
+	var mail []func(*Core)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.box.Ready():
+		case <-timer.C:
+		}
+		c.now = c.clock(time.Now())
+		mail = c.box.Drain(mail[:0])
+		for i, message := range mail {
+			message(c)
+			mail[i] = nil
+		}
+		c.ring()
+		c.step()
+		if len(c.due) > 0 {
+			timer.Reset(max(c.due[0].at-c.clock(time.Now()), 0))
+		}
+	}
+}
+
+// clock turns a time into the module's: the time since 1970, which never goes
+// back in a process as it follows the monotonic clock.
+func (c *Core) clock(t time.Time) time.Duration {
+	return time.Duration(c.start.UnixNano()) + t.Sub(c.start)
+}
+
+// moment turns the module's time back.
+func (c *Core) moment(at time.Duration) time.Time {
+	return c.start.Add(at - time.Duration(c.start.UnixNano()))
+}
+
+// ---- What fronts, targets and the route table tell: all of it may be called
+// from any goroutine, and none of it blocks ----
+
+// Submit hands over a request; its answer goes to the ingress. The ingress names
+// the request in Leave.
+func (c *Core) Submit(job *Job, ingress Ingress) {
+	c.box.Put(func(c *Core) { c.arrived(job, ingress) })
+}
+
+// Leave tells that the client of a request has gone away.
+func (c *Core) Leave(job *Job) {
+	c.box.Put(func(c *Core) {
+		if r := c.byID[job.ID]; r != nil && r.job == job && !r.answered {
+			c.settle(r)
+			c.event(magpierelay.Event{Type: magpierelay.RequestGone, Request: r.ref})
+			c.forget(r)
+		}
+	})
+}
+
+// Report takes a runner's report on a job. One that names no hop that is out,
+// as a repeat or one on a hop given up, changes nothing.
+func (c *Core) Report(ev JobEvent) { c.box.Put(func(c *Core) { c.reported(ev) }) }
+
+// HopEnded tells how a hop ended without a report on its job.
+func (c *Core) HopEnded(ref HopRef, outcome magpierelay.Outcome, load []float32) {
+	c.box.Put(func(c *Core) {
+		if r := c.requests[ref.Request]; r != nil {
+			c.end(r, ref.Attempt, outcome, load)
+		}
+	})
+}
+
+// ProbeEnded tells what a probe found.
+func (c *Core) ProbeEnded(number magpierelay.WorkerID, outcome magpierelay.Outcome, load []float32) {
+	c.box.Put(func(c *Core) {
+		ev := magpierelay.Event{Type: magpierelay.ProbeEnded, Worker: number, Outcome: outcome}
+		ev.Loads = uint8(copy(ev.Load[:], load))
+		c.event(ev)
+	})
+}
+
+// ListReplaced tells the whole route table.
+func (c *Core) ListReplaced(routes []Route) {
+	c.box.Put(func(c *Core) { c.listed(magpierelay.MembersReplaced, routes) })
+}
+
+// ListChanged tells the entries of the route table that have changed.
+func (c *Core) ListChanged(routes []Route) {
+	c.box.Put(func(c *Core) { c.listed(magpierelay.MembersChanged, routes) })
+}
+
+// ListFailed tells that a call to discovery has failed or a watch has ended.
+func (c *Core) ListFailed() {
+	c.box.Put(func(c *Core) { c.event(magpierelay.Event{Type: magpierelay.MembersFailed}) })
+}
+
+// Idle returns a channel that is closed once every request taken so far and
+// until then has its final answer.
+func (c *Core) Idle() <-chan struct{} {
+	idle := make(chan struct{})
+	c.box.Put(func(c *Core) {
+		c.idle = idle
+		c.checkIdle()
+	})
+	return idle
+}
+
+func (c *Core) checkIdle() {
+	if c.idle != nil && c.open == 0 {
+		close(c.idle)
+		c.idle = nil
+	}
+}
+
+// ---- The module's events and actions ----
+
+func (c *Core) event(ev magpierelay.Event) { c.events = append(c.events, ev) }
+
+// step lets the module act on the events gathered, and on those that carrying
+// out its actions makes, until nothing is left to tell.
+func (c *Core) step() {
+	var actions []magpierelay.Action
+	for len(c.events) > 0 {
+		events := c.events
+		c.events = nil
+		actions = c.module.Step(c.now, events, actions[:0])
+		for i := range actions {
+			c.carryOut(&actions[i])
+		}
+		for i := range events {
+			if r := c.requests[events[i].Request]; r != nil {
+				c.forget(r)
+			}
+		}
+	}
+	c.checkIdle()
+}
+
+func (c *Core) carryOut(a *magpierelay.Action) {
+	switch a.Type {
+	case magpierelay.Send:
+		c.send(a)
+	case magpierelay.Cancel:
+		if r := c.requests[a.Request]; r != nil {
+			c.giveUp(r, a.Attempt, magpierelay.Canceled)
+		}
+	case magpierelay.Refuse:
+		c.answer(a.Request, Answer{Verdict: Shed, RetryAfter: a.After})
+	case magpierelay.Fail:
+		c.answer(a.Request, Answer{Verdict: Failed})
+	case magpierelay.SetTimer:
+		c.wake(due{at: a.At, token: a.Token})
+	case magpierelay.Probe:
+		if w := c.byNumber[a.Worker]; w != nil && c.cfg.Limits.ProbeAllowed {
+			w.target.Probe(c.moment(c.now + c.cfg.Limits.ConnectTimeout))
+		}
+	case magpierelay.Subscribe:
+		c.list.Watch()
+	case magpierelay.Fetch:
+		c.list.Fetch()
+	default:
+		c.log.WithField("action", a.Type).Error("the module asked for an action that the core does not know")
+	}
+}
+
+// ---- Requests ----
+
+func (c *Core) arrived(job *Job, ingress Ingress) {
+	if c.byID[job.ID] != nil {
+		// Guards the match of call-backs by id: two open requests of one id could
+		// not be told apart.
+		ingress.Answer(Answer{Verdict: Duplicate})
+		return
+	}
+	c.lastID++
+	for c.lastID == 0 || c.requests[c.lastID] != nil { // numbers may come round
+		c.lastID++
+	}
+	r := &request{ref: c.lastID, job: job, ingress: ingress, deadline: c.clock(job.Deadline)}
+	c.requests[r.ref], c.byID[job.ID] = r, r
+	c.open++
+	c.wake(due{at: r.deadline, request: r.ref, attempt: -1})
+	c.event(magpierelay.Event{Type: magpierelay.RequestArrived, Request: r.ref, Class: job.Class,
+		Deadline: r.deadline, Slots: job.Slots, Memory: job.Memory, Key: job.Subject, Retry: job.Retry})
+}
+
+// answer is the one place where a request gets its final answer.
+func (c *Core) answer(id magpierelay.RequestID, a Answer) {
+	r := c.requests[id]
+	if r == nil || r.answered {
+		return
+	}
+	r.ingress.Answer(a)
+	c.settle(r)
+}
+
+// settle marks a request as one that nothing more is owed.
+func (c *Core) settle(r *request) {
+	r.answered, r.ingress = true, nil
+	c.open--
+}
+
+// forget gives back the id and the body of a request that is answered and has
+// no hop out.
+func (c *Core) forget(r *request) {
+	if !r.answered || c.requests[r.ref] != r {
+		return
+	}
+	for i := range r.hops {
+		if !r.hops[i].ended {
+			return
+		}
+	}
+	delete(c.requests, r.ref)
+	delete(c.byID, r.job.ID)
+}
+
+// expire acts on a request whose deadline has come: each hop that is out times
+// out, and what the module then leaves without an answer fails.
+func (c *Core) expire(r *request) {
+	if r.answered {
+		return
+	}
+	for i := range r.hops {
+		c.giveUp(r, i, magpierelay.TimedOut)
+	}
+	c.step()
+	if !r.answered {
+		// Guards rule 1 against a module that holds a request without a hop.
+		c.log.WithField("id", r.job.ID).Warn("request was still held at its deadline and fails")
+		c.answer(r.ref, Answer{Verdict: Failed})
+		c.event(magpierelay.Event{Type: magpierelay.RequestGone, Request: r.ref})
+	}
+}
+
+// ---- Hops ----
+
+func (c *Core) send(a *magpierelay.Action) {
+	r := c.requests[a.Request]
+	if r == nil {
+		return
+	}
+	w, attempt := c.byNumber[a.Worker], len(r.hops)
+	end := r.deadline
+	if a.After > 0 {
+		end = min(end, c.now+a.After)
+	}
+	r.hops = append(r.hops, hop{to: w, deadline: end})
+	if most := c.cfg.Limits.MaxAttempts; w == nil || r.answered || c.now >= end || most > 0 && attempt >= most {
+		c.end(r, attempt, magpierelay.NotSent, nil)
+		return
+	}
+	if end < r.deadline {
+		c.wake(due{at: end, request: r.ref, attempt: attempt})
+	}
+	w.target.Send(c.hop(r, attempt))
+}
+
+func (c *Core) hop(r *request, attempt int) Hop {
+	return Hop{Ref: HopRef{r.ref, attempt}, Job: r.job, Deadline: c.moment(r.hops[attempt].deadline)}
+}
+
+// giveUp stops waiting for a hop that is out.
+func (c *Core) giveUp(r *request, attempt int, outcome magpierelay.Outcome) {
+	if attempt < 0 || attempt >= len(r.hops) || r.hops[attempt].ended {
+		return
+	}
+	r.hops[attempt].to.target.GiveUp(c.hop(r, attempt))
+	c.end(r, attempt, outcome, nil)
+}
+
+// end is the one place where a hop ends: what is told of it later is passed
+// over. Guards against a call-back that comes twice, or after the hop was given
+// up, and against a broken connection told after its call-back.
+func (c *Core) end(r *request, attempt int, outcome magpierelay.Outcome, load []float32) bool {
+	if attempt < 0 || attempt >= len(r.hops) || r.hops[attempt].ended {
+		return false
+	}
+	h := &r.hops[attempt]
+	h.ended = true
+	ev := magpierelay.Event{Type: magpierelay.AttemptEnded, Request: r.ref, Attempt: attempt, Outcome: outcome,
+		Closed: r.answered || outcome == magpierelay.Served}
+	if h.to != nil {
+		ev.Worker = h.to.number
+	}
+	ev.Loads = uint8(copy(ev.Load[:], load))
+	c.event(ev)
+	return true
+}
+
+func (c *Core) reported(ev JobEvent) {
+	r := c.byID[ev.ID]
+	if r == nil {
+		return
+	}
+	for i := range r.hops {
+		h := &r.hops[i]
+		if h.ended || h.to.uid != ev.From {
+			continue
+		}
+		note := magpierelay.Event{Request: r.ref, Attempt: i, Worker: h.to.number, Progress: ev.Share}
+		switch ev.State {
+		case JobStarted:
+			note.Type = magpierelay.AttemptStarted
+			c.event(note)
+		case JobRunning:
+			note.Type = magpierelay.AttemptProgressed
+			c.event(note)
+		case JobDone:
+			c.end(r, i, magpierelay.Served, ev.Load)
+			c.answer(r.ref, Answer{Verdict: Served, Result: ev.Result})
+		case JobFailed:
+			c.end(r, i, magpierelay.Errored, ev.Load)
+		case JobReturned:
+			c.end(r, i, magpierelay.Rejected, ev.Load)
+		case JobLost:
+			c.end(r, i, magpierelay.ConnReset, ev.Load)
+		}
+		return
+	}
+}
+
+// ---- The route table ----
+
+// listed takes in entries of the route table. A target that leaves is closed at
+// once for new hops; the module learns of it in the same moment.
+func (c *Core) listed(kind magpierelay.EventType, routes []Route) {
+	ev := magpierelay.Event{Type: kind}
+	named := map[string]bool{}
+	for i := range routes {
+		t := &routes[i]
+		named[t.UID] = true
+		w := c.workers[t.UID]
+		if w == nil {
+			if t.State == magpierelay.Removed {
+				continue
+			}
+			c.lastTo++
+			w = &worker{number: c.lastTo, uid: t.UID, addr: t.Addr}
+			w.target = c.targets.Open(w.number, w.uid, w.addr)
+			c.workers[w.uid], c.byNumber[w.number] = w, w
+			c.log.WithFields(logrus.Fields{"target": w.uid, "addr": w.addr}).Info("egress target listed")
+		}
+		if t.Addr != "" && t.Addr != w.addr {
+			c.log.WithFields(logrus.Fields{"target": w.uid, "addr": t.Addr}).Info("egress target moved")
+			w.addr = t.Addr
+			w.target.Move(t.Addr)
+		}
+		if t.State == magpierelay.Draining {
+			c.log.WithField("target", w.uid).Info("egress target drains")
+		}
+		m := t.Member
+		m.Worker = w.number
+		ev.Members = append(ev.Members, m)
+		if t.State == magpierelay.Removed {
+			c.drop(w)
+		}
+	}
+	if kind == magpierelay.MembersReplaced {
+		for uid, w := range c.workers {
+			if !named[uid] {
+				c.drop(w)
+			}
+		}
+	}
+	c.event(ev)
+}
+
+// drop lets a target go that has left the route table. Hops that it still has
+// are matched by its uid until they end.
+func (c *Core) drop(w *worker) {
+	c.log.WithField("target", w.uid).Info("egress target gone from the list")
+	w.target.Close()
+	delete(c.workers, w.uid)
+	delete(c.byNumber, w.number)
+}
+
+// ---- Timers ----
+
+// due is one thing to do at a time: ring a timer of the module, or end a
+// request (attempt -1) or one of its hops. It holds the request's number: a
+// pointer would keep the body of an answered request until its deadline.
+type due struct {
+	at      time.Duration
+	token   uint32
+	request magpierelay.RequestID // 0 for a timer of the module
+	attempt int
+}
+
+// deadlines is a heap with the earliest first.
+type deadlines []due
+
+func (h deadlines) Len() int           { return len(h) }
+func (h deadlines) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h deadlines) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *deadlines) Push(x any)        { *h = append(*h, x.(due)) }
+func (h *deadlines) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = due{}
+	*h = old[:len(old)-1]
+	return last
+}
+
+func (c *Core) wake(d due) {
+	d.at = min(d.at, math.MaxInt64/2)
+	heap.Push(&c.due, d)
+}
+
+// ring does all that has come due.
+func (c *Core) ring() {
+	for len(c.due) > 0 && c.due[0].at <= c.now {
+		d := heap.Pop(&c.due).(due)
+		if d.request == 0 {
+			c.event(magpierelay.Event{Type: magpierelay.TimerFired, Token: d.token})
+			continue
+		}
+		c.step() // what came in before the deadline counts
+		if r := c.requests[d.request]; r != nil && d.attempt < 0 {
+			c.expire(r)
+		} else if r != nil {
+			c.giveUp(r, d.attempt, magpierelay.TimedOut)
+		}
+	}
+}
--- /dev/null
+++ b/internal/egress/egress.go
@@ -0,0 +1,361 @@
+// Package egress speaks the platform's protocol to the runners. Each egress
+// target is an actor with a mailbox and an http.Transport of its own; it owns
+// the hops from their sending until the runner has taken the job or the hop has
+// failed. It decides nothing.
+package egress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magpierelay"
+	"magpierelay/internal/core"
+	"magpierelay/internal/loadreport"
+	"magpierelay/internal/mailbox"
+)
+
+const (
+	headerID      = "X-Trace-Id"
+	headerExpires = "X-Expires-In-Ms"
+	headerKey     = "Idempotency-Key"
+	headerUnrun   = "X-Never-Ran"
+	headerLoad    = "Endpoint-Load-Metrics"
+
+	maxBody = 64 << 10 // the protocol's bound on any body
+	// settleTime is how long after its deadline a hop's connection may still be
+	// open: the core gives up first, this only ends what nobody waits for.
+	settleTime = time.Second
+)
+
+// Reports takes what becomes of hops and probes; the core does. It must not block.
+type Reports interface {
+	HopEnded(core.HopRef, magpierelay.Outcome, []float32)
+	ProbeEnded(magpierelay.WorkerID, magpierelay.Outcome, []float32)
+}
+
+// Config holds the figures of the egress side.
+type Config struct {
+	ConnectTimeout time.Duration // a dial that is not done by then has failed
+	Keepalive      time.Duration // runners close connections that sat idle this long
+	Sockets        int           // most connections to all runners together
+	Columns        []string      // of load reports
+	Reports        bool          // GET /_load gives a load report
+}
+
+// Fleet makes the targets and holds what they share: the budget of sockets.
+type Fleet struct {
+	cfg     Config
+	reports Reports
+	log     *logrus.Entry
+	sockets chan struct{} // a place for each connection that is open
+}
+
+// NewFleet makes a fleet without targets.
+func NewFleet(cfg Config, log *logrus.Entry) *Fleet {
+	return &Fleet{cfg: cfg, log: log, sockets: make(chan struct{}, cfg.Sockets)}
+}
+
+// ReportTo names who takes the reports; it is called before the first Open.
+func (f *Fleet) ReportTo(reports Reports) { f.reports = reports }
+
+// Open makes the actor of a target.
+func (f *Fleet) Open(worker magpierelay.WorkerID, uid, addr string) core.Target {
+	t := &target{fleet: f, worker: worker, addr: addr, box: mailbox.New[func(*target)](),
+		log: f.log.WithField("target", uid), flights: map[core.HopRef]*flight{}}
+	t.transport = &http.Transport{
+		DialContext:         f.dial,
+		Proxy:               nil,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: f.cfg.Sockets,
+		// Guards against a request written to a connection that the runner closes
+		// at that moment, which ends as a reset: ours goes first.
+		IdleConnTimeout:        f.cfg.Keepalive * 3 / 4,
+		MaxResponseHeaderBytes: 16 << 10,
+		ReadBufferSize:         2 << 10,
+		WriteBufferSize:        2 << 10,
+	}
+	go t.run()
+	return t
+}
+
+var errNoSocket = errors.New("the budget of sockets to runners is used up")
+
+// dial opens a connection within the budget. It ends by the connect timeout
+// whatever becomes of the request that began it: another may use the connection,
+// and a request that gives up must not leave a runner a half-open one.
+func (f *Fleet) dial(_ context.Context, network, addr string) (net.Conn, error) {
+	select {
+	case f.sockets <- struct{}{}:
+	default:
+		return nil, errNoSocket
+	}
+	d := net.Dialer{Deadline: time.Now().Add(f.cfg.ConnectTimeout)}
+	c, err := d.Dial(network, addr)
+	if err != nil {
+		<-f.sockets
+		return nil, fmt.Errorf("dialing %s: %w", addr, err)
+	}
+	return &conn{Conn: c, free: sync.OnceFunc(func() { <-f.sockets })}, nil
+}
+
+// conn gives its place in the budget back when it is closed.
+type conn struct {
+	net.Conn
+	free func()
+}
+
+func (c *conn) Close() error {
+	defer c.free()
+	return c.Conn.Close()
+}
+
+// target is the actor of one runner.
+type target struct {
+	fleet     *Fleet
+	log       *logrus.Entry
+	worker    magpierelay.WorkerID
+	addr      string
+	transport *http.Transport
+	box       *mailbox.Box[func(*target)]
+	flights   map[core.HopRef]*flight // hops that the runner has not taken yet
+	probing   int
+	closed    bool
+}
+
+// flight is a hop on its way to the runner.
+type flight struct {
+	cancel  context.CancelFunc
+	givenUp bool
+}
+
+func (t *target) run() {
+	var mail []func(*target)
+	for !t.closed || len(t.flights) > 0 || t.probing > 0 {
+		<-t.box.Ready()
+		mail = t.box.Drain(mail[:0])
+		for i, message := range mail {
+			message(t)
+			mail[i] = nil
+		}
+	}
+	t.transport.CloseIdleConnections()
+}
+
+func (t *target) Send(h core.Hop)   { t.box.Put(func(t *target) { t.send(h) }) }
+func (t *target) GiveUp(h core.Hop) { t.box.Put(func(t *target) { t.giveUp(h) }) }
+func (t *target) Close()            { t.box.Put(func(t *target) { t.closed = true }) }
+
+func (t *target) Move(addr string) {
+	t.box.Put(func(t *target) {
+		t.addr = addr
+		t.transport.CloseIdleConnections()
+	})
+}
+
+func (t *target) Probe(deadline time.Time) {
+	t.box.Put(func(t *target) {
+		t.probing++
+		go t.probe(t.addr, deadline)
+	})
+}
+
+func (t *target) send(h core.Hop) {
+	ctx, cancel := context.WithDeadline(context.Background(), h.Deadline.Add(settleTime))
+	f := &flight{cancel: cancel}
+	t.flights[h.Ref] = f
+	addr := t.addr
+	go func() {
+		res := t.fly(ctx, addr, h)
+		cancel()
+		t.box.Put(func(t *target) { t.landed(h, f, res) })
+	}()
+}
+
+// result is how a hop's own exchange ended.
+type result struct {
+	taken   bool
+	outcome magpierelay.Outcome // unless taken
+	load    []float32
+}
+
+// landed is the one place where a flight ends.
+func (t *target) landed(h core.Hop, f *flight, res result) {
+	delete(t.flights, h.Ref)
+	switch {
+	case res.taken && f.givenUp: // given up while its 202 was on the way
+		t.recall(h)
+	case !res.taken && !f.givenUp:
+		t.fleet.reports.HopEnded(h.Ref, res.outcome, res.load)
+	}
+}
+
+// giveUp ends the core's waiting for a hop: before the 202 by closing its
+// connection, after it by recalling the job.
+func (t *target) giveUp(h core.Hop) {
+	if f := t.flights[h.Ref]; f != nil {
+		f.givenUp = true
+		f.cancel()
+		return
+	}
+	t.recall(h)
+}
+
+// fly sends a hop once and tells whether the runner has taken it.
+func (t *target) fly(ctx context.Context, addr string, h core.Hop) result {
+	body := &sentBody{data: h.Job.Body}
+	var broken atomic.Bool // the transport says that it could not write it all
+	trace := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) { broken.Store(info.Err != nil) },
+	})
+	req, err := request(trace, h.Job.Method, addr, h.Job.Resource)
+	if err != nil {
+		t.log.WithError(err).WithField("id", h.Job.ID).Error("hop could not be written down")
+		return result{outcome: magpierelay.NotSent}
+	}
+	// Guards rule 2: without GetBody, and with a body that is not NoBody even
+	// where it is empty, the transport never sends a request again by itself, not
+	// even one with an Idempotency-Key on a connection that turned out dead.
+	req.Body, req.ContentLength = body, int64(len(h.Job.Body))
+	req.Header[headerID] = []string{h.Job.ID}
+	left := max(time.Until(h.Deadline).Milliseconds(), 1)
+	req.Header[headerExpires] = []string{strconv.FormatInt(left, 10)}
+	if h.Job.Key != "" {
+		req.Header[headerKey] = []string{h.Job.Key}
+	}
+	resp, err := t.transport.RoundTrip(req)
+	if err != nil {
+		// The job may have run once its last byte may have left. The trace may
+		// come later than the error, so the body's end counts unless the trace
+		// has said that the write failed.
+		if !body.ended.Load() || broken.Load() {
+			return result{outcome: magpierelay.ConnectFailed}
+		}
+		return result{outcome: magpierelay.ConnReset}
+	}
+	finish(resp)
+	load := loadreport.ParseHeader(resp.Header.Get(headerLoad), t.fleet.cfg.Columns)
+	switch {
+	case resp.StatusCode == http.StatusAccepted:
+		return result{taken: true}
+	case neverRan(resp):
+		return result{outcome: magpierelay.Rejected, load: load}
+	default:
+		return result{outcome: magpierelay.Errored, load: load}
+	}
+}
+
+func neverRan(resp *http.Response) bool {
+	code := resp.StatusCode
+	return (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) && resp.Header.Get(headerUnrun) == "1"
+}
+
+// recall asks the runner to drop a job that it has taken. What the runner
+// answers changes nothing, so nobody waits for it.
+func (t *target) recall(h core.Hop) {
+	addr := t.addr
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(settleTime))
+		defer cancel()
+		if _, err := t.exchange(ctx, http.MethodDelete, addr, "/jobs/"+url.PathEscape(h.Job.ID)); err != nil {
+			t.log.WithError(err).WithField("id", h.Job.ID).Debug("job could not be recalled")
+		}
+	}()
+}
+
+// probe asks the runner how it is.
+func (t *target) probe(addr string, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	path := "/ping"
+	if t.fleet.cfg.Reports {
+		path = "/_load"
+	}
+	text, err := t.exchange(ctx, http.MethodGet, addr, path)
+	outcome := magpierelay.Served
+	switch {
+	case errors.Is(err, errStatus):
+		outcome = magpierelay.Errored
+	case errors.Is(err, context.DeadlineExceeded):
+		outcome = magpierelay.TimedOut
+	case err != nil:
+		outcome = magpierelay.ConnReset
+	}
+	load := loadreport.Parse(text, t.fleet.cfg.Columns)
+	t.box.Put(func(t *target) {
+		t.probing--
+		t.fleet.reports.ProbeEnded(t.worker, outcome, load)
+	})
+}
+
+var errStatus = errors.New("the runner answered with an error")
+
+// exchange makes a request without a body and returns what a 2xx answer holds.
+func (t *target) exchange(ctx context.Context, method, addr, path string) ([]byte, error) {
+	req, err := request(ctx, method, addr, path)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := t.transport.RoundTrip(req)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	text := finish(resp)
+	if resp.StatusCode/100 != 2 {
+		return text, fmt.Errorf("%s %s: status %d: %w", method, path, resp.StatusCode, errStatus)
+	}
+	return text, nil
+}
+
+// request makes a request to an address; the resource passes through as it came.
+func request(ctx context.Context, method, addr, resource string) (*http.Request, error) {
+	u, err := url.ParseRequestURI(resource)
+	if err != nil {
+		return nil, fmt.Errorf("resource of a request to %s: %w", addr, err)
+	}
+	u.Scheme, u.Host = "http", addr
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr, nil)
+	if err != nil {
+		return nil, fmt.Errorf("request to %s: %w", addr, err)
+	}
+	req.URL = u // as it came, escapes and all
+	req.Header["User-Agent"] = nil
+	return req, nil
+}
+
+// finish reads an answer to its end, so that its connection can be used again,
+// and gives it back.
+func finish(resp *http.Response) []byte {
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxBody+1)) // cut off or not, the status counts
+	return text
+}
+
+// sentBody is a request's body that knows whether all of it was handed over.
+type sentBody struct {
+	data  []byte
+	ended atomic.Bool
+}
+
+func (b *sentBody) Read(p []byte) (int, error) {
+	n := copy(p, b.data)
+	b.data = b.data[n:]
+	if len(b.data) == 0 {
+		b.ended.Store(true)
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+func (b *sentBody) Close() error { return nil }
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,299 @@
+// Package ingress is the platform's front: it takes the jobs of clients, answers
+// the health check, and takes the runners' call-backs, all at one address. It
+// turns HTTP into the core's terms and back, and decides nothing.
+package ingress
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/net/netutil"
+
+	"magpierelay/internal/core"
+	"magpierelay/internal/loadreport"
+)
+
+const (
+	maxBody = 64 << 10 // the protocol's bound on any body
+	maxID   = 128      // a longer id is not one of ours
+	// bodyTime is how long a body may take to arrive, and an answer to be read.
+	bodyTime = 10 * time.Second
+	// transit is taken off the time that a client gives, which runs from its
+	// sending: the way here, and the answer's way back.
+	transit = 10 * time.Millisecond
+	// crowded is what a client is told to wait when there is no room for it.
+	crowded = 500 * time.Millisecond
+)
+
+// Core takes what the front has read.
+type Core interface {
+	Submit(*core.Job, core.Ingress)
+	Leave(*core.Job)
+	Report(core.JobEvent)
+	Idle() <-chan struct{}
+}
+
+// Config holds the figures of the ingress.
+type Config struct {
+	Classes []string
+	Columns []string // of load reports
+	Clients int      // most connections on which jobs are taken
+	Sockets int      // most connections at all; the rest is the call-backs'
+}
+
+// Front is the server of clients and call-backs.
+type Front struct {
+	cfg     Config
+	core    Core
+	log     *logrus.Entry
+	server  *http.Server
+	open    atomic.Int64 // connections
+	serving atomic.Int64 // requests being handled, call-backs too
+}
+
+// New makes a front.
+func New(cfg Config, c Core, log *logrus.Entry) *Front {
+	f := &Front{cfg: cfg, core: c, log: log}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /_health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("POST /v1/job-events", f.jobEvent)
+	mux.HandleFunc("POST /", f.job)
+	f.server = &http.Server{
+		Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.count(mux, w, r) }),
+		ReadHeaderTimeout: bodyTime,
+		MaxHeaderBytes:    16 << 10,
+		ConnState:         f.connState,
+		ErrorLog:          stdLog(log),
+	}
+	return f
+}
+
+// Serve answers until the listener is closed.
+func (f *Front) Serve(l net.Listener) error {
+	if err := f.server.Serve(netutil.LimitListener(l, f.cfg.Sockets)); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serving %s: %w", l.Addr(), err)
+	}
+	return nil
+}
+
+// Drain tells clients to go elsewhere, keeps answering, call-backs above all,
+// until every request taken has its answer, and only then closes the listener.
+// Server.Shutdown alone would close it first, and the runners' call-backs could
+// not come in any more.
+func (f *Front) Drain(ctx context.Context) error {
+	f.server.SetKeepAlivesEnabled(false)
+	for f.serving.Load() > 0 {
+		select {
+		case <-f.core.Idle():
+		case <-ctx.Done():
+			return fmt.Errorf("waiting for open requests: %w", ctx.Err())
+		}
+		if f.serving.Load() == 0 {
+			break
+		}
+		select { // answers are being written
+		case <-time.After(time.Millisecond):
+		case <-ctx.Done():
+			return fmt.Errorf("waiting for open requests: %w", ctx.Err())
+		}
+	}
+	if err := f.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("closing the server: %w", err)
+	}
+	return nil
+}
+
+func (f *Front) connState(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		f.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		f.open.Add(-1)
+	}
+}
+
+func (f *Front) count(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	f.serving.Add(1)
+	defer f.serving.Add(-1)
+	next.ServeHTTP(w, r)
+}
+
+// body reads a request's body within its bounds. It answers what is wrong itself.
+func body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTime)) // net/http's own connections can
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	_ = rc.SetReadDeadline(time.Time{}) // from here on a read only tells that the client leaves
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		http.Error(w, "the body is larger than 64 KiB", http.StatusRequestEntityTooLarge)
+	case err != nil:
+		http.Error(w, "the body could not be read", http.StatusBadRequest)
+	}
+	return text, err == nil
+}
+
+// ---- Jobs ----
+
+// exchange is the client's side of one job: a mailbox for its one answer.
+type exchange chan core.Answer
+
+// Answer takes the core's answer; there is room for it, as it comes once.
+func (x exchange) Answer(a core.Answer) { x <- a }
+
+func (f *Front) job(w http.ResponseWriter, r *http.Request) {
+	came := time.Now()
+	if f.open.Load() > int64(f.cfg.Clients) {
+		// Guards the budget of sockets: the connection is given back with a clean
+		// refusal, so that call-backs still find room.
+		w.Header().Set("Connection", "close")
+		shed(w, crowded)
+		return
+	}
+	job, err := f.parse(r, came)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	text, ok := body(w, r)
+	if !ok {
+		return
+	}
+	job.Body = text
+	x := make(exchange, 1)
+	f.core.Submit(job, x)
+	select {
+	case a := <-x:
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(bodyTime))
+		write(w, a)
+	case <-r.Context().Done():
+		f.core.Leave(job)
+	}
+}
+
+func write(w http.ResponseWriter, a core.Answer) {
+	switch a.Verdict {
+	case core.Served:
+		w.Header().Set("Content-Type", "application/octet-stream")
+		_, _ = w.Write(a.Result) // a client that has left is seen by its context
+	case core.Shed:
+		shed(w, a.RetryAfter)
+	case core.Duplicate:
+		http.Error(w, "a request with this id is open", http.StatusConflict)
+	default:
+		http.Error(w, "the job failed", http.StatusBadGateway)
+	}
+}
+
+// shed writes a refusal and when to come back.
+func shed(w http.ResponseWriter, after time.Duration) {
+	if after > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	http.Error(w, "refused, try again", http.StatusServiceUnavailable)
+}
+
+// parse reads a job's headers.
+func (f *Front) parse(r *http.Request, came time.Time) (*core.Job, error) {
+	h := r.Header
+	job := &core.Job{ID: h.Get("X-Trace-Id"), Method: r.Method, Resource: r.RequestURI, Key: h.Get("Idempotency-Key"),
+		Retry: h.Get("X-Second-Try") == "1", Slots: 1}
+	if !validID(job.ID) {
+		return nil, errors.New("X-Trace-Id is missing or malformed")
+	}
+	if !strings.HasPrefix(job.Resource, "/") {
+		return nil, errors.New("the request target is not a path")
+	}
+	var err error
+	if job.Class, err = f.class(h.Get("X-Qos"), r.URL.Path); err != nil {
+		return nil, err
+	}
+	ms, err := strconv.ParseInt(h.Get("X-Expires-In-Ms"), 10, 64)
+	if err != nil || ms <= 0 || ms > math.MaxInt32 {
+		return nil, errors.New("X-Expires-In-Ms is missing or malformed")
+	}
+	job.Deadline = came.Add(time.Duration(ms)*time.Millisecond - transit)
+	if c, err := r.Cookie("k"); err == nil {
+		if job.Subject, err = strconv.ParseUint(c.Value, 16, 64); err != nil {
+			return nil, errors.New("cookie k is malformed")
+		}
+	}
+	for pair := range strings.SplitSeq(h.Get("X-Props"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		to := map[string]*float64{"slots": &job.Slots, "memory": &job.Memory}[name]
+		if to == nil {
+			continue // unknown figures are passed over
+		}
+		if *to, err = strconv.ParseFloat(value, 64); err != nil || *to < 0 || math.IsNaN(*to) || math.IsInf(*to, 0) {
+			return nil, fmt.Errorf("X-Props: %s is malformed", name)
+		}
+	}
+	return job, nil
+}
+
+// class finds a job's class, which is told twice.
+func (f *Front) class(name, path string) (int, error) {
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	if name == "" {
+		name = first
+	}
+	for i, c := range f.cfg.Classes {
+		if c == name && first == name {
+			return i, nil
+		}
+	}
+	return 0, errors.New("X-Qos and the path do not name one known class")
+}
+
+// validID tells whether an id can be passed on in a header and a path.
+func validID(id string) bool {
+	if id == "" || len(id) > maxID {
+		return false
+	}
+	return strings.IndexFunc(id, func(r rune) bool { return r <= ' ' || r >= 0x7f || r == '/' }) < 0
+}
+
+// ---- Call-backs ----
+
+var states = map[string]core.JobState{"started": core.JobStarted, "running": core.JobRunning, "done": core.JobDone,
+	"failed": core.JobFailed, "returned": core.JobReturned, "lost": core.JobLost}
+
+// jobEvent takes a runner's call-back. It is answered at once whatever it names,
+// as the runner would repeat it otherwise; the core applies it once.
+func (f *Front) jobEvent(w http.ResponseWriter, r *http.Request) {
+	text, ok := body(w, r)
+	if !ok {
+		return
+	}
+	var ev struct {
+		ID, From, State string
+		Share           float64
+		Result, Load    json.RawMessage
+	}
+	err := json.Unmarshal(text, &ev)
+	state, known := states[ev.State]
+	if err != nil || !known || !validID(ev.ID) || ev.From == "" {
+		http.Error(w, "the call-back is malformed", http.StatusBadRequest)
+		return
+	}
+	report := core.JobEvent{ID: ev.ID, From: ev.From, State: state, Share: ev.Share,
+		Load: loadreport.Parse(ev.Load, f.cfg.Columns), Result: ev.Result}
+	var result string
+	if json.Unmarshal(ev.Result, &result) == nil {
+		report.Result = []byte(result)
+	}
+	f.core.Report(report)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/loadreport/loadreport.go
@@ -0,0 +1,44 @@
+// Package loadreport reads the load reports of runners, which come as JSON
+// objects or in a header.
+package loadreport
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+)
+
+// Parse reads a report written as a JSON object and returns its values in the
+// order of columns, 0 for one that is missing; nil where there is no report.
+func Parse(text []byte, columns []string) []float32 {
+	var values map[string]any
+	if len(columns) == 0 || json.Unmarshal(text, &values) != nil || len(values) == 0 {
+		return nil
+	}
+	load := make([]float32, len(columns))
+	for i, name := range columns {
+		if v, ok := values[name].(float64); ok {
+			load[i] = float32(v)
+		}
+	}
+	return load
+}
+
+// ParseHeader reads a report written as "TEXT name=value, name=value".
+func ParseHeader(text string, columns []string) []float32 {
+	text, ok := strings.CutPrefix(text, "TEXT ")
+	if !ok || len(columns) == 0 {
+		return nil
+	}
+	load := make([]float32, len(columns))
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		v, err := strconv.ParseFloat(value, 32)
+		for i := range columns {
+			if columns[i] == name && err == nil {
+				load[i] = float32(v)
+			}
+		}
+	}
+	return load
+}
--- /dev/null
+++ b/internal/routetable/routetable.go
@@ -0,0 +1,260 @@
+// Package routetable keeps up with discovery's list of runners. Its actor holds
+// the one watch, notices when it falls silent, and hands what it learns to the
+// core at once; when to ask again is the module's decision.
+package routetable
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magpierelay"
+	"magpierelay/internal/core"
+	"magpierelay/internal/mailbox"
+)
+
+const (
+	listPath = "/catalog/members"
+	// answerTime is how long a call may wait in discovery's line.
+	answerTime = 6 * time.Second
+	// silence is how long a watch may say nothing: a line comes every 2 s, so two
+	// are missing. What is told counts as told after 6 s, so it has to be noticed before.
+	silence = 4500 * time.Millisecond
+	maxLine = 4 << 20 // a whole list of a large fleet
+)
+
+// Sink takes what the table learns; the core does. It must not block.
+type Sink interface {
+	ListReplaced([]core.Route)
+	ListChanged([]core.Route)
+	ListFailed()
+}
+
+// Table is the actor. Make it with New, name the sink, start it with Run.
+type Table struct {
+	base   string
+	zones  numbering
+	kinds  numbering
+	sink   Sink
+	log    *logrus.Entry
+	client *http.Transport
+	box    *mailbox.Box[func(*Table)]
+
+	rev      uint64
+	watching bool
+}
+
+// New makes a table of the discovery at addr. Zones and kinds are the names that
+// stand for the module's numbers.
+func New(addr string, zones, kinds []string, connect time.Duration, log *logrus.Entry) *Table {
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		d := net.Dialer{Deadline: time.Now().Add(max(connect, time.Second))}
+		return d.DialContext(ctx, network, addr)
+	}
+	return &Table{base: "http://" + addr + listPath, zones: numbering{names: zones}, kinds: numbering{names: kinds},
+		log: log, client: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
+			IdleConnTimeout: silence}, box: mailbox.New[func(*Table)]()}
+}
+
+// Load takes in the list that the dispatcher held last and tells it to the sink,
+// who from now on gets what is learned.
+func (t *Table) Load(known []byte, sink Sink) {
+	t.sink = sink
+	if len(known) > 0 && string(known) != "null" && t.line(known) {
+		return
+	}
+	sink.ListReplaced(nil)
+}
+
+// Watch asks for the changes from now on.
+func (t *Table) Watch() {
+	t.box.Put(func(t *Table) {
+		if !t.watching {
+			t.watching = true
+			t.call("?watch=1&from="+strconv.FormatUint(t.rev, 10), func(t *Table) { t.watching = false })
+		}
+	})
+}
+
+// Fetch asks for the whole list once.
+func (t *Table) Fetch() { t.box.Put(func(t *Table) { t.call("", func(*Table) {}) }) }
+
+// Run works until the context ends.
+func (t *Table) Run(ctx context.Context) {
+	defer t.client.CloseIdleConnections()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.box.Ready():
+		}
+		for _, message := range t.box.Drain(nil) {
+			message(t)
+		}
+	}
+}
+
+// call makes a call in the background; each line of its answer comes to the
+// mailbox, and so does its end.
+func (t *Table) call(query string, over func(*Table)) {
+	go func() {
+		err := t.read(query)
+		t.box.Put(func(t *Table) {
+			over(t)
+			if err != nil {
+				t.log.WithError(err).Warn("discovery call ended; the list is kept")
+				t.sink.ListFailed()
+			}
+		})
+	}()
+}
+
+var errSilent = errors.New("discovery has fallen silent")
+
+// read makes a call and reads its answer line by line. Guards against a watch
+// whose machine has vanished: its connection stays open and says nothing.
+func (t *Table) read(query string) error {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	watchdog := time.AfterFunc(answerTime, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, t.base+query, nil)
+	if err != nil {
+		return fmt.Errorf("asking discovery: %w", err)
+	}
+	resp, err := t.client.RoundTrip(req)
+	if err != nil {
+		return cause(ctx, fmt.Errorf("asking discovery: %w", err))
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.CopyN(io.Discard, resp.Body, 64<<10)
+		return fmt.Errorf("asking discovery: status %d", resp.StatusCode)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		watchdog.Reset(silence)
+		if text := bytes.Clone(bytes.TrimSpace(lines.Bytes())); len(text) > 0 {
+			t.box.Put(func(t *Table) { t.line(text) })
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return cause(ctx, fmt.Errorf("reading the list: %w", err))
+	}
+	if query != "" {
+		return errors.New("the watch was ended by discovery")
+	}
+	return nil
+}
+
+// cause names the watchdog where it was the reason of an error.
+func cause(ctx context.Context, err error) error {
+	if c := context.Cause(ctx); c != nil {
+		return c
+	}
+	return err
+}
+
+// list is one object of discovery's answers.
+type list struct {
+	Rev     uint64            `json:"rev"`
+	All     bool              `json:"all"`
+	Targets []json.RawMessage `json:"targets"`
+}
+
+// entry is one runner in a list.
+type entry struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Kind     string  `json:"model"`
+	Cell     int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Weight   float64 `json:"capacity_hint"`
+	Boot     int64   `json:"boot_ms"`
+}
+
+// line takes in one object and reports whether it could be read. What can't be
+// read is logged and skipped, and the list that was there is kept: a whole list
+// with an entry that can't be read counts as changes, so that it takes away
+// nobody who may only have been misspelled.
+func (t *Table) line(text []byte) bool {
+	var l list
+	if err := json.Unmarshal(text, &l); err != nil {
+		t.log.WithError(err).Warn("list line skipped")
+		return false
+	}
+	routes := make([]core.Route, 0, len(l.Targets))
+	for _, text := range l.Targets {
+		route, err := t.route(text)
+		if err != nil {
+			t.log.WithError(err).Warn("list entry skipped")
+			l.All = false
+			continue
+		}
+		routes = append(routes, route)
+	}
+	t.rev = l.Rev
+	if l.All {
+		t.sink.ListReplaced(routes)
+	} else {
+		t.sink.ListChanged(routes)
+	}
+	return true
+}
+
+func (t *Table) route(text []byte) (core.Route, error) {
+	var e entry
+	if err := json.Unmarshal(text, &e); err != nil {
+		return core.Route{}, fmt.Errorf("entry: %w", err)
+	}
+	if e.UID == "" {
+		return core.Route{}, errors.New("entry without uid")
+	}
+	m := magpierelay.Member{Cell: e.Cell, Weight: e.Weight, StartedAt: time.Duration(max(e.Boot, 0)) * time.Millisecond}
+	switch e.State {
+	case "SERVING":
+		m.State = magpierelay.Ready
+	case "DRAINING":
+		m.State = magpierelay.Draining
+	case "DELETED":
+		m.State = magpierelay.Removed
+	default:
+		return core.Route{}, fmt.Errorf("entry %q: unknown state %q", e.UID, e.State)
+	}
+	if _, _, err := net.SplitHostPort(e.Endpoint); err != nil && m.State != magpierelay.Removed {
+		return core.Route{}, fmt.Errorf("entry %q: endpoint: %w", e.UID, err)
+	}
+	m.Zone, m.Kind = t.zones.number(e.Zone), t.kinds.number(e.Kind)
+	return core.Route{UID: e.UID, Addr: e.Endpoint, Member: m}, nil
+}
+
+// numbering gives names the numbers of the settings, and new names new ones.
+type numbering struct{ names []string }
+
+// mostNames bounds the names that discovery can add; those past it share a number.
+const mostNames = 256
+
+func (n *numbering) number(name string) int {
+	i := slices.Index(n.names, name)
+	if i < 0 && len(n.names) < mostNames {
+		i = len(n.names)
+		n.names = append(slices.Clone(n.names), name)
+	}
+	if i < 0 {
+		return mostNames
+	}
+	return i
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -16,6 +16,7 @@
 	Me        int64   `json:"me"`
 	Zone      int64   `json:"zone"`
 	Zones     []any   `json:"zones"`
+	Kinds     []any   `json:"kinds"`
 	Quantum   int64   `json:"quantum"`
 	Discovery string  `json:"discovery"`
 	Weights   string  `json:"weights"`
@@ -34,6 +35,7 @@
 		RetryAfter     bool  `json:"retry-after"`
 		MaxRetryAfter  int64 `json:"max-retry-after"`
 		ConnectTimeout int64 `json:"connect-timeout"`
+		Keepalive      int64 `json:"keepalive"`
 	} `json:"policy-limits"`
 	Rules struct {
 		DrainGrace   int64   `json:"drain-grace"`
@@ -56,6 +58,7 @@
 }
 
 type class struct {
+	Name       string  `json:"name"`
 	Effect     string  `json:"effect"`
 	Group      string  `json:"group"`
 	Window     int64   `json:"window"`
@@ -84,18 +87,9 @@
 // class safe, of worth 1 and any kind. A wrong type, a negative figure or a
 // missing class is an error that names the key.
 func ParseSettings(text []byte) (magpierelay.Config, error) {
-	s := settings{Balancers: 1}
-	s.Limits.SendCap = 2
-	s.Rules.ColdFrom, s.Rules.FallMultiple = 1, 1
-	if err := json.Unmarshal(text, &s); err != nil {
-		var wrong *json.UnmarshalTypeError
-		if errors.As(err, &wrong) {
-			return magpierelay.Config{}, fmt.Errorf("settings: %s: %s is not a %s", wrong.Field, wrong.Value, wrong.Type)
-		}
-		return magpierelay.Config{}, fmt.Errorf("settings: %w", err)
-	}
-	if err := s.check(); err != nil {
-		return magpierelay.Config{}, fmt.Errorf("settings: %w", err)
+	s, err := parse(text)
+	if err != nil {
+		return magpierelay.Config{}, err
 	}
 	cfg := magpierelay.Config{
 		Instance: int(s.Me), Instances: int(s.Balancers), Zone: int(s.Zone), Zones: len(s.Zones),
@@ -121,6 +115,61 @@
 	return cfg, nil
 }
 
+// Names holds what a host on sockets needs of the settings beside the Config:
+// the words that stand for numbers, and how long a connection may sit idle.
+type Names struct {
+	Classes   []string
+	Zones     []string
+	Kinds     []string
+	Columns   []string // of load reports, in the order of Config.Metrics; none where there are no reports
+	InAnswers bool     // load reports come with answers too
+	Keepalive time.Duration
+}
+
+// ParseNames reads the Names from the settings that ParseSettings reads.
+func ParseNames(text []byte) (Names, error) {
+	s, err := parse(text)
+	if err != nil {
+		return Names{}, err
+	}
+	n := Names{Zones: words(s.Zones), Kinds: words(s.Kinds), Keepalive: us(s.Limits.Keepalive),
+		InAnswers: s.Report.Source == "answers"}
+	if s.Report.Source == "answers" || s.Report.Source == "probe" {
+		n.Columns = s.Report.Columns[:min(len(s.Report.Columns), magpierelay.MaxMetrics)]
+	}
+	for _, c := range s.Classes {
+		n.Classes = append(n.Classes, c.Name)
+	}
+	return n, nil
+}
+
+// words returns names as text, whatever JSON wrote them as.
+func words(names []any) []string {
+	var out []string
+	for _, name := range names {
+		out = append(out, fmt.Sprint(name))
+	}
+	return out
+}
+
+// parse reads and checks the settings.
+func parse(text []byte) (settings, error) {
+	s := settings{Balancers: 1}
+	s.Limits.SendCap = 2
+	s.Rules.ColdFrom, s.Rules.FallMultiple = 1, 1
+	if err := json.Unmarshal(text, &s); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return s, fmt.Errorf("settings: %s: %s is not a %s", wrong.Field, wrong.Value, wrong.Type)
+		}
+		return s, fmt.Errorf("settings: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return s, fmt.Errorf("settings: %w", err)
+	}
+	return s, nil
+}
+
 // metrics names the report's columns; what a free column holds is told in
 // words under a key of the column's own name.
 func (s *settings) metrics(text []byte) []magpierelay.Metric {
@@ -206,7 +255,7 @@
 	}
 	times := []timeKey{
 		{"quantum", s.Quantum}, {"policy-limits.max-retry-after", s.Limits.MaxRetryAfter},
-		{"policy-limits.connect-timeout", s.Limits.ConnectTimeout}, {"policy-limits.send-cap", s.Limits.SendCap},
+		{"policy-limits.connect-timeout", s.Limits.ConnectTimeout}, {"policy-limits.keepalive", s.Limits.Keepalive}, {"policy-limits.send-cap", s.Limits.SendCap},
 		{"rules.drain-grace", s.Rules.DrainGrace}, {"rules.warm-within", s.Rules.WarmWithin},
 		{"rules.fall", s.Rules.Fall}, {"rules.ask-within", s.Rules.AskWithin}, {"me", s.Me}, {"zone", s.Zone},
 		{"balancers", s.Balancers},
