Test the program as a process, and close the holes that this and a reading found

Found while writing the tests, each now guarded by one in cmd/frosttide: - http.ServeMux redirects a POST whose path it finds unclean, so the path did not pass through unchanged (ingress.New); a plain switch takes its place. - Drain ended as soon as no request was being handled, so a connection whose request was just being read lost its listener for call-backs (ingress.Drain); it now waits until no connection is open, or none has said anything for 250 ms. - An answered request kept its hops for good where cancels are not allowed (core.expire returned early). - A dial past the budget of sockets was told as a failed connection and made the module rest a healthy runner (egress.fly); it is now 'not sent'.

--- /dev/null
+++ b/cmd/frosttide/harness_test.go
@@ -0,0 +1,306 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// The tests start the real program as a process, this test binary under another
+// hat, and talk to it as clients, runners and discovery would.
+func TestMain(m *testing.M) {
+	if os.Getenv("FROSTTIDE_TEST_PROGRAM") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// patience bounds each wait for an event; no test waits for it to pass.
+const patience = 20 * time.Second
+
+// settings has a class for each effect. The connect timeout is short of nothing
+// that happens on loopback.
+const settings = `{"balancers":1,"me":0,"zone":0,"zones":["a","b"],"kinds":["m"],"discovery":"on_request",
+"request-classes":[
+ {"name":"render","effect":"safe","aim":2000000,"give-up":20000000,"worth":1},
+ {"name":"release","effect":"keyed","group":"zone","window":40000000,"aim":2000000,"give-up":20000000,"worth":5},
+ {"name":"once","effect":"unsafe","aim":2000000,"give-up":20000000,"worth":5}],
+"policy-limits":{"connect-timeout":250000,"keepalive":5000000,"max-retry-after":2000000,"may-cancel":true,
+ "retry-after":true,"second-copies":false,"send-cap":4,"probing":true},
+"report":{"source":"none"},"family-info":{"tells-start":true},
+"rules":{"ask-within":1000000,"drain-grace":500000,"cold-from":0.13,"warm-within":23000000,"fall-multiple":2.5,"fall":1000000}}`
+
+// dispatcher is a running frosttide.
+type dispatcher struct {
+	t     *testing.T
+	addr  string
+	cmd   *exec.Cmd
+	lines chan string
+	ended chan error
+	seen  []string
+}
+
+// discovery serves the list; the test writes the lines of each watch.
+type discovery struct {
+	*httptest.Server
+	watches chan *watch
+}
+
+type watch struct {
+	query string
+	lines chan string // closed to end the watch
+	gone  <-chan struct{}
+}
+
+func newDiscovery(t *testing.T) *discovery {
+	d := &discovery{watches: make(chan *watch, 64)}
+	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x := &watch{query: r.URL.RawQuery, lines: make(chan string, 16), gone: r.Context().Done()}
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		d.watches <- x
+		for {
+			select {
+			case line, ok := <-x.lines:
+				if !ok {
+					return
+				}
+				fmt.Fprintln(w, line)
+				w.(http.Flusher).Flush()
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	t.Cleanup(func() {
+		d.CloseClientConnections()
+		d.Close()
+	})
+	return d
+}
+
+// entry is a line of the list.
+func entry(uid, addr, state string) string {
+	return fmt.Sprintf(`{"uid":%q,"endpoint":%q,"az":"a","model":"m","pod_group":1,"state":%q,"capacity_hint":1,"boot_ms":0}`,
+		uid, addr, state)
+}
+
+func list(rev int, all bool, entries ...string) string {
+	return fmt.Sprintf(`{"rev":%d,"all":%t,"targets":[%s]}`, rev, all, strings.Join(entries, ","))
+}
+
+// start runs a dispatcher that knows the given entries.
+func start(t *testing.T, discoveryURL string, sockets int, known ...string) *dispatcher {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &dispatcher{t: t, addr: free.Addr().String(), lines: make(chan string, 1024), ended: make(chan error, 1)}
+	free.Close()
+	cfg := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","unheard":1,
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`,
+		d.addr, strings.TrimPrefix(discoveryURL, "http://"), sockets, list(41, true, known...), settings)
+	d.cmd = program(t, cfg)
+	out, err := d.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for in := bufio.NewScanner(out); in.Scan(); {
+			d.lines <- in.Text()
+		}
+		d.ended <- d.cmd.Wait()
+	}()
+	t.Cleanup(func() { d.cmd.Process.Kill() })
+	d.awaitLog("frosttide serves")
+	return d
+}
+
+// program is the command that runs frosttide with a configuration file.
+func program(t *testing.T, cfg string) *exec.Cmd {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(cfg), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = []string{"FROSTTIDE_TEST_PROGRAM=1", "BALANCER_CONFIG=" + path}
+	return cmd
+}
+
+func (d *dispatcher) awaitLog(text string) {
+	d.t.Helper()
+	over := time.After(patience)
+	for {
+		select {
+		case line := <-d.lines:
+			d.seen = append(d.seen, line)
+			if strings.Contains(line, text) {
+				return
+			}
+		case <-over:
+			d.t.Fatalf("no log line %q; log:\n%s", text, strings.Join(d.seen, "\n"))
+		}
+	}
+}
+
+// answer is what a client got, or why it got nothing.
+type answer struct {
+	Status int
+	Body   string
+	Header http.Header
+	Err    error
+	Close  bool // the dispatcher told that it closes the connection
+}
+
+// job is a client's request, not yet sent.
+func (d *dispatcher) job(class, id string, edit ...func(*http.Request)) *http.Request {
+	req, err := http.NewRequest("POST", "http://"+d.addr+"/"+class+"/clip%2F7?q=a+b", strings.NewReader("frames of "+id))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	req.Header.Set("X-Trace-Id", id)
+	req.Header.Set("X-Qos", class)
+	req.Header.Set("X-Expires-In-Ms", "15000")
+	req.Header.Set("Cookie", "k=7f3a9c21e0b4d655")
+	if class == "release" {
+		req.Header.Set("Idempotency-Key", "key-"+id)
+	}
+	for _, e := range edit {
+		e(req)
+	}
+	return req
+}
+
+// submit sends a job in the background.
+func submit(req *http.Request) <-chan answer {
+	got := make(chan answer, 1)
+	go func() { got <- do(&http.Client{Transport: &http.Transport{}}, req) }()
+	return got
+}
+
+func do(c *http.Client, req *http.Request) answer {
+	resp, err := c.Do(req)
+	if err != nil {
+		return answer{Err: err}
+	}
+	defer c.CloseIdleConnections()
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return answer{Status: resp.StatusCode, Body: string(text), Header: resp.Header, Err: err, Close: resp.Close}
+}
+
+// report makes a runner's call-back, again until it is answered as runners do,
+// and returns its status.
+func (d *dispatcher) report(body string) int {
+	d.t.Helper()
+	var err error
+	for range 10 {
+		var resp *http.Response
+		resp, err = http.Post("http://"+d.addr+"/v1/job-events", "application/json", strings.NewReader(body))
+		if err == nil {
+			resp.Body.Close()
+			return resp.StatusCode
+		}
+	}
+	d.t.Fatal(err)
+	return 0
+}
+
+func event(id, from, state string) string {
+	text, _ := json.Marshal(map[string]any{"id": id, "from": from, "state": state, "result": "clip of " + id, "new": 1})
+	return string(text)
+}
+
+// await takes the next thing from a channel.
+func await[T any](t *testing.T, from <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(patience):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+// runner is a fake runner on a raw listener, so that it can do with connections
+// what no server would.
+type runner struct {
+	uid, addr string
+	hops      chan *hop // jobs, recalls and probes as they arrive whole
+	conns     sync.Map
+}
+
+// hop is a request at a runner; the test answers it.
+type hop struct {
+	*http.Request
+	body  string
+	conn  net.Conn
+	ended chan struct{} // closed when the connection has ended
+}
+
+func newRunner(t *testing.T, uid string) *runner {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &runner{uid: uid, addr: l.Addr().String(), hops: make(chan *hop, 256)}
+	t.Cleanup(func() {
+		l.Close()
+		r.conns.Range(func(c, _ any) bool { c.(net.Conn).Close(); return true })
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r.conns.Store(c, true)
+			go r.read(c)
+		}
+	}()
+	return r
+}
+
+func (r *runner) read(c net.Conn) {
+	ended := make(chan struct{})
+	defer close(ended)
+	for in := bufio.NewReader(c); ; {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		r.hops <- &hop{Request: req, body: string(body), conn: c, ended: ended}
+	}
+}
+
+func (h *hop) id() string { return h.Header.Get("X-Trace-Id") }
+
+// reply answers a hop; headers end with \r\n each.
+func (h *hop) reply(status int, headers string) {
+	fmt.Fprintf(h.conn, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), headers)
+}
+
+func (r *runner) entry() string { return entry(r.uid, r.addr, "SERVING") }
--- /dev/null
+++ b/cmd/frosttide/main_test.go
@@ -0,0 +1,517 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// one starts a dispatcher with one runner.
+func one(t *testing.T) (*dispatcher, *runner) {
+	t.Helper()
+	r := newRunner(t, "s-1")
+	return start(t, newDiscovery(t).URL, 1024, r.entry()), r
+}
+
+// TestServed guards the way of a job: what a runner gets is what the client
+// sent, and the result reaches the client once whatever the order and number of
+// the call-backs.
+func TestServed(t *testing.T) {
+	t.Parallel()
+	d, r := one(t)
+	for _, tc := range []struct {
+		name   string
+		report []string // states; "202" is the answer to the hop; "!" marks one from a stranger
+	}{
+		{"done after the 202", []string{"202", "started", "running", "done"}},
+		{"done before the 202", []string{"started", "done", "202"}},
+		{"done twice", []string{"202", "done", "done"}},
+		{"a stranger's word first", []string{"202", "!done", "!failed", "done"}},
+		{"failure after the end", []string{"202", "done", "failed"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			id := strings.ReplaceAll(tc.name, " ", "-")
+			got := submit(d.job("release", id))
+			h := await(t, r.hops, "hop")
+			left, err := strconv.Atoi(h.Header.Get("X-Expires-In-Ms"))
+			if err != nil || left > 15000 || left < 10000 {
+				t.Errorf("X-Expires-In-Ms is %q", h.Header.Get("X-Expires-In-Ms"))
+			}
+			h.Header.Del("X-Expires-In-Ms")
+			h.Header.Del("Content-Length")
+			want := []any{"POST", "/release/clip%2F7?q=a+b", "frames of " + id,
+				http.Header{"X-Trace-Id": {id}, "Idempotency-Key": {"key-" + id}}}
+			if diff := cmp.Diff(want, []any{h.Method, h.RequestURI, h.body, h.Header}); diff != "" {
+				t.Errorf("the hop differs (-want +got):\n%s", diff)
+			}
+			for _, state := range tc.report {
+				if state == "202" {
+					h.reply(202, "")
+					continue
+				}
+				from := r.uid
+				if strings.HasPrefix(state, "!") {
+					from = "s-stranger"
+				}
+				if code := d.report(event(id, from, strings.TrimPrefix(state, "!"))); code != 204 {
+					t.Errorf("call-back %s got %d", state, code)
+				}
+			}
+			a := await(t, got, "answer")
+			if diff := cmp.Diff(answer{Status: 200, Body: "clip of " + id}, answer{a.Status, a.Body, nil, a.Err, false}); diff != "" {
+				t.Errorf("the answer differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestOutcomes guards rule 2: what a hop's end tells of its having run decides
+// what the client is told and whether another runner gets the job.
+func TestOutcomes(t *testing.T) {
+	t.Parallel()
+	const unrun = "X-Never-Ran: 1\r\n"
+	reply := func(status int, headers string) func(*dispatcher, *hop) {
+		return func(_ *dispatcher, h *hop) { h.reply(status, headers) }
+	}
+	report := func(state string) func(*dispatcher, *hop) {
+		return func(d *dispatcher, h *hop) {
+			h.reply(202, "")
+			d.report(event(h.id(), "s-1", state))
+		}
+	}
+	for _, tc := range []struct {
+		name, class string
+		end         func(*dispatcher, *hop)
+		again       bool // the second runner gets it
+		status      int  // otherwise
+	}{
+		{"500, safe", "render", reply(500, ""), true, 0},
+		{"500, unsafe", "once", reply(500, ""), false, 502},
+		{"503 unrun, unsafe", "once", reply(503, unrun), true, 0},
+		{"504 unrun, keyed", "release", reply(504, unrun), true, 0},
+		{"503 that may have run", "once", reply(503, ""), false, 502},
+		{"reset, unsafe", "once", func(_ *dispatcher, h *hop) { h.conn.Close() }, false, 502},
+		{"reset, safe", "render", func(_ *dispatcher, h *hop) { h.conn.Close() }, true, 0},
+		{"failed, unsafe", "once", report("failed"), false, 502},
+		{"returned, unsafe", "once", report("returned"), true, 0},
+		{"lost, unsafe", "once", report("lost"), false, 502},
+		{"lost, safe", "render", report("lost"), true, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			first, second := newRunner(t, "s-1"), newRunner(t, "s-2")
+			disc := newDiscovery(t)
+			d := start(t, disc.URL, 1024, first.entry())
+			w := await(t, disc.watches, "watch")
+			got := submit(d.job(tc.class, "x1"))
+			h := await(t, first.hops, "hop")
+			w.lines <- list(42, false, second.entry())
+			d.awaitLog("target=s-2")
+			tc.end(d, h)
+			if tc.again {
+				if h := await(t, second.hops, "second hop"); h.id() != "x1" {
+					t.Errorf("the second hop is of %q", h.id())
+				}
+				d.report(event("x1", "s-2", "done"))
+				tc.status = 200
+			}
+			if a := await(t, got, "answer"); a.Status != tc.status {
+				t.Errorf("answer %+v, want status %d", a, tc.status)
+			}
+			if len(second.hops) > 0 {
+				t.Errorf("the second runner got another hop")
+			}
+		})
+	}
+}
+
+// TestSentOnce guards rule 2 against http.Transport, which sends a request again
+// by itself when a reused connection turns out dead and a key makes it look
+// harmless.
+func TestSentOnce(t *testing.T) {
+	t.Parallel()
+	for _, body := range []string{"", "frames"} {
+		t.Run("body "+strconv.Quote(body), func(t *testing.T) {
+			t.Parallel()
+			d, r := one(t)
+			warm := submit(d.job("release", "warm"))
+			h := await(t, r.hops, "hop")
+			h.reply(202, "")
+			d.report(event("warm", r.uid, "done"))
+			await(t, warm, "answer")
+			got := submit(d.job("release", "x1", func(req *http.Request) {
+				req.Body, req.ContentLength, req.GetBody = http.NoBody, int64(len(body)), nil
+				if body != "" {
+					req.Body = d.job("render", "-").Body
+					req.ContentLength = int64(len("frames of -"))
+				}
+			}))
+			again := await(t, r.hops, "hop on the kept connection")
+			if again.conn != h.conn {
+				t.Fatal("the connection was not used again")
+			}
+			again.conn.Close()
+			if a := await(t, got, "answer"); a.Status != 502 {
+				t.Errorf("answer %+v, want a failure: it may have run", a)
+			}
+			if len(r.hops) > 0 {
+				t.Errorf("the hop was sent again: %q", (<-r.hops).id())
+			}
+		})
+	}
+}
+
+// TestRefused guards that what no runner can take is refused at once, with a
+// time to come back.
+func TestRefused(t *testing.T) {
+	t.Parallel()
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	for name, known := range map[string][]string{
+		"no runner": nil,
+		"draining":  {entry("s-1", "127.0.0.1:1", "DRAINING")},
+		"dead":      {entry("s-1", dead.Addr().String(), "SERVING")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := start(t, newDiscovery(t).URL, 1024, known...)
+			a := await(t, submit(d.job("once", "x1")), "answer")
+			after, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+			if a.Status != 503 || err != nil || after <= 0 || after > 2 {
+				t.Errorf("answer %+v, want a refusal with a time to come back", a)
+			}
+		})
+	}
+}
+
+// TestBadRequests guards that what is malformed gets a plain answer and reaches
+// no runner, and that odd but sound requests do.
+func TestBadRequests(t *testing.T) {
+	t.Parallel()
+	d, r := one(t)
+	set := func(name, value string) func(*http.Request) {
+		return func(req *http.Request) { req.Header.Set(name, value) }
+	}
+	for _, tc := range []struct {
+		name   string
+		edit   func(*http.Request)
+		status int
+	}{
+		{"no id", func(req *http.Request) { req.Header.Del("X-Trace-Id") }, 400},
+		{"long id", set("X-Trace-Id", strings.Repeat("a", 129)), 400},
+		{"id with a slash", set("X-Trace-Id", "a/b"), 400},
+		{"unknown class", set("X-Qos", "karaoke"), 400},
+		{"class against path", set("X-Qos", "once"), 400},
+		{"no deadline", func(req *http.Request) { req.Header.Del("X-Expires-In-Ms") }, 400},
+		{"deadline in words", set("X-Expires-In-Ms", "soon"), 400},
+		{"deadline past", set("X-Expires-In-Ms", "-5"), 400},
+		{"slots in words", set("X-Props", "slots=two"), 400},
+		{"slots below nothing", set("X-Props", "slots=-1"), 400},
+		{"slots not a number", set("X-Props", "slots=NaN"), 400},
+		{"body too large", func(req *http.Request) {
+			big := strings.Repeat("x", 64<<10+1)
+			req.Body, req.ContentLength = http.MaxBytesReader(nil, http.NoBody, 0), 0
+			*req = *d.job("render", "big")
+			req.Body, req.ContentLength = readCloser{strings.NewReader(big)}, int64(len(big))
+		}, 413},
+		{"headers too large", set("X-Other", strings.Repeat("x", 64<<10)), 431},
+		{"a GET", func(req *http.Request) { req.Method, req.Body, req.ContentLength = "GET", nil, 0 }, 405},
+		{"unknown figures and headers", func(req *http.Request) {
+			req.Header.Set("X-Props", "slots=2, colour=7")
+			req.Header.Set("X-Other", "1")
+		}, 200},
+		{"path that a router would clean", func(req *http.Request) { req.URL.Opaque = "/render//a/../b" }, 200},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			req := d.job("render", "x-"+strings.ReplaceAll(tc.name, " ", "-"), tc.edit)
+			got := submit(req)
+			if tc.status == 200 {
+				h := await(t, r.hops, "hop")
+				h.reply(202, "")
+				if want := req.URL.RequestURI(); h.RequestURI != want {
+					t.Errorf("the runner was asked for %s, want %s", h.RequestURI, want)
+				}
+				d.report(event(h.id(), r.uid, "done"))
+			}
+			if a := await(t, got, "answer"); a.Status != tc.status {
+				t.Errorf("answer %+v, want status %d", a, tc.status)
+			}
+			if len(r.hops) > 0 {
+				t.Errorf("a runner got %s", (<-r.hops).RequestURI)
+			}
+		})
+	}
+}
+
+type readCloser struct{ *strings.Reader }
+
+func (readCloser) Close() error { return nil }
+
+// TestCallbacks guards the answers to call-backs: a runner repeats what is not
+// answered, so an unknown id is answered like any, and only nonsense is refused.
+func TestCallbacks(t *testing.T) {
+	t.Parallel()
+	d, _ := one(t)
+	for body, status := range map[string]int{
+		event("nobody", "s-1", "done"):                    204,
+		event("nobody", "s-9", "started"):                 204,
+		`{"id":"a","from":"s-1","state":"done"}`:          204,
+		`{"id":"a","from":"s-1","state":"dancing"}`:       400,
+		`{"id":"","from":"s-1","state":"done"}`:           400,
+		`{"id":"a","state":"done"}`:                       400,
+		`{"id":7,"from":"s-1","state":"done"}`:            400,
+		`{"id":"a","from":"s-1","state":"running","share`: 400,
+		``:                                 400,
+		strings.Repeat(" ", 64<<10) + `{}`: 413,
+	} {
+		if got := d.report(body); got != status {
+			t.Errorf("call-back %.60q got %d, want %d", body, got, status)
+		}
+	}
+}
+
+// TestClientLeaves guards that the work of a client that has gone is given up:
+// before the 202 by closing the connection, after it by recalling the job.
+func TestClientLeaves(t *testing.T) {
+	t.Parallel()
+	d, r := one(t)
+	for _, taken := range []bool{false, true} {
+		t.Run(fmt.Sprintf("taken %t", taken), func(t *testing.T) {
+			c, err := net.Dial("tcp", d.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			id := fmt.Sprintf("left-%t", taken)
+			if err := d.job("render", id).Write(c); err != nil {
+				t.Fatal(err)
+			}
+			h := await(t, r.hops, "hop")
+			if !taken {
+				c.Close()
+				await(t, h.ended, "end of the hop's connection")
+				return
+			}
+			h.reply(202, "")
+			other := submit(d.job("render", "other-"+id)) // takes the same connection: the 202 has been read
+			o := await(t, r.hops, "other hop")
+			o.reply(202, "")
+			c.Close()
+			del := await(t, r.hops, "recall")
+			if diff := cmp.Diff([]string{"DELETE", "/jobs/" + id}, []string{del.Method, del.RequestURI}); diff != "" {
+				t.Errorf("recall (-want +got):\n%s", diff)
+			}
+			del.reply(204, "")
+			d.report(event(o.id(), r.uid, "done"))
+			await(t, other, "answer")
+		})
+	}
+}
+
+// TestDeadline guards rule 1: a job whose runner says nothing more is answered
+// by the client's deadline and the slack, not long before it and not after.
+func TestDeadline(t *testing.T) {
+	t.Parallel()
+	d, r := one(t)
+	for _, tc := range []struct {
+		class  string
+		taken  bool
+		status int
+	}{{"render", true, 503}, {"render", false, 503}, {"once", true, 502}, {"once", false, 502}} {
+		id := fmt.Sprintf("%s-%t", tc.class, tc.taken)
+		sent := time.Now()
+		got := submit(d.job(tc.class, id, func(req *http.Request) { req.Header.Set("X-Expires-In-Ms", "400") }))
+		h := await(t, r.hops, "hop")
+		for h.id() != id {
+			h = await(t, r.hops, "hop") // recalls of the one before
+		}
+		if tc.taken {
+			h.reply(202, "")
+		}
+		a := await(t, got, "answer")
+		took := time.Since(sent)
+		if a.Status != tc.status || took < 350*time.Millisecond || took > 458*time.Millisecond {
+			t.Errorf("%s: answer %+v after %v, want %d at 400 ms", id, a, took, tc.status)
+		}
+	}
+}
+
+// TestRouteTable guards the list: what it says counts at once, a bad line costs
+// nothing, and a watch that ends is opened again where it left off.
+func TestRouteTable(t *testing.T) {
+	t.Parallel()
+	r, moved := newRunner(t, "s-1"), newRunner(t, "s-1")
+	disc := newDiscovery(t)
+	d := start(t, disc.URL, 1024, r.entry())
+	w := await(t, disc.watches, "watch")
+	if w.query != "watch=1&from=41" {
+		t.Errorf("the watch asks for %q", w.query)
+	}
+	serve := func(id string, r *runner) {
+		t.Helper()
+		got := submit(d.job("render", id))
+		await(t, r.hops, "hop").reply(202, "")
+		d.report(event(id, "s-1", "done"))
+		if a := await(t, got, "answer"); a.Status != 200 {
+			t.Errorf("%s: answer %+v", id, a)
+		}
+	}
+	refused := func(id string) {
+		t.Helper()
+		if a := await(t, submit(d.job("render", id)), "answer"); a.Status != 503 {
+			t.Errorf("%s: answer %+v, want a refusal", id, a)
+		}
+	}
+	w.lines <- `{"rev":42,"all":tr`
+	d.awaitLog("list line skipped")
+	w.lines <- list(42, true, `{"uid":"s-1","endpoint":"nowhere","az":"a","model":"m","state":"SERVING"}`)
+	d.awaitLog("list entry skipped")
+	serve("after-bad-lines", r)
+	w.lines <- list(43, false, entry("s-1", moved.addr, "SERVING"))
+	d.awaitLog("egress target moved")
+	serve("after-a-move", moved)
+	w.lines <- list(44, false, entry("s-1", moved.addr, "DRAINING"))
+	d.awaitLog("egress target drains")
+	refused("while-draining")
+	close(w.lines)
+	w = await(t, disc.watches, "second watch")
+	if w.query != "watch=1&from=44" {
+		t.Errorf("the second watch asks for %q", w.query)
+	}
+	w.lines <- list(45, true, entry("s-1", moved.addr, "SERVING"))
+	w.lines <- list(46, true)
+	d.awaitLog("egress target gone")
+	refused("when-gone")
+	// Guards against a watch whose machine has vanished: nobody ends it.
+	d.awaitLog("discovery has fallen silent")
+	await(t, w.gone, "end of the silent watch")
+	await(t, disc.watches, "third watch")
+}
+
+// TestDrain guards the planned restart: clients are told to go elsewhere, call-backs
+// still come in, and the program ends once all it has taken is answered.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	d, r := one(t)
+	got := submit(d.job("render", "x1"))
+	await(t, r.hops, "hop").reply(202, "")
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	d.awaitLog("frosttide drains")
+	for n := 0; ; n++ { // new connections are served, until clients are told to leave
+		id := fmt.Sprintf("late-%d", n)
+		late := submit(d.job("render", id))
+		await(t, r.hops, "hop").reply(202, "")
+		d.report(event(id, r.uid, "started")) // late starts would have arrivals shed
+		d.report(event(id, r.uid, "done"))
+		a := await(t, late, "answer")
+		if a.Status != 200 {
+			t.Fatalf("late answer %+v", a)
+		}
+		if a.Close {
+			break
+		}
+	}
+	if code := d.report(event("x1", r.uid, "done")); code != 204 {
+		t.Errorf("call-back while draining got %d", code)
+	}
+	if a := await(t, got, "answer"); a.Status != 200 || a.Body != "clip of x1" {
+		t.Errorf("answer %+v", a)
+	}
+	if err := await(t, d.ended, "end"); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
+
+// TestSockets guards the budget of descriptors: past it clients are refused
+// cleanly, and call-backs still come through.
+func TestSockets(t *testing.T) {
+	t.Parallel()
+	r := newRunner(t, "s-1")
+	d := start(t, newDiscovery(t).URL, 64, r.entry())
+	var open []net.Conn
+	ask := func(id string) int {
+		c, err := net.Dial("tcp", d.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, c)
+		if err := d.job("render", id).Write(c); err != nil {
+			t.Fatal(err)
+		}
+		got := read(c)
+		select {
+		case h := <-r.hops:
+			h.reply(202, "")
+			d.report(event(h.id(), r.uid, "started"))
+			d.report(event(h.id(), r.uid, "done"))
+			return await(t, got, "answer").Status
+		case a := <-got:
+			return a.Status
+		}
+	}
+	served := 0
+	for ; served < 64; served++ {
+		if code := ask(fmt.Sprintf("x%d", served)); code == 503 {
+			break
+		} else if code != 200 {
+			t.Fatalf("connection %d got %d", served, code)
+		}
+	}
+	if served < 10 || served > 40 {
+		t.Errorf("%d connections were served within 64 descriptors", served)
+	}
+	if code := d.report(event("nobody", "s-1", "done")); code != 204 {
+		t.Errorf("call-back got %d", code)
+	}
+	for _, c := range open {
+		c.Close()
+	}
+}
+
+func read(c net.Conn) <-chan answer {
+	got := make(chan answer, 1)
+	go func() {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			got <- answer{Err: err}
+			return
+		}
+		got <- answer{Status: resp.StatusCode, Header: resp.Header}
+	}()
+	return got
+}
+
+// TestBadConfig guards that a mistake ends the start with one clear line.
+func TestBadConfig(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct{ cfg, says string }{
+		{`{"name":`, "unexpected end of JSON"},
+		{`{"discovery":"127.0.0.1:1","settings":` + settings + `}`, "listen: the address is missing"},
+		{`{"listen":"127.0.0.1","discovery":"127.0.0.1:1","settings":` + settings + `}`, "missing port"},
+		{`{"listen":"127.0.0.1:99999","discovery":"127.0.0.1:1","settings":` + settings + `}`, "not a port"},
+		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1"}`, "settings are missing"},
+		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{}}`, "request-classes: there are none"},
+		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"xyz","settings":` + settings + `}`, "seed"},
+		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","limits":{"sockets":3},"settings":` + settings + `}`, "limits.sockets"},
+		{`{"listen":"192.0.2.1:9","discovery":"127.0.0.1:1","settings":` + settings + `}`, "listen"},
+	} {
+		out, err := program(t, tc.cfg).CombinedOutput()
+		_, failed := err.(*exec.ExitError)
+		if lines := strings.Count(string(out), "\n"); !failed || lines != 1 || !strings.Contains(string(out), tc.says) {
+			t.Errorf("%.60s: ended with %v and said %q, want one line with %q", tc.cfg, err, out, tc.says)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -139,8 +139,6 @@
 	lastTo   magpierelay.WorkerID
 	workers  map[string]*worker // by uid
 	byNumber map[magpierelay.WorkerID]*worker
-	open     int           // requests without a final answer
-	idle     chan struct{} // asked for by Idle, closed when open is 0
 }
 
 // request is a request from its arrival until it is answered and none of its
@@ -275,24 +273,6 @@
 	c.box.Put(func(c *Core) { c.event(magpierelay.Event{Type: magpierelay.MembersFailed}) })
 }
 
-// Idle returns a channel that is closed once every request taken so far and
-// until then has its final answer.
-func (c *Core) Idle() <-chan struct{} {
-	idle := make(chan struct{})
-	c.box.Put(func(c *Core) {
-		c.idle = idle
-		c.checkIdle()
-	})
-	return idle
-}
-
-func (c *Core) checkIdle() {
-	if c.idle != nil && c.open == 0 {
-		close(c.idle)
-		c.idle = nil
-	}
-}
-
 // ---- The module's events and actions ----
 
 func (c *Core) event(ev magpierelay.Event) { c.events = append(c.events, ev) }
@@ -314,7 +294,6 @@
 			}
 		}
 	}
-	c.checkIdle()
 }
 
 func (c *Core) carryOut(a *magpierelay.Action) {
@@ -359,7 +338,6 @@
 	}
 	r := &request{ref: c.lastID, job: job, ingress: ingress, deadline: c.clock(job.Deadline)}
 	c.requests[r.ref], c.byID[job.ID] = r, r
-	c.open++
 	c.wake(due{at: r.deadline, request: r.ref, attempt: -1})
 	c.event(magpierelay.Event{Type: magpierelay.RequestArrived, Request: r.ref, Class: job.Class,
 		Deadline: r.deadline, Slots: job.Slots, Memory: job.Memory, Key: job.Subject, Retry: job.Retry})
@@ -378,7 +356,6 @@
 // settle marks a request as one that nothing more is owed.
 func (c *Core) settle(r *request) {
 	r.answered, r.ingress = true, nil
-	c.open--
 }
 
 // forget gives back the id and the body of a request that is answered and has
@@ -397,11 +374,9 @@
 }
 
 // expire acts on a request whose deadline has come: each hop that is out times
-// out, and what the module then leaves without an answer fails.
+// out, an answered request's too, and what the module then leaves without an
+// answer fails.
 func (c *Core) expire(r *request) {
-	if r.answered {
-		return
-	}
 	for i := range r.hops {
 		c.giveUp(r, i, magpierelay.TimedOut)
 	}
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -235,6 +235,9 @@
 		req.Header[headerKey] = []string{h.Job.Key}
 	}
 	resp, err := t.transport.RoundTrip(req)
+	if errors.Is(err, errNoSocket) {
+		return result{outcome: magpierelay.NotSent} // says nothing of the runner
+	}
 	if err != nil {
 		// The job may have run once its last byte may have left. The trace may
 		// come later than the error, so the body's end counts unless the trace
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math"
 	"net"
@@ -29,6 +30,10 @@
 	maxID   = 128      // a longer id is not one of ours
 	// bodyTime is how long a body may take to arrive, and an answer to be read.
 	bodyTime = 10 * time.Second
+	// idleTime is how long a connection may sit between requests.
+	idleTime = 2 * time.Minute
+	// quiet is how long nothing must have come in before the listener closes.
+	quiet = 250 * time.Millisecond
 	// transit is taken off the time that a client gives, which runs from its
 	// sending: the way here, and the answer's way back.
 	transit = 10 * time.Millisecond
@@ -41,7 +46,6 @@
 	Submit(*core.Job, core.Ingress)
 	Leave(*core.Job)
 	Report(core.JobEvent)
-	Idle() <-chan struct{}
 }
 
 // Config holds the figures of the ingress.
@@ -65,13 +69,10 @@
 // New makes a front.
 func New(cfg Config, c Core, log *logrus.Entry) *Front {
 	f := &Front{cfg: cfg, core: c, log: log}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /_health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("POST /v1/job-events", f.jobEvent)
-	mux.HandleFunc("POST /", f.job)
 	f.server = &http.Server{
-		Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.count(mux, w, r) }),
+		Handler:           http.HandlerFunc(f.handle),
 		ReadHeaderTimeout: bodyTime,
+		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    16 << 10,
 		ConnState:         f.connState,
 		ErrorLog:          stdLog(log),
@@ -91,19 +92,20 @@
 // until every request taken has its answer, and only then closes the listener.
 // Server.Shutdown alone would close it first, and the runners' call-backs could
 // not come in any more.
+//
+// Connections close after each answer from here on, so an open one has a request
+// on it or has just been made: the end is when none is open, or when none of
+// them has said anything for a while.
 func (f *Front) Drain(ctx context.Context) error {
 	f.server.SetKeepAlivesEnabled(false)
-	for f.serving.Load() > 0 {
-		select {
-		case <-f.core.Idle():
-		case <-ctx.Done():
-			return fmt.Errorf("waiting for open requests: %w", ctx.Err())
+	tick := time.NewTicker(quiet / 25)
+	defer tick.Stop()
+	for since := time.Now(); f.open.Load() > 0 && time.Since(since) < quiet; {
+		if f.serving.Load() > 0 {
+			since = time.Now()
 		}
-		if f.serving.Load() == 0 {
-			break
-		}
-		select { // answers are being written
-		case <-time.After(time.Millisecond):
+		select {
+		case <-tick.C:
 		case <-ctx.Done():
 			return fmt.Errorf("waiting for open requests: %w", ctx.Err())
 		}
@@ -123,10 +125,21 @@
 	}
 }
 
-func (f *Front) count(next http.Handler, w http.ResponseWriter, r *http.Request) {
+// handle sends a request to its part. There is no http.ServeMux, as it would
+// redirect a job whose path it finds unclean, and paths pass through unchanged.
+func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
 	f.serving.Add(1)
 	defer f.serving.Add(-1)
-	next.ServeHTTP(w, r)
+	switch {
+	case r.URL.Path == "/_health" && (r.Method == http.MethodGet || r.Method == http.MethodHead):
+		w.WriteHeader(http.StatusOK)
+	case r.Method != http.MethodPost:
+		http.Error(w, "jobs and call-backs come by POST", http.StatusMethodNotAllowed)
+	case r.URL.Path == "/v1/job-events":
+		f.jobEvent(w, r)
+	default:
+		f.job(w, r)
+	}
 }
 
 // body reads a request's body within its bounds. It answers what is wrong itself.
@@ -205,7 +218,8 @@
 	http.Error(w, "refused, try again", http.StatusServiceUnavailable)
 }
 
-// parse reads a job's headers.
+// parse reads a job's headers. The size hint is passed over: the module has no
+// use for it.
 func (f *Front) parse(r *http.Request, came time.Time) (*core.Job, error) {
 	h := r.Header
 	job := &core.Job{ID: h.Get("X-Trace-Id"), Method: r.Method, Resource: r.RequestURI, Key: h.Get("Idempotency-Key"),
@@ -226,9 +240,9 @@
 	}
 	job.Deadline = came.Add(time.Duration(ms)*time.Millisecond - transit)
 	if c, err := r.Cookie("k"); err == nil {
-		if job.Subject, err = strconv.ParseUint(c.Value, 16, 64); err != nil {
-			return nil, errors.New("cookie k is malformed")
-		}
+		subject := fnv.New64a() // only equality matters
+		subject.Write([]byte(c.Value))
+		job.Subject = subject.Sum64()
 	}
 	for pair := range strings.SplitSeq(h.Get("X-Props"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
