Send no further copy when a started attempt calls off its twin

The lines at fault are in Dispatcher.ended, which dispatches again after any end that is not served, one that we called off ourselves included, and so spends the retry budget.

TestLateStart fails without the change.

The copy for a late start stays; only the copy of a running attempt goes.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -710,6 +710,7 @@
 		d.close(r)
 	case r.over:
 		d.forget(r)
+	case r.running(): // guards against a copy for each attempt that a start called off
 	case d.retries >= 1 && d.dispatch(r): // the budget keeps trouble from feeding itself
 		d.retries--
 	default:
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -335,6 +335,9 @@
 			if len(out) != 1 || out[0].Type != Cancel || out[0].Attempt != 0 {
 				t.Errorf("the copy's start led to %v, want the first attempt called off", out)
 			}
+			if out = h.end(first, Canceled); len(out) != 0 {
+				t.Errorf("the end of the attempt called off led to %v while the copy runs", out)
+			}
 		})
 	}
 }
