--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -33,6 +34,12 @@
 
 func main() {
 	log := logrus.New()
+	level, err := logrus.ParseLevel(cmp.Or(os.Getenv("FROSTTIDE_LOG_LEVEL"), "info"))
+	if err != nil {
+		log.WithError(err).Error("frosttide ends")
+		os.Exit(1)
+	}
+	log.SetLevel(level)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
 	if err := run(log); err != nil {
 		log.WithError(err).Error("frosttide ends")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -137,6 +137,7 @@
 	byID     map[string]*request
 	lastID   magpierelay.RequestID
 	lastTo   magpierelay.WorkerID
+	tally    tally
 	workers  map[string]*worker // by uid
 	byNumber map[magpierelay.WorkerID]*worker
 }
@@ -184,12 +185,16 @@
 	var mail []func(*Core)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	summary := time.NewTicker(tallyEvery)
+	defer summary.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-c.box.Ready():
 		case <-timer.C:
+		case <-summary.C:
+			c.report()
 		}
 		c.now = c.clock(time.Now())
 		mail = c.box.Drain(mail[:0])
@@ -349,6 +354,7 @@
 	if r == nil || r.answered {
 		return
 	}
+	c.tally.answers[a.Verdict]++
 	r.ingress.Answer(a)
 	c.settle(r)
 }
@@ -434,6 +440,7 @@
 	}
 	h := &r.hops[attempt]
 	h.ended = true
+	c.tally.hops[outcome]++
 	ev := magpierelay.Event{Type: magpierelay.AttemptEnded, Request: r.ref, Attempt: attempt, Outcome: outcome,
 		Closed: r.answered || outcome == magpierelay.Served}
 	if h.to != nil {
@@ -531,6 +538,33 @@
 	delete(c.byNumber, w.number)
 }
 
+// ---- The summary for on-call staff ----
+
+// tallyEvery is how often a summary is logged, if there is anything to tell.
+const tallyEvery = 10 * time.Second
+
+// tally counts what has come to an end since the last summary.
+type tally struct {
+	answers [Duplicate + 1]int
+	hops    [magpierelay.NotSent + 1]int
+}
+
+// report logs the tally and begins a new one.
+func (c *Core) report() {
+	t := c.tally
+	c.tally = tally{}
+	if t == (tally{}) && len(c.requests) == 0 {
+		return
+	}
+	c.log.WithFields(logrus.Fields{
+		"served": t.answers[Served], "shed": t.answers[Shed], "failed": t.answers[Failed], "open": len(c.requests),
+		"hops_served": t.hops[magpierelay.Served], "hops_errored": t.hops[magpierelay.Errored],
+		"hops_rejected": t.hops[magpierelay.Rejected], "hops_timed_out": t.hops[magpierelay.TimedOut],
+		"hops_unconnected": t.hops[magpierelay.ConnectFailed], "hops_reset": t.hops[magpierelay.ConnReset],
+		"hops_given_up": t.hops[magpierelay.Canceled], "hops_not_sent": t.hops[magpierelay.NotSent],
+	}).Info("traffic of the last 10 s")
+}
+
 // ---- Timers ----
 
 // due is one thing to do at a time: ring a timer of the module, or end a
