--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -156,7 +156,8 @@
 // hop is one attempt. The core ends it exactly once, whatever the target and
 // the runner report, and in whatever order.
 type hop struct {
-	to       *worker
+	number   magpierelay.WorkerID // whom the module named
+	to       *worker              // nil if it has left the list
 	deadline time.Duration
 	ended    bool
 }
@@ -166,6 +167,7 @@
 	number magpierelay.WorkerID
 	uid    string
 	addr   string
+	state  magpierelay.MemberState
 	target Target
 }
 
@@ -407,7 +409,7 @@
 	if a.After > 0 {
 		end = min(end, c.now+a.After)
 	}
-	r.hops = append(r.hops, hop{to: w, deadline: end})
+	r.hops = append(r.hops, hop{number: a.Worker, to: w, deadline: end})
 	if most := c.cfg.Limits.MaxAttempts; w == nil || r.answered || c.now >= end || most > 0 && attempt >= most {
 		c.end(r, attempt, magpierelay.NotSent, nil)
 		return
@@ -441,11 +443,11 @@
 	h := &r.hops[attempt]
 	h.ended = true
 	c.tally.hops[outcome]++
-	ev := magpierelay.Event{Type: magpierelay.AttemptEnded, Request: r.ref, Attempt: attempt, Outcome: outcome,
-		Closed: r.answered || outcome == magpierelay.Served}
-	if h.to != nil {
-		ev.Worker = h.to.number
-	}
+	// The module's own number, also for a worker that left in the same batch as
+	// the Send: with another the module would not find the attempt, and hold the
+	// request until its deadline.
+	ev := magpierelay.Event{Type: magpierelay.AttemptEnded, Request: r.ref, Attempt: attempt, Worker: h.number,
+		Outcome: outcome, Closed: r.answered || outcome == magpierelay.Served}
 	ev.Loads = uint8(copy(ev.Load[:], load))
 	c.event(ev)
 	return true
@@ -461,7 +463,7 @@
 		if h.ended || h.to.uid != ev.From {
 			continue
 		}
-		note := magpierelay.Event{Request: r.ref, Attempt: i, Worker: h.to.number, Progress: ev.Share}
+		note := magpierelay.Event{Request: r.ref, Attempt: i, Worker: h.number, Progress: ev.Share}
 		switch ev.State {
 		case JobStarted:
 			note.Type = magpierelay.AttemptStarted
@@ -509,9 +511,10 @@
 			w.addr = t.Addr
 			w.target.Move(t.Addr)
 		}
-		if t.State == magpierelay.Draining {
+		if t.State == magpierelay.Draining && w.state != t.State {
 			c.log.WithField("target", w.uid).Info("egress target drains")
 		}
+		w.state = t.State
 		m := t.Member
 		m.Worker = w.number
 		ev.Members = append(ev.Members, m)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -130,6 +130,9 @@
 func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
 	f.serving.Add(1)
 	defer f.serving.Add(-1)
+	// Guards answers on a kept connection against the write deadline of an earlier
+	// one, which net/http does not take away.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	switch {
 	case r.URL.Path == "/_health" && (r.Method == http.MethodGet || r.Method == http.MethodHead):
 		w.WriteHeader(http.StatusOK)
