--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -56,7 +56,7 @@
 	entry := log.WithField("name", cfg.Name)
 	budget := cfg.Limits.Sockets - reserved
 
-	table := routetable.New(cfg.Discovery, cfg.Names.Zones, cfg.Names.Kinds, cfg.Module.Limits.ConnectTimeout,
+	table := routetable.New(routetable.Config{Addr: cfg.Discovery, Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds},
 		entry.WithField("part", "routetable"))
 	fleet := egress.NewFleet(egress.Config{ConnectTimeout: cfg.Module.Limits.ConnectTimeout,
 		Keepalive: cfg.Names.Keepalive, Sockets: budget * 3 / 8, Columns: cfg.Names.Columns,
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -26,6 +26,8 @@
 
 const (
 	listPath = "/catalog/members"
+	// dialTime is how long a connection to discovery may take to come up.
+	dialTime = time.Second
 	// answerTime is how long a call may wait in discovery's line.
 	answerTime = 6 * time.Second
 	// silence is how long a watch may say nothing: a line comes every 2 s, so two
@@ -55,15 +57,20 @@
 	watching bool
 }
 
-// New makes a table of the discovery at addr. Zones and kinds are the names that
-// stand for the module's numbers.
-func New(addr string, zones, kinds []string, connect time.Duration, log *logrus.Entry) *Table {
+// Config says where discovery is and what its names stand for.
+type Config struct {
+	Addr         string
+	Zones, Kinds []string // the names of the module's numbers
+}
+
+// New makes a table.
+func New(cfg Config, log *logrus.Entry) *Table {
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		d := net.Dialer{Deadline: time.Now().Add(max(connect, time.Second))}
+		d := net.Dialer{Deadline: time.Now().Add(dialTime)}
 		return d.DialContext(ctx, network, addr)
 	}
-	return &Table{base: "http://" + addr + listPath, zones: numbering{names: zones}, kinds: numbering{names: kinds},
-		log: log, client: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
+	return &Table{base: "http://" + cfg.Addr + listPath, zones: numbering{names: cfg.Zones},
+		kinds: numbering{names: cfg.Kinds}, log: log, client: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: silence}, box: mailbox.New[func(*Table)]()}
 }
 
