Reread the configuration at SIGHUP and move to the discovery that it names

Cause: cmd/frosttide/main.go notified SIGTERM and SIGINT only. Checked: the environment of a running node names its discovery (read from /proc), and config.Load puts it before the file, so a reload has to take the file's first. Change: signals are notified before all else; routetable.Move drops the calls to the old address with their context, keeps the list and asks the new address for its whole list before it watches, as its versions may count otherwise. Test: TestReload (bad files, the file before the environment, late words of the old address, a reload while draining); without the handler the process dies in it.

--- a/cmd/frosttide/harness_test.go
+++ b/cmd/frosttide/harness_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -51,6 +52,8 @@
 	lines chan string
 	ended chan error
 	seen  []string
+	cfg   string // the file, with the address of discovery as %s
+	path  string // of the file
 }
 
 // discovery serves the list; the test writes the lines of each watch.
@@ -115,10 +118,11 @@
 	}
 	d := &dispatcher{t: t, addr: free.Addr().String(), lines: make(chan string, 1024), ended: make(chan error, 1)}
 	free.Close()
-	cfg := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","unheard":1,
+	d.cfg = fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"%%s","seed":"8c1f30d27a5be964","unheard":1,
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`,
-		d.addr, strings.TrimPrefix(discoveryURL, "http://"), sockets, list(41, true, known...), settings)
-	d.cmd = program(t, cfg)
+		d.addr, sockets, list(41, true, known...), settings)
+	d.cmd, d.path = program(t, fmt.Sprintf(d.cfg, "127.0.0.1:1"))
+	d.cmd.Env = append(d.cmd.Env, "BALANCER_DISCOVERY="+strings.TrimPrefix(discoveryURL, "http://"))
 	out, err := d.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -137,8 +141,23 @@
 	return d
 }
 
-// program is the command that runs frosttide with a configuration file.
-func program(t *testing.T, cfg string) *exec.Cmd {
+// reload puts another configuration in the file's place and tells the program.
+func (d *dispatcher) reload(cfg string) {
+	d.t.Helper()
+	if err := os.WriteFile(d.path+".new", []byte(cfg), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	if err := os.Rename(d.path+".new", d.path); err != nil {
+		d.t.Fatal(err)
+	}
+	if err := d.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// program is the command that runs frosttide with a configuration file, and the
+// file's path.
+func program(t *testing.T, cfg string) (*exec.Cmd, string) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(cfg), 0o600); err != nil {
@@ -146,7 +165,7 @@
 	}
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = []string{"FROSTTIDE_TEST_PROGRAM=1", "BALANCER_CONFIG=" + path}
-	return cmd
+	return cmd, path
 }
 
 func (d *dispatcher) awaitLog(text string) {
--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -33,6 +33,10 @@
 )
 
 func main() {
+	// Notified before all else: a signal that nobody heeds ends the process.
+	ends, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	log := logrus.New()
 	level, err := logrus.ParseLevel(cmp.Or(os.Getenv("FROSTTIDE_LOG_LEVEL"), "info"))
 	if err != nil {
@@ -41,13 +45,13 @@
 	}
 	log.SetLevel(level)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
-	if err := run(log); err != nil {
+	if err := run(log, ends, reloads); err != nil {
 		log.WithError(err).Error("frosttide ends")
 		os.Exit(1)
 	}
 }
 
-func run(log *logrus.Logger) error {
+func run(log *logrus.Logger, ends, reloads <-chan os.Signal) error {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -73,8 +77,6 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	table.Load(cfg.Known, c)
@@ -82,12 +84,13 @@
 	go c.Run(ctx)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
+	go reload(cfg, reloads, table, entry)
 	entry.WithField("listen", cfg.Listen).Info("frosttide serves")
 
 	select {
 	case err := <-served:
 		return err
-	case sig := <-signals:
+	case sig := <-ends:
 		entry.WithField("signal", sig.String()).Info("frosttide drains")
 	}
 	time.Sleep(lingering)
@@ -98,6 +101,24 @@
 	return nil
 }
 
+// reload rereads the configuration at each signal, also while the program
+// drains: hops may still need a runner. Signals that come close together lead to
+// one reload, which reads the newest file.
+func reload(cfg config.Config, signals <-chan os.Signal, table *routetable.Table, log *logrus.Entry) {
+	for range signals {
+		next, err := config.Reload(os.Getenv)
+		if err != nil {
+			log.WithError(err).Error("configuration not taken; the old one is kept")
+			continue
+		}
+		log.WithField("discovery", next.Discovery).Info("configuration reread")
+		if !config.OnlyDiscovery(cfg, next) {
+			log.Warn("changes other than discovery's address wait for the next start")
+		}
+		table.Move(next.Discovery)
+	}
+}
+
 // limit keeps the process within its machine. The memory limit leaves room for
 // stacks and what the kernel counts.
 func limit(l config.Limits) {
--- a/cmd/frosttide/main_test.go
+++ b/cmd/frosttide/main_test.go
@@ -435,6 +435,64 @@
 	}
 }
 
+// TestReload guards the reload: SIGHUP ends nothing, a bad file changes nothing,
+// and the file's discovery, which the environment's went before at the start, is
+// watched from its own whole list on while nothing of the old one counts.
+func TestReload(t *testing.T) {
+	t.Parallel()
+	r, other := newRunner(t, "s-1"), newRunner(t, "s-2")
+	first, second := newDiscovery(t), newDiscovery(t)
+	d := start(t, first.URL, 1024, r.entry())
+	old := await(t, first.watches, "watch")
+	got := submit(d.job("render", "x1"))
+	await(t, r.hops, "hop").reply(202, "")
+
+	for _, bad := range []string{`{"name":`, fmt.Sprintf(d.cfg, "nowhere")} {
+		d.reload(bad)
+		d.awaitLog("configuration not taken")
+	}
+	d.reload(fmt.Sprintf(d.cfg, strings.TrimPrefix(second.URL, "http://")))
+	whole := await(t, second.watches, "call to the new discovery")
+	await(t, old.gone, "end of the old watch")
+	if whole.query != "" {
+		t.Errorf("the new discovery was first asked for %q, want the whole list", whole.query)
+	}
+	d.report(event("x1", r.uid, "done"))
+	if a := await(t, got, "answer"); a.Status != 200 {
+		t.Errorf("answer %+v to the request that was open", a)
+	}
+	kept := submit(d.job("render", "x2")) // the list is kept meanwhile
+	await(t, r.hops, "hop").reply(202, "")
+	d.report(event("x2", r.uid, "done"))
+	await(t, kept, "answer")
+
+	whole.lines <- list(7, true, other.entry())
+	close(whole.lines)
+	w := await(t, second.watches, "watch on the new discovery")
+	if w.query != "watch=1&from=7" {
+		t.Errorf("the new watch asks for %q", w.query)
+	}
+	d.awaitLog("egress target gone")
+	d.reload(fmt.Sprintf(d.cfg, strings.TrimPrefix(second.URL, "http://"))) // the same once more
+	d.awaitLog("configuration reread")
+	last := submit(d.job("render", "x3"))
+	await(t, other.hops, "hop at the new runner").reply(202, "")
+
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	d.awaitLog("frosttide drains")
+	d.reload(fmt.Sprintf(d.cfg, strings.TrimPrefix(first.URL, "http://")))
+	await(t, first.watches, "call to the first discovery again")
+	d.report(event("x3", other.uid, "done"))
+	if a := await(t, last, "answer"); a.Status != 200 {
+		t.Errorf("answer %+v while draining", a)
+	}
+	if err := await(t, d.ended, "end"); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
+
 // TestSockets guards the budget of descriptors: past it clients are refused
 // cleanly, and call-backs still come through.
 func TestSockets(t *testing.T) {
@@ -508,7 +566,8 @@
 		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","limits":{"sockets":3},"settings":` + settings + `}`, "limits.sockets"},
 		{`{"listen":"192.0.2.1:9","discovery":"127.0.0.1:1","settings":` + settings + `}`, "listen"},
 	} {
-		out, err := program(t, tc.cfg).CombinedOutput()
+		cmd, _ := program(t, tc.cfg)
+		out, err := cmd.CombinedOutput()
 		_, failed := err.(*exec.ExitError)
 		if lines := strings.Count(string(out), "\n"); !failed || lines != 1 || !strings.Contains(string(out), tc.says) {
 			t.Errorf("%.60s: ended with %v and said %q, want one line with %q", tc.cfg, err, out, tc.says)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"magpierelay"
@@ -52,7 +53,22 @@
 
 // Load reads the environment and the file at $BALANCER_CONFIG. Where the
 // environment and the file both give a value, the environment's is taken.
-func Load(getenv func(string) string) (Config, error) {
+func Load(getenv func(string) string) (Config, error) { return load(getenv, false) }
+
+// Reload reads the same again after a start. Guards against a new file that
+// changes nothing: the environment of a running process is that of its start, so
+// here the file's discovery goes before it.
+func Reload(getenv func(string) string) (Config, error) { return load(getenv, true) }
+
+// OnlyDiscovery tells whether two configurations differ in nothing that a start
+// would make of them but the address of discovery, which alone a reload takes.
+// Known and Seed are new with each file.
+func OnlyDiscovery(a, b Config) bool {
+	b.Discovery, b.Known, b.Seed = a.Discovery, a.Known, a.Seed
+	return reflect.DeepEqual(a, b)
+}
+
+func load(getenv func(string) string, fileFirst bool) (Config, error) {
 	path := getenv("BALANCER_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("BALANCER_CONFIG is not set; it names the configuration file")
@@ -68,8 +84,10 @@
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"BALANCER_NAME", &f.Name}, {"BALANCER_LISTEN", &f.Listen}, {"BALANCER_DISCOVERY", &f.Discovery}} {
-		if s := getenv(v.name); s != "" {
+		keep bool
+	}{{"BALANCER_NAME", &f.Name, false}, {"BALANCER_LISTEN", &f.Listen, false},
+		{"BALANCER_DISCOVERY", &f.Discovery, fileFirst && f.Discovery != ""}} {
+		if s := getenv(v.name); s != "" && !v.keep {
 			*v.to = s
 		}
 	}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -28,8 +28,9 @@
 	listPath = "/catalog/members"
 	// dialTime is how long a connection to discovery may take to come up.
 	dialTime = time.Second
-	// answerTime is how long a call may wait in discovery's line.
-	answerTime = 6 * time.Second
+	// answerTime is how long a call may wait in discovery's line, which gives up
+	// calls itself after 3 s.
+	answerTime = 3500 * time.Millisecond
 	// silence is how long a watch may say nothing: a line comes every 2 s, so two
 	// are missing. What is told counts as told after 6 s, so it has to be noticed before.
 	silence = 4500 * time.Millisecond
@@ -45,7 +46,7 @@
 
 // Table is the actor. Make it with New, name the sink, start it with Run.
 type Table struct {
-	base   string
+	addr   string
 	zones  numbering
 	kinds  numbering
 	sink   Sink
@@ -54,7 +55,11 @@
 	box    *mailbox.Box[func(*Table)]
 
 	rev      uint64
-	watching bool
+	revGiven bool // rev is this discovery's own, so that a watch may begin there
+	asked    bool // the module has asked for a watch
+	watching bool // there is one, or the call that leads to one
+	calls    context.Context
+	drop     context.CancelFunc // ends all calls to the address
 }
 
 // Config says where discovery is and what its names stand for.
@@ -69,9 +74,11 @@
 		d := net.Dialer{Deadline: time.Now().Add(dialTime)}
 		return d.DialContext(ctx, network, addr)
 	}
-	return &Table{base: "http://" + cfg.Addr + listPath, zones: numbering{names: cfg.Zones},
-		kinds: numbering{names: cfg.Kinds}, log: log, client: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
+	t := &Table{addr: cfg.Addr, zones: numbering{names: cfg.Zones}, kinds: numbering{names: cfg.Kinds}, log: log,
+		revGiven: true, client: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: silence}, box: mailbox.New[func(*Table)]()}
+	t.calls, t.drop = context.WithCancel(context.Background())
+	return t
 }
 
 // Load takes in the list that the dispatcher held last and tells it to the sink,
@@ -87,16 +94,51 @@
 // Watch asks for the changes from now on.
 func (t *Table) Watch() {
 	t.box.Put(func(t *Table) {
-		if !t.watching {
-			t.watching = true
-			t.call("?watch=1&from="+strconv.FormatUint(t.rev, 10), func(t *Table) { t.watching = false })
-		}
+		t.asked = true
+		t.watch()
 	})
 }
 
 // Fetch asks for the whole list once.
 func (t *Table) Fetch() { t.box.Put(func(t *Table) { t.call("", func(*Table) {}) }) }
 
+// Move tells that discovery has another address. The list that is held stays
+// until the new address tells its own; what the old one still says is dropped.
+func (t *Table) Move(addr string) {
+	t.box.Put(func(t *Table) {
+		if addr == t.addr {
+			return
+		}
+		t.log.WithField("addr", addr).Info("discovery has moved")
+		t.drop()
+		t.client.CloseIdleConnections()
+		t.calls, t.drop = context.WithCancel(context.Background())
+		t.addr, t.revGiven, t.watching = addr, false, false
+		if t.asked {
+			t.watch()
+		}
+	})
+}
+
+// watch begins the one watch. Guards against changes missed at a new address,
+// whose versions may count otherwise: there the whole list is asked for first.
+func (t *Table) watch() {
+	if t.watching {
+		return
+	}
+	t.watching = true
+	if !t.revGiven {
+		t.call("", func(t *Table) {
+			t.watching = false
+			if t.revGiven {
+				t.watch()
+			}
+		})
+		return
+	}
+	t.call("?watch=1&from="+strconv.FormatUint(t.rev, 10), func(t *Table) { t.watching = false })
+}
+
 // Run works until the context ends.
 func (t *Table) Run(ctx context.Context) {
 	defer t.client.CloseIdleConnections()
@@ -113,11 +155,23 @@
 }
 
 // call makes a call in the background; each line of its answer comes to the
-// mailbox, and so does its end.
+// mailbox, and so does its end. Guards against a call to an address that is no
+// longer discovery's: neither its late lines nor its end change anything.
 func (t *Table) call(query string, over func(*Table)) {
-	go func() {
-		err := t.read(query)
+	calls, url := t.calls, "http://"+t.addr+listPath+query
+	put := func(message func(*Table)) {
 		t.box.Put(func(t *Table) {
+			if calls.Err() == nil {
+				message(t)
+			}
+		})
+	}
+	go func() {
+		err := t.read(calls, url, func(text []byte) { put(func(t *Table) { t.line(text) }) })
+		if err == nil && query != "" {
+			err = errors.New("the watch was ended by discovery")
+		}
+		put(func(t *Table) {
 			over(t)
 			if err != nil {
 				t.log.WithError(err).Warn("discovery call ended; the list is kept")
@@ -131,12 +185,12 @@
 
 // read makes a call and reads its answer line by line. Guards against a watch
 // whose machine has vanished: its connection stays open and says nothing.
-func (t *Table) read(query string) error {
-	ctx, cancel := context.WithCancelCause(context.Background())
+func (t *Table) read(ctx context.Context, url string, line func([]byte)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(answerTime, func() { cancel(errSilent) })
 	defer watchdog.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, t.base+query, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return fmt.Errorf("asking discovery: %w", err)
 	}
@@ -154,15 +208,12 @@
 	for lines.Scan() {
 		watchdog.Reset(silence)
 		if text := bytes.Clone(bytes.TrimSpace(lines.Bytes())); len(text) > 0 {
-			t.box.Put(func(t *Table) { t.line(text) })
+			line(text)
 		}
 	}
 	if err := lines.Err(); err != nil {
 		return cause(ctx, fmt.Errorf("reading the list: %w", err))
 	}
-	if query != "" {
-		return errors.New("the watch was ended by discovery")
-	}
 	return nil
 }
 
@@ -213,7 +264,7 @@
 		}
 		routes = append(routes, route)
 	}
-	t.rev = l.Rev
+	t.rev, t.revGiven = l.Rev, true
 	if l.All {
 		t.sink.ListReplaced(routes)
 	} else {
