Give sockets to who speaks, refuse unclear lengths, hold a runner's 4xx against nobody

Found, by the log's figures and by reading along net/http: - ingress.Serve's LimitListener was full of connections that say nothing; call-backs and the health check waited behind it; and ingress.job counted them against the share of jobs. Ruled out: CPU, at most 0.06 s a second of 0.25. - net/http drops Content-Length beside Transfer-Encoding and tells no handler. - bodyTime, 10 s, bounded heads and bodies; an error answered before the body was read waited for that body. - egress.fly took a runner's 400 for its ill health; the module rested it and tried the others with everybody's retries. - core kept the deadline of each refused request until it came, 24 days at most. Change: ingress.door takes every connection and gives away the place of one that has said nothing; ingress.framing reads along where requests end; a request has 2 s; outcome Unusable; core.forget takes reminders back; class give-up bounds deadlines; slots past 8, two ids and a keyed job without key are refused; the module widens only for what a worker took, and a whole list ends the growing waits between calls for it, as changes did.

--- a/api.go
+++ b/api.go
@@ -92,6 +92,9 @@
 	MetricFreeMemory
 )
 
+// MostSlots is the largest slot demand that is reckoned with.
+const MostSlots = 8
+
 // MaxMetrics is the most values that a load report holds.
 const MaxMetrics = 4
 
@@ -143,10 +146,13 @@
 	ConnReset             // the connection broke; it may have run
 	Canceled              // called off; it may have run
 	NotSent               // the host did not send it; it never ran
+	Unusable              // no worker can use the request; it never ran
 )
 
 // NeverRan reports whether the outcome proves that the attempt did not run.
-func (o Outcome) NeverRan() bool { return o == Rejected || o == ConnectFailed || o == NotSent }
+func (o Outcome) NeverRan() bool {
+	return o == Rejected || o == ConnectFailed || o == NotSent || o == Unusable
+}
 
 // MemberState is what the worker list says of a worker.
 type MemberState uint8
--- a/cmd/frosttide/harness_test.go
+++ b/cmd/frosttide/harness_test.go
@@ -54,6 +54,8 @@
 	seen  []string
 	cfg   string // the file, with the address of discovery as %s
 	path  string // of the file
+
+	lastRaw time.Time // when raw opened its last connection
 }
 
 // discovery serves the list; the test writes the lines of each watch.
@@ -212,6 +214,21 @@
 	return req
 }
 
+// raw opens a connection and writes text to it.
+func (d *dispatcher) raw(text string) net.Conn {
+	d.t.Helper()
+	c, err := net.Dial("tcp", d.addr)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.lastRaw = time.Now()
+	d.t.Cleanup(func() { c.Close() })
+	if _, err := io.WriteString(c, text); err != nil {
+		d.t.Fatal(err)
+	}
+	return c
+}
+
 // submit sends a job in the background.
 func submit(req *http.Request) <-chan answer {
 	got := make(chan answer, 1)
--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"magpierelay"
 	"magpierelay/internal/config"
 	"magpierelay/internal/core"
 	"magpierelay/internal/egress"
@@ -70,8 +71,12 @@
 		return err
 	}
 	fleet.ReportTo(c)
+	var keyed []bool
+	for _, class := range cfg.Module.Classes {
+		keyed = append(keyed, class.Effect == magpierelay.Keyed)
+	}
 	front := ingress.New(ingress.Config{Classes: cfg.Names.Classes, Columns: cfg.Names.Columns,
-		Clients: budget * 4 / 8, Sockets: budget * 5 / 8}, c, entry.WithField("part", "ingress"))
+		Keyed: keyed, Slots: magpierelay.MostSlots, Clients: budget * 4 / 8, Sockets: budget * 5 / 8}, c, entry.WithField("part", "ingress"))
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -15,7 +15,7 @@
 // Settings of the module, not of a deployment. docs/design.md says what each
 // rests on.
 const (
-	defaultTokens = 8                // tokens of a worker of mean weight
+	defaultTokens = MostSlots        // tokens of a worker of mean weight
 	maxTokens     = 64               // bound on the tokens of one worker, whatever its weight
 	freshFor      = 2 * time.Second  // a prompt start speaks for its worker this long
 	restBase      = time.Second      // rest of a worker after a failure, doubled for each in a row
@@ -223,9 +223,7 @@
 }
 
 func (d *Dispatcher) updateMembers(ev *Event) {
-	if ev.Type == MembersChanged {
-		d.failedCalls = 0
-	}
+	d.failedCalls = 0
 	d.lists++
 	var ready []*worker
 	for i := range ev.Members {
@@ -606,7 +604,6 @@
 	if ev.Slots > 1 { // false for NaN
 		r.slots = int(math.Ceil(min(ev.Slots, maxTokens)))
 	}
-	d.widen(r.slots)
 	d.requests[r.id] = r
 	d.retries = min(d.retries+retryCredit, creditMost)
 	if d.sheds(r, ev.Retry) || !d.dispatch(r) {
@@ -616,7 +613,8 @@
 	d.wake(d.now+d.slack(r), timer{do: (*Dispatcher).sample, request: r})
 }
 
-// widen makes room for requests of more slots than any before.
+// widen makes room for requests of more slots than any before. Only what a worker
+// took counts: a client may ask for anything.
 func (d *Dispatcher) widen(slots int) {
 	if slots <= d.widest {
 		return
@@ -710,6 +708,10 @@
 		d.close(r)
 	case r.over:
 		d.forget(r)
+	case ev.Outcome == Unusable: // guards the retries that others need
+		d.retries = max(d.retries-retryCredit, 0)
+		d.act(Action{Type: Fail, Request: r.id})
+		d.close(r)
 	case r.running(): // guards against a copy for each attempt that a start called off
 	case d.retries >= 1 && d.dispatch(r): // the budget keeps trouble from feeding itself
 		d.retries--
@@ -724,8 +726,11 @@
 // would be free, and draw jobs, all the time.
 func (d *Dispatcher) judge(r *request, a *attempt) {
 	w := a.worker
+	if a.outcome == Canceled || a.outcome == NotSent || a.outcome == Unusable {
+		return // says nothing of it
+	}
+	d.widen(r.slots)
 	switch a.outcome {
-	case Canceled, NotSent:
 	case Served:
 		w.failures, w.restUntil = 0, 0
 		// Guards rule 4: idle workers that all dispatchers take for fresh draw a herd.
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -551,3 +551,45 @@
 		t.Errorf("%d of 50 are still refused though every start was prompt", late)
 	}
 }
+
+// TestListAfterFailures guards the pace of calls for the list: a whole list, like
+// changes, ends the growing waits that failed calls led to.
+func TestListAfterFailures(t *testing.T) {
+	cfg := plain()
+	cfg.PullList, cfg.Rules.AskWithin = true, 16*time.Second
+	h := newHost(t, cfg, oneZone(1))
+	h.pass(time.Second)
+	for range 6 {
+		h.step(Event{Type: MembersFailed})
+		h.pass(16 * time.Second)
+	}
+	h.step(Event{Type: MembersReplaced, Members: oneZone(1)})
+	for range 8 {
+		h.step(Event{Type: MembersReplaced, Members: oneZone(1)})
+		h.step(Event{Type: MembersFailed})
+		if a := h.pass(2 * time.Second); len(a) != 1 || a[0].Type != Subscribe {
+			t.Fatalf("got %v within 2 s of the first failure, want a call", a)
+		}
+	}
+}
+
+// TestUnusableBlamesNobody guards a worker's tokens and everybody's retries: jobs
+// that no worker can use are failed at once and leave no trace.
+func TestUnusableBlamesNobody(t *testing.T) {
+	h := newHost(t, plain(), oneZone(2))
+	widest, retries := h.d.widest, h.d.retries-1
+	h.d.retries = retries
+	for range 5 * defaultTokens {
+		if a := h.end(h.arrive(0, 5), Unusable); len(a) != 1 || a[0].Type != Fail {
+			t.Fatalf("got %v, want the job to fail", a)
+		}
+	}
+	if h.d.widest != widest || h.d.retries > retries+retryCredit/2 {
+		t.Errorf("widest %d and retries %g, want %d and %g", h.d.widest, h.d.retries, widest, retries)
+	}
+	for range 2 * defaultTokens {
+		if a := h.arrive(4, 1); a.Type != Send {
+			t.Fatalf("got %v with all tokens free", a)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,7 @@
 	Shed                     // refused: trying again is harmless
 	Failed                   // no promise about the effect
 	Duplicate                // a request of this id is open already; nothing was done
+	Unusable                 // a runner can't use the job, and none will; it never ran
 )
 
 // Answer is the one final answer of a request.
@@ -150,7 +151,9 @@
 	ingress  Ingress
 	deadline time.Duration
 	answered bool
+	unusable bool // a runner has said so
 	hops     []hop
+	due      []*due // what is to be done about it at a time
 }
 
 // hop is one attempt. The core ends it exactly once, whatever the target and
@@ -250,8 +253,8 @@
 // HopEnded tells how a hop ended without a report on its job.
 func (c *Core) HopEnded(ref HopRef, outcome magpierelay.Outcome, load []float32) {
 	c.box.Put(func(c *Core) {
-		if r := c.requests[ref.Request]; r != nil {
-			c.end(r, ref.Attempt, outcome, load)
+		if r := c.requests[ref.Request]; r != nil && c.end(r, ref.Attempt, outcome, load) {
+			r.unusable = r.unusable || outcome == magpierelay.Unusable
 		}
 	})
 }
@@ -314,9 +317,13 @@
 	case magpierelay.Refuse:
 		c.answer(a.Request, Answer{Verdict: Shed, RetryAfter: a.After})
 	case magpierelay.Fail:
-		c.answer(a.Request, Answer{Verdict: Failed})
+		verdict := Failed
+		if r := c.requests[a.Request]; r != nil && r.unusable {
+			verdict = Unusable
+		}
+		c.answer(a.Request, Answer{Verdict: verdict})
 	case magpierelay.SetTimer:
-		c.wake(due{at: a.At, token: a.Token})
+		c.wake(&due{at: a.At, token: a.Token})
 	case magpierelay.Probe:
 		if w := c.byNumber[a.Worker]; w != nil && c.cfg.Limits.ProbeAllowed {
 			w.target.Probe(c.moment(c.now + c.cfg.Limits.ConnectTimeout))
@@ -344,8 +351,12 @@
 		c.lastID++
 	}
 	r := &request{ref: c.lastID, job: job, ingress: ingress, deadline: c.clock(job.Deadline)}
+	if most := c.cfg.Classes[job.Class].GiveUp; most > 0 {
+		// Guards tokens and memory against a client that claims to wait for days.
+		r.deadline = min(r.deadline, c.now+most)
+	}
 	c.requests[r.ref], c.byID[job.ID] = r, r
-	c.wake(due{at: r.deadline, request: r.ref, attempt: -1})
+	c.remind(r, due{at: r.deadline, attempt: -1})
 	c.event(magpierelay.Event{Type: magpierelay.RequestArrived, Request: r.ref, Class: job.Class,
 		Deadline: r.deadline, Slots: job.Slots, Memory: job.Memory, Key: job.Subject, Retry: job.Retry})
 }
@@ -366,8 +377,9 @@
 	r.answered, r.ingress = true, nil
 }
 
-// forget gives back the id and the body of a request that is answered and has
-// no hop out.
+// forget gives back the id, the body and the reminders of a request that is
+// answered and has no hop out. Guards against a flood of requests that are
+// refused at once: their deadlines would pile up until they come.
 func (c *Core) forget(r *request) {
 	if !r.answered || c.requests[r.ref] != r {
 		return
@@ -379,6 +391,11 @@
 	}
 	delete(c.requests, r.ref)
 	delete(c.byID, r.job.ID)
+	for _, d := range r.due {
+		if d.place >= 0 {
+			heap.Remove(&c.due, d.place)
+		}
+	}
 }
 
 // expire acts on a request whose deadline has come: each hop that is out times
@@ -415,7 +432,7 @@
 		return
 	}
 	if end < r.deadline {
-		c.wake(due{at: end, request: r.ref, attempt: attempt})
+		c.remind(r, due{at: end, attempt: attempt})
 	}
 	w.target.Send(c.hop(r, attempt))
 }
@@ -548,8 +565,8 @@
 
 // tally counts what has come to an end since the last summary.
 type tally struct {
-	answers [Duplicate + 1]int
-	hops    [magpierelay.NotSent + 1]int
+	answers [Unusable + 1]int
+	hops    [magpierelay.Unusable + 1]int
 }
 
 // report logs the tally and begins a new one.
@@ -564,54 +581,74 @@
 		"hops_served": t.hops[magpierelay.Served], "hops_errored": t.hops[magpierelay.Errored],
 		"hops_rejected": t.hops[magpierelay.Rejected], "hops_timed_out": t.hops[magpierelay.TimedOut],
 		"hops_unconnected": t.hops[magpierelay.ConnectFailed], "hops_reset": t.hops[magpierelay.ConnReset],
-		"hops_given_up": t.hops[magpierelay.Canceled], "hops_not_sent": t.hops[magpierelay.NotSent],
+		"unusable": t.answers[Unusable], "hops_given_up": t.hops[magpierelay.Canceled], "hops_not_sent": t.hops[magpierelay.NotSent],
 	}).Info("traffic of the last 10 s")
 }
 
 // ---- Timers ----
 
 // due is one thing to do at a time: ring a timer of the module, or end a
-// request (attempt -1) or one of its hops. It holds the request's number: a
-// pointer would keep the body of an answered request until its deadline.
+// request (attempt -1) or one of its hops.
 type due struct {
 	at      time.Duration
 	token   uint32
-	request magpierelay.RequestID // 0 for a timer of the module
+	request *request // nil for a timer of the module
 	attempt int
+	place   int // in the heap; -1 when it has left it
 }
 
 // deadlines is a heap with the earliest first.
-type deadlines []due
+type deadlines []*due
 
 func (h deadlines) Len() int           { return len(h) }
 func (h deadlines) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h deadlines) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *deadlines) Push(x any)        { *h = append(*h, x.(due)) }
+func (h deadlines) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
+
+func (h *deadlines) Push(x any) {
+	d := x.(*due)
+	d.place = len(*h)
+	*h = append(*h, d)
+}
+
 func (h *deadlines) Pop() any {
 	old := *h
 	last := old[len(old)-1]
-	old[len(old)-1] = due{}
+	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
+	last.place = -1
 	return last
 }
 
-func (c *Core) wake(d due) {
+func (c *Core) wake(d *due) {
 	d.at = min(d.at, math.MaxInt64/2)
 	heap.Push(&c.due, d)
 }
 
+// remind notes what is to be done about a request at a time, unless it has been
+// forgotten by then.
+func (c *Core) remind(r *request, d due) {
+	d.request = r
+	r.due = append(r.due, &d)
+	c.wake(&d)
+}
+
 // ring does all that has come due.
 func (c *Core) ring() {
 	for len(c.due) > 0 && c.due[0].at <= c.now {
-		d := heap.Pop(&c.due).(due)
-		if d.request == 0 {
+		d := heap.Pop(&c.due).(*due)
+		if d.request == nil {
 			c.event(magpierelay.Event{Type: magpierelay.TimerFired, Token: d.token})
 			continue
 		}
 		c.step() // what came in before the deadline counts
-		if r := c.requests[d.request]; r != nil && d.attempt < 0 {
+		if r := d.request; c.requests[r.ref] != r {
+			continue // forgotten in that step
+		} else if d.attempt < 0 {
 			c.expire(r)
-		} else if r != nil {
+		} else {
 			c.giveUp(r, d.attempt, magpierelay.TimedOut)
 		}
 	}
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -254,6 +254,10 @@
 		return result{taken: true}
 	case neverRan(resp):
 		return result{outcome: magpierelay.Rejected, load: load}
+	case resp.StatusCode/100 == 4:
+		// Guards the runner's good name: what it can't use is the client's fault, and
+		// no other runner would take it.
+		return result{outcome: magpierelay.Unusable}
 	default:
 		return result{outcome: magpierelay.Errored, load: load}
 	}
--- /dev/null
+++ b/internal/ingress/door.go
@@ -0,0 +1,182 @@
+package ingress
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+)
+
+// door is the listener of the ingress and the owner of its connections. It takes
+// every one at once; past its budget it gives another one's place away. Guards
+// against connections that say nothing, or never come to an end of what they say:
+// behind a listener that waits for a place they would keep clients, call-backs
+// and the health check outside.
+type door struct {
+	net.Listener
+	most int
+
+	putOut  atomic.Int64 // connections that had to make room, since the last summary
+	mu      sync.Mutex
+	open    int
+	waiting [runners + 1]list.List // connections whose place may be given away, the longest waiting first
+}
+
+// The lists of connections without a whole request, in the order in which places
+// are given away.
+const (
+	newcomers = iota
+	clients   // kept, last used by a client
+	runners   // kept, last used by a runner's call-back
+)
+
+// mostPeeks bounds the newcomers that are asked whether they speak, for one place.
+const mostPeeks = 32
+
+func (d *door) Accept() (net.Conn, error) {
+	c, err := d.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	x := &conn{Conn: c, door: d}
+	d.mu.Lock()
+	x.wait(newcomers)
+	d.open++
+	var out *conn
+	if d.open > d.most {
+		out = d.surplus(x)
+	}
+	d.mu.Unlock()
+	if out != nil {
+		d.putOut.Add(1)
+		out.Close()
+	}
+	return x, nil
+}
+
+// surplus picks the connection that is to make room.
+func (d *door) surplus(latest *conn) *conn {
+	peeks := 0
+	for e := d.waiting[newcomers].Front(); e != nil && peeks < mostPeeks; e = e.Next() {
+		if x := e.Value.(*conn); x != latest && !x.speaks() {
+			return x
+		}
+		peeks++
+	}
+	for _, l := range []*list.List{&d.waiting[clients], &d.waiting[runners]} {
+		if e := l.Front(); e != nil {
+			return e.Value.(*conn)
+		}
+	}
+	return latest
+}
+
+// count returns how many connections are open.
+func (d *door) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.open
+}
+
+// conn is a connection of the ingress. Its place is given back when it is closed.
+type conn struct {
+	net.Conn
+	door    *door
+	framing framing
+
+	// Under the door's lock.
+	place  *list.Element // in the door's list; nil while a whole request is on it
+	of     int           // that list
+	runner bool          // the last request on it was a call-back
+	closed bool
+}
+
+// Read takes note of the requests that pass.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.framing.see(p[:n])
+	return n, err
+}
+
+// CloseWrite lets net/http end an answer before it stops reading.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+func (c *conn) Close() error {
+	c.door.mu.Lock()
+	if !c.closed {
+		c.closed = true
+		c.door.open--
+		c.stir()
+	}
+	c.door.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// wait and stir put a connection into a list and take it out.
+func (c *conn) wait(of int) { c.place, c.of = c.door.waiting[of].PushBack(c), of }
+
+func (c *conn) stir() {
+	if c.place != nil {
+		c.door.waiting[c.of].Remove(c.place)
+		c.place = nil
+	}
+}
+
+// heard tells that a whole request has come: nobody takes its place until it is
+// answered.
+func (c *conn) heard(runner bool) {
+	c.door.mu.Lock()
+	defer c.door.mu.Unlock()
+	c.stir()
+	c.runner = runner
+}
+
+// rests tells that the connection is kept between requests.
+func (c *conn) rests() {
+	c.door.mu.Lock()
+	defer c.door.mu.Unlock()
+	c.stir()
+	switch {
+	case c.closed:
+	case c.runner:
+		c.wait(runners)
+	default:
+		c.wait(clients)
+	}
+}
+
+// speaks tells whether a request, or the next part of one, waits to be read: it
+// came before the place was needed.
+func (c *conn) speaks() bool {
+	if c.framing.waiting() {
+		return true
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	var one [1]byte
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
+// connState follows net/http's view of a connection.
+func connState(c net.Conn, s http.ConnState) {
+	if s == http.StateIdle {
+		c.(*conn).rests()
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -13,13 +13,13 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/net/netutil"
 
 	"magpierelay/internal/core"
 	"magpierelay/internal/loadreport"
@@ -28,8 +28,11 @@
 const (
 	maxBody = 64 << 10 // the protocol's bound on any body
 	maxID   = 128      // a longer id is not one of ours
-	// bodyTime is how long a body may take to arrive, and an answer to be read.
-	bodyTime = 10 * time.Second
+	// hearTime is how long a request may take to arrive: from the connection's
+	// opening, or from its first bytes on a kept one, to its last byte.
+	hearTime = 2 * time.Second
+	// readTime is how long a client may take to read its answer.
+	readTime = 10 * time.Second
 	// idleTime is how long a connection may sit between requests.
 	idleTime = 2 * time.Minute
 	// quiet is how long nothing must have come in before the listener closes.
@@ -52,7 +55,9 @@
 type Config struct {
 	Classes []string
 	Columns []string // of load reports
-	Clients int      // most connections on which jobs are taken
+	Keyed   []bool   // by class: its jobs carry a key
+	Slots   float64  // most that a job may ask for
+	Clients int      // most jobs at a time
 	Sockets int      // most connections at all; the rest is the call-backs'
 }
 
@@ -62,27 +67,39 @@
 	core    Core
 	log     *logrus.Entry
 	server  *http.Server
-	open    atomic.Int64 // connections
+	door    *door
 	serving atomic.Int64 // requests being handled, call-backs too
+	jobs    atomic.Int64 // those that wait for the core's answer
+	bad     atomic.Int64 // requests refused as malformed, since the last summary
+	crowded atomic.Int64 // jobs refused for want of room, since then
 }
 
 // New makes a front.
 func New(cfg Config, c Core, log *logrus.Entry) *Front {
-	f := &Front{cfg: cfg, core: c, log: log}
+	f := &Front{cfg: cfg, core: c, log: log, door: &door{most: cfg.Sockets}}
 	f.server = &http.Server{
 		Handler:           http.HandlerFunc(f.handle),
-		ReadHeaderTimeout: bodyTime,
+		ReadTimeout:       hearTime,
+		ReadHeaderTimeout: hearTime,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    16 << 10,
-		ConnState:         f.connState,
+		ConnState:         connState,
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ErrorLog:          stdLog(log),
 	}
 	return f
 }
 
+// connKey finds a request's connection in its context.
+type connKey struct{}
+
 // Serve answers until the listener is closed.
 func (f *Front) Serve(l net.Listener) error {
-	if err := f.server.Serve(netutil.LimitListener(l, f.cfg.Sockets)); !errors.Is(err, http.ErrServerClosed) {
+	f.door.Listener = l
+	stop := make(chan struct{})
+	defer close(stop)
+	go f.summarise(stop)
+	if err := f.server.Serve(f.door); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serving %s: %w", l.Addr(), err)
 	}
 	return nil
@@ -100,7 +117,7 @@
 	f.server.SetKeepAlivesEnabled(false)
 	tick := time.NewTicker(quiet / 25)
 	defer tick.Stop()
-	for since := time.Now(); f.open.Load() > 0 && time.Since(since) < quiet; {
+	for since := time.Now(); f.door.count() > 0 && time.Since(since) < quiet; {
 		if f.serving.Load() > 0 {
 			since = time.Now()
 		}
@@ -116,12 +133,25 @@
 	return nil
 }
 
-func (f *Front) connState(_ net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		f.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		f.open.Add(-1)
+// summaryEvery is how often what was turned away is logged, if anything was.
+const summaryEvery = 10 * time.Second
+
+// summarise logs how much was turned away. Guards against a log line for each of
+// them, which any client could cause at will.
+func (f *Front) summarise(stop <-chan struct{}) {
+	tick := time.NewTicker(summaryEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-tick.C:
+		}
+		bad, crowded, out := f.bad.Swap(0), f.crowded.Swap(0), f.door.putOut.Swap(0)
+		if bad+crowded+out > 0 {
+			f.log.WithFields(logrus.Fields{"malformed": bad, "crowded": crowded, "put_out": out,
+				"connections": f.door.count()}).Info("turned away in the last 10 s")
+		}
 	}
 }
 
@@ -133,32 +163,62 @@
 	// Guards answers on a kept connection against the write deadline of an earlier
 	// one, which net/http does not take away.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	// Guards against a request hidden in another's body: where the lengths disagree
+	// nothing is taken, and past a body whose end only net/http has seen nothing more
+	// is read from the connection.
+	x := r.Context().Value(connKey{}).(*conn)
+	framed := x.framing.next()
+	if framed.last() {
+		w.Header().Set("Connection", "close")
+	}
 	switch {
+	case framed.unclear():
+		f.refuse(w, "the length of the request is not clear", http.StatusBadRequest)
 	case r.URL.Path == "/_health" && (r.Method == http.MethodGet || r.Method == http.MethodHead):
 		w.WriteHeader(http.StatusOK)
 	case r.Method != http.MethodPost:
-		http.Error(w, "jobs and call-backs come by POST", http.StatusMethodNotAllowed)
+		f.refuse(w, "jobs and call-backs come by POST", http.StatusMethodNotAllowed)
 	case r.URL.Path == "/v1/job-events":
-		f.jobEvent(w, r)
+		f.jobEvent(w, r, x)
 	default:
-		f.job(w, r)
+		f.job(w, r, x)
 	}
 }
 
-// body reads a request's body within its bounds. It answers what is wrong itself.
-func body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTime)) // net/http's own connections can
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	_ = rc.SetReadDeadline(time.Time{}) // from here on a read only tells that the client leaves
+// refuse answers what is malformed and ends the connection: where the next
+// request begins may not be known, and whoever sends such things is not to hold
+// a place.
+func (f *Front) refuse(w http.ResponseWriter, text string, status int) {
+	f.bad.Add(1)
+	w.Header().Set("Connection", "close")
+	http.Error(w, text, status)
+}
+
+// body reads a request's body within its bounds, and within the time for the
+// whole request. It answers what is wrong itself.
+func (f *Front) body(w http.ResponseWriter, r *http.Request, x *conn) ([]byte, bool) {
+	var text []byte
+	err := error(&http.MaxBytesError{Limit: maxBody})
+	if r.ContentLength <= maxBody { // a body that is announced as too large is not waited for
+		text, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	}
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		http.Error(w, "the body is larger than 64 KiB", http.StatusRequestEntityTooLarge)
+		f.refuse(w, "the body is larger than 64 KiB", http.StatusRequestEntityTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.refuse(w, "the body did not arrive in time", http.StatusRequestTimeout)
 	case err != nil:
-		http.Error(w, "the body could not be read", http.StatusBadRequest)
+		f.refuse(w, "the body could not be read", http.StatusBadRequest)
+	case x.framing.stray():
+		// Guards against a body that is longer than it says: half of it would run.
+		f.refuse(w, "the body is longer than its length", http.StatusBadRequest)
+	default:
+		// From here on a read only tells that the client leaves.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		return text, true
 	}
-	return text, err == nil
+	return nil, false
 }
 
 // ---- Jobs ----
@@ -169,30 +229,32 @@
 // Answer takes the core's answer; there is room for it, as it comes once.
 func (x exchange) Answer(a core.Answer) { x <- a }
 
-func (f *Front) job(w http.ResponseWriter, r *http.Request) {
-	came := time.Now()
-	if f.open.Load() > int64(f.cfg.Clients) {
-		// Guards the budget of sockets: the connection is given back with a clean
-		// refusal, so that call-backs still find room.
-		w.Header().Set("Connection", "close")
-		shed(w, crowded)
-		return
-	}
-	job, err := f.parse(r, came)
+func (f *Front) job(w http.ResponseWriter, r *http.Request, c *conn) {
+	job, err := f.parse(r, time.Now())
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		f.refuse(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	text, ok := body(w, r)
+	text, ok := f.body(w, r, c)
 	if !ok {
 		return
 	}
+	c.heard(false)
+	defer f.jobs.Add(-1)
+	if f.jobs.Add(1) > int64(f.cfg.Clients) {
+		// Guards the budget of sockets: the connection is given back with a clean
+		// refusal, so that call-backs still find room.
+		f.crowded.Add(1)
+		w.Header().Set("Connection", "close")
+		shed(w, crowded)
+		return
+	}
 	job.Body = text
 	x := make(exchange, 1)
 	f.core.Submit(job, x)
 	select {
 	case a := <-x:
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(bodyTime))
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(readTime))
 		write(w, a)
 	case <-r.Context().Done():
 		f.core.Leave(job)
@@ -208,6 +270,8 @@
 		shed(w, a.RetryAfter)
 	case core.Duplicate:
 		http.Error(w, "a request with this id is open", http.StatusConflict)
+	case core.Unusable:
+		http.Error(w, "the runner can't use the job", http.StatusBadRequest)
 	default:
 		http.Error(w, "the job failed", http.StatusBadGateway)
 	}
@@ -227,7 +291,7 @@
 	h := r.Header
 	job := &core.Job{ID: h.Get("X-Trace-Id"), Method: r.Method, Resource: r.RequestURI, Key: h.Get("Idempotency-Key"),
 		Retry: h.Get("X-Second-Try") == "1", Slots: 1}
-	if !validID(job.ID) {
+	if !validID(job.ID) || len(h["X-Trace-Id"]) > 1 {
 		return nil, errors.New("X-Trace-Id is missing or malformed")
 	}
 	if !strings.HasPrefix(job.Resource, "/") {
@@ -237,6 +301,9 @@
 	if job.Class, err = f.class(h.Get("X-Qos"), r.URL.Path); err != nil {
 		return nil, err
 	}
+	if f.cfg.Keyed[job.Class] && job.Key == "" {
+		return nil, errors.New("Idempotency-Key is missing")
+	}
 	ms, err := strconv.ParseInt(h.Get("X-Expires-In-Ms"), 10, 64)
 	if err != nil || ms <= 0 || ms > math.MaxInt32 {
 		return nil, errors.New("X-Expires-In-Ms is missing or malformed")
@@ -257,6 +324,9 @@
 			return nil, fmt.Errorf("X-Props: %s is malformed", name)
 		}
 	}
+	if job.Slots > f.cfg.Slots {
+		return nil, fmt.Errorf("X-Props: slots=%g is more than any runner has", job.Slots)
+	}
 	return job, nil
 }
 
@@ -289,8 +359,8 @@
 
 // jobEvent takes a runner's call-back. It is answered at once whatever it names,
 // as the runner would repeat it otherwise; the core applies it once.
-func (f *Front) jobEvent(w http.ResponseWriter, r *http.Request) {
-	text, ok := body(w, r)
+func (f *Front) jobEvent(w http.ResponseWriter, r *http.Request, c *conn) {
+	text, ok := f.body(w, r, c)
 	if !ok {
 		return
 	}
@@ -302,9 +372,10 @@
 	err := json.Unmarshal(text, &ev)
 	state, known := states[ev.State]
 	if err != nil || !known || !validID(ev.ID) || ev.From == "" {
-		http.Error(w, "the call-back is malformed", http.StatusBadRequest)
+		f.refuse(w, "the call-back is malformed", http.StatusBadRequest)
 		return
 	}
+	c.heard(true)
 	report := core.JobEvent{ID: ev.ID, From: ev.From, State: state, Share: ev.Share,
 		Load: loadreport.Parse(ev.Load, f.cfg.Columns), Result: ev.Result}
 	var result string
