Keep no connections to runners that break them, and let one reset pass

Ruled out: the keepalive (our 3.75 s of 5 s), as rests were far shorter; closed connections noticed too late. Cause: egress used one transport whatever a runner did with its connections, and Dispatcher.judge rested a worker, and left it one token, for a single reset. Change: after a kept connection breaks the target's hops get new ones for 15 s, doubled up to 2 min; a reset alone, with a start since the last, is no rest. Tests: TestBreaksKept, TestResetNowAndThen.

--- a/cmd/frosttide/main_test.go
+++ b/cmd/frosttide/main_test.go
@@ -668,6 +668,44 @@
 	})
 }
 
+// TestBreaksKept guards against a runner that breaks kept connections when the
+// next request comes: one such break costs one hop, not its rest, and from then on
+// each hop has a connection of its own.
+func TestBreaksKept(t *testing.T) {
+	t.Parallel()
+	d, r := one(t)
+	var conns []net.Conn
+	serve := func(id string) {
+		t.Helper()
+		got := submit(d.job("render", id))
+		h := await(t, r.hops, "hop")
+		conns = append(conns, h.conn)
+		h.reply(202, "")
+		d.report(event(id, r.uid, "started"))
+		d.report(event(id, r.uid, "done"))
+		if a := await(t, got, "answer"); a.Status != 200 {
+			t.Fatalf("%s: answer %+v", id, a)
+		}
+	}
+	serve("x0")
+	got := submit(d.job("once", "x1"))
+	h := await(t, r.hops, "hop")
+	if h.conn != conns[0] {
+		t.Fatal("the connection was not kept")
+	}
+	h.conn.Close()
+	await(t, got, "answer")
+	d.awaitLog("runner breaks kept connections")
+	for _, id := range []string{"x2", "x3", "x4"} {
+		serve(id)
+	}
+	for i, c := range conns {
+		if i > 0 && c == conns[i-1] {
+			t.Errorf("hops %d and %d came by one connection", i-1, i)
+		}
+	}
+}
+
 // TestUnusable guards a runner's good name and everybody's retries: a job that it
 // can't use is the client's fault, so nobody else is tried, the client is told,
 // and the runner goes on getting jobs.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -47,7 +47,7 @@
 	limit          int    // most tokens it has now
 	failed         bool   // it has tokens for one job, until it serves one
 	overdue        int    // its attempts whose start is overdue
-	failures       int    // in a row
+	failures       int    // in a row, without a start between
 	restUntil      time.Duration
 	coldUntil      time.Duration
 	fresh          int // slots that a prompt start showed to be free
@@ -659,6 +659,9 @@
 // wait elsewhere.
 func (d *Dispatcher) started(r *request, a *attempt) {
 	a.started, a.startedAt = true, d.now
+	if !a.worker.failed {
+		a.worker.failures = 0
+	}
 	if a.overdue {
 		a.worker.overdue--
 	} else {
@@ -743,10 +746,14 @@
 			d.join(w)
 		}
 	default:
-		rest := min(restBase<<min(w.failures, 8), restMost)
-		w.restUntil = d.now + rest/2 + d.jitter(rest)
 		w.failures++
-		w.fresh, w.failed = 0, true
+		w.fresh = 0
+		if a.outcome == ConnReset && w.failures == 1 {
+			return // guards a worker that a connection breaks on now and then
+		}
+		rest := min(restBase<<min(w.failures-1, 8), restMost)
+		w.restUntil = d.now + rest/2 + d.jitter(rest)
+		w.failed = true
 		w.limit = min(w.limit, d.widest)
 		d.trim(w)
 	}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -573,6 +573,25 @@
 	}
 }
 
+// TestResetNowAndThen guards a worker that a connection breaks on now and then: it
+// rests only if another one breaks before a job has started.
+func TestResetNowAndThen(t *testing.T) {
+	h := newHost(t, plain(), oneZone(1))
+	for range 5 {
+		h.end(h.arrive(0, 1), ConnReset)
+		a := h.arrive(0, 1)
+		if a.Type != Send {
+			t.Fatalf("got %v after one reset, want a send", a)
+		}
+		h.serve(a)
+	}
+	h.end(h.arrive(0, 1), ConnReset)
+	h.end(h.arrive(0, 1), ConnReset)
+	if w := h.d.listed[0]; w.restUntil <= h.now || w.limit != 1 {
+		t.Errorf("after two resets in a row the worker has %d tokens and no rest", w.limit)
+	}
+}
+
 // TestUnusableBlamesNobody guards a worker's tokens and everybody's retries: jobs
 // that no worker can use are failed at once and leave no trace.
 func TestUnusableBlamesNobody(t *testing.T) {
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -34,6 +34,10 @@
 	headerLoad    = "Endpoint-Load-Metrics"
 
 	maxBody = 64 << 10 // the protocol's bound on any body
+	// aloneBase is how long a runner that broke a kept connection gets a new one for
+	// each hop, doubled each time that keeping them fails again, up to aloneMost.
+	aloneBase = 15 * time.Second
+	aloneMost = 2 * time.Minute
 	// settleTime is how long after its deadline a hop's connection may still be
 	// open: the core gives up first, this only ends what nobody waits for.
 	settleTime = time.Second
@@ -74,7 +78,7 @@
 func (f *Fleet) Open(worker magpierelay.WorkerID, uid, addr string) core.Target {
 	t := &target{fleet: f, worker: worker, addr: addr, box: mailbox.New[func(*target)](),
 		log: f.log.WithField("target", uid), flights: map[core.HopRef]*flight{}}
-	t.transport = &http.Transport{
+	t.kept = &http.Transport{
 		DialContext:         f.dial,
 		Proxy:               nil,
 		DisableCompression:  true,
@@ -86,6 +90,8 @@
 		ReadBufferSize:         2 << 10,
 		WriteBufferSize:        2 << 10,
 	}
+	t.single = t.kept.Clone()
+	t.single.DisableKeepAlives = true
 	go t.run()
 	return t
 }
@@ -123,15 +129,19 @@
 
 // target is the actor of one runner.
 type target struct {
-	fleet     *Fleet
-	log       *logrus.Entry
-	worker    magpierelay.WorkerID
-	addr      string
-	transport *http.Transport
-	box       *mailbox.Box[func(*target)]
-	flights   map[core.HopRef]*flight // hops that the runner has not taken yet
-	probing   int
-	closed    bool
+	fleet   *Fleet
+	log     *logrus.Entry
+	worker  magpierelay.WorkerID
+	addr    string
+	kept    *http.Transport // uses connections again
+	single  *http.Transport // opens one for each request
+	box     *mailbox.Box[func(*target)]
+	flights map[core.HopRef]*flight // hops that the runner has not taken yet
+	probing int
+	closed  bool
+
+	alone      time.Duration // how long connections were last not kept
+	aloneUntil time.Time     // none are kept before
 }
 
 // flight is a hop on its way to the runner.
@@ -150,7 +160,28 @@
 			mail[i] = nil
 		}
 	}
-	t.transport.CloseIdleConnections()
+	t.kept.CloseIdleConnections()
+}
+
+// via picks the transport of a request.
+func (t *target) via() *http.Transport {
+	if time.Now().Before(t.aloneUntil) {
+		return t.single
+	}
+	return t.kept
+}
+
+// distrust stops keeping connections for a while. Guards hops against a runner, or
+// something on the way, that breaks kept connections when the next request comes:
+// what was written to one may have run, however surely it did not.
+func (t *target) distrust() {
+	if time.Now().Before(t.aloneUntil) {
+		return // of a hop that began before
+	}
+	t.alone = min(max(2*t.alone, aloneBase), aloneMost)
+	t.aloneUntil = time.Now().Add(t.alone)
+	t.kept.CloseIdleConnections()
+	t.log.WithField("for", t.alone.String()).Info("runner breaks kept connections; hops get new ones")
 }
 
 func (t *target) Send(h core.Hop)   { t.box.Put(func(t *target) { t.send(h) }) }
@@ -160,14 +191,14 @@
 func (t *target) Move(addr string) {
 	t.box.Put(func(t *target) {
 		t.addr = addr
-		t.transport.CloseIdleConnections()
+		t.kept.CloseIdleConnections()
 	})
 }
 
 func (t *target) Probe(deadline time.Time) {
 	t.box.Put(func(t *target) {
 		t.probing++
-		go t.probe(t.addr, deadline)
+		go t.probe(t.via(), t.addr, deadline)
 	})
 }
 
@@ -175,9 +206,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), h.Deadline.Add(settleTime))
 	f := &flight{cancel: cancel}
 	t.flights[h.Ref] = f
-	addr := t.addr
+	via, addr := t.via(), t.addr
 	go func() {
-		res := t.fly(ctx, addr, h)
+		res := t.fly(ctx, via, addr, h)
 		cancel()
 		t.box.Put(func(t *target) { t.landed(h, f, res) })
 	}()
@@ -188,11 +219,15 @@
 	taken   bool
 	outcome magpierelay.Outcome // unless taken
 	load    []float32
+	stale   bool // a kept connection broke
 }
 
 // landed is the one place where a flight ends.
 func (t *target) landed(h core.Hop, f *flight, res result) {
 	delete(t.flights, h.Ref)
+	if res.stale && !f.givenUp {
+		t.distrust()
+	}
 	switch {
 	case res.taken && f.givenUp: // given up while its 202 was on the way
 		t.recall(h)
@@ -213,10 +248,12 @@
 }
 
 // fly sends a hop once and tells whether the runner has taken it.
-func (t *target) fly(ctx context.Context, addr string, h core.Hop) result {
+func (t *target) fly(ctx context.Context, via *http.Transport, addr string, h core.Hop) result {
 	body := &sentBody{data: h.Job.Body}
 	var broken atomic.Bool // the transport says that it could not write it all
+	var kept atomic.Bool   // it went out on a connection that was used before
 	trace := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { kept.Store(info.Reused) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) { broken.Store(info.Err != nil) },
 	})
 	req, err := request(trace, h.Job.Method, addr, h.Job.Resource)
@@ -234,18 +271,19 @@
 	if h.Job.Key != "" {
 		req.Header[headerKey] = []string{h.Job.Key}
 	}
-	resp, err := t.transport.RoundTrip(req)
+	resp, err := via.RoundTrip(req)
 	if errors.Is(err, errNoSocket) {
 		return result{outcome: magpierelay.NotSent} // says nothing of the runner
 	}
 	if err != nil {
+		t.log.WithError(err).WithFields(logrus.Fields{"id": h.Job.ID, "kept": kept.Load()}).Debug("hop's connection broke")
 		// The job may have run once its last byte may have left. The trace may
 		// come later than the error, so the body's end counts unless the trace
 		// has said that the write failed.
 		if !body.ended.Load() || broken.Load() {
-			return result{outcome: magpierelay.ConnectFailed}
+			return result{outcome: magpierelay.ConnectFailed, stale: kept.Load()}
 		}
-		return result{outcome: magpierelay.ConnReset}
+		return result{outcome: magpierelay.ConnReset, stale: kept.Load()}
 	}
 	finish(resp)
 	load := loadreport.ParseHeader(resp.Header.Get(headerLoad), t.fleet.cfg.Columns)
@@ -271,25 +309,25 @@
 // recall asks the runner to drop a job that it has taken. What the runner
 // answers changes nothing, so nobody waits for it.
 func (t *target) recall(h core.Hop) {
-	addr := t.addr
+	via, addr := t.via(), t.addr
 	go func() {
 		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(settleTime))
 		defer cancel()
-		if _, err := t.exchange(ctx, http.MethodDelete, addr, "/jobs/"+url.PathEscape(h.Job.ID)); err != nil {
+		if _, err := t.exchange(ctx, via, http.MethodDelete, addr, "/jobs/"+url.PathEscape(h.Job.ID)); err != nil {
 			t.log.WithError(err).WithField("id", h.Job.ID).Debug("job could not be recalled")
 		}
 	}()
 }
 
 // probe asks the runner how it is.
-func (t *target) probe(addr string, deadline time.Time) {
+func (t *target) probe(via *http.Transport, addr string, deadline time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	path := "/ping"
 	if t.fleet.cfg.Reports {
 		path = "/_load"
 	}
-	text, err := t.exchange(ctx, http.MethodGet, addr, path)
+	text, err := t.exchange(ctx, via, http.MethodGet, addr, path)
 	outcome := magpierelay.Served
 	switch {
 	case errors.Is(err, errStatus):
@@ -309,12 +347,12 @@
 var errStatus = errors.New("the runner answered with an error")
 
 // exchange makes a request without a body and returns what a 2xx answer holds.
-func (t *target) exchange(ctx context.Context, method, addr, path string) ([]byte, error) {
+func (t *target) exchange(ctx context.Context, via *http.Transport, method, addr, path string) ([]byte, error) {
 	req, err := request(ctx, method, addr, path)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := t.transport.RoundTrip(req)
+	resp, err := via.RoundTrip(req)
 	if err != nil {
 		return nil, fmt.Errorf("%s %s: %w", method, path, err)
 	}
