Send no copies, take the worker of least cost, use cold ones within a ration

Runners go on with what was called off, so copies did the work twice. Lines at fault: startDue, started (copies), pick and pickFresh, coldUntil.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -17,16 +17,19 @@
 const (
 	defaultTokens = MostSlots        // tokens of a worker of mean weight
 	maxTokens     = 64               // bound on the tokens of one worker, whatever its weight
-	freshFor      = 2 * time.Second  // a prompt start speaks for its worker this long
 	restBase      = time.Second      // rest of a worker after a failure, doubled for each in a row
 	restMost      = 16 * time.Second // up to this
 	retryCredit   = 0.2              // attempts after a failure, per request taken
-	creditMost    = 10               // credit for further attempts that is kept
+	creditMost    = 10               // credit for them that is kept
 	startShare    = 10               // a start may take 1/startShare of the objective past the usual
-	nearShare     = 8                // zones are near if starts take less than 1/nearShare of it longer
+	farCost       = 1.3              // a worker of another zone counts as that much slower
+	paceFor       = 20 * time.Second // a worker's pace is forgotten this long after its last job
+	paceMost      = 4.0              // slowest that a worker is taken for
 	lateShare     = 0.2              // share of requests that may start late before arrivals are shed
 	shedGain      = 0.2              // how fast shedding follows
 	shedMost      = 0.8              // share of any class that is shed at most: the rest shows when to stop
+	coldFit       = 1.0              // full workers that FallMultiple times a cold one covers when it is used
+	coldFree      = 2.0              // and when it is used without a ration
 	meanGain      = 1.0 / 16         // weight of a new sample in a mean
 	refusalWait   = 200 * time.Millisecond
 )
@@ -50,17 +53,15 @@
 	failures       int    // in a row, without a start between
 	restUntil      time.Duration
 	coldUntil      time.Duration
-	fresh          int // slots that a prompt start showed to be free
-	freshAt        time.Duration
+	rationUntil    time.Duration
+	bill           float64 // seconds of work sent that count still against its ration
+	billAt         time.Duration
+	running, most  int     // slots that started attempts use, and the most that they did
+	pace           float64 // its jobs' time to run, against those of its like
+	paceAt         time.Duration
 	list, scan     uint64 // the last list and the last scan that met it
 }
 
-// freed says when a slot of a worker that starts jobs promptly became free.
-type freed struct {
-	worker *worker
-	at     time.Duration
-}
-
 // attempt is one send of a request. It holds tokens until it ends.
 type attempt struct {
 	worker            *worker
@@ -106,15 +107,14 @@
 	meanWeight  float64
 	widest      int // most slots that a request took
 
-	bucket token   // head of the ring of free tokens: next has been free longest
-	fresh  []freed // in release order
+	bucket token // head of the ring of free tokens: next has been free longest
 	scans  uint64
 
-	floor          []time.Duration // usual time to a start, by zone
-	run            []float64       // mean seconds from start to answer, by class
-	worth, work    float64         // means over recent arrivals
-	shed           float64         // up to 1: share of lesser work refused; up to 2: of all work
-	retries, hedge float64         // credit for attempts after a failure, and beside one that waits
+	floor       []time.Duration // usual time to a start, by zone
+	run         []float64       // mean seconds from start to answer, by class
+	worth, work float64         // means over recent arrivals
+	shed        float64         // up to 1: share of lesser work refused; up to 2: of all work
+	retries     float64         // credit for attempts after a failure
 }
 
 // New makes a dispatcher. Equal configs, seeds and events lead to equal actions.
@@ -124,7 +124,7 @@
 	}
 	d := &Dispatcher{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), requests: map[RequestID]*request{},
 		timers: map[uint32]timer{}, workers: map[WorkerID]*worker{},
-		widest: 1, retries: creditMost, hedge: creditMost}
+		widest: 1, retries: creditMost}
 	d.cfg.Classes = slices.Clone(cfg.Classes)
 	for i, c := range cfg.Classes {
 		if c.Effect > Unsafe || c.Group > ScopeCell || c.Window < 0 || c.Objective < 0 {
@@ -230,7 +230,7 @@
 		m := &ev.Members[i]
 		w := d.workers[m.Worker]
 		if w == nil {
-			w = &worker{Member: Member{Worker: m.Worker, State: Removed}}
+			w = &worker{Member: Member{Worker: m.Worker, State: Removed}, pace: 1}
 			d.workers[m.Worker] = w
 			d.listed = append(d.listed, w)
 		}
@@ -271,31 +271,58 @@
 	if !begins {
 		return false
 	}
-	w.failures, w.failed, w.restUntil, w.coldUntil = 0, false, 0, d.coldUntil(m.StartedAt)
-	if d.now >= w.coldUntil {
-		return true
+	w.failures, w.failed, w.restUntil = 0, false, 0
+	w.coldUntil, w.rationUntil = d.grown(m.StartedAt, coldFit), d.grown(m.StartedAt, coldFree)
+	for _, at := range []time.Duration{w.coldUntil, w.rationUntil} {
+		if d.now < at {
+			d.wake(at+d.jitter(d.cfg.Rules.FallWindow), timer{do: (*Dispatcher).warmed, worker: w})
+		}
 	}
-	d.wake(w.coldUntil+d.jitter(d.cfg.Rules.FallWindow), timer{do: (*Dispatcher).warmed, worker: w})
-	return false
+	return d.now >= w.coldUntil
 }
 
-// coldUntil returns when a worker started at the given time may be sent to: not
-// before its growing capacity, at least ColdShare at first and all after WarmUp,
-// times FallMultiple covers twice the work of a full worker. Then no ordinary
-// share of the traffic, whoever sends it, pushes it over. Guards rule 4 without
-// a word on what the other dispatchers send.
-func (d *Dispatcher) coldUntil(startedAt time.Duration) time.Duration {
+// grown returns when a worker started at the given time has capacity enough: when
+// what it has at least, ColdShare at first and all after WarmUp, times FallMultiple
+// covers the work of that many full workers.
+func (d *Dispatcher) grown(startedAt time.Duration, workers float64) time.Duration {
 	r := &d.cfg.Rules
 	if startedAt <= 0 || r.ColdShare >= 1 || r.FallMultiple <= 0 {
 		return 0
 	}
-	grown := max(min(2/r.FallMultiple, 1)-r.ColdShare, 0) / (1 - r.ColdShare)
+	grown := max(min(workers/r.FallMultiple, 1)-r.ColdShare, 0) / (1 - r.ColdShare)
 	return startedAt + time.Duration(grown*float64(r.WarmUp))
 }
 
-// warmed gives a worker its tokens once its cold time is over.
+// bears tells whether a worker can take a request on top of what it was sent. As
+// long as an ordinary share of the traffic, whoever sends it, could push a cold one
+// over, each dispatcher keeps to its part of the budget: FallMultiple times the
+// least capacity by now, in slots as its like have shown them in use. Guards rule
+// 4 against bursts and heavy work without a word on what the others send.
+func (d *Dispatcher) bears(w *worker, r *request) bool {
+	if d.now >= w.rationUntil {
+		return true
+	}
+	rules := &d.cfg.Rules
+	share := rules.ColdShare + (1-rules.ColdShare)*float64(d.now-w.StartedAt)/float64(rules.WarmUp)
+	var slots, seen float64
+	for _, other := range d.listed {
+		if other.most > 0 {
+			slots, seen = slots+float64(other.most), seen+1
+		}
+	}
+	rate := share * rules.FallMultiple * max(slots/max(seen, 1), 1) / float64(max(d.cfg.Instances, 1))
+	w.bill, w.billAt = max(w.bill-rate*(d.now-w.billAt).Seconds(), 0), d.now
+	return w.bill+d.workOf(r) <= rate*rules.FallWindow.Seconds()
+}
+
+// workOf returns the seconds of work that a request is likely to be.
+func (d *Dispatcher) workOf(r *request) float64 { return d.run[r.class] * float64(r.slots) }
+
+// warmed gives a worker its tokens once its cold time is over, and new places in
+// the bucket once its ration is: they have come to the front meanwhile, and would
+// draw many jobs in a row.
 func (d *Dispatcher) warmed(t timer) {
-	if w := t.worker; w.State == Ready && d.now >= w.coldUntil && w.limit == 0 {
+	if w := t.worker; w.State == Ready && d.now >= w.coldUntil && !w.failed {
 		d.join(w)
 	}
 }
@@ -435,68 +462,47 @@
 	}
 }
 
-// pick returns the compatible worker whose token has been free longest, fresh
-// ones before all and the own zone before zones that are not near. With unwell
-// set it takes workers that rest or are slow to start as well.
-func (d *Dispatcher) pick(r *request, unwell bool) *worker {
+// pick returns the compatible worker with the least cost; of equal ones that whose
+// token has been free longest. With unwell set it takes workers that rest or are
+// slow to start as well. Guards against queues: of several dispatchers each sees
+// little of a worker's load, and the longest-free token alone would go to one that
+// holds jobs of ours while others hold none.
+func (d *Dispatcher) pick(r *request, unwell bool) (best *worker) {
 	if !d.mayTry(r) {
 		return nil
 	}
-	near := d.near(r)
-	far := d.pickFresh(r, near)
-	if far != nil {
-		return far
-	}
 	d.scans++
+	least := 0.0
 	for t := d.bucket.next; t != &d.bucket; t = t.next {
 		w := t.worker
-		if w.scan == d.scans || !d.fits(w, r, unwell) {
-			w.scan = d.scans
+		if w.scan == d.scans {
 			continue
 		}
 		w.scan = d.scans
-		if near || w.Zone == d.cfg.Zone {
-			return w
-		}
-		if far == nil {
-			far = w
+		if cost := d.cost(w, r); (best == nil || cost < least) && d.fits(w, r, unwell) {
+			best, least = w, cost
 		}
 	}
-	return far
+	return best
 }
 
-// pickFresh returns, of the workers that started a job promptly and finished it
-// a moment ago, the one whose token came back first. Guards against sparse
-// evidence: of hundreds of workers a dispatcher meets each so seldom that the
-// longest-free token says nothing of the load that others bring. It takes over
-// while such a worker has a slot that nobody is known to have used since.
-func (d *Dispatcher) pickFresh(r *request, near bool) (far *worker) {
-	stale := func(f freed) bool {
-		return f.worker.fresh == 0 || f.worker.freshAt != f.at || d.now-f.at >= freshFor
+// cost returns the part of its tokens that a worker would hold with the request,
+// dearer by its pace, as far as that is not forgotten, and by the way to another
+// zone.
+func (d *Dispatcher) cost(w *worker, r *request) float64 {
+	known := max(1-float64(d.now-w.paceAt)/float64(paceFor), 0)
+	cost := float64(w.held+r.slots) / float64(d.tokensFor(w)) * (1 + known*(w.pace-1))
+	if w.Zone != d.cfg.Zone {
+		cost *= farCost
 	}
-	for len(d.fresh) > 0 && stale(d.fresh[0]) {
-		d.fresh = d.fresh[1:]
-	}
-	for _, f := range d.fresh {
-		w := f.worker
-		if stale(f) || w.fresh < r.slots || !d.fits(w, r, false) {
-			continue
-		}
-		if near || w.Zone == d.cfg.Zone {
-			return w
-		}
-		if far == nil {
-			far = w
-		}
-	}
-	return far
+	return cost
 }
 
-// near tells whether all zones serve the request as well as the own one: a
-// start takes little longer there, measured by the objective.
-func (d *Dispatcher) near(r *request) bool {
-	most := d.usualStart(d.cfg.Zone) + d.cfg.Classes[r.class].Objective/nearShare
-	return !slices.ContainsFunc(d.floor, func(f time.Duration) bool { return f > most })
+// noteRun takes in how long a job of a class ran at a worker.
+func (d *Dispatcher) noteRun(w *worker, class int, took time.Duration) {
+	pace := min(took.Seconds()/d.run[class], paceMost)
+	w.pace, w.paceAt = w.pace+(pace-w.pace)*meanGain, d.now
+	d.run[class] += (took.Seconds() - d.run[class]) * meanGain
 }
 
 // fits tells whether a worker is compatible with a request.
@@ -526,7 +532,7 @@
 func (d *Dispatcher) allowed(r *request, w *worker) bool {
 	c := &d.cfg.Classes[r.class]
 	wrongKind := c.WorkerKind >= 0 && w.Kind != c.WorkerKind
-	if w.State != Ready || d.now < w.coldUntil || wrongKind || !d.mayTry(r) {
+	if w.State != Ready || d.now < w.coldUntil || wrongKind || !d.mayTry(r) || !d.bears(w, r) {
 		return false
 	}
 	if len(r.attempts) > 0 && d.warming(w) {
@@ -567,7 +573,7 @@
 		d.take(w)
 	}
 	w.held += r.slots
-	w.fresh = max(w.fresh-r.slots, 0)
+	w.bill += d.workOf(r)
 	n := len(r.attempts)
 	r.attempts = append(r.attempts, attempt{worker: w, sentAt: d.now})
 	d.act(Action{Type: Send, Request: r.id, Worker: w.Worker, Attempt: n})
@@ -627,52 +633,28 @@
 	}
 }
 
-// startDue acts on an attempt that has not started in the usual time: its
-// worker is left alone until it starts or ends, and the request may have an
-// attempt beside it. Credit for that comes from prompt starts, so that copies
-// stop when every worker has a queue; and none is made where it had to stay in
-// the first one's cell, whose few workers would do the work of both.
+// startDue acts on an attempt that has not started in the usual time: its worker
+// is left alone until it starts or ends. The request has no attempt beside it: a
+// worker may run what was called off, so copies do the work twice.
 func (d *Dispatcher) startDue(t timer) {
-	r, a := t.request, &t.request.attempts[t.attempt]
-	if a.ended || a.started {
-		return
-	}
-	a.overdue = true
-	a.worker.overdue++
-	a.worker.fresh = 0
-	c := &d.cfg.Classes[r.class]
-	if r.running() || d.hedge < 1 || (c.Effect == Keyed && c.Group == ScopeCell) {
-		return
-	}
-	if w := d.pick(r, false); w != nil {
-		d.hedge--
-		d.send(r, w)
+	if a := &t.request.attempts[t.attempt]; !a.ended && !a.started {
+		a.overdue = true
+		a.worker.overdue++
 	}
 }
 
-// running tells whether an attempt of the request has started and is out.
-func (r *request) running() bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.started && !a.ended })
-}
-
-// started takes in that a worker runs an attempt and calls off those that still
-// wait elsewhere.
+// started takes in that a worker runs an attempt.
 func (d *Dispatcher) started(r *request, a *attempt) {
 	a.started, a.startedAt = true, d.now
+	a.worker.running += r.slots
+	a.worker.most = max(a.worker.most, a.worker.running)
 	if !a.worker.failed {
 		a.worker.failures = 0
 	}
 	if a.overdue {
 		a.worker.overdue--
-	} else {
-		d.hedge = min(d.hedge+1, creditMost)
 	}
 	d.noteStart(a.worker.Zone, d.now-a.sentAt)
-	for i := range r.attempts {
-		if !r.attempts[i].started {
-			d.cancel(r, i)
-		}
-	}
 }
 
 // noteStart keeps the quickest recent time to a start; it is forgotten slowly.
@@ -695,11 +677,14 @@
 
 func (d *Dispatcher) ended(r *request, a *attempt, ev *Event) {
 	a.ended, a.outcome = true, ev.Outcome
+	if a.started {
+		a.worker.running -= r.slots
+	}
 	if a.overdue && !a.started {
 		a.worker.overdue--
 	}
 	if ev.Outcome == Served && a.started {
-		d.run[r.class] += ((d.now - a.startedAt).Seconds() - d.run[r.class]) * meanGain
+		d.noteRun(a.worker, r.class, d.now-a.startedAt)
 	}
 	d.judge(r, a)
 	d.release(a.worker, r.slots)
@@ -715,7 +700,6 @@
 		d.retries = max(d.retries-retryCredit, 0)
 		d.act(Action{Type: Fail, Request: r.id})
 		d.close(r)
-	case r.running(): // guards against a copy for each attempt that a start called off
 	case d.retries >= 1 && d.dispatch(r): // the budget keeps trouble from feeding itself
 		d.retries--
 	default:
@@ -736,18 +720,12 @@
 	switch a.outcome {
 	case Served:
 		w.failures, w.restUntil = 0, 0
-		// Guards rule 4: idle workers that all dispatchers take for fresh draw a herd.
-		if a.started && !a.overdue && !d.warming(w) {
-			w.fresh, w.freshAt = min(w.fresh+r.slots, maxTokens), d.now
-			d.fresh = append(d.fresh, freed{w, d.now})
-		}
 		if w.failed && w.State == Ready {
 			w.failed = false
 			d.join(w)
 		}
 	default:
 		w.failures++
-		w.fresh = 0
 		if a.outcome == ConnReset && w.failures == 1 {
 			return // guards a worker that a connection breaks on now and then
 		}
