Give newcomers half a second before they make room for others

Line at fault: door.surplus took the oldest newcomer first, however young. Test: TestNewcomer; without the half second 9 of 10 such first requests fail.

--- a/cmd/frosttide/main_test.go
+++ b/cmd/frosttide/main_test.go
@@ -571,6 +571,40 @@
 	}
 }
 
+// TestNewcomer guards a client that is about to send its first request while others
+// ask once and stay: one of them makes room, not the newcomer.
+func TestNewcomer(t *testing.T) {
+	t.Parallel()
+	d := start(t, newDiscovery(t).URL, 64)
+	ask := func(c net.Conn) error {
+		if _, err := io.WriteString(c, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			return err
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil && resp.StatusCode != 200 {
+			err = fmt.Errorf("status %d", resp.StatusCode)
+		}
+		return err
+	}
+	for i := range 100 {
+		c := d.raw("")
+		if i%10 != 9 {
+			if err := ask(c); err != nil {
+				t.Fatalf("connection %d: %v", i, err)
+			}
+			continue
+		}
+		for range 3 { // each needs a place
+			if err := ask(d.raw("")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := ask(c); err != nil {
+			t.Errorf("the first request on connection %d: %v", i, err)
+		}
+	}
+}
+
 // TestKept guards kept connections: the time that a request may take to arrive
 // does not bound how long a good client's connection rests.
 func TestKept(t *testing.T) {
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // door is the listener of the ingress and the owner of its connections. It takes
@@ -32,8 +33,15 @@
 	runners   // kept, last used by a runner's call-back
 )
 
-// mostPeeks bounds the newcomers that are asked whether they speak, for one place.
-const mostPeeks = 32
+const (
+	// mostPeeks bounds the connections of a list that are asked whether they speak,
+	// for one place.
+	mostPeeks = 32
+	// settling is how long a newcomer may be silent before a kept connection makes
+	// room instead. Guards a client that is about to send its first request: a close
+	// fails that, while one that had its answer just connects again.
+	settling = 500 * time.Millisecond
+)
 
 func (d *door) Accept() (net.Conn, error) {
 	c, err := d.Listener.Accept()
@@ -56,18 +64,25 @@
 	return x, nil
 }
 
-// surplus picks the connection that is to make room.
+// surplus picks the connection that is to make room: a newcomer that has been silent
+// for long, else the one that has rested longest, a client's before a runner's, else
+// any other newcomer. One that speaks is passed over.
 func (d *door) surplus(latest *conn) *conn {
-	peeks := 0
-	for e := d.waiting[newcomers].Front(); e != nil && peeks < mostPeeks; e = e.Next() {
-		if x := e.Value.(*conn); x != latest && !x.speaks() {
-			return x
-		}
-		peeks++
-	}
-	for _, l := range []*list.List{&d.waiting[clients], &d.waiting[runners]} {
-		if e := l.Front(); e != nil {
-			return e.Value.(*conn)
+	settled := time.Now().Add(-settling)
+	for _, pass := range []struct {
+		list   int
+		before time.Time
+	}{{newcomers, settled}, {clients, time.Time{}}, {runners, time.Time{}}, {newcomers, time.Time{}}} {
+		peeks := 0
+		for e := d.waiting[pass.list].Front(); e != nil && peeks < mostPeeks; e = e.Next() {
+			x := e.Value.(*conn)
+			if !pass.before.IsZero() && x.since.After(pass.before) {
+				break
+			}
+			if x != latest && !x.speaks() {
+				return x
+			}
+			peeks++
 		}
 	}
 	return latest
@@ -89,6 +104,7 @@
 	// Under the door's lock.
 	place  *list.Element // in the door's list; nil while a whole request is on it
 	of     int           // that list
+	since  time.Time     // when it came there
 	runner bool          // the last request on it was a call-back
 	closed bool
 }
@@ -120,7 +136,9 @@
 }
 
 // wait and stir put a connection into a list and take it out.
-func (c *conn) wait(of int) { c.place, c.of = c.door.waiting[of].PushBack(c), of }
+func (c *conn) wait(of int) {
+	c.place, c.of, c.since = c.door.waiting[of].PushBack(c), of, time.Now()
+}
 
 func (c *conn) stir() {
 	if c.place != nil {
