Serve clients for 2 s of a planned restart, with answers before the process may be ended

The logs' times show why: a dispatcher drains until it is killed 3.7 s after SIGTERM and is back 0.6 s later, the other gets SIGTERM after 3 s and sent its clients away 0.5 s on: for 0.8 s nobody served. Lines at fault: lingering in cmd/frosttide/main.go, and that jobs after SIGTERM kept deadlines beyond the process's end, so that serving on would have lost them.

--- a/api.go
+++ b/api.go
@@ -180,6 +180,7 @@
 	Outcome  Outcome
 	Closed   bool // AttemptEnded: the request is over
 	Retry    bool // RequestArrived: a client's repeat, where clients mark it
+	Ending   bool // RequestArrived: the deadline is the end of this process
 	Loads    uint8
 	Attempt  int
 	Request  RequestID
--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -26,9 +26,16 @@
 )
 
 const (
-	// lingering is how long after SIGTERM clients are served as if nothing were:
-	// the front goes on sending new connections for a while.
-	lingering = 500 * time.Millisecond
+	// lingering is how long after SIGTERM clients may keep their connections: the
+	// front goes on sending new ones for a while, and the next dispatcher's restart
+	// may begin before the last one is back, so that there is nowhere else to go.
+	lingering = 2 * time.Second
+	// The platform ends the process no earlier than the longest deadline, or graceMost
+	// if that is shorter, and graceMore after SIGTERM. What comes after SIGTERM has its
+	// answer lead before that.
+	graceMost = 3 * time.Second
+	graceMore = 700 * time.Millisecond
+	lead      = 300 * time.Millisecond
 	// reserved descriptors are those of discovery, the log and the runtime.
 	reserved = 24
 )
@@ -98,6 +105,7 @@
 	case sig := <-ends:
 		entry.WithField("signal", sig.String()).Info("frosttide drains")
 	}
+	front.Leave(time.Now().Add(grace(cfg.Module.Classes) - lead))
 	time.Sleep(lingering)
 	if err := front.Drain(ctx); err != nil {
 		return err
@@ -106,6 +114,15 @@
 	return nil
 }
 
+// grace returns how long the process has to itself after SIGTERM.
+func grace(classes []magpierelay.Class) time.Duration {
+	var longest time.Duration
+	for _, class := range classes {
+		longest = max(longest, class.GiveUp)
+	}
+	return min(longest, graceMost) + graceMore
+}
+
 // reload rereads the configuration at each signal, also while the program
 // drains: hops may still need a runner. Signals that come close together lead to
 // one reload, which reads the newest file.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -30,6 +30,7 @@
 	shedMost      = 0.8              // share of any class that is shed at most: the rest shows when to stop
 	coldFit       = 1.0              // full workers that FallMultiple times a cold one covers when it is used
 	coldFree      = 2.0              // and when it is used without a ration
+	hopeShare     = 1.5              // mean run times that must be left before the process ends
 	meanGain      = 1.0 / 16         // weight of a new sample in a mean
 	refusalWait   = 200 * time.Millisecond
 )
@@ -612,7 +613,10 @@
 	}
 	d.requests[r.id] = r
 	d.retries = min(d.retries+retryCredit, creditMost)
-	if d.sheds(r, ev.Retry) || !d.dispatch(r) {
+	// Guards a client that could be served elsewhere: most work of its class would be
+	// cut off.
+	hopeless := ev.Ending && (r.deadline-d.now).Seconds() < hopeShare*d.run[r.class]
+	if hopeless || d.sheds(r, ev.Retry) || !d.dispatch(r) {
 		d.finish(r)
 		return
 	}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -597,6 +597,25 @@
 	}
 }
 
+// TestEndingRefusesLongWork guards clients of a process that ends: a class whose
+// work would mostly be cut off is refused at once, the others are served, and a
+// client's own short deadline refuses nothing.
+func TestEndingRefusesLongWork(t *testing.T) {
+	h := newHost(t, plain(), oneZone(2))
+	h.d.run[0], h.d.run[4] = 0.3, 2.5
+	for _, tc := range []struct {
+		class  int
+		ending bool
+		want   ActionType
+	}{{0, true, Send}, {4, true, Refuse}, {4, false, Send}} {
+		h.next++
+		out := h.step(Event{Type: RequestArrived, Request: h.next, Class: tc.class, Ending: tc.ending, Deadline: h.now + 2*time.Second})
+		if len(out) != 1 || out[0].Type != tc.want {
+			t.Errorf("class %d, ending %t: got %v, want %v", tc.class, tc.ending, out, tc.want)
+		}
+	}
+}
+
 // TestUnusableBlamesNobody guards a worker's tokens and everybody's retries: jobs
 // that no worker can use are failed at once and leave no trace.
 func TestUnusableBlamesNobody(t *testing.T) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,6 +32,7 @@
 	Memory   float64
 	Subject  uint64 // what the request concerns; 0 for none
 	Retry    bool   // a client's repeat
+	Ending   bool   // the deadline is the end of this process
 	Deadline time.Time
 }
 
@@ -358,7 +359,8 @@
 	c.requests[r.ref], c.byID[job.ID] = r, r
 	c.remind(r, due{at: r.deadline, attempt: -1})
 	c.event(magpierelay.Event{Type: magpierelay.RequestArrived, Request: r.ref, Class: job.Class,
-		Deadline: r.deadline, Slots: job.Slots, Memory: job.Memory, Key: job.Subject, Retry: job.Retry})
+		Deadline: r.deadline, Slots: job.Slots, Memory: job.Memory, Key: job.Subject, Retry: job.Retry,
+		Ending: job.Ending})
 }
 
 // answer is the one place where a request gets its final answer.
