Answer every open job of a planned restart before the platform may end the process

Change: core.EndBy gives what is open the same last deadline as what comes later. Test: TestDrain, whose job 'long' hangs until its own 15 s without the change.

--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -31,8 +31,8 @@
 	// may begin before the last one is back, so that there is nowhere else to go.
 	lingering = 2 * time.Second
 	// The platform ends the process no earlier than the longest deadline, or graceMost
-	// if that is shorter, and graceMore after SIGTERM. What comes after SIGTERM has its
-	// answer lead before that.
+	// if that is shorter, and graceMore after SIGTERM. All that is here has its answer
+	// lead before that.
 	graceMost = 3 * time.Second
 	graceMore = 700 * time.Millisecond
 	lead      = 300 * time.Millisecond
--- a/cmd/frosttide/main_test.go
+++ b/cmd/frosttide/main_test.go
@@ -412,14 +412,15 @@
 }
 
 // TestDrain guards the planned restart: clients keep their connections for a while
-// and are then told to go elsewhere, what comes late has its answer before the
-// platform ends the process, call-backs still come in, and the program ends once
+// and are then told to go elsewhere, everything has its answer before the platform ends the process, call-backs still come in, and the program ends once
 // all it has taken is answered, whoever is connected and says nothing.
 func TestDrain(t *testing.T) {
 	t.Parallel()
 	d, r := one(t)
 	got := submit(d.job("render", "x1"))
 	await(t, r.hops, "hop").reply(202, "")
+	long := submit(d.job("once", "long"))
+	await(t, r.hops, "hop").reply(202, "")
 	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -453,16 +454,21 @@
 			break
 		}
 	}
-	if a := await(t, stuck, "answer"); a.Status != 503 || time.Since(told) > 3600*time.Millisecond {
-		t.Errorf("answer %+v %v after SIGTERM to what came after it, want a refusal before 3.7 s", a, time.Since(told))
-	}
-	d.raw("") // says nothing, and is not waited for
 	if code := d.report(event("x1", r.uid, "done")); code != 204 {
 		t.Errorf("call-back while draining got %d", code)
 	}
 	if a := await(t, got, "answer"); a.Status != 200 || a.Body != "clip of x1 by s-1" {
 		t.Errorf("answer %+v", a)
 	}
+	d.raw("") // says nothing, and is not waited for
+	for what, got := range map[string]struct {
+		from   <-chan answer
+		status int
+	}{"before": {long, 502}, "after": {stuck, 503}} {
+		if a := await(t, got.from, "answer"); a.Status != got.status || time.Since(told) > 3600*time.Millisecond {
+			t.Errorf("answer %+v %v after SIGTERM to what came %s it, want %d before 3.7 s", a, time.Since(told), what, got.status)
+		}
+	}
 	answered := time.Now()
 	if err := await(t, d.ended, "end"); err != nil {
 		t.Errorf("the program ended with %v", err)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -247,6 +247,20 @@
 	})
 }
 
+// EndBy tells when the process may be ended: what is open then gets its answer.
+// Guards rule 1, and clients from a reset where they could have been told to try
+// again.
+func (c *Core) EndBy(by time.Time) {
+	c.box.Put(func(c *Core) {
+		for _, r := range c.requests {
+			if at := c.clock(by); at < r.deadline {
+				r.deadline = at
+				c.remind(r, due{at: at, attempt: -1})
+			}
+		}
+	})
+}
+
 // Report takes a runner's report on a job. One that names no hop that is out,
 // as a repeat or one on a hop given up, changes nothing.
 func (c *Core) Report(ev JobEvent) { c.box.Put(func(c *Core) { c.reported(ev) }) }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -49,6 +49,7 @@
 	Submit(*core.Job, core.Ingress)
 	Leave(*core.Job)
 	Report(core.JobEvent)
+	EndBy(time.Time)
 }
 
 // Config holds the figures of the ingress.
@@ -106,10 +107,13 @@
 	return nil
 }
 
-// Leave tells when the process may be ended. Jobs that come from now on have no
-// later deadline; who is refused is told to go elsewhere, and everybody else may
-// still use the connections there are.
-func (f *Front) Leave(by time.Time) { f.leaveBy.Store(&by) }
+// Leave tells when the process may be ended. No job that is here or comes from now
+// on has a later deadline; who is refused is told to go elsewhere, and everybody
+// else may still use the connections there are.
+func (f *Front) Leave(by time.Time) {
+	f.leaveBy.Store(&by)
+	f.core.EndBy(by)
+}
 
 // Drain tells clients to go elsewhere, keeps answering, call-backs above all,
 // until every request taken has its answer, and only then closes the listener.
