Give up a hop whose runner says nothing for a second

The log: 4 to 8 hops timed out, each at its deadline. Line at fault: egress.fly waits for the 202 until the deadline. Change: ResponseHeaderTimeout 1 s, as 'timed out', unless a call-back has said that the job started. Test: TestSilentRunner.

--- a/cmd/frosttide/main_test.go
+++ b/cmd/frosttide/main_test.go
@@ -771,6 +771,36 @@
 	}
 }
 
+// TestSilentRunner guards a job whose connection has fallen silent before the 202:
+// it goes to another runner long before its deadline, but not if a call-back has
+// told that the job has started.
+func TestSilentRunner(t *testing.T) {
+	t.Parallel()
+	first, second := newRunner(t, "s-1"), newRunner(t, "s-2")
+	disc := newDiscovery(t)
+	d := start(t, disc.URL, 1024, first.entry())
+	w := await(t, disc.watches, "watch")
+	began := submit(d.job("render", "began"))
+	await(t, first.hops, "hop")
+	d.report(event("began", "s-1", "started"))
+	lost := submit(d.job("render", "lost"))
+	await(t, first.hops, "hop")
+	w.lines <- list(42, false, second.entry())
+	if h := await(t, second.hops, "hop at the other runner"); h.id() != "lost" {
+		t.Fatalf("the other runner got %q", h.id())
+	}
+	d.report(event("lost", "s-2", "done"))
+	d.report(event("began", "s-1", "done"))
+	for what, got := range map[string]<-chan answer{"lost by s-2": lost, "began by s-1": began} {
+		if a := await(t, got, "answer"); a.Status != 200 || a.Body != "clip of "+what {
+			t.Errorf("answer %+v, want the clip of %s", a, what)
+		}
+	}
+	if len(second.hops) > 0 {
+		t.Errorf("the other runner got %q as well", (<-second.hops).id())
+	}
+}
+
 // TestUnusable guards a runner's good name and everybody's retries: a job that it
 // can't use is the client's fault, so nobody else is tried, the client is told,
 // and the runner goes on getting jobs.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -163,6 +163,7 @@
 	number   magpierelay.WorkerID // whom the module named
 	to       *worker              // nil if it has left the list
 	deadline time.Duration
+	reported bool // the runner has said that the job started or runs
 	ended    bool
 }
 
@@ -268,7 +269,11 @@
 // HopEnded tells how a hop ended without a report on its job.
 func (c *Core) HopEnded(ref HopRef, outcome magpierelay.Outcome, load []float32) {
 	c.box.Put(func(c *Core) {
-		if r := c.requests[ref.Request]; r != nil && c.end(r, ref.Attempt, outcome, load) {
+		r := c.requests[ref.Request]
+		if r == nil || outcome == magpierelay.TimedOut && r.hops[ref.Attempt].reported {
+			return // that the runner has the job is known by its call-back
+		}
+		if c.end(r, ref.Attempt, outcome, load) {
 			r.unusable = r.unusable || outcome == magpierelay.Unusable
 		}
 	})
@@ -499,9 +504,11 @@
 		note := magpierelay.Event{Request: r.ref, Attempt: i, Worker: h.number, Progress: ev.Share}
 		switch ev.State {
 		case JobStarted:
+			h.reported = true
 			note.Type = magpierelay.AttemptStarted
 			c.event(note)
 		case JobRunning:
+			h.reported = true
 			note.Type = magpierelay.AttemptProgressed
 			c.event(note)
 		case JobDone:
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -38,6 +38,9 @@
 	// each hop, doubled each time that keeping them fails again, up to aloneMost.
 	aloneBase = 15 * time.Second
 	aloneMost = 2 * time.Minute
+	// takeTime is how long a runner may take to say that it has a job. It says so in
+	// milliseconds; one that is silent is down, or its connection is.
+	takeTime = time.Second
 	// settleTime is how long after its deadline a hop's connection may still be
 	// open: the core gives up first, this only ends what nobody waits for.
 	settleTime = time.Second
@@ -86,6 +89,7 @@
 		// Guards against a request written to a connection that the runner closes
 		// at that moment, which ends as a reset: ours goes first.
 		IdleConnTimeout:        f.cfg.Keepalive * 3 / 4,
+		ResponseHeaderTimeout:  takeTime,
 		MaxResponseHeaderBytes: 16 << 10,
 		ReadBufferSize:         2 << 10,
 		WriteBufferSize:        2 << 10,
@@ -283,6 +287,12 @@
 		if !body.ended.Load() || broken.Load() {
 			return result{outcome: magpierelay.ConnectFailed, stale: kept.Load()}
 		}
+		// Guards a job whose connection has fallen silent: nothing would come on it
+		// before the deadline. The transport has closed it, which gives the hop up.
+		var late net.Error
+		if errors.As(err, &late) && late.Timeout() {
+			return result{outcome: magpierelay.TimedOut, stale: kept.Load()}
+		}
 		return result{outcome: magpierelay.ConnReset, stale: kept.Load()}
 	}
 	finish(resp)
