--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,7 @@
 
 	"magpierelay"
 	"magpierelay/internal/config"
+	"magpierelay/internal/console"
 	"magpierelay/internal/core"
 	"magpierelay/internal/egress"
 	"magpierelay/internal/ingress"
@@ -67,6 +69,16 @@
 	limit(cfg.Limits)
 	entry := log.WithField("name", cfg.Name)
 	budget := cfg.Limits.Sockets - reserved
+	var ready atomic.Bool
+	if cfg.Console != "" {
+		budget -= console.Sockets
+		operators, err := net.Listen("tcp", cfg.Console)
+		if err != nil {
+			return fmt.Errorf("console: %w", err)
+		}
+		defer operators.Close()
+		go console.New(ready.Load, entry.WithField("part", "console")).Serve(operators)
+	}
 
 	table := routetable.New(routetable.Config{Addr: cfg.Discovery, Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds},
 		entry.WithField("part", "routetable"))
@@ -84,7 +96,7 @@
 	}
 	front := ingress.New(ingress.Config{Classes: cfg.Names.Classes, Columns: cfg.Names.Columns,
 		Keyed: keyed, Slots: magpierelay.MostSlots, Clients: budget * 4 / 8, Sockets: budget * 5 / 8}, c, entry.WithField("part", "ingress"))
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := listen(cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -97,6 +109,7 @@
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
 	go reload(cfg, reloads, table, entry)
+	ready.Store(true)
 	entry.WithField("listen", cfg.Listen).Info("frosttide serves")
 
 	select {
@@ -105,6 +118,7 @@
 	case sig := <-ends:
 		entry.WithField("signal", sig.String()).Info("frosttide drains")
 	}
+	ready.Store(false)
 	front.Leave(time.Now().Add(grace(cfg.Module.Classes) - lead))
 	time.Sleep(lingering)
 	if err := front.Drain(ctx); err != nil {
@@ -114,6 +128,17 @@
 	return nil
 }
 
+// listen opens the clients' address, or takes the socket that the platform holds
+// for all processes of this dispatcher: closing it ends this process's copy alone.
+func listen(cfg config.Config) (net.Listener, error) {
+	if cfg.Inherited == 0 {
+		return net.Listen("tcp", cfg.Listen)
+	}
+	f := os.NewFile(uintptr(cfg.Inherited), "$BALANCER_FD")
+	defer f.Close()
+	return net.FileListener(f)
+}
+
 // grace returns how long the process has to itself after SIGTERM.
 func grace(classes []magpierelay.Class) time.Duration {
 	var longest time.Duration
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,6 +30,8 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Console   string // the operators' address; empty for none
+	Inherited int    // the descriptor of a listening socket that the platform holds; 0 for none
 	Seed      uint64
 	Limits    Limits
 	Known     json.RawMessage // the list as last held, in discovery's form; it may be old or absent
@@ -42,6 +44,7 @@
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
+	Console   string          `json:"console"`
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
 	Known     json.RawMessage `json:"known"`
@@ -86,12 +89,17 @@
 		to   *string
 		keep bool
 	}{{"BALANCER_NAME", &f.Name, false}, {"BALANCER_LISTEN", &f.Listen, false},
-		{"BALANCER_DISCOVERY", &f.Discovery, fileFirst && f.Discovery != ""}} {
+		{"BALANCER_CONSOLE", &f.Console, false}, {"BALANCER_DISCOVERY", &f.Discovery, fileFirst && f.Discovery != ""}} {
 		if s := getenv(v.name); s != "" && !v.keep {
 			*v.to = s
 		}
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, Limits: f.Limits, Known: f.Known}
+	if fd := getenv("BALANCER_FD"); fd != "" {
+		if c.Inherited, err = strconv.Atoi(fd); err != nil || c.Inherited <= 2 {
+			return Config{}, fmt.Errorf("BALANCER_FD: %q is not an inherited descriptor", fd)
+		}
+	}
 	if err := c.check(); err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
@@ -116,7 +124,13 @@
 }
 
 func (c *Config) check() error {
-	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	for _, a := range []struct {
+		name, addr string
+		optional   bool
+	}{{"listen", c.Listen, false}, {"discovery", c.Discovery, false}, {"console", c.Console, true}} {
+		if a.addr == "" && a.optional {
+			continue
+		}
 		if a.addr == "" {
 			return fmt.Errorf("%s: the address is missing", a.name)
 		}
