Let operators leave runners out and put them back with a trickle of work

Also serves the inherited socket without ever blocking in accept(2): seen in TestInherited, whose platform sets the shared socket blocking when it starts a process; the old one then hung in accept and in Close. Ruled out: open requests and connections, there were none.

--- a/api.go
+++ b/api.go
@@ -172,6 +172,7 @@
 	State     MemberState
 	Weight    float64
 	StartedAt time.Duration // clock time of its last start; 0 for long ago
+	Returned  bool          // an operator put it back: it gets a little work while it is cold
 }
 
 // Event is one thing that happened. Type tells which fields are set.
@@ -191,6 +192,7 @@
 	Deadline time.Duration
 	Slots    float64
 	Memory   float64
+	Hint     time.Duration // RequestArrived: a rough estimate of the work; 0 for none
 	Key      uint64
 	Progress float64
 	Load     [MaxMetrics]float32 // the first Loads values, as named by Config.Metrics
--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -23,6 +23,7 @@
 	"magpierelay/internal/console"
 	"magpierelay/internal/core"
 	"magpierelay/internal/egress"
+	"magpierelay/internal/handover"
 	"magpierelay/internal/ingress"
 	"magpierelay/internal/routetable"
 )
@@ -69,15 +70,13 @@
 	limit(cfg.Limits)
 	entry := log.WithField("name", cfg.Name)
 	budget := cfg.Limits.Sockets - reserved
-	var ready atomic.Bool
-	if cfg.Console != "" {
+	var operators net.Listener
+	if cfg.Console != "" { // open before all else, so that callers have their answers
 		budget -= console.Sockets
-		operators, err := net.Listen("tcp", cfg.Console)
-		if err != nil {
+		if operators, err = net.Listen("tcp", cfg.Console); err != nil {
 			return fmt.Errorf("console: %w", err)
 		}
 		defer operators.Close()
-		go console.New(ready.Load, entry.WithField("part", "console")).Serve(operators)
 	}
 
 	table := routetable.New(routetable.Config{Addr: cfg.Discovery, Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds},
@@ -90,6 +89,10 @@
 		return err
 	}
 	fleet.ReportTo(c)
+	var ready atomic.Bool
+	if operators != nil {
+		go console.New(c, ready.Load, entry.WithField("part", "console")).Serve(operators)
+	}
 	var keyed []bool
 	for _, class := range cfg.Module.Classes {
 		keyed = append(keyed, class.Effect == magpierelay.Keyed)
@@ -129,14 +132,12 @@
 }
 
 // listen opens the clients' address, or takes the socket that the platform holds
-// for all processes of this dispatcher: closing it ends this process's copy alone.
+// for all processes of this dispatcher.
 func listen(cfg config.Config) (net.Listener, error) {
-	if cfg.Inherited == 0 {
-		return net.Listen("tcp", cfg.Listen)
+	if cfg.Inherited > 0 {
+		return handover.Listen(cfg.Inherited)
 	}
-	f := os.NewFile(uintptr(cfg.Inherited), "$BALANCER_FD")
-	defer f.Close()
-	return net.FileListener(f)
+	return net.Listen("tcp", cfg.Listen)
 }
 
 // grace returns how long the process has to itself after SIGTERM.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -50,6 +50,7 @@
 	free, held     int    // counts of its tokens
 	limit          int    // most tokens it has now
 	failed         bool   // it has tokens for one job, until it serves one
+	untried        bool   // it has been put back and sent nothing since
 	overdue        int    // its attempts whose start is overdue
 	failures       int    // in a row, without a start between
 	restUntil      time.Duration
@@ -77,6 +78,7 @@
 	id       RequestID
 	class    int
 	slots    int
+	hint     time.Duration
 	deadline time.Duration
 	attempts []attempt
 	over     bool
@@ -272,14 +274,21 @@
 	if !begins {
 		return false
 	}
-	w.failures, w.failed, w.restUntil = 0, false, 0
+	w.failures, w.failed, w.restUntil, w.untried = 0, false, 0, w.Returned
 	w.coldUntil, w.rationUntil = d.grown(m.StartedAt, coldFit), d.grown(m.StartedAt, coldFree)
 	for _, at := range []time.Duration{w.coldUntil, w.rationUntil} {
 		if d.now < at {
 			d.wake(at+d.jitter(d.cfg.Rules.FallWindow), timer{do: (*Dispatcher).warmed, worker: w})
 		}
 	}
-	return d.now >= w.coldUntil
+	return d.now >= w.coldUntil || w.Returned
+}
+
+// trickles tells whether a cold worker that an operator put back may have a request:
+// a light one, while it has no other. Guards a machine that is wanted again from lying
+// idle, and rule 4 from one of the few jobs that take many times their class's mean.
+func (d *Dispatcher) trickles(w *worker, r *request) bool {
+	return w.Returned && w.held == 0 && r.slots == 1 && r.hint.Seconds() <= d.run[r.class]
 }
 
 // grown returns when a worker started at the given time has capacity enough: when
@@ -328,6 +337,17 @@
 	}
 }
 
+// Unavailable returns how many listed workers get no new work at a time, by the list
+// or by choice. It changes nothing.
+func (d *Dispatcher) Unavailable(now time.Duration) (n int) {
+	for _, w := range d.listed {
+		if w.State != Ready || w.overdue > 0 || now < w.restUntil || now < w.coldUntil && !w.Returned {
+			n++
+		}
+	}
+	return n
+}
+
 // withdraw takes a worker's free tokens out of the bucket; those that it holds
 // are dropped as they come back.
 func (d *Dispatcher) withdraw(w *worker, state MemberState) {
@@ -489,8 +509,11 @@
 
 // cost returns the part of its tokens that a worker would hold with the request,
 // dearer by its pace, as far as that is not forgotten, and by the way to another
-// zone.
+// zone. A worker that was put back is tried before all others.
 func (d *Dispatcher) cost(w *worker, r *request) float64 {
+	if w.untried {
+		return 0
+	}
 	known := max(1-float64(d.now-w.paceAt)/float64(paceFor), 0)
 	cost := float64(w.held+r.slots) / float64(d.tokensFor(w)) * (1 + known*(w.pace-1))
 	if w.Zone != d.cfg.Zone {
@@ -533,7 +556,8 @@
 func (d *Dispatcher) allowed(r *request, w *worker) bool {
 	c := &d.cfg.Classes[r.class]
 	wrongKind := c.WorkerKind >= 0 && w.Kind != c.WorkerKind
-	if w.State != Ready || d.now < w.coldUntil || wrongKind || !d.mayTry(r) || !d.bears(w, r) {
+	cold := d.now < w.coldUntil && !d.trickles(w, r)
+	if w.State != Ready || cold || wrongKind || !d.mayTry(r) || !d.bears(w, r) {
 		return false
 	}
 	if len(r.attempts) > 0 && d.warming(w) {
@@ -574,6 +598,7 @@
 		d.take(w)
 	}
 	w.held += r.slots
+	w.untried = false
 	w.bill += d.workOf(r)
 	n := len(r.attempts)
 	r.attempts = append(r.attempts, attempt{worker: w, sentAt: d.now})
@@ -607,7 +632,7 @@
 		d.act(Action{Type: Refuse, Request: ev.Request})
 		return
 	}
-	r := &request{id: ev.Request, class: ev.Class, deadline: ev.Deadline, slots: 1}
+	r := &request{id: ev.Request, class: ev.Class, deadline: ev.Deadline, hint: ev.Hint, slots: 1}
 	if ev.Slots > 1 { // false for NaN
 		r.slots = int(math.Ceil(min(ev.Slots, maxTokens)))
 	}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -676,3 +676,45 @@
 			len(sent), heavy, float64(most)*0.05, 2*budget)
 	}
 }
+
+// TestPutBack guards a runner that operators put back: it is tried at once though it
+// is cold, with one light job at a time, and gets nothing heavy.
+func TestPutBack(t *testing.T) {
+	h := newHost(t, plain(), oneZone(3))
+	h.d.run[0], h.d.run[4] = 0.05, 5
+	back := oneZone(3)[2]
+	h.pass(time.Second)
+	for _, m := range []struct {
+		state    MemberState
+		returned bool
+		want     int
+	}{{Draining, false, 1}, {Ready, false, 1}, {Draining, false, 1}, {Ready, true, 0}} {
+		back.State, back.Returned, back.StartedAt = m.state, m.returned, h.now
+		h.step(Event{Type: MembersChanged, Members: []Member{back}})
+		if n := h.d.Unavailable(h.now); n != m.want {
+			t.Errorf("state %d, returned %t: %d workers are unavailable, want %d", m.state, m.returned, n, m.want)
+		}
+	}
+	for _, heavy := range []Event{{Class: 4}, {Class: 0, Slots: 2}, {Class: 0, Hint: time.Second}} {
+		h.next++
+		heavy.Type, heavy.Request, heavy.Deadline = RequestArrived, h.next, h.now+5*time.Second
+		if out := h.step(heavy); len(out) != 1 || out[0].Worker == back.Worker {
+			t.Errorf("%+v went to the cold worker: %v", heavy, out)
+		}
+	}
+	first := h.arrive(0, 1)
+	if first.Type != Send || first.Worker != back.Worker {
+		t.Fatalf("the first light job led to %v, want it at the worker put back", first)
+	}
+	if a := h.arrive(0, 1); a.Worker == back.Worker {
+		t.Errorf("a second job went to it beside the first")
+	}
+	h.end(first, Served)
+	h.pass(time.Second)
+	for range 12 { // the others hold more of their tokens by then
+		if a := h.arrive(0, 1); a.Worker == back.Worker {
+			return
+		}
+	}
+	t.Errorf("it got no job after the first had ended")
+}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -1,8 +1,11 @@
 // Package console is the operators' front: an HTTP server at an address of its own
-// that tells whether the process is ready. It takes one call per connection.
+// that tells whether the process is ready and leaves runners out and puts them back.
+// It takes one call per connection.
 package console
 
 import (
+	"encoding/json"
+	"io"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -17,23 +20,37 @@
 	places  = 7
 	// hearTime is how long a call may take to arrive: whoever makes one waits 1 s.
 	hearTime = 1500 * time.Millisecond
+	// doTime is how long a call may take to be done, and tellTime how much later the
+	// caller hears that it was not: within 1 s in all.
+	doTime   = 600 * time.Millisecond
+	tellTime = 150 * time.Millisecond
+	// maxCall bounds the body of a call.
+	maxCall = 4 << 10
 )
 
+// Core does what operators ask for.
+type Core interface {
+	Exclude(uid string, out bool, by time.Time, done func(known bool))
+}
+
 // Console is the server of operators.
 type Console struct {
 	server *http.Server
+	core   Core
 	log    *logrus.Entry
 }
 
 // New makes a console. Ready tells whether the process serves.
-func New(ready func() bool, log *logrus.Entry) *Console {
-	c := &Console{log: log}
+func New(core Core, ready func() bool, log *logrus.Entry) *Console {
+	c := &Console{core: core, log: log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("PUT /api/exclude", func(w http.ResponseWriter, r *http.Request) { c.exclude(w, r, true) })
+	mux.HandleFunc("PUT /api/include", func(w http.ResponseWriter, r *http.Request) { c.exclude(w, r, false) })
 	c.server = &http.Server{Handler: mux, ReadTimeout: hearTime, WriteTimeout: 2 * hearTime, MaxHeaderBytes: 4 << 10,
 		ErrorLog: stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0)}
 	c.server.SetKeepAlivesEnabled(false)
@@ -45,3 +62,31 @@
 	err := c.server.Serve(&door{Listener: l})
 	c.log.WithError(err).Debug("console closed")
 }
+
+// exclude has a runner left out, or put back.
+func (c *Console) exclude(w http.ResponseWriter, r *http.Request, out bool) {
+	by := time.Now().Add(doTime)
+	var call struct {
+		Host string `json:"host"`
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCall))
+	if err == nil {
+		err = json.Unmarshal(text, &call)
+	}
+	if err != nil || call.Host == "" {
+		http.Error(w, `the body is to be {"host":"ID"}`, http.StatusBadRequest)
+		return
+	}
+	known := make(chan bool, 1)
+	c.core.Exclude(call.Host, out, by, func(k bool) { known <- k })
+	late := time.NewTimer(time.Until(by.Add(tellTime)))
+	defer late.Stop()
+	select {
+	case k := <-known:
+		if !k {
+			http.Error(w, "no runner has this id", http.StatusNotFound)
+		}
+	case <-late.C:
+		http.Error(w, "not done, try again", http.StatusServiceUnavailable)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,9 +30,10 @@
 	Class    int
 	Slots    float64
 	Memory   float64
-	Subject  uint64 // what the request concerns; 0 for none
-	Retry    bool   // a client's repeat
-	Ending   bool   // the deadline is the end of this process
+	Subject  uint64        // what the request concerns; 0 for none
+	Hint     time.Duration // a rough estimate of the work; 0 for none
+	Retry    bool          // a client's repeat
+	Ending   bool          // the deadline is the end of this process
 	Deadline time.Time
 }
 
@@ -142,6 +143,8 @@
 	tally    tally
 	workers  map[string]*worker // by uid
 	byNumber map[magpierelay.WorkerID]*worker
+	excluded map[string]bool          // uids that operators have left out, whatever discovery lists
+	putBack  map[string]time.Duration // uids that they have put back, and when
 }
 
 // request is a request from its arrival until it is answered and none of its
@@ -172,7 +175,7 @@
 	number magpierelay.WorkerID
 	uid    string
 	addr   string
-	state  magpierelay.MemberState
+	member magpierelay.Member // as discovery lists it
 	target Target
 }
 
@@ -184,7 +187,8 @@
 	}
 	return &Core{log: log, cfg: cfg, module: module, targets: targets, list: list, box: mailbox.New[func(*Core)](),
 		start: time.Now(), requests: map[magpierelay.RequestID]*request{}, byID: map[string]*request{},
-		workers: map[string]*worker{}, byNumber: map[magpierelay.WorkerID]*worker{}}, nil
+		workers: map[string]*worker{}, byNumber: map[magpierelay.WorkerID]*worker{},
+		excluded: map[string]bool{}, putBack: map[string]time.Duration{}}, nil
 }
 
 // Run works until the context ends.
@@ -266,6 +270,17 @@
 // as a repeat or one on a hop given up, changes nothing.
 func (c *Core) Report(ev JobEvent) { c.box.Put(func(c *Core) { c.reported(ev) }) }
 
+// Exclude leaves a runner out until it is put back with out false. Done is told whether
+// anybody has the runner. Guards a caller who was told no, as the core had no time:
+// from the deadline on nothing is done and done is not called.
+func (c *Core) Exclude(uid string, out bool, by time.Time, done func(known bool)) {
+	c.box.Put(func(c *Core) {
+		if time.Now().Before(by) {
+			done(c.exclude(uid, out))
+		}
+	})
+}
+
 // HopEnded tells how a hop ended without a report on its job.
 func (c *Core) HopEnded(ref HopRef, outcome magpierelay.Outcome, load []float32) {
 	c.box.Put(func(c *Core) {
@@ -378,7 +393,7 @@
 	c.requests[r.ref], c.byID[job.ID] = r, r
 	c.remind(r, due{at: r.deadline, attempt: -1})
 	c.event(magpierelay.Event{Type: magpierelay.RequestArrived, Request: r.ref, Class: job.Class,
-		Deadline: r.deadline, Slots: job.Slots, Memory: job.Memory, Key: job.Subject, Retry: job.Retry,
+		Deadline: r.deadline, Slots: job.Slots, Memory: job.Memory, Hint: job.Hint, Key: job.Subject, Retry: job.Retry,
 		Ending: job.Ending})
 }
 
@@ -551,13 +566,12 @@
 			w.addr = t.Addr
 			w.target.Move(t.Addr)
 		}
-		if t.State == magpierelay.Draining && w.state != t.State {
+		if t.State == magpierelay.Draining && w.member.State != t.State {
 			c.log.WithField("target", w.uid).Info("egress target drains")
 		}
-		w.state = t.State
-		m := t.Member
-		m.Worker = w.number
-		ev.Members = append(ev.Members, m)
+		w.member = t.Member
+		w.member.Worker = w.number
+		ev.Members = append(ev.Members, c.shown(w))
 		if t.State == magpierelay.Removed {
 			c.drop(w)
 		}
@@ -572,6 +586,45 @@
 	c.event(ev)
 }
 
+// shown returns a worker as the module is to see it: as discovery lists it, but for
+// what operators have said. Guards what they said against every later list.
+func (c *Core) shown(w *worker) magpierelay.Member {
+	m := w.member
+	if c.excluded[w.uid] && m.State == magpierelay.Ready {
+		m.State = magpierelay.Draining
+	}
+	if at, ok := c.putBack[w.uid]; ok {
+		m.StartedAt, m.Returned = max(m.StartedAt, at), true
+	}
+	return m
+}
+
+// exclude leaves a runner out, or puts it back, and reports whether anybody has it.
+// Put back it counts as cold: operators restart runners in that time, and discovery
+// may not tell when.
+func (c *Core) exclude(uid string, out bool) bool {
+	w := c.workers[uid]
+	if w == nil && !c.excluded[uid] {
+		return false
+	}
+	if c.excluded[uid] == out {
+		return true
+	}
+	c.log.WithFields(logrus.Fields{"target": uid, "out": out}).Info("operators have moved a runner")
+	if out {
+		c.excluded[uid] = true
+		delete(c.putBack, uid)
+	} else {
+		delete(c.excluded, uid)
+		c.putBack[uid] = c.now
+		c.wake(&due{at: c.now + c.cfg.Rules.WarmUp, putBack: uid})
+	}
+	if w != nil {
+		c.event(magpierelay.Event{Type: magpierelay.MembersChanged, Members: []magpierelay.Member{c.shown(w)}})
+	}
+	return true
+}
+
 // drop lets a target go that has left the route table. Hops that it still has
 // are matched by its uid until they end.
 func (c *Core) drop(w *worker) {
@@ -615,6 +668,7 @@
 type due struct {
 	at      time.Duration
 	token   uint32
+	putBack string   // a runner that has had its time to warm up since it was put back
 	request *request // nil for a timer of the module
 	attempt int
 	place   int // in the heap; -1 when it has left it
@@ -662,6 +716,12 @@
 func (c *Core) ring() {
 	for len(c.due) > 0 && c.due[0].at <= c.now {
 		d := heap.Pop(&c.due).(*due)
+		if d.putBack != "" {
+			if c.now >= c.putBack[d.putBack]+c.cfg.Rules.WarmUp {
+				delete(c.putBack, d.putBack)
+			}
+			continue
+		}
 		if d.request == nil {
 			c.event(magpierelay.Event{Type: magpierelay.TimerFired, Token: d.token})
 			continue
--- /dev/null
+++ b/internal/handover/listener.go
@@ -0,0 +1,75 @@
+// Package handover is what two processes of one dispatcher do for each other while
+// the platform puts the newer in the older one's place.
+package handover
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+)
+
+// Listen serves a listening socket that the platform holds for all processes of the
+// dispatcher. Closing the listener ends this process's copy alone: shutdown(2) would
+// end the socket for all.
+func Listen(fd int) (net.Listener, error) {
+	if err := syscall.SetNonblock(fd, true); err != nil {
+		return nil, fmt.Errorf("$BALANCER_FD: %w", err)
+	}
+	syscall.CloseOnExec(fd)
+	f := os.NewFile(uintptr(fd), "$BALANCER_FD")
+	first, err := net.FileListener(f) // it must be a listening socket, and knows its address
+	if err != nil {
+		f.Close()
+		return nil, fmt.Errorf("$BALANCER_FD: %w", err)
+	}
+	defer first.Close()
+	raw, err := f.SyscallConn()
+	if err != nil {
+		f.Close()
+		return nil, fmt.Errorf("$BALANCER_FD: %w", err)
+	}
+	return &listener{file: f, raw: raw, addr: first.Addr()}, nil
+}
+
+// listener accepts from the shared socket. Guards against another holder that sets it
+// blocking, as starting a process with it may: net's listener would then be stuck in
+// accept(2), and so would its Close, when another process takes the connection.
+type listener struct {
+	file *os.File
+	raw  syscall.RawConn
+	addr net.Addr
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		var fd int
+		var err error
+		closed := l.raw.Read(func(socket uintptr) bool {
+			if err = syscall.SetNonblock(int(socket), true); err != nil {
+				return true
+			}
+			fd, _, err = syscall.Accept4(int(socket), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			return !errors.Is(err, syscall.EAGAIN)
+		})
+		switch {
+		case closed != nil:
+			return nil, fmt.Errorf("accepting: %w", net.ErrClosed)
+		case errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.EINTR):
+			continue // that client has left
+		case err != nil:
+			return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.addr, Err: os.NewSyscallError("accept4", err)}
+		}
+		f := os.NewFile(uintptr(fd), "")
+		c, err := net.FileConn(f)
+		f.Close()
+		if err != nil {
+			continue // broken already
+		}
+		return c, nil
+	}
+}
+
+func (l *listener) Close() error   { return l.file.Close() }
+func (l *listener) Addr() net.Addr { return l.addr }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -307,8 +307,8 @@
 	http.Error(w, "refused, try again", http.StatusServiceUnavailable)
 }
 
-// parse reads a job's headers. The size hint is passed over: the module has no
-// use for it.
+// parse reads a job's headers. A size hint that is no number is passed over, as it is
+// a rough estimate at best.
 func (f *Front) parse(r *http.Request, came time.Time) (*core.Job, error) {
 	h := r.Header
 	job := &core.Job{ID: h.Get("X-Trace-Id"), Method: r.Method, Resource: r.RequestURI, Key: h.Get("Idempotency-Key"),
@@ -331,6 +331,9 @@
 		return nil, errors.New("X-Expires-In-Ms is missing or malformed")
 	}
 	job.Deadline = came.Add(time.Duration(ms)*time.Millisecond - transit)
+	if hint, err := strconv.ParseInt(h.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 && hint < math.MaxInt32 {
+		job.Hint = time.Duration(hint) * time.Microsecond
+	}
 	if c, err := r.Cookie("k"); err == nil {
 		subject := fnv.New64a() // only equality matters
 		subject.Write([]byte(c.Value))
