--- a/api.go
+++ b/api.go
@@ -132,6 +132,8 @@
 	AttemptEnded                           // Outcome, Closed, Load
 	ProbeEnded                             // Worker, Outcome, Load
 	TimerFired                             // Token
+	HealthKnown                            // Worker, Health: from an earlier process of this dispatcher
+	ProcessesChanged                       // Processes
 )
 
 // Outcome says how an attempt ended.
@@ -197,6 +199,18 @@
 	Progress float64
 	Load     [MaxMetrics]float32 // the first Loads values, as named by Config.Metrics
 	Members  []Member
+
+	Health    Health
+	Processes int // of this dispatcher, which share its part of what cold workers bear
+}
+
+// Health is what a dispatcher has found of a worker's health.
+type Health struct {
+	Failures  int // in a row
+	Failed    bool
+	RestUntil time.Duration
+	Pace      float64
+	PaceAt    time.Duration
 }
 
 // ActionType says what an Action asks for.
--- a/cmd/frosttide/daily_test.go
+++ b/cmd/frosttide/daily_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"magpierelay/internal/handover"
 )
 
 // TestConsole guards the operators' door: it answers each call within the second that
@@ -140,3 +147,172 @@
 	}
 	serve("s-1")
 }
+
+// TestUpgrade guards the change of processes: the newer one knows what the older one
+// was told, by discovery and by operators; call-backs find the process that holds the
+// job, whichever they come to; and the older one takes nothing new, but answers what
+// it holds and what comes on the connections that it keeps.
+func TestUpgrade(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name string
+		edit func(*dispatcher)
+	}{
+		{"plain", func(*dispatcher) {}},
+		{"leftover", func(d *dispatcher) { // of a process that was killed
+			peer := listenUnix(t, handover.Path(tmpdir(d), d.addr))
+			peer.SetUnlinkOnClose(false)
+			peer.Close()
+			if err := os.WriteFile(handover.Path(tmpdir(d), d.addr)+".new", nil, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}},
+		{"long path", func(d *dispatcher) {
+			long := filepath.Join(tmpdir(d), strings.Repeat("long/", 30))
+			if err := os.MkdirAll(long, 0o700); err != nil {
+				t.Fatal(err)
+			}
+			d.cmd.Env = append(d.cmd.Env, "TMPDIR="+long)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			a, b, x := newRunner(t, "s-1"), newRunner(t, "s-2"), newRunner(t, "s-3")
+			disc := newDiscovery(t)
+			old := startWith(t, disc.URL, 1024, []string{a.entry()}, upgradable, tc.edit)
+			w := await(t, disc.watches, "watch")
+			w.lines <- list(57, false, b.entry(), x.entry())
+			old.awaitLog("target=s-3")
+			for _, uid := range []string{"s-1", "s-2"} {
+				if status, text := old.call("PUT", "/api/exclude", `{"host":"`+uid+`"}`); status != 200 {
+					t.Fatalf("exclude got %d %q", status, text)
+				}
+			}
+			kept := &http.Client{Transport: &http.Transport{}}
+			send := func(d *dispatcher, id string) <-chan answer {
+				got := make(chan answer, 1)
+				go func() { got <- do(kept, d.job("render", id)) }()
+				return got
+			}
+			first := send(old, "x0") // before there is another process, so it holds this connection
+			await(t, x.hops, "hop").reply(202, "")
+			next := old.successor()
+			if q := await(t, disc.watches, "the newer process's watch").query; q != "watch=1&from=57" {
+				t.Errorf("the newer process asks discovery for %q", q)
+			}
+			if status, text := next.call("PUT", "/api/exclude", `{"host":"s-1"}`); status != 200 {
+				t.Errorf("exclude got %d %q from the newer process", status, text)
+			}
+			if status, text := next.call("PUT", "/api/include", `{"host":"s-2"}`); status != 200 {
+				t.Errorf("include got %d %q from the newer process", status, text)
+			}
+			old.awaitLog("operators have moved a runner\" name=n0 out=false")
+			if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			old.awaitLog("frosttide drains")
+			for { // until the older one accepts no more
+				status, _ := old.call("GET", "/api/ready", "")
+				if status == 503 {
+					break
+				}
+			}
+			// Call-backs come to the newer process alone from here on.
+			if code := next.report(event("x0", x.uid, "started")); code != 204 {
+				t.Errorf("call-back for a job of the other process got %d", code)
+			}
+			if code := next.report(event("nobodys", x.uid, "started")); code != 503 {
+				t.Errorf("call-back for a job that neither holds got %d", code)
+			}
+			fresh := submit(next.job("render", "x1"))
+			await(t, x.hops, "hop").reply(202, "")
+			next.report(event("x1", x.uid, "started"))
+			if code := next.report(event("x0", x.uid, "done")); code != 204 {
+				t.Errorf("call-back for a job of the other process got %d", code)
+			}
+			if a := await(t, first, "answer"); a.Status != 200 || !a.Close || a.Body != "clip of x0 by s-3" {
+				t.Errorf("answer %+v of the older process, want a result and a close", a)
+			}
+			if err := await(t, old.ended, "end"); err != nil {
+				t.Errorf("the older process ended with %v", err)
+			}
+			next.awaitLog("the other process has ended")
+			if code := next.report(event("x1", x.uid, "done")); code != 204 {
+				t.Errorf("call-back got %d", code)
+			}
+			if a := await(t, fresh, "answer"); a.Status != 200 {
+				t.Errorf("answer %+v of the newer process", a)
+			}
+			third := next.successor() // from the one that took over
+			if status, _ := third.call("PUT", "/api/exclude", `{"host":"s-2"}`); status != 200 {
+				t.Errorf("exclude got %d from the third process", status)
+			}
+		})
+	}
+}
+
+// TestBadPeer guards the start beside a process that can't be made out, and a process
+// in service against one that calls and talks nonsense.
+func TestBadPeer(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct{ name, says string }{
+		{"silent", ""}, {"garbage", "\x00\xff{]\n"}, {"nonsense", `{"state":7}` + "\n"}, {"endless", strings.Repeat("x", 5<<20)},
+		{"odd state", `{"state":{"discovery":"","list":{"rev":-1,"targets":7},"core":{"excluded":[""],"health":null}}}` + "\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRunner(t, "s-1")
+			var path string
+			began := time.Now()
+			d := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()}, upgradable, func(d *dispatcher) {
+				path = handover.Path(tmpdir(d), d.addr)
+				peer := listenUnix(t, path)
+				go func() {
+					c, err := peer.Accept()
+					if err != nil {
+						return
+					}
+					io.WriteString(c, tc.says)
+					io.Copy(io.Discard, c)
+				}()
+			})
+			if took := time.Since(began); took > 6*time.Second {
+				t.Errorf("the process was ready after %v", took)
+			}
+			c, err := net.Dial("unix", path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			go io.WriteString(c, tc.says)
+			got := submit(d.job("render", "x1"))
+			await(t, r.hops, "hop").reply(202, "")
+			for d.report(event("x1", r.uid, "done")) != 204 {
+			}
+			if a := await(t, got, "answer"); a.Status != 200 {
+				t.Errorf("answer %+v", a)
+			}
+		})
+	}
+}
+
+func listenUnix(t *testing.T, path string) *net.UnixListener {
+	t.Helper()
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// tmpdir is the folder that a dispatcher's processes share.
+func tmpdir(d *dispatcher) string {
+	for _, v := range slices.Backward(d.cmd.Env) {
+		if dir, ok := strings.CutPrefix(v, "TMPDIR="); ok {
+			return dir
+		}
+	}
+	d.t.Fatal("no TMPDIR")
+	return ""
+}
--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -39,6 +39,9 @@
 	graceMost = 3 * time.Second
 	graceMore = 700 * time.Millisecond
 	lead      = 300 * time.Millisecond
+	// closing is how long before that the connections are closed that clients have not
+	// used since a newer process took over.
+	closing = 600 * time.Millisecond
 	// reserved descriptors are those of discovery, the log and the runtime.
 	reserved = 24
 )
@@ -67,7 +70,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	limit(cfg.Limits)
+	limit(cfg.Limits, 1)
 	entry := log.WithField("name", cfg.Name)
 	budget := cfg.Limits.Sockets - reserved
 	var operators net.Listener
@@ -97,21 +100,43 @@
 	for _, class := range cfg.Module.Classes {
 		keyed = append(keyed, class.Effect == magpierelay.Keyed)
 	}
-	front := ingress.New(ingress.Config{Classes: cfg.Names.Classes, Columns: cfg.Names.Columns,
-		Keyed: keyed, Slots: magpierelay.MostSlots, Clients: budget * 4 / 8, Sockets: budget * 5 / 8}, c, entry.WithField("part", "ingress"))
+	var front *ingress.Front
+	share := func(processes int) {
+		c.Processes(processes)
+		fleet.Budget(budget * 3 / 8 / processes)
+		front.Budget(budget*4/8/processes, budget*5/8/processes)
+		limit(cfg.Limits, processes)
+	}
+	link := handover.New(handover.Path(os.TempDir(), cfg.Listen), c, table, share, entry.WithField("part", "handover"))
+	defer link.Close()
+	c.Inform(link.Exclude)
+	front = ingress.New(ingress.Config{Classes: cfg.Names.Classes, Columns: cfg.Names.Columns, Keyed: keyed,
+		Slots: magpierelay.MostSlots, Clients: budget * 4 / 8, Sockets: budget * 5 / 8}, c, link, entry.WithField("part", "ingress"))
 	listener, err := listen(cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	var state handover.State
+	if cfg.Inherited > 0 {
+		if told := link.Dial(); told != nil {
+			state = *told
+		}
+	}
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	table.Load(cfg.Known, c)
+	table.Resume(state.Discovery, state.List, cfg.Known, c)
 	go table.Run(ctx)
 	go c.Run(ctx)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
 	go reload(cfg, reloads, table, entry)
+	if cfg.Inherited > 0 {
+		if err := link.Serve(); err != nil {
+			entry.WithError(err).Warn("no newer process will take over the state")
+		}
+		link.Ready()
+	}
 	ready.Store(true)
 	entry.WithField("listen", cfg.Listen).Info("frosttide serves")
 
@@ -122,8 +147,13 @@
 		entry.WithField("signal", sig.String()).Info("frosttide drains")
 	}
 	ready.Store(false)
-	front.Leave(time.Now().Add(grace(cfg.Module.Classes) - lead))
-	time.Sleep(lingering)
+	by := time.Now().Add(grace(cfg.Module.Classes) - lead)
+	front.Leave(by)
+	if link.Succeeded() {
+		front.GiveWay(by.Add(-closing))
+	} else {
+		time.Sleep(lingering)
+	}
 	if err := front.Drain(ctx); err != nil {
 		return err
 	}
@@ -167,9 +197,9 @@
 	}
 }
 
-// limit keeps the process within its machine. The memory limit leaves room for
-// stacks and what the kernel counts.
-func limit(l config.Limits) {
+// limit keeps the processes of the dispatcher within their machine. The memory limit
+// leaves room for stacks and what the kernel counts.
+func limit(l config.Limits, processes int) {
 	runtime.GOMAXPROCS(max(int(l.Cores), 1))
-	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 3 / 4)
+	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 3 / 4 / int64(processes))
 }
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -94,13 +94,14 @@
 
 // Dispatcher decides for one scheduler. It is not safe for concurrent use.
 type Dispatcher struct {
-	cfg      Config
-	rng      *rand.Rand
-	now      time.Duration
-	out      []Action
-	requests map[RequestID]*request
-	timers   map[uint32]timer
-	timerSeq uint32
+	cfg       Config
+	processes int // of this dispatcher
+	rng       *rand.Rand
+	now       time.Duration
+	out       []Action
+	requests  map[RequestID]*request
+	timers    map[uint32]timer
+	timerSeq  uint32
 
 	workers     map[WorkerID]*worker
 	listed      []*worker // the same in the order in which they were first listed
@@ -125,8 +126,8 @@
 	if len(cfg.Classes) == 0 {
 		return nil, errors.New("magpierelay: Config.Classes is empty")
 	}
-	d := &Dispatcher{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), requests: map[RequestID]*request{},
-		timers: map[uint32]timer{}, workers: map[WorkerID]*worker{},
+	d := &Dispatcher{cfg: cfg, processes: 1, rng: rand.New(rand.NewPCG(seed, 0)),
+		requests: map[RequestID]*request{}, timers: map[uint32]timer{}, workers: map[WorkerID]*worker{},
 		widest: 1, retries: creditMost}
 	d.cfg.Classes = slices.Clone(cfg.Classes)
 	for i, c := range cfg.Classes {
@@ -174,6 +175,12 @@
 		if r, a := d.find(ev); a != nil {
 			d.ended(r, a, ev)
 		}
+	case HealthKnown:
+		if w := d.workers[ev.Worker]; w != nil {
+			d.restore(w, ev.Health)
+		}
+	case ProcessesChanged:
+		d.processes = max(ev.Processes, 1)
 	case TimerFired:
 		if t, ok := d.timers[ev.Token]; ok {
 			delete(d.timers, ev.Token)
@@ -320,7 +327,8 @@
 			slots, seen = slots+float64(other.most), seen+1
 		}
 	}
-	rate := share * rules.FallMultiple * max(slots/max(seen, 1), 1) / float64(max(d.cfg.Instances, 1))
+	rate := share * rules.FallMultiple * max(slots/max(seen, 1), 1)
+	rate /= float64(max(d.cfg.Instances, 1) * d.processes)
 	w.bill, w.billAt = max(w.bill-rate*(d.now-w.billAt).Seconds(), 0), d.now
 	return w.bill+d.workOf(r) <= rate*rules.FallWindow.Seconds()
 }
@@ -337,6 +345,26 @@
 	}
 }
 
+// Health returns what has been found of a worker's health. It changes nothing.
+func (d *Dispatcher) Health(worker WorkerID) (h Health) {
+	if w := d.workers[worker]; w != nil {
+		h = Health{w.failures, w.failed, w.restUntil, w.pace, w.paceAt}
+	}
+	return h
+}
+
+// restore takes over what an earlier process has found of a worker's health.
+func (d *Dispatcher) restore(w *worker, h Health) {
+	w.failures, w.failed, w.restUntil = max(h.Failures, 0), h.Failed, min(h.RestUntil, d.now+restMost)
+	if h.Pace > 0 {
+		w.pace, w.paceAt = min(h.Pace, paceMost), min(h.PaceAt, d.now)
+	}
+	if w.failed {
+		w.limit = min(w.limit, d.widest)
+		d.trim(w)
+	}
+}
+
 // Unavailable returns how many listed workers get no new work at a time, by the list
 // or by choice. It changes nothing.
 func (d *Dispatcher) Unavailable(now time.Duration) (n int) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	"container/heap"
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"time"
 
@@ -143,8 +144,10 @@
 	tally    tally
 	workers  map[string]*worker // by uid
 	byNumber map[magpierelay.WorkerID]*worker
-	excluded map[string]bool          // uids that operators have left out, whatever discovery lists
-	putBack  map[string]time.Duration // uids that they have put back, and when
+	excluded map[string]bool               // uids that operators have left out, whatever discovery lists
+	putBack  map[string]time.Duration      // uids that they have put back, and when
+	health   map[string]magpierelay.Health // of an earlier process, for runners not listed yet
+	inform   func(Exclusion)               // told of what operators say here
 }
 
 // request is a request from its arrival until it is answered and none of its
@@ -188,7 +191,8 @@
 	return &Core{log: log, cfg: cfg, module: module, targets: targets, list: list, box: mailbox.New[func(*Core)](),
 		start: time.Now(), requests: map[magpierelay.RequestID]*request{}, byID: map[string]*request{},
 		workers: map[string]*worker{}, byNumber: map[magpierelay.WorkerID]*worker{},
-		excluded: map[string]bool{}, putBack: map[string]time.Duration{}}, nil
+		excluded: map[string]bool{}, putBack: map[string]time.Duration{},
+		inform: func(Exclusion) {}}, nil
 }
 
 // Run works until the context ends.
@@ -266,9 +270,14 @@
 	})
 }
 
-// Report takes a runner's report on a job. One that names no hop that is out,
-// as a repeat or one on a hop given up, changes nothing.
-func (c *Core) Report(ev JobEvent) { c.box.Put(func(c *Core) { c.reported(ev) }) }
+// Report takes a runner's report on a job and tells whether the job is held here. One
+// that names no hop that is out, as a repeat or one on a hop given up, changes nothing.
+func (c *Core) Report(ev JobEvent, took func(bool)) {
+	c.box.Put(func(c *Core) {
+		took(c.byID[ev.ID] != nil)
+		c.reported(ev)
+	})
+}
 
 // Exclude leaves a runner out until it is put back with out false. Done is told whether
 // anybody has the runner. Guards a caller who was told no, as the core had no time:
@@ -281,6 +290,63 @@
 	})
 }
 
+// Exclusion is what operators say of a runner, as one process of a dispatcher tells it
+// to the other.
+type Exclusion struct {
+	UID string        `json:"uid"`
+	Out bool          `json:"out"`
+	At  time.Duration `json:"at"` // since 1970
+}
+
+// Inform names who is told of what operators say to this process; it is called before
+// Run. It must not block.
+func (c *Core) Inform(inform func(Exclusion)) { c.inform = inform }
+
+// Adopt takes over what operators have said to the other process.
+func (c *Core) Adopt(e Exclusion) { c.box.Put(func(c *Core) { c.move(e) }) }
+
+// Snapshot is what the core tells a newer process of its dispatcher. Times are since
+// 1970, health is by uid.
+type Snapshot struct {
+	Excluded []string                      `json:"excluded"`
+	PutBack  map[string]time.Duration      `json:"put_back"`
+	Health   map[string]magpierelay.Health `json:"health"`
+}
+
+// Snapshot tells what the core knows beside the list.
+func (c *Core) Snapshot(to func(Snapshot)) {
+	c.box.Put(func(c *Core) {
+		s := Snapshot{PutBack: maps.Clone(c.putBack), Health: map[string]magpierelay.Health{}}
+		for uid := range c.excluded {
+			s.Excluded = append(s.Excluded, uid)
+		}
+		for uid, w := range c.workers {
+			s.Health[uid] = c.module.Health(w.number)
+		}
+		to(s)
+	})
+}
+
+// Restore takes over a snapshot. It comes before the first list.
+func (c *Core) Restore(s Snapshot) {
+	c.box.Put(func(c *Core) {
+		for _, uid := range s.Excluded {
+			c.move(Exclusion{UID: uid, Out: true})
+		}
+		for uid, at := range s.PutBack {
+			c.excluded[uid] = true
+			c.move(Exclusion{UID: uid, At: at})
+		}
+		c.health = s.Health
+	})
+}
+
+// Processes tells how many processes of this dispatcher share what it may send to cold
+// runners.
+func (c *Core) Processes(n int) {
+	c.box.Put(func(c *Core) { c.event(magpierelay.Event{Type: magpierelay.ProcessesChanged, Processes: n}) })
+}
+
 // HopEnded tells how a hop ended without a report on its job.
 func (c *Core) HopEnded(ref HopRef, outcome magpierelay.Outcome, load []float32) {
 	c.box.Put(func(c *Core) {
@@ -546,6 +612,7 @@
 // once for new hops; the module learns of it in the same moment.
 func (c *Core) listed(kind magpierelay.EventType, routes []Route) {
 	ev := magpierelay.Event{Type: kind}
+	var known []magpierelay.Event
 	named := map[string]bool{}
 	for i := range routes {
 		t := &routes[i]
@@ -560,6 +627,10 @@
 			w.target = c.targets.Open(w.number, w.uid, w.addr)
 			c.workers[w.uid], c.byNumber[w.number] = w, w
 			c.log.WithFields(logrus.Fields{"target": w.uid, "addr": w.addr}).Info("egress target listed")
+			if h, ok := c.health[w.uid]; ok {
+				known = append(known, magpierelay.Event{Type: magpierelay.HealthKnown, Worker: w.number, Health: h})
+				delete(c.health, w.uid)
+			}
 		}
 		if t.Addr != "" && t.Addr != w.addr {
 			c.log.WithFields(logrus.Fields{"target": w.uid, "addr": t.Addr}).Info("egress target moved")
@@ -584,6 +655,7 @@
 		}
 	}
 	c.event(ev)
+	c.events = append(c.events, known...)
 }
 
 // shown returns a worker as the module is to see it: as discovery lists it, but for
@@ -610,19 +682,29 @@
 	if c.excluded[uid] == out {
 		return true
 	}
-	c.log.WithFields(logrus.Fields{"target": uid, "out": out}).Info("operators have moved a runner")
-	if out {
-		c.excluded[uid] = true
-		delete(c.putBack, uid)
+	e := Exclusion{UID: uid, Out: out, At: c.now}
+	c.move(e)
+	c.inform(e)
+	return true
+}
+
+// move carries out what operators have said of a runner.
+func (c *Core) move(e Exclusion) {
+	if c.excluded[e.UID] == e.Out {
+		return
+	}
+	c.log.WithFields(logrus.Fields{"target": e.UID, "out": e.Out}).Info("operators have moved a runner")
+	if e.Out {
+		c.excluded[e.UID] = true
+		delete(c.putBack, e.UID)
 	} else {
-		delete(c.excluded, uid)
-		c.putBack[uid] = c.now
-		c.wake(&due{at: c.now + c.cfg.Rules.WarmUp, putBack: uid})
+		delete(c.excluded, e.UID)
+		c.putBack[e.UID] = min(e.At, c.now)
+		c.wake(&due{at: c.putBack[e.UID] + c.cfg.Rules.WarmUp, putBack: e.UID})
 	}
-	if w != nil {
+	if w := c.workers[e.UID]; w != nil {
 		c.event(magpierelay.Event{Type: magpierelay.MembersChanged, Members: []magpierelay.Member{c.shown(w)}})
 	}
-	return true
 }
 
 // drop lets a target go that has left the route table. Hops that it still has
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -66,14 +66,20 @@
 	cfg     Config
 	reports Reports
 	log     *logrus.Entry
-	sockets chan struct{} // a place for each connection that is open
+	most    atomic.Int64 // connections that may be open
+	open    atomic.Int64
 }
 
 // NewFleet makes a fleet without targets.
 func NewFleet(cfg Config, log *logrus.Entry) *Fleet {
-	return &Fleet{cfg: cfg, log: log, sockets: make(chan struct{}, cfg.Sockets)}
+	f := &Fleet{cfg: cfg, log: log}
+	f.Budget(cfg.Sockets)
+	return f
 }
 
+// Budget sets how many connections there may be from now on.
+func (f *Fleet) Budget(sockets int) { f.most.Store(int64(sockets)) }
+
 // ReportTo names who takes the reports; it is called before the first Open.
 func (f *Fleet) ReportTo(reports Reports) { f.reports = reports }
 
@@ -106,18 +112,17 @@
 // whatever becomes of the request that began it: another may use the connection,
 // and a request that gives up must not leave a runner a half-open one.
 func (f *Fleet) dial(_ context.Context, network, addr string) (net.Conn, error) {
-	select {
-	case f.sockets <- struct{}{}:
-	default:
+	if f.open.Add(1) > f.most.Load() {
+		f.open.Add(-1)
 		return nil, errNoSocket
 	}
 	d := net.Dialer{Deadline: time.Now().Add(f.cfg.ConnectTimeout)}
 	c, err := d.Dial(network, addr)
 	if err != nil {
-		<-f.sockets
+		f.open.Add(-1)
 		return nil, fmt.Errorf("dialing %s: %w", addr, err)
 	}
-	return &conn{Conn: c, free: sync.OnceFunc(func() { <-f.sockets })}, nil
+	return &conn{Conn: c, free: sync.OnceFunc(func() { f.open.Add(-1) })}, nil
 }
 
 // conn gives its place in the budget back when it is closed.
--- /dev/null
+++ b/internal/handover/link.go
@@ -0,0 +1,280 @@
+package handover
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magpierelay/internal/core"
+	"magpierelay/internal/mailbox"
+)
+
+const (
+	// dialTime is how long the older process may take to take the call, and tellTime to
+	// tell its state: the newer one has to be ready in 6 s, with it or without.
+	dialTime = time.Second
+	tellTime = 2 * time.Second
+	// beat is how often a side says something, and hush how long it may say nothing.
+	beat = 400 * time.Millisecond
+	hush = 2 * time.Second
+	// maxLine bounds a message: a whole list of a large fleet.
+	maxLine = 4 << 20
+	// mostPath is the longest path that fits into a unix socket's address.
+	mostPath = 100
+)
+
+// Core is what the link tells the decisions of, and asks.
+type Core interface {
+	Snapshot(func(core.Snapshot))
+	Restore(core.Snapshot)
+	Adopt(core.Exclusion)
+	Report(ev core.JobEvent, took func(bool))
+}
+
+// List is the route table.
+type List interface {
+	// Snapshot tells where the list comes from and what it is, in discovery's form.
+	Snapshot(func(discovery string, list []byte))
+}
+
+// State is what a process tells its successor.
+type State struct {
+	Discovery string          `json:"discovery"`
+	List      json.RawMessage `json:"list"`
+	Core      core.Snapshot   `json:"core"`
+}
+
+// message is one line on the link; an empty one is a beat.
+type message struct {
+	State     *State          `json:"state,omitempty"`
+	Ready     bool            `json:"ready,omitempty"` // the newer process serves
+	Exclusion *core.Exclusion `json:"exclusion,omitempty"`
+	Event     *core.JobEvent  `json:"event,omitempty"`  // a call-back for a job that the sender doesn't hold
+	Number    uint64          `json:"number,omitempty"` // of that call-back, and of the answer to it
+	Took      bool            `json:"took,omitempty"`   // the answer
+}
+
+// Link is this process's side: it has at most one peer at a time, the older process at
+// first and the newer one later.
+type Link struct {
+	core    Core
+	list    List
+	overlap func(processes int)
+	log     *logrus.Entry
+	path    string
+
+	mu       sync.Mutex
+	listener *net.UnixListener
+	peer     *peer // nil while there is none
+}
+
+// Path is where the processes of a dispatcher meet. Listen, the clients' address, tells
+// dispatchers apart that share a folder.
+func Path(dir, listen string) string {
+	name := fnv.New32a()
+	name.Write([]byte(listen))
+	return filepath.Join(dir, fmt.Sprintf("frosttide-%08x.sock", name.Sum32()))
+}
+
+// New makes a link. Overlap is told how many processes the dispatcher has from now on.
+func New(path string, c Core, l List, overlap func(processes int), log *logrus.Entry) *Link {
+	return &Link{core: c, list: l, overlap: overlap, log: log, path: path}
+}
+
+// address returns an address of a path and what holds it open. Guards against long
+// paths: a unix socket's address has room for some hundred bytes.
+func address(path string) (*net.UnixAddr, *os.File, error) {
+	if len(path) <= mostPath {
+		return &net.UnixAddr{Name: path, Net: "unix"}, nil, nil
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return nil, nil, fmt.Errorf("the link's folder: %w", err)
+	}
+	name := fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path))
+	return &net.UnixAddr{Name: name, Net: "unix"}, dir, nil
+}
+
+// Dial calls the older process, if there is one, and takes over its state: the core's
+// goes to the core, the rest is returned. Without one, or one that can't tell in time,
+// the process starts from nothing.
+func (l *Link) Dial() *State {
+	addr, dir, err := address(l.path)
+	if err != nil {
+		l.log.WithError(err).Warn("no state taken over")
+		return nil
+	}
+	defer dir.Close() // of nil, too
+	by := time.Now().Add(dialTime)
+	c, err := (&net.Dialer{Deadline: by}).Dial("unix", addr.Name)
+	if err != nil {
+		l.log.WithError(err).Debug("no older process")
+		return nil
+	}
+	p := newPeer(l, c)
+	state, err := p.state(time.Now().Add(tellTime))
+	if err != nil {
+		l.log.WithError(err).Warn("no state taken over")
+		p.end()
+		return nil
+	}
+	l.core.Restore(state.Core)
+	l.mu.Lock()
+	l.peer = p
+	l.mu.Unlock()
+	l.overlap(2)
+	go p.write()
+	go p.read()
+	l.log.Info("state of the older process taken over")
+	return state
+}
+
+// Serve takes the place of the older process, tells it that this one serves, and waits
+// for a newer one.
+func (l *Link) Serve() error {
+	fresh := l.path + ".new"
+	if err := os.Remove(fresh); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("the link's socket: %w", err)
+	}
+	addr, dir, err := address(fresh)
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	listener, err := net.ListenUnix("unix", addr)
+	if err != nil {
+		return fmt.Errorf("the link's socket: %w", err)
+	}
+	listener.SetUnlinkOnClose(false) // the name may be a newer process's by then
+	if err := os.Rename(fresh, l.path); err != nil {
+		listener.Close()
+		return fmt.Errorf("the link's socket: %w", err)
+	}
+	l.mu.Lock()
+	l.listener = listener
+	l.mu.Unlock()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			l.succeed(c)
+		}
+	}()
+	return nil
+}
+
+// Ready tells the older process that this one serves.
+func (l *Link) Ready() { l.tell(message{Ready: true}) }
+
+// succeed takes the call of a newer process, unless there is one already, and tells it
+// the state. The core and the list answer from their mailboxes.
+func (l *Link) succeed(c net.Conn) {
+	p := newPeer(l, c)
+	l.mu.Lock()
+	taken := l.peer != nil
+	if !taken {
+		l.peer = p // exclusions after the snapshot now come after it
+	}
+	l.mu.Unlock()
+	if taken {
+		l.log.Warn("a further process calls; one is linked already")
+		p.end()
+		return
+	}
+	l.overlap(2)
+	var s State
+	told := make(chan struct{}, 2)
+	l.core.Snapshot(func(c core.Snapshot) {
+		s.Core = c
+		told <- struct{}{}
+	})
+	l.list.Snapshot(func(discovery string, list []byte) {
+		s.Discovery, s.List = discovery, list
+		told <- struct{}{}
+	})
+	go func() {
+		late := time.NewTimer(tellTime)
+		defer late.Stop()
+		for range 2 {
+			select {
+			case <-told:
+			case <-late.C:
+				p.end()
+				return
+			}
+		}
+		p.box.Put(message{State: &s})
+		l.log.Info("state told to the newer process")
+		go p.write()
+		p.read()
+	}()
+}
+
+// current returns the peer, nil for none.
+func (l *Link) current() *peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peer
+}
+
+func (l *Link) tell(m message) {
+	if p := l.current(); p != nil {
+		p.box.Put(m)
+	}
+}
+
+// Linked tells whether another process of the dispatcher runs.
+func (l *Link) Linked() bool { return l.current() != nil }
+
+// Succeeded tells whether a newer process serves.
+func (l *Link) Succeeded() bool {
+	p := l.current()
+	return p != nil && p.serves.Load()
+}
+
+// Exclude tells the other process what operators have said to this one.
+func (l *Link) Exclude(e core.Exclusion) { l.tell(message{Exclusion: &e}) }
+
+// Pass hands a call-back to the other process and reports whether that took it by the
+// deadline. What came from there is never passed back.
+func (l *Link) Pass(ev core.JobEvent, by time.Time) bool {
+	p := l.current()
+	return p != nil && p.pass(ev, by)
+}
+
+// Close ends the link. The socket's name goes with it unless it is a newer process's.
+func (l *Link) Close() {
+	l.mu.Lock()
+	p, listener := l.peer, l.listener
+	l.mu.Unlock()
+	if listener != nil {
+		listener.Close()
+		if p == nil {
+			_ = os.Remove(l.path) // a leftover does no harm
+		}
+	}
+	if p != nil {
+		p.end()
+	}
+}
+
+// ---- The peer ----
+
+// newPeer makes the actor of the other process; its connection is the peer's.
+func newPeer(l *Link, c net.Conn) *peer {
+	p := &peer{link: l, conn: c, lines: bufio.NewScanner(c), box: mailbox.New[message](), over: make(chan struct{}),
+		asked: map[uint64]chan bool{}}
+	p.lines.Buffer(nil, maxLine)
+	return p
+}
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -88,6 +88,26 @@
 	return latest
 }
 
+// budget sets how many connections there may be, and ends those past it that may go.
+func (d *door) budget(most int) {
+	var out []*conn
+	d.mu.Lock()
+	d.most = most
+	for n := d.open - most; n > 0; n-- {
+		x := d.surplus(nil)
+		if x == nil {
+			break
+		}
+		x.stir()
+		out = append(out, x)
+	}
+	d.mu.Unlock()
+	d.putOut.Add(int64(len(out)))
+	for _, x := range out {
+		x.Close()
+	}
+}
+
 // count returns how many connections are open.
 func (d *door) count() int {
 	d.mu.Lock()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -42,16 +42,24 @@
 	transit = 10 * time.Millisecond
 	// crowded is what a client is told to wait when there is no room for it.
 	crowded = 500 * time.Millisecond
+	// passTime is how long a call-back may take to the process that holds the job.
+	passTime = 500 * time.Millisecond
 )
 
 // Core takes what the front has read.
 type Core interface {
 	Submit(*core.Job, core.Ingress)
 	Leave(*core.Job)
-	Report(core.JobEvent)
+	Report(ev core.JobEvent, took func(bool))
 	EndBy(time.Time)
 }
 
+// Other is the other process of the dispatcher, while there is one.
+type Other interface {
+	Linked() bool
+	Pass(ev core.JobEvent, by time.Time) bool
+}
+
 // Config holds the figures of the ingress.
 type Config struct {
 	Classes []string
@@ -66,19 +74,23 @@
 type Front struct {
 	cfg     Config
 	core    Core
+	other   Other
 	log     *logrus.Entry
 	server  *http.Server
 	door    *door
 	serving atomic.Int64              // requests being handled, call-backs too
 	jobs    atomic.Int64              // those that wait for the core's answer
+	clients atomic.Int64              // most of them
+	leaving atomic.Bool               // every answer ends its connection
 	bad     atomic.Int64              // requests refused as malformed, since the last summary
 	crowded atomic.Int64              // jobs refused for want of room, since then
 	leaveBy atomic.Pointer[time.Time] // when all that comes now has to be answered; nil before the planned end
 }
 
 // New makes a front.
-func New(cfg Config, c Core, log *logrus.Entry) *Front {
-	f := &Front{cfg: cfg, core: c, log: log, door: &door{most: cfg.Sockets}}
+func New(cfg Config, c Core, other Other, log *logrus.Entry) *Front {
+	f := &Front{cfg: cfg, core: c, other: other, log: log, door: &door{most: cfg.Sockets}}
+	f.clients.Store(int64(cfg.Clients))
 	f.server = &http.Server{
 		Handler:           http.HandlerFunc(f.handle),
 		ReadTimeout:       hearTime,
@@ -115,6 +127,25 @@
 	f.core.EndBy(by)
 }
 
+// Budget sets how many jobs and connections there may be from now on.
+func (f *Front) Budget(clients, sockets int) {
+	f.clients.Store(int64(clients))
+	f.door.budget(sockets)
+}
+
+// GiveWay leaves all new connections to a newer process, ends each that there is with
+// its next answer, and returns when none is left or at the deadline. Guards requests
+// that cross a close: kept connections are closed by clients' next use, not before.
+func (f *Front) GiveWay(by time.Time) {
+	f.leaving.Store(true)
+	f.door.Listener.Close()
+	tick := time.NewTicker(quiet / 25)
+	defer tick.Stop()
+	for f.door.count() > 0 && time.Now().Before(by) {
+		<-tick.C
+	}
+}
+
 // Drain tells clients to go elsewhere, keeps answering, call-backs above all,
 // until every request taken has its answer, and only then closes the listener.
 // Server.Shutdown alone would close it first, and the runners' call-backs could
@@ -182,7 +213,7 @@
 	// is read from the connection.
 	x := r.Context().Value(connKey{}).(*conn)
 	framed := x.framing.next()
-	if framed.last() {
+	if framed.last() || f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	switch {
@@ -255,7 +286,7 @@
 	}
 	c.heard(false)
 	defer f.jobs.Add(-1)
-	if f.jobs.Add(1) > int64(f.cfg.Clients) {
+	if f.jobs.Add(1) > f.clients.Load() {
 		// Guards the budget of sockets: the connection is given back with a clean
 		// refusal, so that call-backs still find room.
 		f.crowded.Add(1)
@@ -274,7 +305,7 @@
 	select {
 	case a := <-x:
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(readTime))
-		if by != nil && a.Verdict == core.Shed {
+		if by != nil && a.Verdict == core.Shed || f.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		write(w, a)
@@ -407,6 +438,30 @@
 	if json.Unmarshal(ev.Result, &result) == nil {
 		report.Result = []byte(result)
 	}
-	f.core.Report(report)
-	w.WriteHeader(http.StatusNoContent)
+	if f.take(report) {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	http.Error(w, "no process holds the job now", http.StatusServiceUnavailable)
+}
+
+// take hands a call-back to the process that holds the job. Where there is one alone
+// nobody waits for it. Guards a job of the other process: unless that has taken the
+// call-back the runner has to repeat it.
+func (f *Front) take(report core.JobEvent) bool {
+	if !f.other.Linked() {
+		f.core.Report(report, func(bool) {})
+		return true
+	}
+	by := time.Now().Add(passTime)
+	held := make(chan bool, 1)
+	f.core.Report(report, func(here bool) { held <- here })
+	late := time.NewTimer(time.Until(by))
+	defer late.Stop()
+	select {
+	case here := <-held:
+		return here || f.other.Pass(report, by)
+	case <-late.C:
+		return false
+	}
 }
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -54,6 +55,7 @@
 	client *http.Transport
 	box    *mailbox.Box[func(*Table)]
 
+	entries  map[string]json.RawMessage // the list as discovery wrote it, by uid
 	rev      uint64
 	revGiven bool // rev is this discovery's own, so that a watch may begin there
 	asked    bool // the module has asked for a watch
@@ -74,7 +76,7 @@
 		d := net.Dialer{Deadline: time.Now().Add(dialTime)}
 		return d.DialContext(ctx, network, addr)
 	}
-	t := &Table{addr: cfg.Addr, zones: numbering{names: cfg.Zones}, kinds: numbering{names: cfg.Kinds}, log: log,
+	t := &Table{addr: cfg.Addr, entries: map[string]json.RawMessage{}, zones: numbering{names: cfg.Zones}, kinds: numbering{names: cfg.Kinds}, log: log,
 		revGiven: true, client: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: silence}, box: mailbox.New[func(*Table)]()}
 	t.calls, t.drop = context.WithCancel(context.Background())
@@ -91,6 +93,27 @@
 	sink.ListReplaced(nil)
 }
 
+// Resume takes in the list that an earlier process of the dispatcher held, as Load
+// does. Where that had it from another discovery its version says nothing here.
+func (t *Table) Resume(discovery string, held, known []byte, sink Sink) {
+	t.Load(known, sink)
+	if len(held) > 0 && t.line(held) && discovery != t.addr {
+		t.revGiven = false
+	}
+}
+
+// Snapshot tells where the list comes from and what it is, in discovery's form.
+func (t *Table) Snapshot(to func(discovery string, list []byte)) {
+	t.box.Put(func(t *Table) {
+		l := list{Rev: t.rev, All: true, Targets: slices.Collect(maps.Values(t.entries))}
+		text, err := json.Marshal(l)
+		if err != nil { // can't be: it has been read
+			t.log.WithError(err).Error("the list could not be written down")
+		}
+		to(t.addr, text)
+	})
+}
+
 // Watch asks for the changes from now on.
 func (t *Table) Watch() {
 	t.box.Put(func(t *Table) {
@@ -255,6 +278,7 @@
 		return false
 	}
 	routes := make([]core.Route, 0, len(l.Targets))
+	whole := map[string]json.RawMessage{}
 	for _, text := range l.Targets {
 		route, err := t.route(text)
 		if err != nil {
@@ -263,7 +287,16 @@
 			continue
 		}
 		routes = append(routes, route)
+		whole[route.UID] = text
+		if route.State == magpierelay.Removed {
+			delete(whole, route.UID)
+			delete(t.entries, route.UID)
+		}
+	}
+	if l.All {
+		clear(t.entries)
 	}
+	maps.Copy(t.entries, whole)
 	t.rev, t.revGiven = l.Rev, true
 	if l.All {
 		t.sink.ListReplaced(routes)
