--- a/cmd/frosttide/daily_test.go
+++ b/cmd/frosttide/daily_test.go
@@ -8,11 +8,14 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"magpierelay/internal/handover"
 )
 
@@ -316,3 +319,70 @@
 	d.t.Fatal("no TMPDIR")
 	return ""
 }
+
+// TestTelemetry guards the figures: every series is there from the start, each counts
+// what its name says, also what the ingress answers by itself, and reloads.
+func TestTelemetry(t *testing.T) {
+	t.Parallel()
+	d, r := one(t)
+	figures := func() map[string]float64 {
+		status, text := d.call("GET", "/api/telemetry", "")
+		if status != 200 {
+			t.Fatalf("telemetry got %d %q", status, text)
+		}
+		got := map[string]float64{}
+		for line := range strings.Lines(text) {
+			if name, value, _ := strings.Cut(strings.TrimSpace(line), " "); name != "#" {
+				n, err := strconv.ParseFloat(value, 64)
+				if err != nil {
+					t.Fatalf("%q is no figure", line)
+				}
+				got[strings.TrimPrefix(name, "edge_balancer_")] = n
+			}
+		}
+		return got
+	}
+	want := map[string]float64{"pending": 0, "members": 1, "members_unavailable": 0, "config_reloads": 0, "config_reload_errors": 0}
+	for _, class := range []string{"render", "release", "once"} {
+		for _, name := range []string{"completed", "rejected", "failed", "upstream_requests"} {
+			want[name+`{lane="`+class+`"}`] = 0
+		}
+	}
+	compare := func(when string) {
+		t.Helper()
+		var diff string
+		for over := time.Now().Add(patience); time.Now().Before(over); {
+			if diff = cmp.Diff(want, figures()); diff == "" {
+				return
+			}
+		}
+		t.Fatalf("%s the figures differ (-want +got):\n%s", when, diff)
+	}
+	compare("at the start")
+	got := submit(d.job("render", "x1"))
+	h := await(t, r.hops, "hop")
+	want["pending"], want[`upstream_requests{lane="render"}`] = 1, 1
+	compare("with a job open")
+	h.reply(202, "")
+	d.report(event("x1", r.uid, "done"))
+	await(t, got, "answer")
+	want["pending"], want[`completed{lane="render"}`] = 0, 1
+	got = submit(d.job("once", "x2"))
+	await(t, r.hops, "hop").reply(500, "")
+	await(t, got, "answer")
+	want[`failed{lane="once"}`], want[`upstream_requests{lane="once"}`] = 1, 1
+	got = submit(d.job("release", "x3", func(r *http.Request) { r.Header.Del("Idempotency-Key") }))
+	await(t, got, "answer")
+	want[`failed{lane="release"}`] = 1
+	d.call("PUT", "/api/exclude", `{"host":"s-1"}`)
+	want["members_unavailable"] = 1
+	got = submit(d.job("render", "x4"))
+	await(t, got, "answer")
+	want[`rejected{lane="render"}`] = 1
+	d.reload(`{"name":`)
+	want["config_reload_errors"] = 1
+	compare("after an end of each kind")
+	d.reload(fmt.Sprintf(d.cfg, "127.0.0.1:1"))
+	want["config_reloads"] = 1
+	compare("after a reload")
+}
--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -26,6 +26,7 @@
 	"magpierelay/internal/handover"
 	"magpierelay/internal/ingress"
 	"magpierelay/internal/routetable"
+	"magpierelay/internal/telemetry"
 )
 
 const (
@@ -82,19 +83,21 @@
 		defer operators.Close()
 	}
 
+	counts := telemetry.New()
+	counts.Classes(cfg.Names.Classes)
 	table := routetable.New(routetable.Config{Addr: cfg.Discovery, Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds},
 		entry.WithField("part", "routetable"))
 	fleet := egress.NewFleet(egress.Config{ConnectTimeout: cfg.Module.Limits.ConnectTimeout,
 		Keepalive: cfg.Names.Keepalive, Sockets: budget * 3 / 8, Columns: cfg.Names.Columns,
-		Reports: len(cfg.Names.Columns) > 0}, entry.WithField("part", "egress"))
-	c, err := core.New(cfg.Module, cfg.Seed, fleet, table, entry.WithField("part", "core"))
+		Reports: len(cfg.Names.Columns) > 0, Sent: counts.Sent}, entry.WithField("part", "egress"))
+	c, err := core.New(cfg.Module, cfg.Seed, fleet, table, counts.Members, entry.WithField("part", "core"))
 	if err != nil {
 		return err
 	}
 	fleet.ReportTo(c)
 	var ready atomic.Bool
 	if operators != nil {
-		go console.New(c, ready.Load, entry.WithField("part", "console")).Serve(operators)
+		go console.New(c, ready.Load, counts.Handler(), entry.WithField("part", "console")).Serve(operators)
 	}
 	var keyed []bool
 	for _, class := range cfg.Module.Classes {
@@ -111,7 +114,7 @@
 	defer link.Close()
 	c.Inform(link.Exclude)
 	front = ingress.New(ingress.Config{Classes: cfg.Names.Classes, Columns: cfg.Names.Columns, Keyed: keyed,
-		Slots: magpierelay.MostSlots, Clients: budget * 4 / 8, Sockets: budget * 5 / 8}, c, link, entry.WithField("part", "ingress"))
+		Slots: magpierelay.MostSlots, Clients: budget * 4 / 8, Sockets: budget * 5 / 8}, c, link, counts, entry.WithField("part", "ingress"))
 	listener, err := listen(cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -130,7 +133,7 @@
 	go c.Run(ctx)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
-	go reload(cfg, reloads, table, entry)
+	go reload(cfg, reloads, table, counts, entry)
 	if cfg.Inherited > 0 {
 		if err := link.Serve(); err != nil {
 			entry.WithError(err).Warn("no newer process will take over the state")
@@ -182,9 +185,10 @@
 // reload rereads the configuration at each signal, also while the program
 // drains: hops may still need a runner. Signals that come close together lead to
 // one reload, which reads the newest file.
-func reload(cfg config.Config, signals <-chan os.Signal, table *routetable.Table, log *logrus.Entry) {
+func reload(cfg config.Config, signals <-chan os.Signal, table *routetable.Table, counts *telemetry.Counts, log *logrus.Entry) {
 	for range signals {
 		next, err := config.Reload(os.Getenv)
+		counts.Reloaded(err == nil)
 		if err != nil {
 			log.WithError(err).Error("configuration not taken; the old one is kept")
 			continue
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -1,6 +1,6 @@
 // Package console is the operators' front: an HTTP server at an address of its own
-// that tells whether the process is ready and leaves runners out and puts them back.
-// It takes one call per connection.
+// that tells whether the process is ready and its figures, leaves runners out and puts
+// them back. It takes one call per connection.
 package console
 
 import (
@@ -40,8 +40,9 @@
 	log    *logrus.Entry
 }
 
-// New makes a console. Ready tells whether the process serves.
-func New(core Core, ready func() bool, log *logrus.Entry) *Console {
+// New makes a console. Ready tells whether the process serves, figures writes its
+// figures.
+func New(core Core, ready func() bool, figures http.Handler, log *logrus.Entry) *Console {
 	c := &Console{core: core, log: log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
@@ -49,6 +50,7 @@
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 	})
+	mux.Handle("GET /api/telemetry", figures)
 	mux.HandleFunc("PUT /api/exclude", func(w http.ResponseWriter, r *http.Request) { c.exclude(w, r, true) })
 	mux.HandleFunc("PUT /api/include", func(w http.ResponseWriter, r *http.Request) { c.exclude(w, r, false) })
 	c.server = &http.Server{Handler: mux, ReadTimeout: hearTime, WriteTimeout: 2 * hearTime, MaxHeaderBytes: 4 << 10,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -124,6 +124,9 @@
 	Load     []float32
 }
 
+// Members is told how many runners are listed, and how many of them get no new work.
+type Members func(listed, unavailable int)
+
 // Core is the actor. Make it with New, start it with Run.
 type Core struct {
 	log     *logrus.Entry
@@ -148,6 +151,7 @@
 	putBack  map[string]time.Duration      // uids that they have put back, and when
 	health   map[string]magpierelay.Health // of an earlier process, for runners not listed yet
 	inform   func(Exclusion)               // told of what operators say here
+	members  Members
 }
 
 // request is a request from its arrival until it is answered and none of its
@@ -183,7 +187,8 @@
 }
 
 // New makes the core. Seed is for the module's random numbers.
-func New(cfg magpierelay.Config, seed uint64, targets Targets, list RouteTable, log *logrus.Entry) (*Core, error) {
+func New(cfg magpierelay.Config, seed uint64, targets Targets, list RouteTable, members Members,
+	log *logrus.Entry) (*Core, error) {
 	module, err := magpierelay.New(cfg, seed)
 	if err != nil {
 		return nil, fmt.Errorf("making the module: %w", err)
@@ -192,7 +197,7 @@
 		start: time.Now(), requests: map[magpierelay.RequestID]*request{}, byID: map[string]*request{},
 		workers: map[string]*worker{}, byNumber: map[magpierelay.WorkerID]*worker{},
 		excluded: map[string]bool{}, putBack: map[string]time.Duration{},
-		inform: func(Exclusion) {}}, nil
+		inform: func(Exclusion) {}, members: members}, nil
 }
 
 // Run works until the context ends.
@@ -202,6 +207,8 @@
 	defer timer.Stop()
 	summary := time.NewTicker(tallyEvery)
 	defer summary.Stop()
+	fresh := time.NewTicker(freshEvery) // rests end with the time alone
+	defer fresh.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -210,6 +217,7 @@
 		case <-timer.C:
 		case <-summary.C:
 			c.report()
+		case <-fresh.C:
 		}
 		c.now = c.clock(time.Now())
 		mail = c.box.Drain(mail[:0])
@@ -219,6 +227,7 @@
 		}
 		c.ring()
 		c.step()
+		c.members(len(c.workers), c.module.Unavailable(c.now))
 		if len(c.due) > 0 {
 			timer.Reset(max(c.due[0].at-c.clock(time.Now()), 0))
 		}
@@ -721,6 +730,9 @@
 // tallyEvery is how often a summary is logged, if there is anything to tell.
 const tallyEvery = 10 * time.Second
 
+// freshEvery is how often the figures on runners are renewed at least.
+const freshEvery = 200 * time.Millisecond
+
 // tally counts what has come to an end since the last summary.
 type tally struct {
 	answers [Unusable + 1]int
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -23,7 +23,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	cfg := magpierelay.Config{Classes: []magpierelay.Class{{Objective: time.Second, GiveUp: time.Hour}}}
-	c, err := New(cfg, 1, nil, noList{}, logrus.NewEntry(log))
+	c, err := New(cfg, 1, nil, noList{}, func(int, int) {}, logrus.NewEntry(log))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -59,6 +59,7 @@
 	Sockets        int           // most connections to all runners together
 	Columns        []string      // of load reports
 	Reports        bool          // GET /_load gives a load report
+	Sent           func(int)     // told the class's number of each hop that has been written whole
 }
 
 // Fleet makes the targets and holds what they share: the budget of sockets.
@@ -262,8 +263,13 @@
 	var broken atomic.Bool // the transport says that it could not write it all
 	var kept atomic.Bool   // it went out on a connection that was used before
 	trace := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { kept.Store(info.Reused) },
-		WroteRequest: func(info httptrace.WroteRequestInfo) { broken.Store(info.Err != nil) },
+		GotConn: func(info httptrace.GotConnInfo) { kept.Store(info.Reused) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			broken.Store(info.Err != nil)
+			if info.Err == nil {
+				t.fleet.cfg.Sent(h.Job.Class)
+			}
+		},
 	})
 	req, err := request(trace, h.Job.Method, addr, h.Job.Resource)
 	if err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -60,6 +60,14 @@
 	Pass(ev core.JobEvent, by time.Time) bool
 }
 
+// Counts takes note of how jobs end, by their class's number.
+type Counts interface {
+	Completed(class int)
+	Rejected(class int)
+	Failed(class int)
+	Pending(change int)
+}
+
 // Config holds the figures of the ingress.
 type Config struct {
 	Classes []string
@@ -75,6 +83,7 @@
 	cfg     Config
 	core    Core
 	other   Other
+	counts  Counts
 	log     *logrus.Entry
 	server  *http.Server
 	door    *door
@@ -88,8 +97,8 @@
 }
 
 // New makes a front.
-func New(cfg Config, c Core, other Other, log *logrus.Entry) *Front {
-	f := &Front{cfg: cfg, core: c, other: other, log: log, door: &door{most: cfg.Sockets}}
+func New(cfg Config, c Core, other Other, counts Counts, log *logrus.Entry) *Front {
+	f := &Front{cfg: cfg, core: c, other: other, counts: counts, log: log, door: &door{most: cfg.Sockets}}
 	f.clients.Store(int64(cfg.Clients))
 	f.server = &http.Server{
 		Handler:           http.HandlerFunc(f.handle),
@@ -275,21 +284,31 @@
 func (x exchange) Answer(a core.Answer) { x <- a }
 
 func (f *Front) job(w http.ResponseWriter, r *http.Request, c *conn) {
-	job, err := f.parse(r, time.Now())
+	class, err := f.class(r.Header.Get("X-Qos"), r.URL.Path)
+	if err != nil {
+		f.refuse(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	job, err := f.parse(r, class, time.Now())
 	if err != nil {
+		f.counts.Failed(class)
 		f.refuse(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	text, ok := f.body(w, r, c)
 	if !ok {
+		f.counts.Failed(class)
 		return
 	}
 	c.heard(false)
+	f.counts.Pending(1)
+	defer f.counts.Pending(-1)
 	defer f.jobs.Add(-1)
 	if f.jobs.Add(1) > f.clients.Load() {
 		// Guards the budget of sockets: the connection is given back with a clean
 		// refusal, so that call-backs still find room.
 		f.crowded.Add(1)
+		f.counts.Rejected(class)
 		w.Header().Set("Connection", "close")
 		shed(w, crowded)
 		return
@@ -308,13 +327,22 @@
 		if by != nil && a.Verdict == core.Shed || f.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		write(w, a)
+		f.write(w, class, a)
 	case <-r.Context().Done():
 		f.core.Leave(job)
 	}
 }
 
-func write(w http.ResponseWriter, a core.Answer) {
+// write counts and writes a job's answer.
+func (f *Front) write(w http.ResponseWriter, class int, a core.Answer) {
+	switch a.Verdict {
+	case core.Served:
+		f.counts.Completed(class)
+	case core.Shed:
+		f.counts.Rejected(class)
+	default:
+		f.counts.Failed(class)
+	}
 	switch a.Verdict {
 	case core.Served:
 		w.Header().Set("Content-Type", "application/octet-stream")
@@ -340,20 +368,16 @@
 
 // parse reads a job's headers. A size hint that is no number is passed over, as it is
 // a rough estimate at best.
-func (f *Front) parse(r *http.Request, came time.Time) (*core.Job, error) {
+func (f *Front) parse(r *http.Request, class int, came time.Time) (*core.Job, error) {
 	h := r.Header
 	job := &core.Job{ID: h.Get("X-Trace-Id"), Method: r.Method, Resource: r.RequestURI, Key: h.Get("Idempotency-Key"),
-		Retry: h.Get("X-Second-Try") == "1", Slots: 1}
+		Class: class, Retry: h.Get("X-Second-Try") == "1", Slots: 1}
 	if !validID(job.ID) || len(h["X-Trace-Id"]) > 1 {
 		return nil, errors.New("X-Trace-Id is missing or malformed")
 	}
 	if !strings.HasPrefix(job.Resource, "/") {
 		return nil, errors.New("the request target is not a path")
 	}
-	var err error
-	if job.Class, err = f.class(h.Get("X-Qos"), r.URL.Path); err != nil {
-		return nil, err
-	}
 	if f.cfg.Keyed[job.Class] && job.Key == "" {
 		return nil, errors.New("Idempotency-Key is missing")
 	}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,122 @@
+// Package telemetry owns the figures of this process that operators read. Each part
+// counts where things happen; reading waits for nobody.
+package telemetry
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const (
+	prefix = "edge_balancer"
+	label  = "lane" // the class
+)
+
+// Counts holds the figures. Every count starts at 0.
+type Counts struct {
+	registry *prometheus.Registry
+	byClass  [outcomes]*prometheus.CounterVec
+	classes  atomic.Pointer[[]series] // by the class's number
+	pending  prometheus.Gauge
+	members  prometheus.Gauge
+	avoided  prometheus.Gauge
+	taken    prometheus.Counter
+	refused  prometheus.Counter
+}
+
+// What is counted for each class.
+const (
+	completed = iota
+	rejected
+	failed
+	sent
+	outcomes
+)
+
+// series are the counts of one class.
+type series [outcomes]prometheus.Counter
+
+// New makes the figures.
+func New() *Counts {
+	c := &Counts{registry: prometheus.NewRegistry()}
+	for i, f := range []struct{ name, help string }{
+		{"completed", "Jobs served."},
+		{"rejected", "Jobs refused: trying again is harmless."},
+		{"failed", "Jobs that ended otherwise."},
+		{"upstream_requests", "Attempts written whole to runners."},
+	} {
+		c.byClass[i] = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: prefix, Name: f.name, Help: f.help}, []string{label})
+		c.registry.MustRegister(c.byClass[i])
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: prefix, Name: name, Help: help})
+		c.registry.MustRegister(g)
+		return g
+	}
+	counter := func(name, help string) prometheus.Counter {
+		n := prometheus.NewCounter(prometheus.CounterOpts{Namespace: prefix, Name: name, Help: help})
+		c.registry.MustRegister(n)
+		return n
+	}
+	c.pending = gauge("pending", "Jobs taken and not yet ended.")
+	c.members = gauge("members", "Runners in the list.")
+	c.avoided = gauge("members_unavailable", "Listed runners that get no new work now, by hand or by choice.")
+	c.taken = counter("config_reloads", "Configuration files taken at SIGHUP.")
+	c.refused = counter("config_reload_errors", "Configuration files turned down at SIGHUP.")
+	c.classes.Store(&[]series{})
+	return c
+}
+
+// Classes names the classes by their numbers. Names are only ever added, so that series
+// stay; each starts at 0. One goroutine at a time may call it.
+func (c *Counts) Classes(names []string) {
+	var all []series
+	for _, name := range names {
+		var s series
+		for i := range s {
+			s[i] = c.byClass[i].WithLabelValues(name)
+		}
+		all = append(all, s)
+	}
+	c.classes.Store(&all)
+}
+
+func (c *Counts) count(class, outcome int) { (*c.classes.Load())[class][outcome].Inc() }
+
+// Completed counts a job served.
+func (c *Counts) Completed(class int) { c.count(class, completed) }
+
+// Rejected counts a job refused.
+func (c *Counts) Rejected(class int) { c.count(class, rejected) }
+
+// Failed counts a job that ended otherwise.
+func (c *Counts) Failed(class int) { c.count(class, failed) }
+
+// Sent counts an attempt whose last byte has been written to a runner.
+func (c *Counts) Sent(class int) { c.count(class, sent) }
+
+// Pending counts a job taken, or with -1 one that has ended.
+func (c *Counts) Pending(change int) { c.pending.Add(float64(change)) }
+
+// Members tells how many runners are listed and how many of them get no new work.
+func (c *Counts) Members(listed, unavailable int) {
+	c.members.Set(float64(listed))
+	c.avoided.Set(float64(unavailable))
+}
+
+// Reloaded counts a configuration file taken or turned down.
+func (c *Counts) Reloaded(ok bool) {
+	if ok {
+		c.taken.Inc()
+	} else {
+		c.refused.Inc()
+	}
+}
+
+// Handler writes the figures in Prometheus's text form.
+func (c *Counts) Handler() http.Handler {
+	return promhttp.HandlerFor(c.registry, promhttp.HandlerOpts{DisableCompression: true})
+}
