Take new settings at SIGHUP, classes by name, and turn bad files down whole

The suspicion that main made class-dependent values once at the start held: keyed, names, grace. Files taken are laid over the settings in force; rejected: any key missing, a deadline or cap not above 0. Tests: TestSettings, TestSettingsChange.

--- a/api.go
+++ b/api.go
@@ -134,6 +134,7 @@
 	TimerFired                             // Token
 	HealthKnown                            // Worker, Health: from an earlier process of this dispatcher
 	ProcessesChanged                       // Processes
+	SettingsChanged                        // Settings
 )
 
 // Outcome says how an attempt ended.
@@ -201,7 +202,8 @@
 	Members  []Member
 
 	Health    Health
-	Processes int // of this dispatcher, which share its part of what cold workers bear
+	Settings  *Config // classes keep their numbers, and new ones come after them
+	Processes int     // of this dispatcher, which share its part of what cold workers bear
 }
 
 // Health is what a dispatcher has found of a worker's health.
--- a/cmd/frosttide/daily_test.go
+++ b/cmd/frosttide/daily_test.go
@@ -325,23 +325,6 @@
 func TestTelemetry(t *testing.T) {
 	t.Parallel()
 	d, r := one(t)
-	figures := func() map[string]float64 {
-		status, text := d.call("GET", "/api/telemetry", "")
-		if status != 200 {
-			t.Fatalf("telemetry got %d %q", status, text)
-		}
-		got := map[string]float64{}
-		for line := range strings.Lines(text) {
-			if name, value, _ := strings.Cut(strings.TrimSpace(line), " "); name != "#" {
-				n, err := strconv.ParseFloat(value, 64)
-				if err != nil {
-					t.Fatalf("%q is no figure", line)
-				}
-				got[strings.TrimPrefix(name, "edge_balancer_")] = n
-			}
-		}
-		return got
-	}
 	want := map[string]float64{"pending": 0, "members": 1, "members_unavailable": 0, "config_reloads": 0, "config_reload_errors": 0}
 	for _, class := range []string{"render", "release", "once"} {
 		for _, name := range []string{"completed", "rejected", "failed", "upstream_requests"} {
@@ -352,7 +335,7 @@
 		t.Helper()
 		var diff string
 		for over := time.Now().Add(patience); time.Now().Before(over); {
-			if diff = cmp.Diff(want, figures()); diff == "" {
+			if diff = cmp.Diff(want, d.figures()); diff == "" {
 				return
 			}
 		}
@@ -386,3 +369,106 @@
 	want["config_reloads"] = 1
 	compare("after a reload")
 }
+
+// figures reads the figures, by their names without the prefix.
+func (d *dispatcher) figures() map[string]float64 {
+	d.t.Helper()
+	status, text := d.call("GET", "/api/telemetry", "")
+	if status != 200 {
+		d.t.Fatalf("telemetry got %d %q", status, text)
+	}
+	got := map[string]float64{}
+	for line := range strings.Lines(text) {
+		if name, value, _ := strings.Cut(strings.TrimSpace(line), " "); name != "#" {
+			n, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				d.t.Fatalf("%q is no figure", line)
+			}
+			got[strings.TrimPrefix(name, "edge_balancer_")] = n
+		}
+	}
+	return got
+}
+
+// TestSettings guards the reload of settings: classes go by name wherever they stand,
+// come and go with the file, and take their effect along, while the jobs that are open,
+// what operators have said and the series stay; and a file that can't be meant changes
+// nothing at all, not even discovery's address.
+func TestSettings(t *testing.T) {
+	t.Parallel()
+	a, b := newRunner(t, "s-1"), newRunner(t, "s-2")
+	disc := newDiscovery(t)
+	d := start(t, disc.URL, 1024, a.entry())
+	w := await(t, disc.watches, "watch")
+	open := submit(d.job("render", "x1"))
+	h := await(t, a.hops, "hop")
+	w.lines <- list(42, false, b.entry())
+	d.awaitLog("target=s-2")
+	file := fmt.Sprintf(d.cfg, strings.TrimPrefix(disc.URL, "http://"))
+	const first = `{"name":"render","effect":"safe",`
+	const classes = `"request-classes":[`
+	reloads, errors := 0.0, 0.0
+	reload := func(cfg string) { // and await that it has been heeded
+		t.Helper()
+		d.reload(cfg)
+		for over := time.Now().Add(patience); time.Now().Before(over); {
+			if f := d.figures(); f["config_reloads"] == reloads && f["config_reload_errors"] == errors {
+				return
+			}
+		}
+		t.Fatalf("want %v reloads and %v errors, figures %v", reloads, errors, d.figures())
+	}
+	for _, bad := range []struct{ was, is string }{
+		{file, ""}, {file, file[:len(file)-1]}, {file, file + "x"}, {file, "[]"},
+		{`"send-cap":4`, `"send-cap":0`}, {`"send-cap":4`, `"send-cap":"4"`}, {`"send-cap":4,`, ``}, {`"send-cap":4`, `"send-cap":null`},
+		{`"give-up":20000000,"worth":1}`, `"give-up":-5,"worth":1}`}, {`"give-up":20000000,"worth":1}`, `"give-up":0,"worth":1}`},
+		{`"give-up":20000000,"worth":1}`, `"give-up":"soon","worth":1}`}, {`"give-up":20000000,"worth":1}`, `"worth":1}`},
+		{`"aim":2000000,"give-up":20000000,"worth":1}`, `"give-up":20000000,"worth":1}`},
+		{`"seed":"8c1f30d27a5be964",`, ``}, {`"rules":{"ask-within":1000000,`, `"rules":{`}, {`"name":"once"`, `"name":"render"`},
+	} {
+		cfg := strings.Replace(file, bad.was, bad.is, 1)
+		if cfg == file {
+			t.Fatalf("nothing to replace by %s", bad.is)
+		}
+		errors++
+		reload(strings.Replace(cfg, disc.URL[len("http://"):], "127.0.0.1:1", 1))
+	}
+	select {
+	case <-w.gone:
+		t.Errorf("a bad file has moved discovery")
+	default:
+	}
+
+	// render is gone, once has its place, and new comes before all.
+	reloads++
+	reload(strings.Replace(strings.Replace(file, classes, classes+strings.Replace(first, "render", "new", 1)+
+		`"aim":2000000,"give-up":20000000,"worth":1},`, 1), first, `{"name":"other","effect":"unsafe",`, 1))
+	if got := await(t, submit(d.job("render", "x2")), "answer"); got.Status != 400 {
+		t.Errorf("a job of a class that is gone got %+v", got)
+	}
+	h.reply(500, "")
+	h = await(t, b.hops, "second hop of the job that was open, of a class that may be repeated")
+	h.reply(202, "")
+	d.report(event("x1", b.uid, "done"))
+	if got := await(t, open, "answer"); got.Status != 200 {
+		t.Errorf("answer %+v to the job that was open", got)
+	}
+	d.call("PUT", "/api/exclude", `{"host":"s-2"}`)
+	// render is back with a stricter effect, and jobs get one attempt.
+	reloads++
+	reload(strings.Replace(strings.Replace(file, first, `{"name":"render","effect":"unsafe",`, 1), `"send-cap":4`, `"send-cap":1`, 1))
+	for class, status := range map[string]int{"render": 502, "release": 502} {
+		got := submit(d.job(class, "y-"+class))
+		await(t, a.hops, "hop").reply(500, "")
+		if got := await(t, got, "answer"); got.Status != status {
+			t.Errorf("%s: answer %+v, want %d", class, got, status)
+		}
+	}
+	f := d.figures()
+	for name, n := range map[string]float64{`completed{lane="render"}`: 1, `failed{lane="render"}`: 1, `upstream_requests{lane="render"}`: 3,
+		`failed{lane="new"}`: 0, `failed{lane="release"}`: 1, `members_unavailable`: 2} {
+		if got, ok := f[name]; !ok || got != n {
+			t.Errorf("%s is %v, %t, want %v", name, got, ok, n)
+		}
+	}
+}
--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -99,10 +99,6 @@
 	if operators != nil {
 		go console.New(c, ready.Load, counts.Handler(), entry.WithField("part", "console")).Serve(operators)
 	}
-	var keyed []bool
-	for _, class := range cfg.Module.Classes {
-		keyed = append(keyed, class.Effect == magpierelay.Keyed)
-	}
 	var front *ingress.Front
 	share := func(processes int) {
 		c.Processes(processes)
@@ -113,7 +109,7 @@
 	link := handover.New(handover.Path(os.TempDir(), cfg.Listen), c, table, share, entry.WithField("part", "handover"))
 	defer link.Close()
 	c.Inform(link.Exclude)
-	front = ingress.New(ingress.Config{Classes: cfg.Names.Classes, Columns: cfg.Names.Columns, Keyed: keyed,
+	front = ingress.New(ingress.Config{Classes: classes(cfg), Columns: cfg.Names.Columns,
 		Slots: magpierelay.MostSlots, Clients: budget * 4 / 8, Sockets: budget * 5 / 8}, c, link, counts, entry.WithField("part", "ingress"))
 	listener, err := listen(cfg)
 	if err != nil {
@@ -133,7 +129,16 @@
 	go c.Run(ctx)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
-	go reload(cfg, reloads, table, counts, entry)
+	var grace atomic.Int64
+	take := func(cfg config.Config) { // the core first: what the ingress lets in it must know
+		c.Settings(cfg.Module)
+		counts.Classes(cfg.Names.Classes)
+		front.Classes(classes(cfg))
+		grace.Store(int64(graceOf(cfg)))
+		table.Move(cfg.Discovery)
+	}
+	grace.Store(int64(graceOf(cfg)))
+	go reload(cfg, reloads, take, counts, entry)
 	if cfg.Inherited > 0 {
 		if err := link.Serve(); err != nil {
 			entry.WithError(err).Warn("no newer process will take over the state")
@@ -147,10 +152,10 @@
 	case err := <-served:
 		return err
 	case sig := <-ends:
+		ready.Store(false)
 		entry.WithField("signal", sig.String()).Info("frosttide drains")
 	}
-	ready.Store(false)
-	by := time.Now().Add(grace(cfg.Module.Classes) - lead)
+	by := time.Now().Add(time.Duration(grace.Load()) - lead)
 	front.Leave(by)
 	if link.Succeeded() {
 		front.GiveWay(by.Add(-closing))
@@ -173,11 +178,22 @@
 	return net.Listen("tcp", cfg.Listen)
 }
 
-// grace returns how long the process has to itself after SIGTERM.
-func grace(classes []magpierelay.Class) time.Duration {
+// classes returns what the ingress has to know of the classes.
+func classes(cfg config.Config) []ingress.Class {
+	var out []ingress.Class
+	for i, class := range cfg.Module.Classes {
+		out = append(out, ingress.Class{Name: cfg.Names.Classes[i], Keyed: class.Effect == magpierelay.Keyed, Gone: cfg.Gone[i]})
+	}
+	return out
+}
+
+// graceOf returns how long the process has to itself after SIGTERM.
+func graceOf(cfg config.Config) time.Duration {
 	var longest time.Duration
-	for _, class := range classes {
-		longest = max(longest, class.GiveUp)
+	for i, class := range cfg.Module.Classes {
+		if !cfg.Gone[i] {
+			longest = max(longest, class.GiveUp)
+		}
 	}
 	return min(longest, graceMost) + graceMore
 }
@@ -185,19 +201,21 @@
 // reload rereads the configuration at each signal, also while the program
 // drains: hops may still need a runner. Signals that come close together lead to
 // one reload, which reads the newest file.
-func reload(cfg config.Config, signals <-chan os.Signal, table *routetable.Table, counts *telemetry.Counts, log *logrus.Entry) {
+func reload(cfg config.Config, signals <-chan os.Signal, take func(config.Config), counts *telemetry.Counts, log *logrus.Entry) {
 	for range signals {
-		next, err := config.Reload(os.Getenv)
+		next, err := cfg.Reload(os.Getenv)
 		counts.Reloaded(err == nil)
 		if err != nil {
 			log.WithError(err).Error("configuration not taken; the old one is kept")
 			continue
 		}
 		log.WithField("discovery", next.Discovery).Info("configuration reread")
-		if !config.OnlyDiscovery(cfg, next) {
-			log.Warn("changes other than discovery's address wait for the next start")
+		next, waits := cfg.Keep(next)
+		if len(waits) > 0 {
+			log.WithField("changed", waits).Warn("these changes wait for the next start")
 		}
-		table.Move(next.Discovery)
+		take(next)
+		cfg = next
 	}
 }
 
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -77,6 +77,7 @@
 type request struct {
 	id       RequestID
 	class    int
+	rules    *Class // its class as it was when it came
 	slots    int
 	hint     time.Duration
 	deadline time.Duration
@@ -126,20 +127,29 @@
 	if len(cfg.Classes) == 0 {
 		return nil, errors.New("magpierelay: Config.Classes is empty")
 	}
-	d := &Dispatcher{cfg: cfg, processes: 1, rng: rand.New(rand.NewPCG(seed, 0)),
+	d := &Dispatcher{processes: 1, rng: rand.New(rand.NewPCG(seed, 0)),
 		requests: map[RequestID]*request{}, timers: map[uint32]timer{}, workers: map[WorkerID]*worker{},
 		widest: 1, retries: creditMost}
-	d.cfg.Classes = slices.Clone(cfg.Classes)
 	for i, c := range cfg.Classes {
 		if c.Effect > Unsafe || c.Group > ScopeCell || c.Window < 0 || c.Objective < 0 {
 			return nil, fmt.Errorf("magpierelay: Config.Classes[%d] has a value out of range", i)
 		}
-		d.run = append(d.run, max(c.Objective.Seconds(), 0.001))
 	}
+	d.configure(cfg)
 	d.bucket.prev, d.bucket.next = &d.bucket, &d.bucket
 	return d, nil
 }
 
+// configure takes settings, which may be new ones. What is known of workers and
+// classes stays, and requests keep the class that they came with.
+func (d *Dispatcher) configure(cfg Config) {
+	d.cfg = cfg
+	d.cfg.Classes = slices.Clone(cfg.Classes)
+	for _, c := range cfg.Classes[min(len(d.run), len(cfg.Classes)):] {
+		d.run = append(d.run, max(c.Objective.Seconds(), 0.001))
+	}
+}
+
 // Step takes the events of one moment, in their order, appends the actions
 // that answer them to actions and returns it. now never goes back.
 func (d *Dispatcher) Step(now time.Duration, events []Event, actions []Action) []Action {
@@ -179,6 +189,8 @@
 		if w := d.workers[ev.Worker]; w != nil {
 			d.restore(w, ev.Health)
 		}
+	case SettingsChanged:
+		d.configure(*ev.Settings)
 	case ProcessesChanged:
 		d.processes = max(ev.Processes, 1)
 	case TimerFired:
@@ -571,7 +583,7 @@
 	if r.over || d.now >= r.deadline || (lim.MaxAttempts > 0 && len(r.attempts) >= lim.MaxAttempts) {
 		return false
 	}
-	unsafe := d.cfg.Classes[r.class].Effect == Unsafe
+	unsafe := r.rules.Effect == Unsafe
 	return !slices.ContainsFunc(r.attempts, func(a attempt) bool {
 		return !a.ended && !lim.HedgingAllowed || unsafe && !a.neverRan()
 	})
@@ -582,7 +594,7 @@
 
 // allowed tells whether rules 1 to 4 let the request go to the worker now.
 func (d *Dispatcher) allowed(r *request, w *worker) bool {
-	c := &d.cfg.Classes[r.class]
+	c := r.rules
 	wrongKind := c.WorkerKind >= 0 && w.Kind != c.WorkerKind
 	cold := d.now < w.coldUntil && !d.trickles(w, r)
 	if w.State != Ready || cold || wrongKind || !d.mayTry(r) || !d.bears(w, r) {
@@ -632,7 +644,7 @@
 	r.attempts = append(r.attempts, attempt{worker: w, sentAt: d.now})
 	d.act(Action{Type: Send, Request: r.id, Worker: w.Worker, Attempt: n})
 	if d.cfg.StartNotes {
-		wait := 2*d.usualStart(w.Zone) + d.cfg.Classes[r.class].Objective/startShare
+		wait := 2*d.usualStart(w.Zone) + r.rules.Objective/startShare
 		d.wake(d.now+wait, timer{do: (*Dispatcher).startDue, request: r, attempt: n})
 	}
 }
@@ -660,7 +672,8 @@
 		d.act(Action{Type: Refuse, Request: ev.Request})
 		return
 	}
-	r := &request{id: ev.Request, class: ev.Class, deadline: ev.Deadline, hint: ev.Hint, slots: 1}
+	r := &request{id: ev.Request, class: ev.Class, rules: &d.cfg.Classes[ev.Class],
+		deadline: ev.Deadline, hint: ev.Hint, slots: 1}
 	if ev.Slots > 1 { // false for NaN
 		r.slots = int(math.Ceil(min(ev.Slots, maxTokens)))
 	}
@@ -797,7 +810,7 @@
 // finish is the one place where a request that nobody serves is ended: it waits
 // while an attempt is out, refuses where that is harmless, else fails.
 func (d *Dispatcher) finish(r *request) {
-	c := &d.cfg.Classes[r.class]
+	c := r.rules
 	answer := Action{Type: Refuse, Request: r.id}
 	for i := range r.attempts {
 		a := &r.attempts[i]
@@ -846,7 +859,7 @@
 // a late answer. Guards against queues that all stand full, so that everything
 // is served and nothing in time.
 func (d *Dispatcher) sheds(r *request, repeat bool) bool {
-	c := &d.cfg.Classes[r.class]
+	c := r.rules
 	worth := c.Worth
 	if repeat {
 		worth *= c.LateWorth
@@ -863,7 +876,7 @@
 // slack returns how long a typical request can wait and still be in time: run
 // times are skewed, so half of them are far below the mean.
 func (d *Dispatcher) slack(r *request) time.Duration {
-	c := &d.cfg.Classes[r.class]
+	c := r.rules
 	return c.Objective + time.Duration(max(c.Stretch-1, 0)*d.run[r.class]/2*float64(time.Second))
 }
 
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -718,3 +718,38 @@
 	}
 	t.Errorf("it got no job after the first had ended")
 }
+
+// TestSettingsChange guards what is open and known over a change of settings: a request
+// keeps the class it came with, none gets an attempt past a lowered cap, and tokens that
+// are held stay held.
+func TestSettingsChange(t *testing.T) {
+	h := newHost(t, plain(), oneZone(3))
+	safe, other := h.arrive(0, 1), h.arrive(0, 1)
+	cfg := plain()
+	cfg.Classes[0].Effect = Unsafe
+	cfg.Classes = append(cfg.Classes, Class{Effect: Keyed, Group: ScopeZone, Window: time.Second, WorkerKind: -1})
+	h.step(Event{Type: SettingsChanged, Settings: &cfg})
+	again := h.end(safe, Errored)
+	if len(again) != 1 || again[0].Type != Send {
+		t.Errorf("a request that came as safe got %v after its attempt failed, want another", again)
+	}
+	strict := h.arrive(0, 1)
+	if out := h.end(strict, Errored); len(out) != 1 || out[0].Type != Fail {
+		t.Errorf("a request that came as unsafe got %v after its attempt failed, want a failure", out)
+	}
+	if a := h.arrive(5, 1); a.Type != Send {
+		t.Errorf("a request of the new class got %v", a)
+	}
+	cfg.Limits.MaxAttempts = 1
+	h.step(Event{Type: SettingsChanged, Settings: &cfg})
+	if out := h.end(other, Errored); len(out) != 1 || out[0].Type != Refuse {
+		t.Errorf("past the lowered cap a request got %v, want a refusal", out)
+	}
+	held := 0
+	for _, w := range h.d.listed {
+		held += w.held
+	}
+	if held != 2 {
+		t.Errorf("%d tokens are held, want those of the two attempts that are out", held)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,11 +7,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
 	"os"
-	"reflect"
+	"slices"
 	"strconv"
 
 	"magpierelay"
@@ -37,6 +38,9 @@
 	Known     json.RawMessage // the list as last held, in discovery's form; it may be old or absent
 	Module    magpierelay.Config
 	Names     wire.Names
+	Gone      []bool // by class: the file in force has it no more
+
+	keys map[string]any // the file, as it is
 }
 
 // file is the form of $BALANCER_CONFIG.
@@ -56,19 +60,127 @@
 
 // Load reads the environment and the file at $BALANCER_CONFIG. Where the
 // environment and the file both give a value, the environment's is taken.
-func Load(getenv func(string) string) (Config, error) { return load(getenv, false) }
-
-// Reload reads the same again after a start. Guards against a new file that
-// changes nothing: the environment of a running process is that of its start, so
-// here the file's discovery goes before it.
-func Reload(getenv func(string) string) (Config, error) { return load(getenv, true) }
-
-// OnlyDiscovery tells whether two configurations differ in nothing that a start
-// would make of them but the address of discovery, which alone a reload takes.
-// Known and Seed are new with each file.
-func OnlyDiscovery(a, b Config) bool {
-	b.Discovery, b.Known, b.Seed = a.Discovery, a.Known, a.Seed
-	return reflect.DeepEqual(a, b)
+func Load(getenv func(string) string) (Config, error) {
+	c, err := load(getenv, false)
+	c.Gone = make([]bool, len(c.Names.Classes))
+	return c, err
+}
+
+// Reload reads the same again after a start and lays it over the configuration in
+// force. Guards against a new file that changes nothing: the environment of a running
+// process is that of its start, so here the file's discovery goes before it. The file
+// is turned down whole if anything in it can't be meant.
+func (c Config) Reload(getenv func(string) string) (Config, error) {
+	next, err := load(getenv, true)
+	if err != nil {
+		return Config{}, err
+	}
+	if key := lacking(c.keys, next.keys); key != "" {
+		return Config{}, fmt.Errorf("%s is missing", key)
+	}
+	if next.Module.Limits.MaxAttempts <= 0 {
+		return Config{}, errors.New("settings: policy-limits.send-cap is no number above 0")
+	}
+	for i, class := range next.Module.Classes {
+		if class.GiveUp <= 0 {
+			return Config{}, fmt.Errorf("settings: request-classes[%d].give-up is no number above 0", i)
+		}
+		if slices.Index(next.Names.Classes, next.Names.Classes[i]) < i {
+			return Config{}, fmt.Errorf("settings: request-classes[%d].name is there twice", i)
+		}
+	}
+	return c.over(next), nil
+}
+
+// over numbers the classes of the next configuration as this one does: by name, new
+// ones after all others. One that is gone keeps its number, as jobs of it may be open.
+func (c Config) over(next Config) Config {
+	classes, names := slices.Clone(c.Module.Classes), slices.Clone(c.Names.Classes)
+	gone := slices.Repeat([]bool{true}, len(names))
+	for i, name := range next.Names.Classes {
+		n := slices.Index(names, name)
+		if n < 0 {
+			n = len(names)
+			names, classes, gone = append(names, name), append(classes, magpierelay.Class{}), append(gone, false)
+		}
+		classes[n], gone[n] = next.Module.Classes[i], false
+	}
+	next.Names.Classes, next.Module.Classes, next.Gone = names, classes, gone
+	return next
+}
+
+// Keep returns the next configuration with what only a start can take as it is in this
+// one, and the names of what differs there.
+func (c Config) Keep(next Config) (Config, []string) {
+	var waits []string
+	keep := func(name string, same bool) {
+		if !same {
+			waits = append(waits, name)
+		}
+	}
+	keep("name", c.Name == next.Name)
+	keep("listen", c.Listen == next.Listen)
+	keep("console", c.Console == next.Console)
+	keep("limits", c.Limits == next.Limits)
+	keep("zones", slices.Equal(c.Names.Zones, next.Names.Zones))
+	keep("kinds", slices.Equal(c.Names.Kinds, next.Names.Kinds))
+	keep("report", slices.Equal(c.Names.Columns, next.Names.Columns) && slices.Equal(c.Module.Metrics, next.Module.Metrics))
+	keep("keepalive", c.Names.Keepalive == next.Names.Keepalive)
+	keep("connect-timeout", c.Module.Limits.ConnectTimeout == next.Module.Limits.ConnectTimeout)
+	keep("me", c.Module.Instance == next.Module.Instance)
+	keep("zone", c.Module.Zone == next.Module.Zone)
+	keep("discovery's way", c.Module.PullList == next.Module.PullList)
+	names := next.Names.Classes
+	next.Name, next.Listen, next.Console, next.Limits, next.Names = c.Name, c.Listen, c.Console, c.Limits, c.Names
+	next.Names.Classes = names
+	m := &next.Module
+	m.Metrics, m.Limits.ConnectTimeout, m.PullList = c.Module.Metrics, c.Module.Limits.ConnectTimeout, c.Module.PullList
+	m.Instance, m.Zone, m.Zones = c.Module.Instance, c.Module.Zone, c.Module.Zones
+	return next, waits
+}
+
+// lacking returns a key that the file in force has and the next one lacks, empty for
+// none. Of objects in a list each has to have what all in force have; the list of
+// runners is discovery's and may hold what it likes.
+func lacking(inForce, next map[string]any) string {
+	for _, key := range slices.Sorted(maps.Keys(inForce)) {
+		was, is := inForce[key], next[key]
+		if is == nil && was != nil {
+			return key
+		}
+		if key == "known" {
+			continue
+		}
+		switch was := was.(type) {
+		case map[string]any:
+			is, _ := is.(map[string]any)
+			if sub := lacking(was, is); sub != "" {
+				return key + "." + sub
+			}
+		case []any:
+			is, _ := is.([]any)
+			for i := range is {
+				of, _ := is[i].(map[string]any)
+				if sub := lacking(common(was), of); sub != "" {
+					return fmt.Sprintf("%s[%d].%s", key, i, sub)
+				}
+			}
+		}
+	}
+	return ""
+}
+
+// common returns the keys that all objects of a list have.
+func common(list []any) map[string]any {
+	var all map[string]any
+	for i := range list {
+		of, _ := list[i].(map[string]any)
+		if i == 0 {
+			all = maps.Clone(of)
+		}
+		maps.DeleteFunc(all, func(key string, _ any) bool { return of[key] == nil })
+	}
+	return all
 }
 
 func load(getenv func(string) string, fileFirst bool) (Config, error) {
@@ -84,6 +196,10 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
+	var keys map[string]any
+	if err := json.Unmarshal(text, &keys); err != nil {
+		return Config{}, fmt.Errorf("%s: %w", path, err)
+	}
 	for _, v := range []struct {
 		name string
 		to   *string
@@ -94,7 +210,7 @@
 			*v.to = s
 		}
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, Limits: f.Limits, Known: f.Known}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, Limits: f.Limits, Known: f.Known, keys: keys}
 	if fd := getenv("BALANCER_FD"); fd != "" {
 		if c.Inherited, err = strconv.Atoi(fd); err != nil || c.Inherited <= 2 {
 			return Config{}, fmt.Errorf("BALANCER_FD: %q is not an inherited descriptor", fd)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -288,6 +288,16 @@
 	})
 }
 
+// Settings takes new settings: classes keep their numbers, and new ones come after
+// them. Jobs submitted from now on may be of those.
+func (c *Core) Settings(cfg magpierelay.Config) {
+	c.box.Put(func(c *Core) {
+		c.step() // what came in before counts by the old ones
+		c.cfg = cfg
+		c.event(magpierelay.Event{Type: magpierelay.SettingsChanged, Settings: &cfg})
+	})
+}
+
 // Exclude leaves a runner out until it is put back with out false. Done is told whether
 // anybody has the runner. Guards a caller who was told no, as the core had no time:
 // from the deadline on nothing is done and done is not called.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -70,14 +70,20 @@
 
 // Config holds the figures of the ingress.
 type Config struct {
-	Classes []string
+	Classes []Class  // by their numbers
 	Columns []string // of load reports
-	Keyed   []bool   // by class: its jobs carry a key
 	Slots   float64  // most that a job may ask for
 	Clients int      // most jobs at a time
 	Sockets int      // most connections at all; the rest is the call-backs'
 }
 
+// Class is what the ingress knows of a class.
+type Class struct {
+	Name  string
+	Keyed bool // its jobs carry a key
+	Gone  bool // no new job may be of it
+}
+
 // Front is the server of clients and call-backs.
 type Front struct {
 	cfg     Config
@@ -87,9 +93,10 @@
 	log     *logrus.Entry
 	server  *http.Server
 	door    *door
-	serving atomic.Int64              // requests being handled, call-backs too
-	jobs    atomic.Int64              // those that wait for the core's answer
-	clients atomic.Int64              // most of them
+	serving atomic.Int64 // requests being handled, call-backs too
+	jobs    atomic.Int64 // those that wait for the core's answer
+	clients atomic.Int64 // most of them
+	classes atomic.Pointer[[]Class]
 	leaving atomic.Bool               // every answer ends its connection
 	bad     atomic.Int64              // requests refused as malformed, since the last summary
 	crowded atomic.Int64              // jobs refused for want of room, since then
@@ -100,6 +107,7 @@
 func New(cfg Config, c Core, other Other, counts Counts, log *logrus.Entry) *Front {
 	f := &Front{cfg: cfg, core: c, other: other, counts: counts, log: log, door: &door{most: cfg.Sockets}}
 	f.clients.Store(int64(cfg.Clients))
+	f.classes.Store(&cfg.Classes)
 	f.server = &http.Server{
 		Handler:           http.HandlerFunc(f.handle),
 		ReadTimeout:       hearTime,
@@ -136,6 +144,9 @@
 	f.core.EndBy(by)
 }
 
+// Classes sets what jobs may be of from now on.
+func (f *Front) Classes(classes []Class) { f.classes.Store(&classes) }
+
 // Budget sets how many jobs and connections there may be from now on.
 func (f *Front) Budget(clients, sockets int) {
 	f.clients.Store(int64(clients))
@@ -378,7 +389,7 @@
 	if !strings.HasPrefix(job.Resource, "/") {
 		return nil, errors.New("the request target is not a path")
 	}
-	if f.cfg.Keyed[job.Class] && job.Key == "" {
+	if (*f.classes.Load())[class].Keyed && job.Key == "" {
 		return nil, errors.New("Idempotency-Key is missing")
 	}
 	ms, err := strconv.ParseInt(h.Get("X-Expires-In-Ms"), 10, 64)
@@ -416,8 +427,8 @@
 	if name == "" {
 		name = first
 	}
-	for i, c := range f.cfg.Classes {
-		if c == name && first == name {
+	for i, c := range *f.classes.Load() {
+		if c.Name == name && first == name && !c.Gone {
 			return i, nil
 		}
 	}
