--- a/api.go
+++ b/api.go
@@ -133,7 +133,6 @@
 	ProbeEnded                             // Worker, Outcome, Load
 	TimerFired                             // Token
 	HealthKnown                            // Worker, Health: from an earlier process of this dispatcher
-	ProcessesChanged                       // Processes
 	SettingsChanged                        // Settings
 )
 
@@ -201,17 +200,28 @@
 	Load     [MaxMetrics]float32 // the first Loads values, as named by Config.Metrics
 	Members  []Member
 
+	Past      []Past // RequestArrived: the attempts so far, of an earlier process of this dispatcher
 	Health    Health
 	Settings  *Config // classes keep their numbers, and new ones come after them
 	Processes int     // of this dispatcher, which share its part of what cold workers bear
 }
 
+// Past is what a dispatcher knows of an attempt of a request.
+type Past struct {
+	Worker    WorkerID
+	SentAt    time.Duration
+	StartedAt time.Duration
+	Started   bool
+	Ended     bool
+	Outcome   Outcome
+}
+
 // Health is what a dispatcher has found of a worker's health.
 type Health struct {
-	Failures  int // in a row
-	Failed    bool
+	Failures  int  // in a row, without a start between
+	Failed    bool // it has tokens for one job, until it serves one
 	RestUntil time.Duration
-	Pace      float64
+	Pace      float64 // its jobs' time to run, against those of its like
 	PaceAt    time.Duration
 }
 
--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -106,7 +106,8 @@
 		front.Budget(budget*4/8/processes, budget*5/8/processes)
 		limit(cfg.Limits, processes)
 	}
-	link := handover.New(handover.Path(os.TempDir(), cfg.Listen), c, table, share, entry.WithField("part", "handover"))
+	link := handover.New(handover.Path(os.TempDir(), cfg.Listen), c, table, share,
+		func(x net.Conn, read []byte, m *core.Moved) bool { return front.Adopt(x, read, m) }, entry.WithField("part", "handover"))
 	defer link.Close()
 	c.Inform(link.Exclude)
 	front = ingress.New(ingress.Config{Classes: classes(cfg), Columns: cfg.Names.Columns,
@@ -156,10 +157,11 @@
 		entry.WithField("signal", sig.String()).Info("frosttide drains")
 	}
 	by := time.Now().Add(time.Duration(grace.Load()) - lead)
-	front.Leave(by)
 	if link.Succeeded() {
 		front.GiveWay(by.Add(-closing))
+		front.Leave(by)
 	} else {
+		front.Leave(by)
 		time.Sleep(lingering)
 	}
 	if err := front.Drain(ctx); err != nil {
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -46,31 +46,25 @@
 // worker is what this dispatcher knows of a worker.
 type worker struct {
 	Member
+	Health
 	oldest, newest *token // its free tokens, in release order
 	free, held     int    // counts of its tokens
 	limit          int    // most tokens it has now
-	failed         bool   // it has tokens for one job, until it serves one
 	untried        bool   // it has been put back and sent nothing since
 	overdue        int    // its attempts whose start is overdue
-	failures       int    // in a row, without a start between
-	restUntil      time.Duration
 	coldUntil      time.Duration
 	rationUntil    time.Duration
 	bill           float64 // seconds of work sent that count still against its ration
 	billAt         time.Duration
-	running, most  int     // slots that started attempts use, and the most that they did
-	pace           float64 // its jobs' time to run, against those of its like
-	paceAt         time.Duration
+	running, most  int    // slots that started attempts use, and the most that they did
 	list, scan     uint64 // the last list and the last scan that met it
 }
 
 // attempt is one send of a request. It holds tokens until it ends.
 type attempt struct {
-	worker            *worker
-	sentAt, startedAt time.Duration
-	started, overdue  bool
-	ended             bool
-	outcome           Outcome
+	Past
+	worker  *worker
+	overdue bool
 }
 
 // request is a request that is not yet answered, or still has attempts out.
@@ -95,14 +89,13 @@
 
 // Dispatcher decides for one scheduler. It is not safe for concurrent use.
 type Dispatcher struct {
-	cfg       Config
-	processes int // of this dispatcher
-	rng       *rand.Rand
-	now       time.Duration
-	out       []Action
-	requests  map[RequestID]*request
-	timers    map[uint32]timer
-	timerSeq  uint32
+	cfg      Config
+	rng      *rand.Rand
+	now      time.Duration
+	out      []Action
+	requests map[RequestID]*request
+	timers   map[uint32]timer
+	timerSeq uint32
 
 	workers     map[WorkerID]*worker
 	listed      []*worker // the same in the order in which they were first listed
@@ -127,7 +120,7 @@
 	if len(cfg.Classes) == 0 {
 		return nil, errors.New("magpierelay: Config.Classes is empty")
 	}
-	d := &Dispatcher{processes: 1, rng: rand.New(rand.NewPCG(seed, 0)),
+	d := &Dispatcher{rng: rand.New(rand.NewPCG(seed, 0)),
 		requests: map[RequestID]*request{}, timers: map[uint32]timer{}, workers: map[WorkerID]*worker{},
 		widest: 1, retries: creditMost}
 	for i, c := range cfg.Classes {
@@ -140,8 +133,7 @@
 	return d, nil
 }
 
-// configure takes settings, which may be new ones. What is known of workers and
-// classes stays, and requests keep the class that they came with.
+// configure takes settings. What is known stays, and requests keep the class they came with.
 func (d *Dispatcher) configure(cfg Config) {
 	d.cfg = cfg
 	d.cfg.Classes = slices.Clone(cfg.Classes)
@@ -178,7 +170,7 @@
 			d.close(r)
 		}
 	case AttemptStarted, AttemptProgressed, AttemptAccepted:
-		if r, a := d.find(ev); a != nil && !a.started {
+		if r, a := d.find(ev); a != nil && !a.Started {
 			d.started(r, a)
 		}
 	case AttemptEnded:
@@ -190,9 +182,9 @@
 			d.restore(w, ev.Health)
 		}
 	case SettingsChanged:
-		d.configure(*ev.Settings)
-	case ProcessesChanged:
-		d.processes = max(ev.Processes, 1)
+		if ev.Settings != nil && len(ev.Settings.Classes) >= len(d.run) {
+			d.configure(*ev.Settings)
+		}
 	case TimerFired:
 		if t, ok := d.timers[ev.Token]; ok {
 			delete(d.timers, ev.Token)
@@ -209,7 +201,7 @@
 		return nil, nil
 	}
 	a := &r.attempts[ev.Attempt]
-	if a.ended || a.worker.Worker != ev.Worker {
+	if a.Ended || a.worker.Worker != ev.Worker {
 		return nil, nil
 	}
 	return r, a
@@ -252,7 +244,7 @@
 		m := &ev.Members[i]
 		w := d.workers[m.Worker]
 		if w == nil {
-			w = &worker{Member: Member{Worker: m.Worker, State: Removed}, pace: 1}
+			w = &worker{Member: Member{Worker: m.Worker, State: Removed}, Health: Health{Pace: 1}}
 			d.workers[m.Worker] = w
 			d.listed = append(d.listed, w)
 		}
@@ -293,7 +285,7 @@
 	if !begins {
 		return false
 	}
-	w.failures, w.failed, w.restUntil, w.untried = 0, false, 0, w.Returned
+	w.Failures, w.Failed, w.RestUntil, w.untried = 0, false, 0, w.Returned
 	w.coldUntil, w.rationUntil = d.grown(m.StartedAt, coldFit), d.grown(m.StartedAt, coldFree)
 	for _, at := range []time.Duration{w.coldUntil, w.rationUntil} {
 		if d.now < at {
@@ -339,8 +331,7 @@
 			slots, seen = slots+float64(other.most), seen+1
 		}
 	}
-	rate := share * rules.FallMultiple * max(slots/max(seen, 1), 1)
-	rate /= float64(max(d.cfg.Instances, 1) * d.processes)
+	rate := share * rules.FallMultiple * max(slots/max(seen, 1), 1) / float64(max(d.cfg.Instances, 1))
 	w.bill, w.billAt = max(w.bill-rate*(d.now-w.billAt).Seconds(), 0), d.now
 	return w.bill+d.workOf(r) <= rate*rules.FallWindow.Seconds()
 }
@@ -352,36 +343,29 @@
 // the bucket once its ration is: they have come to the front meanwhile, and would
 // draw many jobs in a row.
 func (d *Dispatcher) warmed(t timer) {
-	if w := t.worker; w.State == Ready && d.now >= w.coldUntil && !w.failed {
+	if w := t.worker; w.State == Ready && d.now >= w.coldUntil && !w.Failed {
 		d.join(w)
 	}
 }
 
 // Health returns what has been found of a worker's health. It changes nothing.
-func (d *Dispatcher) Health(worker WorkerID) (h Health) {
-	if w := d.workers[worker]; w != nil {
-		h = Health{w.failures, w.failed, w.restUntil, w.pace, w.paceAt}
-	}
-	return h
-}
+func (d *Dispatcher) Health(id WorkerID) Health { return cmp.Or(d.workers[id], &worker{}).Health }
 
 // restore takes over what an earlier process has found of a worker's health.
 func (d *Dispatcher) restore(w *worker, h Health) {
-	w.failures, w.failed, w.restUntil = max(h.Failures, 0), h.Failed, min(h.RestUntil, d.now+restMost)
-	if h.Pace > 0 {
-		w.pace, w.paceAt = min(h.Pace, paceMost), min(h.PaceAt, d.now)
-	}
-	if w.failed {
+	w.Health = h
+	w.RestUntil, w.PaceAt = min(h.RestUntil, d.now+restMost), min(h.PaceAt, d.now)
+	w.Failures, w.Pace = max(h.Failures, 0), min(max(h.Pace, 1/paceMost), paceMost)
+	if w.Failed {
 		w.limit = min(w.limit, d.widest)
 		d.trim(w)
 	}
 }
 
-// Unavailable returns how many listed workers get no new work at a time, by the list
-// or by choice. It changes nothing.
+// Unavailable returns how many listed workers get no new work now. It changes nothing.
 func (d *Dispatcher) Unavailable(now time.Duration) (n int) {
 	for _, w := range d.listed {
-		if w.State != Ready || w.overdue > 0 || now < w.restUntil || now < w.coldUntil && !w.Returned {
+		if w.State != Ready || w.overdue > 0 || now < w.RestUntil || now < w.coldUntil && !w.Returned {
 			n++
 		}
 	}
@@ -554,8 +538,8 @@
 	if w.untried {
 		return 0
 	}
-	known := max(1-float64(d.now-w.paceAt)/float64(paceFor), 0)
-	cost := float64(w.held+r.slots) / float64(d.tokensFor(w)) * (1 + known*(w.pace-1))
+	known := max(1-float64(d.now-w.PaceAt)/float64(paceFor), 0)
+	cost := float64(w.held+r.slots) / float64(d.tokensFor(w)) * (1 + known*(w.Pace-1))
 	if w.Zone != d.cfg.Zone {
 		cost *= farCost
 	}
@@ -565,13 +549,13 @@
 // noteRun takes in how long a job of a class ran at a worker.
 func (d *Dispatcher) noteRun(w *worker, class int, took time.Duration) {
 	pace := min(took.Seconds()/d.run[class], paceMost)
-	w.pace, w.paceAt = w.pace+(pace-w.pace)*meanGain, d.now
+	w.Pace, w.PaceAt = w.Pace+(pace-w.Pace)*meanGain, d.now
 	d.run[class] += (took.Seconds() - d.run[class]) * meanGain
 }
 
 // fits tells whether a worker is compatible with a request.
 func (d *Dispatcher) fits(w *worker, r *request, unwell bool) bool {
-	well := w.overdue == 0 && d.now >= w.restUntil
+	well := w.overdue == 0 && d.now >= w.RestUntil
 	return w.free >= r.slots && (well || unwell) && d.allowed(r, w)
 }
 
@@ -585,12 +569,12 @@
 	}
 	unsafe := r.rules.Effect == Unsafe
 	return !slices.ContainsFunc(r.attempts, func(a attempt) bool {
-		return !a.ended && !lim.HedgingAllowed || unsafe && !a.neverRan()
+		return !a.Ended && !lim.HedgingAllowed || unsafe && !a.neverRan()
 	})
 }
 
 // neverRan tells whether it is proved that the attempt did not run.
-func (a *attempt) neverRan() bool { return a.ended && a.outcome.NeverRan() }
+func (a *attempt) neverRan() bool { return a.Ended && a.Outcome.NeverRan() }
 
 // allowed tells whether rules 1 to 4 let the request go to the worker now.
 func (d *Dispatcher) allowed(r *request, w *worker) bool {
@@ -609,7 +593,7 @@
 			return false
 		}
 		if c.Effect == Keyed && !a.neverRan() {
-			inTime := d.now <= a.sentAt+c.Window-d.cfg.Limits.ConnectTimeout
+			inTime := d.now <= a.SentAt+c.Window-d.cfg.Limits.ConnectTimeout
 			if !inTime || !sameGroup(c.Group, a.worker, w) {
 				return false
 			}
@@ -641,7 +625,7 @@
 	w.untried = false
 	w.bill += d.workOf(r)
 	n := len(r.attempts)
-	r.attempts = append(r.attempts, attempt{worker: w, sentAt: d.now})
+	r.attempts = append(r.attempts, attempt{Past: Past{Worker: w.Worker, SentAt: d.now}, worker: w})
 	d.act(Action{Type: Send, Request: r.id, Worker: w.Worker, Attempt: n})
 	if d.cfg.StartNotes {
 		wait := 2*d.usualStart(w.Zone) + r.rules.Objective/startShare
@@ -678,6 +662,10 @@
 		r.slots = int(math.Ceil(min(ev.Slots, maxTokens)))
 	}
 	d.requests[r.id] = r
+	if len(ev.Past) > 0 {
+		d.adopt(r, ev.Past)
+		return
+	}
 	d.retries = min(d.retries+retryCredit, creditMost)
 	// Guards a client that could be served elsewhere: most work of its class would be
 	// cut off.
@@ -689,6 +677,42 @@
 	d.wake(d.now+d.slack(r), timer{do: (*Dispatcher).sample, request: r})
 }
 
+// Past returns what is known of a request's attempts. It changes nothing.
+func (d *Dispatcher) Past(id RequestID) (past []Past) {
+	if r := d.requests[id]; r != nil {
+		for _, a := range r.attempts {
+			past = append(past, a.Past)
+		}
+	}
+	return past
+}
+
+// adopt takes over a request's attempts; those that are out hold tokens from now on.
+func (d *Dispatcher) adopt(r *request, past []Past) {
+	out := false
+	for _, p := range past {
+		w := d.workers[p.Worker]
+		if w == nil {
+			w = &worker{Member: Member{Worker: p.Worker, State: Removed}} // it has left the list
+		}
+		r.attempts = append(r.attempts, attempt{Past: p, worker: w})
+		if p.Ended {
+			continue
+		}
+		out = true
+		for range min(r.slots, w.free) {
+			d.take(w)
+		}
+		w.held += r.slots
+		if p.Started {
+			w.running += r.slots
+		}
+	}
+	if !out && !d.dispatch(r) {
+		d.finish(r)
+	}
+}
+
 // widen makes room for requests of more slots than any before. Only what a worker
 // took counts: a client may ask for anything.
 func (d *Dispatcher) widen(slots int) {
@@ -707,7 +731,7 @@
 // is left alone until it starts or ends. The request has no attempt beside it: a
 // worker may run what was called off, so copies do the work twice.
 func (d *Dispatcher) startDue(t timer) {
-	if a := &t.request.attempts[t.attempt]; !a.ended && !a.started {
+	if a := &t.request.attempts[t.attempt]; !a.Ended && !a.Started {
 		a.overdue = true
 		a.worker.overdue++
 	}
@@ -715,16 +739,16 @@
 
 // started takes in that a worker runs an attempt.
 func (d *Dispatcher) started(r *request, a *attempt) {
-	a.started, a.startedAt = true, d.now
+	a.Started, a.StartedAt = true, d.now
 	a.worker.running += r.slots
 	a.worker.most = max(a.worker.most, a.worker.running)
-	if !a.worker.failed {
-		a.worker.failures = 0
+	if !a.worker.Failed {
+		a.worker.Failures = 0
 	}
 	if a.overdue {
 		a.worker.overdue--
 	}
-	d.noteStart(a.worker.Zone, d.now-a.sentAt)
+	d.noteStart(a.worker.Zone, d.now-a.SentAt)
 }
 
 // noteStart keeps the quickest recent time to a start; it is forgotten slowly.
@@ -746,15 +770,15 @@
 }
 
 func (d *Dispatcher) ended(r *request, a *attempt, ev *Event) {
-	a.ended, a.outcome = true, ev.Outcome
-	if a.started {
+	a.Ended, a.Outcome = true, ev.Outcome
+	if a.Started {
 		a.worker.running -= r.slots
 	}
-	if a.overdue && !a.started {
+	if a.overdue && !a.Started {
 		a.worker.overdue--
 	}
-	if ev.Outcome == Served && a.started {
-		d.noteRun(a.worker, r.class, d.now-a.startedAt)
+	if ev.Outcome == Served && a.Started {
+		d.noteRun(a.worker, r.class, d.now-a.StartedAt)
 	}
 	d.judge(r, a)
 	d.release(a.worker, r.slots)
@@ -783,25 +807,25 @@
 // would be free, and draw jobs, all the time.
 func (d *Dispatcher) judge(r *request, a *attempt) {
 	w := a.worker
-	if a.outcome == Canceled || a.outcome == NotSent || a.outcome == Unusable {
+	if a.Outcome == Canceled || a.Outcome == NotSent || a.Outcome == Unusable {
 		return // says nothing of it
 	}
 	d.widen(r.slots)
-	switch a.outcome {
+	switch a.Outcome {
 	case Served:
-		w.failures, w.restUntil = 0, 0
-		if w.failed && w.State == Ready {
-			w.failed = false
+		w.Failures, w.RestUntil = 0, 0
+		if w.Failed && w.State == Ready {
+			w.Failed = false
 			d.join(w)
 		}
 	default:
-		w.failures++
-		if a.outcome == ConnReset && w.failures == 1 {
+		w.Failures++
+		if a.Outcome == ConnReset && w.Failures == 1 {
 			return // guards a worker that a connection breaks on now and then
 		}
-		rest := min(restBase<<min(w.failures-1, 8), restMost)
-		w.restUntil = d.now + rest/2 + d.jitter(rest)
-		w.failed = true
+		rest := min(restBase<<min(w.Failures-1, 8), restMost)
+		w.RestUntil = d.now + rest/2 + d.jitter(rest)
+		w.Failed = true
 		w.limit = min(w.limit, d.widest)
 		d.trim(w)
 	}
@@ -814,10 +838,10 @@
 	answer := Action{Type: Refuse, Request: r.id}
 	for i := range r.attempts {
 		a := &r.attempts[i]
-		if !a.ended {
+		if !a.Ended {
 			return
 		}
-		inTime := d.now+d.cfg.Limits.MaxRetryAfter < a.sentAt+c.Window
+		inTime := d.now+d.cfg.Limits.MaxRetryAfter < a.SentAt+c.Window
 		dropped := c.Effect == Keyed && c.Group == ScopeAll && inTime
 		if c.Effect != Safe && !a.neverRan() && !dropped {
 			answer.Type = Fail
@@ -841,13 +865,13 @@
 
 // forget drops a request that is over once none of its attempts is out.
 func (d *Dispatcher) forget(r *request) {
-	if !slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.ended }) {
+	if !slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.Ended }) {
 		delete(d.requests, r.id)
 	}
 }
 
 func (d *Dispatcher) cancel(r *request, attempt int) {
-	if d.cfg.Limits.CancelAllowed && !r.attempts[attempt].ended {
+	if d.cfg.Limits.CancelAllowed && !r.attempts[attempt].Ended {
 		d.act(Action{Type: Cancel, Request: r.id, Attempt: attempt})
 	}
 }
@@ -883,7 +907,7 @@
 // sample sees whether a request has started within its slack. One that ended
 // without a start says nothing.
 func (d *Dispatcher) sample(t timer) {
-	started := slices.ContainsFunc(t.request.attempts, func(a attempt) bool { return a.started })
+	started := slices.ContainsFunc(t.request.attempts, func(a attempt) bool { return a.Started })
 	if started || !t.request.over {
 		d.noteLate(!started)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -137,21 +137,23 @@
 	box     *mailbox.Box[func(*Core)]
 	start   time.Time
 
-	now      time.Duration
-	events   []magpierelay.Event // for the next Step
-	due      deadlines
-	requests map[magpierelay.RequestID]*request
-	byID     map[string]*request
-	lastID   magpierelay.RequestID
-	lastTo   magpierelay.WorkerID
-	tally    tally
-	workers  map[string]*worker // by uid
-	byNumber map[magpierelay.WorkerID]*worker
-	excluded map[string]bool               // uids that operators have left out, whatever discovery lists
-	putBack  map[string]time.Duration      // uids that they have put back, and when
-	health   map[string]magpierelay.Health // of an earlier process, for runners not listed yet
-	inform   func(Exclusion)               // told of what operators say here
-	members  Members
+	now       time.Duration
+	events    []magpierelay.Event // for the next Step
+	due       deadlines
+	requests  map[magpierelay.RequestID]*request
+	byID      map[string]*request
+	lastID    magpierelay.RequestID
+	lastTo    magpierelay.WorkerID
+	tally     tally
+	workers   map[string]*worker // by uid
+	byNumber  map[magpierelay.WorkerID]*worker
+	excluded  map[string]bool               // uids that operators have left out, whatever discovery lists
+	putBack   map[string]time.Duration      // uids that they have put back, and when
+	health    map[string]magpierelay.Health // of an earlier process, for runners not listed yet
+	processes int                           // of this dispatcher
+	releasing map[*request]func(*Moved)     // requests that are to go to another process
+	inform    func(Exclusion)               // told of what operators say here
+	members   Members
 }
 
 // request is a request from its arrival until it is answered and none of its
@@ -174,6 +176,7 @@
 	to       *worker              // nil if it has left the list
 	deadline time.Duration
 	reported bool // the runner has said that the job started or runs
+	taken    bool // it has said that it has the job
 	ended    bool
 }
 
@@ -196,8 +199,8 @@
 	return &Core{log: log, cfg: cfg, module: module, targets: targets, list: list, box: mailbox.New[func(*Core)](),
 		start: time.Now(), requests: map[magpierelay.RequestID]*request{}, byID: map[string]*request{},
 		workers: map[string]*worker{}, byNumber: map[magpierelay.WorkerID]*worker{},
-		excluded: map[string]bool{}, putBack: map[string]time.Duration{},
-		inform: func(Exclusion) {}, members: members}, nil
+		excluded: map[string]bool{}, putBack: map[string]time.Duration{}, releasing: map[*request]func(*Moved){},
+		inform: func(Exclusion) {}, members: members, processes: 1}, nil
 }
 
 // Run works until the context ends.
@@ -227,6 +230,7 @@
 		}
 		c.ring()
 		c.step()
+		c.release()
 		c.members(len(c.workers), c.module.Unavailable(c.now))
 		if len(c.due) > 0 {
 			timer.Reset(max(c.due[0].at-c.clock(time.Now()), 0))
@@ -294,7 +298,7 @@
 	c.box.Put(func(c *Core) {
 		c.step() // what came in before counts by the old ones
 		c.cfg = cfg
-		c.event(magpierelay.Event{Type: magpierelay.SettingsChanged, Settings: &cfg})
+		c.configure()
 	})
 }
 
@@ -321,8 +325,8 @@
 // Run. It must not block.
 func (c *Core) Inform(inform func(Exclusion)) { c.inform = inform }
 
-// Adopt takes over what operators have said to the other process.
-func (c *Core) Adopt(e Exclusion) { c.box.Put(func(c *Core) { c.move(e) }) }
+// Heed takes over what operators have said to the other process.
+func (c *Core) Heed(e Exclusion) { c.box.Put(func(c *Core) { c.move(e) }) }
 
 // Snapshot is what the core tells a newer process of its dispatcher. Times are since
 // 1970, health is by uid.
@@ -361,9 +365,19 @@
 }
 
 // Processes tells how many processes of this dispatcher share what it may send to cold
-// runners.
+// runners: to the module they are that many instances.
 func (c *Core) Processes(n int) {
-	c.box.Put(func(c *Core) { c.event(magpierelay.Event{Type: magpierelay.ProcessesChanged, Processes: n}) })
+	c.box.Put(func(c *Core) {
+		c.processes = n
+		c.configure()
+	})
+}
+
+// configure tells the module the settings in force.
+func (c *Core) configure() {
+	cfg := c.cfg
+	cfg.Instances = max(cfg.Instances, 1) * c.processes
+	c.event(magpierelay.Event{Type: magpierelay.SettingsChanged, Settings: &cfg})
 }
 
 // HopEnded tells how a hop ended without a report on its job.
@@ -379,6 +393,15 @@
 	})
 }
 
+// HopTaken tells that the runner has the job: what becomes of it comes by Report.
+func (c *Core) HopTaken(ref HopRef) {
+	c.box.Put(func(c *Core) {
+		if r := c.requests[ref.Request]; r != nil {
+			r.hops[ref.Attempt].taken = true
+		}
+	})
+}
+
 // ProbeEnded tells what a probe found.
 func (c *Core) ProbeEnded(number magpierelay.WorkerID, outcome magpierelay.Outcome, load []float32) {
 	c.box.Put(func(c *Core) {
@@ -466,6 +489,11 @@
 		ingress.Answer(Answer{Verdict: Duplicate})
 		return
 	}
+	c.event(c.arrival(c.take(job, ingress)))
+}
+
+// take makes the request of a job.
+func (c *Core) take(job *Job, ingress Ingress) *request {
 	c.lastID++
 	for c.lastID == 0 || c.requests[c.lastID] != nil { // numbers may come round
 		c.lastID++
@@ -477,9 +505,15 @@
 	}
 	c.requests[r.ref], c.byID[job.ID] = r, r
 	c.remind(r, due{at: r.deadline, attempt: -1})
-	c.event(magpierelay.Event{Type: magpierelay.RequestArrived, Request: r.ref, Class: job.Class,
+	return r
+}
+
+// arrival is the event of a new request.
+func (c *Core) arrival(r *request) magpierelay.Event {
+	job := r.job
+	return magpierelay.Event{Type: magpierelay.RequestArrived, Request: r.ref, Class: job.Class,
 		Deadline: r.deadline, Slots: job.Slots, Memory: job.Memory, Hint: job.Hint, Key: job.Subject, Retry: job.Retry,
-		Ending: job.Ending})
+		Ending: job.Ending}
 }
 
 // answer is the one place where a request gets its final answer.
@@ -535,8 +569,109 @@
 	}
 }
 
+// ---- Requests that move to another process ----
+
+// Moved is what another process of the dispatcher needs to go on with a request.
+type Moved struct {
+	Deadline time.Duration `json:"deadline"` // since 1970
+	Hops     []MovedHop    `json:"hops"`
+}
+
+// MovedHop is an attempt of such a request.
+type MovedHop struct {
+	UID  string           `json:"uid"`
+	Past magpierelay.Past `json:"past"`
+}
+
+// Release gives up a request to another process, once all its hops that are out have
+// been taken by their runners: until then what becomes of them comes here. Done is told
+// what goes along, or nil if the request has its answer; then it was not released.
+func (c *Core) Release(job *Job, done func(*Moved)) {
+	c.box.Put(func(c *Core) {
+		if r := c.byID[job.ID]; r != nil && r.job == job && !r.answered {
+			c.releasing[r] = done
+		} else {
+			done(nil)
+		}
+	})
+}
+
+// release lets go of the requests that are ready for it. It recalls nothing: their
+// hops go on.
+func (c *Core) release() {
+	for r, done := range c.releasing {
+		if r.answered {
+			delete(c.releasing, r)
+			done(nil)
+			continue
+		}
+		m := &Moved{Deadline: r.deadline}
+		past := c.module.Past(r.ref)
+		ready := len(past) == len(r.hops)
+		for i := range r.hops {
+			h := &r.hops[i]
+			ready = ready && (h.ended || h.taken || h.reported)
+			if ready {
+				m.Hops = append(m.Hops, MovedHop{UID: h.uid(), Past: past[i]})
+			}
+		}
+		if !ready {
+			continue
+		}
+		delete(c.releasing, r)
+		c.settle(r)
+		c.event(magpierelay.Event{Type: magpierelay.RequestGone, Request: r.ref})
+		for i := range r.hops {
+			c.end(r, i, magpierelay.Canceled, nil)
+		}
+		c.forget(r)
+		c.step()
+		done(m)
+	}
+}
+
+// Adopt goes on with a request that another process has released.
+func (c *Core) Adopt(job *Job, m *Moved, ingress Ingress) {
+	c.box.Put(func(c *Core) {
+		if c.byID[job.ID] != nil {
+			ingress.Answer(Answer{Verdict: Duplicate})
+			return
+		}
+		r := c.take(job, ingress)
+		ev := c.arrival(r)
+		for _, h := range m.Hops {
+			w := c.workers[h.UID]
+			if w == nil { // it has left the list
+				c.lastTo++
+				w = &worker{number: c.lastTo, uid: h.UID, target: gone{}}
+			}
+			h.Past.Worker = w.number
+			ev.Past = append(ev.Past, h.Past)
+			r.hops = append(r.hops, hop{number: w.number, to: w, deadline: r.deadline, taken: true, ended: h.Past.Ended})
+		}
+		c.event(ev)
+	})
+}
+
+// gone is the target of a hop whose runner has left the list.
+type gone struct{}
+
+func (gone) Send(Hop)        {}
+func (gone) GiveUp(Hop)      {}
+func (gone) Probe(time.Time) {}
+func (gone) Move(string)     {}
+func (gone) Close()          {}
+
 // ---- Hops ----
 
+// uid names the runner of a hop; empty if it has left the list before.
+func (h *hop) uid() string {
+	if h.to == nil {
+		return ""
+	}
+	return h.to.uid
+}
+
 func (c *Core) send(a *magpierelay.Action) {
 	r := c.requests[a.Request]
 	if r == nil {
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -48,6 +48,7 @@
 
 // Reports takes what becomes of hops and probes; the core does. It must not block.
 type Reports interface {
+	HopTaken(core.HopRef)
 	HopEnded(core.HopRef, magpierelay.Outcome, []float32)
 	ProbeEnded(magpierelay.WorkerID, magpierelay.Outcome, []float32)
 }
@@ -241,7 +242,9 @@
 	switch {
 	case res.taken && f.givenUp: // given up while its 202 was on the way
 		t.recall(h)
-	case !res.taken && !f.givenUp:
+	case res.taken:
+		t.fleet.reports.HopTaken(h.Ref)
+	case !f.givenUp:
 		t.fleet.reports.HopEnded(h.Ref, res.outcome, res.load)
 	}
 }
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -36,7 +36,7 @@
 type Core interface {
 	Snapshot(func(core.Snapshot))
 	Restore(core.Snapshot)
-	Adopt(core.Exclusion)
+	Heed(core.Exclusion)
 	Report(ev core.JobEvent, took func(bool))
 }
 
@@ -59,8 +59,17 @@
 	Ready     bool            `json:"ready,omitempty"` // the newer process serves
 	Exclusion *core.Exclusion `json:"exclusion,omitempty"`
 	Event     *core.JobEvent  `json:"event,omitempty"`  // a call-back for a job that the sender doesn't hold
-	Number    uint64          `json:"number,omitempty"` // of that call-back, and of the answer to it
+	Number    uint64          `json:"number,omitempty"` // of what is to be answered, and of the answer to it
 	Took      bool            `json:"took,omitempty"`   // the answer
+	Client    *client         `json:"client,omitempty"` // a connection, which comes beside the line
+
+	socket *socket // that connection, at the sender
+}
+
+// client is what has been read from a client's connection, and what has become of it.
+type client struct {
+	Request []byte      `json:"request"`
+	Moved   *core.Moved `json:"moved"`
 }
 
 // Link is this process's side: it has at most one peer at a time, the older process at
@@ -69,6 +78,7 @@
 	core    Core
 	list    List
 	overlap func(processes int)
+	adopt   Adopt
 	log     *logrus.Entry
 	path    string
 
@@ -85,9 +95,13 @@
 	return filepath.Join(dir, fmt.Sprintf("frosttide-%08x.sock", name.Sum32()))
 }
 
+// Adopt takes a client's connection over from the older process, and reports whether it
+// will be served.
+type Adopt func(c net.Conn, request []byte, m *core.Moved) bool
+
 // New makes a link. Overlap is told how many processes the dispatcher has from now on.
-func New(path string, c Core, l List, overlap func(processes int), log *logrus.Entry) *Link {
-	return &Link{core: c, list: l, overlap: overlap, log: log, path: path}
+func New(path string, c Core, l List, overlap func(processes int), adopt Adopt, log *logrus.Entry) *Link {
+	return &Link{core: c, list: l, overlap: overlap, adopt: adopt, log: log, path: path}
 }
 
 // address returns an address of a path and what holds it open. Guards against long
@@ -120,7 +134,7 @@
 		l.log.WithError(err).Debug("no older process")
 		return nil
 	}
-	p := newPeer(l, c)
+	p := newPeer(l, c.(*net.UnixConn))
 	state, err := p.state(time.Now().Add(tellTime))
 	if err != nil {
 		l.log.WithError(err).Warn("no state taken over")
@@ -164,7 +178,7 @@
 	l.mu.Unlock()
 	go func() {
 		for {
-			c, err := listener.Accept()
+			c, err := listener.AcceptUnix()
 			if err != nil {
 				return
 			}
@@ -179,7 +193,7 @@
 
 // succeed takes the call of a newer process, unless there is one already, and tells it
 // the state. The core and the list answer from their mailboxes.
-func (l *Link) succeed(c net.Conn) {
+func (l *Link) succeed(c *net.UnixConn) {
 	p := newPeer(l, c)
 	l.mu.Lock()
 	taken := l.peer != nil
@@ -250,7 +264,23 @@
 // deadline. What came from there is never passed back.
 func (l *Link) Pass(ev core.JobEvent, by time.Time) bool {
 	p := l.current()
-	return p != nil && p.pass(ev, by)
+	return p != nil && p.ask(message{Event: &ev}, by)
+}
+
+// Hand hands a client's connection to the other process, with what has been read from
+// it, and reports whether that serves it. The caller's copy stays the caller's.
+func (l *Link) Hand(c net.Conn, request []byte, m *core.Moved, by time.Time) bool {
+	p := l.current()
+	if p == nil {
+		return false
+	}
+	s, err := copyOf(c)
+	if err != nil {
+		l.log.WithError(err).Warn("a connection could not be handed over")
+		return false
+	}
+	defer s.close()
+	return p.ask(message{Client: &client{Request: request, Moved: m}, socket: s}, by)
 }
 
 // Close ends the link. The socket's name goes with it unless it is a newer process's.
@@ -272,8 +302,9 @@
 // ---- The peer ----
 
 // newPeer makes the actor of the other process; its connection is the peer's.
-func newPeer(l *Link, c net.Conn) *peer {
-	p := &peer{link: l, conn: c, lines: bufio.NewScanner(c), box: mailbox.New[message](), over: make(chan struct{}),
+func newPeer(l *Link, c *net.UnixConn) *peer {
+	in := &rights{conn: c}
+	p := &peer{link: l, conn: c, in: in, lines: bufio.NewScanner(in), box: mailbox.New[message](), over: make(chan struct{}),
 		asked: map[uint64]chan bool{}}
 	p.lines.Buffer(nil, maxLine)
 	return p
--- a/internal/handover/peer.go
+++ b/internal/handover/peer.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"magpierelay/internal/core"
 	"magpierelay/internal/mailbox"
 )
 
@@ -19,7 +18,8 @@
 // it is without bound, and whatever it does but speak in time ends the link.
 type peer struct {
 	link   *Link
-	conn   net.Conn
+	conn   *net.UnixConn
+	in     *rights
 	lines  *bufio.Scanner
 	box    *mailbox.Box[message] // what is to be written
 	serves atomic.Bool           // it has said that it serves
@@ -28,7 +28,7 @@
 
 	mu     sync.Mutex
 	number uint64
-	asked  map[uint64]chan bool // call-backs passed and not answered
+	asked  map[uint64]chan bool // what has been asked and not answered
 }
 
 // end is the one place where a link ends and its connection is given back.
@@ -55,7 +55,6 @@
 	defer p.end()
 	tick := time.NewTicker(beat)
 	defer tick.Stop()
-	out := json.NewEncoder(p.conn)
 	var mail []message
 	for {
 		select {
@@ -68,13 +67,32 @@
 		}
 		_ = p.conn.SetWriteDeadline(time.Now().Add(hush))
 		for _, m := range mail {
-			if out.Encode(m) != nil {
+			if err := p.put(m); err != nil {
+				p.link.log.WithError(err).Debug("link ends")
 				return
 			}
 		}
 	}
 }
 
+// put writes a message, with its connection if there is one.
+func (p *peer) put(m message) error {
+	line, err := json.Marshal(m)
+	if err != nil {
+		return fmt.Errorf("writing the link: %w", err)
+	}
+	line = append(line, '\n')
+	if m.socket == nil {
+		_, err = p.conn.Write(line)
+	} else {
+		err = m.socket.send(p.conn, line)
+	}
+	if err != nil {
+		return fmt.Errorf("writing the link: %w", err)
+	}
+	return nil
+}
+
 // next reads a message until the deadline.
 func (p *peer) next(by time.Time) (m message, err error) {
 	_ = p.conn.SetReadDeadline(by)
@@ -108,6 +126,7 @@
 
 // read heeds what the other process says until it falls silent.
 func (p *peer) read() {
+	defer p.in.close()
 	defer p.end()
 	for {
 		m, err := p.next(time.Now().Add(hush))
@@ -119,29 +138,34 @@
 		case m.Ready:
 			p.serves.Store(true)
 		case m.Exclusion != nil:
-			p.link.core.Adopt(*m.Exclusion)
+			p.link.core.Heed(*m.Exclusion)
 		case m.Event != nil:
 			p.link.core.Report(*m.Event, func(took bool) { p.box.Put(message{Number: m.Number, Took: took}) })
+		case m.Client != nil:
+			c, err := p.in.next()
+			took := err == nil && p.link.adopt(c, m.Client.Request, m.Client.Moved)
+			p.box.Put(message{Number: m.Number, Took: took})
 		case m.Number > 0:
 			p.answered(m.Number, m.Took)
 		}
 	}
 }
 
-// pass asks the other process to take a call-back.
-func (p *peer) pass(ev core.JobEvent, by time.Time) bool {
+// ask sends what the other process is to take, and reports whether it did by the
+// deadline.
+func (p *peer) ask(m message, by time.Time) bool {
 	took := make(chan bool, 1)
 	p.mu.Lock()
 	p.number++
-	n := p.number
-	p.asked[n] = took
+	m.Number = p.number
+	p.asked[m.Number] = took
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
-		delete(p.asked, n)
+		delete(p.asked, m.Number)
 		p.mu.Unlock()
 	}()
-	p.box.Put(message{Event: &ev, Number: n})
+	p.box.Put(m)
 	late := time.NewTimer(time.Until(by))
 	defer late.Stop()
 	select {
--- /dev/null
+++ b/internal/handover/socket.go
@@ -0,0 +1,112 @@
+package handover
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+)
+
+// socket is a copy of a connection's descriptor on its way to another process. Whoever
+// made it closes it.
+type socket struct {
+	mu sync.Mutex
+	fd int // -1 when it is closed
+}
+
+// copyOf makes a copy of a connection's descriptor; the connection may be wrapped.
+func copyOf(c net.Conn) (*socket, error) {
+	if w, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = w.NetConn()
+	}
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, fmt.Errorf("a %T has no descriptor", c)
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("copying a connection: %w", err)
+	}
+	out, failed := &socket{fd: -1}, error(nil)
+	err = raw.Control(func(fd uintptr) {
+		syscall.ForkLock.RLock()
+		defer syscall.ForkLock.RUnlock()
+		if out.fd, failed = syscall.Dup(int(fd)); failed == nil {
+			syscall.CloseOnExec(out.fd)
+		}
+	})
+	if err = errors.Join(err, failed); err != nil {
+		return nil, fmt.Errorf("copying a connection: %w", err)
+	}
+	return out, nil
+}
+
+// send writes a line with the descriptor beside its first byte.
+func (s *socket) send(to *net.UnixConn, line []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fd < 0 {
+		return nil // nobody waits for it any more
+	}
+	n, _, err := to.WriteMsgUnix(line, syscall.UnixRights(s.fd), nil)
+	if err == nil && n < len(line) {
+		_, err = to.Write(line[n:])
+	}
+	return err
+}
+
+func (s *socket) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fd >= 0 {
+		syscall.Close(s.fd)
+		s.fd = -1
+	}
+}
+
+// rights reads a link and keeps the descriptors that come beside the bytes, in their
+// order.
+type rights struct {
+	conn *net.UnixConn
+	fds  []int
+}
+
+func (r *rights) Read(p []byte) (int, error) {
+	beside := make([]byte, syscall.CmsgSpace(4*4))
+	n, size, _, _, err := r.conn.ReadMsgUnix(p, beside)
+	messages, bad := syscall.ParseSocketControlMessage(beside[:size])
+	for i := range messages {
+		if fds, err := syscall.ParseUnixRights(&messages[i]); err == nil && bad == nil {
+			r.fds = append(r.fds, fds...)
+		}
+	}
+	if n == 0 && err == nil {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// next returns the connection that came first and has not been taken.
+func (r *rights) next() (net.Conn, error) {
+	if len(r.fds) == 0 {
+		return nil, errors.New("no connection came along")
+	}
+	f := os.NewFile(uintptr(r.fds[0]), "client")
+	r.fds = r.fds[1:]
+	defer f.Close()
+	c, err := net.FileConn(f)
+	if err != nil {
+		return nil, fmt.Errorf("a connection handed over: %w", err)
+	}
+	return c, nil
+}
+
+// close gives back the descriptors that nobody has taken.
+func (r *rights) close() {
+	for _, fd := range r.fds {
+		syscall.Close(fd)
+	}
+	r.fds = nil
+}
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"magpierelay/internal/core"
 )
 
 // door is the listener of the ingress and the owner of its connections. It takes
@@ -48,9 +50,17 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &conn{Conn: c, door: d}
+	return d.admit(c, nil, nil), nil
+}
+
+// admit takes a connection, past the budget in another one's place. What has been read
+// from it already comes first, and moved is what has become of that request.
+func (d *door) admit(c net.Conn, read []byte, moved *core.Moved) *conn {
+	x := &conn{Conn: c, door: d, read: read, moved: moved}
 	d.mu.Lock()
-	x.wait(newcomers)
+	if len(read) == 0 {
+		x.wait(newcomers)
+	}
 	d.open++
 	var out *conn
 	if d.open > d.most {
@@ -61,9 +71,33 @@
 		d.putOut.Add(1)
 		out.Close()
 	}
-	return x, nil
+	return x
 }
 
+// adopted is the listener of connections that another process hands over.
+type adopted struct {
+	door  *door
+	conns chan net.Conn
+	over  chan struct{}
+	once  sync.Once
+}
+
+func (a *adopted) Accept() (net.Conn, error) {
+	select {
+	case c := <-a.conns:
+		return c, nil
+	case <-a.over:
+		return nil, net.ErrClosed
+	}
+}
+
+func (a *adopted) Close() error {
+	a.once.Do(func() { close(a.over) })
+	return nil
+}
+
+func (a *adopted) Addr() net.Addr { return a.door.Addr() }
+
 // surplus picks the connection that is to make room: a newcomer that has been silent
 // for long, else the one that has rested longest, a client's before a runner's, else
 // any other newcomer. One that speaks is passed over.
@@ -120,6 +154,8 @@
 	net.Conn
 	door    *door
 	framing framing
+	read    []byte      // by another process, and to be read first
+	moved   *core.Moved // what has become of that; nil if it goes on here
 
 	// Under the door's lock.
 	place  *list.Element // in the door's list; nil while a whole request is on it
@@ -131,11 +167,21 @@
 
 // Read takes note of the requests that pass.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	var n int
+	var err error
+	if len(c.read) > 0 {
+		n = copy(p, c.read)
+		c.read = c.read[n:]
+	} else {
+		n, err = c.Conn.Read(p)
+	}
 	c.framing.see(p[:n])
 	return n, err
 }
 
+// NetConn returns the connection that this one wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite lets net/http end an answer before it stops reading.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -4,6 +4,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -50,6 +51,8 @@
 type Core interface {
 	Submit(*core.Job, core.Ingress)
 	Leave(*core.Job)
+	Release(job *core.Job, done func(*core.Moved))
+	Adopt(*core.Job, *core.Moved, core.Ingress)
 	Report(ev core.JobEvent, took func(bool))
 	EndBy(time.Time)
 }
@@ -57,7 +60,9 @@
 // Other is the other process of the dispatcher, while there is one.
 type Other interface {
 	Linked() bool
+	Succeeded() bool // it is newer, and serves
 	Pass(ev core.JobEvent, by time.Time) bool
+	Hand(c net.Conn, request []byte, m *core.Moved, by time.Time) bool
 }
 
 // Counts takes note of how jobs end, by their class's number.
@@ -97,7 +102,8 @@
 	jobs    atomic.Int64 // those that wait for the core's answer
 	clients atomic.Int64 // most of them
 	classes atomic.Pointer[[]Class]
-	leaving atomic.Bool               // every answer ends its connection
+	moving  chan struct{} // closed when all jobs go to a newer process
+	adopted *adopted
 	bad     atomic.Int64              // requests refused as malformed, since the last summary
 	crowded atomic.Int64              // jobs refused for want of room, since then
 	leaveBy atomic.Pointer[time.Time] // when all that comes now has to be answered; nil before the planned end
@@ -105,7 +111,9 @@
 
 // New makes a front.
 func New(cfg Config, c Core, other Other, counts Counts, log *logrus.Entry) *Front {
-	f := &Front{cfg: cfg, core: c, other: other, counts: counts, log: log, door: &door{most: cfg.Sockets}}
+	f := &Front{cfg: cfg, core: c, other: other, counts: counts, log: log, door: &door{most: cfg.Sockets},
+		moving: make(chan struct{})}
+	f.adopted = &adopted{conns: make(chan net.Conn, 64), over: make(chan struct{}), door: f.door}
 	f.clients.Store(int64(cfg.Clients))
 	f.classes.Store(&cfg.Classes)
 	f.server = &http.Server{
@@ -130,6 +138,7 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	go f.summarise(stop)
+	go func() { _ = f.server.Serve(f.adopted) }() // ends with the server
 	if err := f.server.Serve(f.door); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serving %s: %w", l.Addr(), err)
 	}
@@ -153,15 +162,16 @@
 	f.door.budget(sockets)
 }
 
-// GiveWay leaves all new connections to a newer process, ends each that there is with
-// its next answer, and returns when none is left or at the deadline. Guards requests
-// that cross a close: kept connections are closed by clients' next use, not before.
+// GiveWay leaves new connections and all jobs to a newer process, and what else comes
+// on the connections that there are; it returns when none is left, when the newer
+// process has ended, or at the deadline. Guards requests that cross a close: kept
+// connections go with their next use, not before.
 func (f *Front) GiveWay(by time.Time) {
-	f.leaving.Store(true)
+	close(f.moving)
 	f.door.Listener.Close()
 	tick := time.NewTicker(quiet / 25)
 	defer tick.Stop()
-	for f.door.count() > 0 && time.Now().Before(by) {
+	for f.door.count() > 0 && time.Now().Before(by) && f.other.Succeeded() {
 		<-tick.C
 	}
 }
@@ -233,7 +243,7 @@
 	// is read from the connection.
 	x := r.Context().Value(connKey{}).(*conn)
 	framed := x.framing.next()
-	if framed.last() || f.leaving.Load() {
+	if framed.last() || f.gives() {
 		w.Header().Set("Connection", "close")
 	}
 	switch {
@@ -325,22 +335,114 @@
 		return
 	}
 	job.Body = text
+	m := &core.Moved{Deadline: time.Duration(job.Deadline.UnixNano())}
+	if c.moved != nil { // the older process has begun it
+		m, c.moved = c.moved, nil
+		job.Deadline = time.Unix(0, int64(m.Deadline))
+	}
+	if f.gives() && f.move(w, r, m, text) {
+		return
+	}
 	by := f.leaveBy.Load()
 	if by != nil && by.Before(job.Deadline) {
 		// Guards rule 1: what the process's end finds without an answer is lost.
 		job.Deadline, job.Ending = *by, true
 	}
 	x := make(exchange, 1)
-	f.core.Submit(job, x)
+	if len(m.Hops) > 0 {
+		f.core.Adopt(job, m, x)
+	} else {
+		f.core.Submit(job, x)
+	}
+	f.await(w, r, job, x)
+}
+
+// await waits for a job's answer and writes it, unless the client leaves or the job
+// moves to a newer process.
+func (f *Front) await(w http.ResponseWriter, r *http.Request, job *core.Job, x exchange) {
+	released := make(chan *core.Moved, 1)
+	for moving := f.moving; ; {
+		select {
+		case a := <-x:
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(readTime))
+			if f.leaveBy.Load() != nil && a.Verdict == core.Shed || f.gives() {
+				w.Header().Set("Connection", "close")
+			}
+			f.write(w, job.Class, a)
+			return
+		case <-r.Context().Done():
+			f.core.Leave(job)
+			return
+		case <-moving:
+			moving = nil // once
+			f.core.Release(job, func(m *core.Moved) { released <- m })
+		case m := <-released:
+			if m == nil {
+				continue // its answer is on the way
+			}
+			if !f.move(w, r, m, job.Body) {
+				f.counts.Failed(job.Class)
+				w.Header().Set("Connection", "close")
+				http.Error(w, "the job failed", http.StatusBadGateway)
+			}
+			return
+		}
+	}
+}
+
+// gives tells whether all jobs go to a newer process now.
+func (f *Front) gives() bool {
 	select {
-	case a := <-x:
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(readTime))
-		if by != nil && a.Verdict == core.Shed || f.leaving.Load() {
-			w.Header().Set("Connection", "close")
+	case <-f.moving:
+		return f.other.Succeeded()
+	default:
+		return false
+	}
+}
+
+// move hands a client's connection and its request to the newer process. It reports
+// whether nothing more is owed here.
+func (f *Front) move(w http.ResponseWriter, r *http.Request, m *core.Moved, body []byte) bool {
+	if !f.other.Succeeded() {
+		return false
+	}
+	c, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		f.log.WithError(err).Warn("a connection could not be handed over")
+		return false
+	}
+	defer c.Close() // this process's copy
+	_ = c.SetDeadline(time.Time{})
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", r.Method, r.RequestURI, r.Host, len(body))
+	_ = r.Header.WriteSubset(&text, map[string]bool{"Content-Length": true}) // to memory
+	text.WriteString("\r\n")
+	text.Write(body)
+	more, _ := buffered.Reader.Peek(buffered.Reader.Buffered())
+	text.Write(more)
+	if !f.other.Hand(c, text.Bytes(), m, time.Now().Add(passTime)) {
+		// Guards rule 1 against a newer process that has ended: it may have run, unless
+		// it was never sent.
+		status := http.StatusBadGateway
+		if len(m.Hops) == 0 {
+			status = http.StatusServiceUnavailable
 		}
-		f.write(w, class, a)
-	case <-r.Context().Done():
-		f.core.Leave(job)
+		_ = c.SetWriteDeadline(time.Now().Add(passTime))
+		fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+	}
+	return true
+}
+
+// Adopt serves a client's connection that the older process hands over, beginning with
+// the request that was read from it there.
+func (f *Front) Adopt(c net.Conn, request []byte, m *core.Moved) bool {
+	x := f.door.admit(c, request, m)
+	select {
+	case f.adopted.conns <- x:
+		return true
+	default:
+		x.Close()
+		return false
 	}
 }
 
