--- a/cmd/frosttide/daily_test.go
+++ b/cmd/frosttide/daily_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -478,3 +479,51 @@
 		}
 	}
 }
+
+// TestSlowClient guards a good job that is written in pieces over more than 2 s on a new
+// connection, while others fill the door: some ask once and stay, some never finish, and
+// those are ended in time.
+func TestSlowClient(t *testing.T) {
+	t.Parallel()
+	r := newRunner(t, "s-1")
+	d := start(t, newDiscovery(t).URL, 64, r.entry())
+	var text bytes.Buffer
+	if err := d.job("render", "x1").Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	c := d.raw("")
+	got := read(c)
+	var ends []<-chan answer
+	for range 11 { // the pace of the client is the matter here
+		piece := text.Next(min(30, text.Len()-1))
+		if _, err := c.Write(piece); err != nil {
+			t.Fatalf("after %v: %v", piece, err)
+		}
+		for range 10 {
+			await(t, read(d.raw("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")), "answer to a health check")
+		}
+		for range 2 {
+			ends = append(ends, read(d.raw("POST /render HTTP/1.1\r\nHost: x\r\nX-Never")))
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	if _, err := text.WriteTo(c); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case h := <-r.hops:
+		h.reply(202, "")
+	case a := <-got:
+		t.Fatalf("answer %+v to the slow job before it was dispatched", a)
+	}
+	d.report(event("x1", r.uid, "done"))
+	if a := await(t, got, "answer"); a.Status != 200 {
+		t.Errorf("answer %+v to the slow job", a)
+	}
+	for _, end := range ends {
+		await(t, end, "end of a connection that never finishes")
+	}
+	if took := time.Since(d.lastRaw); took > 3*time.Second {
+		t.Errorf("a connection that never finishes lasted %v", took)
+	}
+}
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -24,24 +24,24 @@
 	putOut  atomic.Int64 // connections that had to make room, since the last summary
 	mu      sync.Mutex
 	open    int
-	waiting [runners + 1]list.List // connections whose place may be given away, the longest waiting first
+	waiting [runners + 1]list.List // connections whose place may be given away, the longest quiet first
 }
 
-// The lists of connections without a whole request, in the order in which places
-// are given away.
+// The lists of connections without a whole request.
 const (
-	newcomers = iota
-	clients   // kept, last used by a client
-	runners   // kept, last used by a runner's call-back
+	newcomers = iota // have said nothing yet
+	begun            // have begun a request
+	clients          // kept, last used by a client
+	runners          // kept, last used by a runner's call-back
 )
 
 const (
 	// mostPeeks bounds the connections of a list that are asked whether they speak,
 	// for one place.
 	mostPeeks = 32
-	// settling is how long a newcomer may be silent before a kept connection makes
-	// room instead. Guards a client that is about to send its first request: a close
-	// fails that, while one that had its answer just connects again.
+	// settling is how long a connection may be quiet before it makes room first. Guards
+	// a client that is about to send its first request, or the rest of one: a close fails
+	// that, while one that had its answer just connects again.
 	settling = 500 * time.Millisecond
 )
 
@@ -98,15 +98,18 @@
 
 func (a *adopted) Addr() net.Addr { return a.door.Addr() }
 
-// surplus picks the connection that is to make room: a newcomer that has been silent
-// for long, else the one that has rested longest, a client's before a runner's, else
-// any other newcomer. One that speaks is passed over.
+// surplus picks the connection that is to make room: a newcomer that has said nothing
+// for long, else a client's that has rested for long, else one that has stopped in the
+// middle of a request; and if none has been quiet for long, a client's, a runner's, then
+// any. One that speaks is passed over. Guards requests that are written slowly, on new
+// connections, while thousands of others connect, ask once and stay.
 func (d *door) surplus(latest *conn) *conn {
 	settled := time.Now().Add(-settling)
 	for _, pass := range []struct {
 		list   int
 		before time.Time
-	}{{newcomers, settled}, {clients, time.Time{}}, {runners, time.Time{}}, {newcomers, time.Time{}}} {
+	}{{newcomers, settled}, {clients, settled}, {begun, settled}, {clients, time.Time{}}, {runners, time.Time{}},
+		{newcomers, time.Time{}}, {begun, time.Time{}}} {
 		peeks := 0
 		for e := d.waiting[pass.list].Front(); e != nil && peeks < mostPeeks; e = e.Next() {
 			x := e.Value.(*conn)
@@ -176,6 +179,9 @@
 		n, err = c.Conn.Read(p)
 	}
 	c.framing.see(p[:n])
+	if n > 0 {
+		c.spoke()
+	}
 	return n, err
 }
 
@@ -213,6 +219,16 @@
 	}
 }
 
+// spoke tells that a part of a request has come.
+func (c *conn) spoke() {
+	c.door.mu.Lock()
+	defer c.door.mu.Unlock()
+	if c.place != nil {
+		c.stir()
+		c.wait(begun)
+	}
+}
+
 // heard tells that a whole request has come: nobody takes its place until it is
 // answered.
 func (c *conn) heard(runner bool) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -30,8 +30,9 @@
 	maxBody = 64 << 10 // the protocol's bound on any body
 	maxID   = 128      // a longer id is not one of ours
 	// hearTime is how long a request may take to arrive: from the connection's
-	// opening, or from its first bytes on a kept one, to its last byte.
-	hearTime = 2 * time.Second
+	// opening, or from its first bytes on a kept one, to its last byte. Good ones may take
+	// more than 2 s; whoever sends something else is due an end within 3 s.
+	hearTime = 2750 * time.Millisecond
 	// readTime is how long a client may take to read its answer.
 	readTime = 10 * time.Second
 	// idleTime is how long a connection may sit between requests.
