Bound accept(2) on the shared socket, whatever other holders make of its mode

Seen: TestInherited hung once in 40 runs: whoever starts a process with the socket may set it blocking between our fcntl and accept4, and Close waits for the accept. Ruled out by a dump of 20 runs side by side: signals, open requests, the link.

--- a/internal/handover/listener.go
+++ b/internal/handover/listener.go
@@ -10,6 +10,10 @@
 	"syscall"
 )
 
+// mostWait bounds, in microseconds, how long accept(2) may block should another holder
+// set the socket blocking between our setting and our call.
+const mostWait = 100_000
+
 // Listen serves a listening socket that the platform holds for all processes of the
 // dispatcher. Closing the listener ends this process's copy alone: shutdown(2) would
 // end the socket for all.
@@ -18,6 +22,9 @@
 		return nil, fmt.Errorf("$BALANCER_FD: %w", err)
 	}
 	syscall.CloseOnExec(fd)
+	if err := syscall.SetsockoptTimeval(fd, syscall.SOL_SOCKET, syscall.SO_RCVTIMEO, &syscall.Timeval{Usec: mostWait}); err != nil {
+		return nil, fmt.Errorf("$BALANCER_FD: %w", err)
+	}
 	f := os.NewFile(uintptr(fd), "$BALANCER_FD")
 	first, err := net.FileListener(f) // it must be a listening socket, and knows its address
 	if err != nil {
