--- a/cmd/frosttide/daily_test.go
+++ b/cmd/frosttide/daily_test.go
@@ -526,3 +526,51 @@
 		t.Errorf("a connection that never finishes lasted %v", took)
 	}
 }
+
+// TestSuccessorFails guards the older process against a newer one that dies or hangs: it
+// goes on as before, or gives every job its answer in time.
+func TestSuccessorFails(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name   string
+		signal syscall.Signal
+		status int // of the job that is open at the older one's end
+	}{{"killed", syscall.SIGKILL, 200}, {"stopped", syscall.SIGSTOP, 502}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRunner(t, "s-1")
+			old := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()}, upgradable)
+			open := submit(old.job("release", "x1"))
+			await(t, r.hops, "hop").reply(202, "")
+			next := old.successor()
+			if err := next.cmd.Process.Signal(tc.signal); err != nil {
+				t.Fatal(err)
+			}
+			if tc.signal == syscall.SIGKILL {
+				old.awaitLog("the other process has ended")
+				got := submit(old.job("render", "x2"))
+				await(t, r.hops, "hop").reply(202, "")
+				old.report(event("x2", r.uid, "done"))
+				if a := await(t, got, "answer"); a.Status != 200 {
+					t.Errorf("answer %+v after the newer process's death", a)
+				}
+			}
+			told := time.Now()
+			if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			old.awaitLog("frosttide drains")
+			if tc.signal == syscall.SIGKILL { // it lingers, for call-backs above all
+				if code := old.report(event("x1", r.uid, "done")); code != 204 {
+					t.Errorf("call-back after SIGTERM got %d", code)
+				}
+			}
+			if a := await(t, open, "answer"); a.Status != tc.status || time.Since(told) > 3600*time.Millisecond {
+				t.Errorf("answer %+v %v after SIGTERM, want %d", a, time.Since(told), tc.status)
+			}
+			if err := await(t, old.ended, "end"); err != nil {
+				t.Errorf("the older process ended with %v", err)
+			}
+		})
+	}
+}
