--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -158,6 +158,7 @@
 	}
 	by := time.Now().Add(time.Duration(grace.Load()) - lead)
 	if link.Succeeded() {
+		listener.Close()
 		front.GiveWay(by.Add(-closing))
 		front.Leave(by)
 	} else {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -163,13 +163,12 @@
 	f.door.budget(sockets)
 }
 
-// GiveWay leaves new connections and all jobs to a newer process, and what else comes
-// on the connections that there are; it returns when none is left, when the newer
-// process has ended, or at the deadline. Guards requests that cross a close: kept
-// connections go with their next use, not before.
+// GiveWay leaves all jobs to a newer process, those that come on the connections that
+// there are too; the caller has closed the listener. It returns when no connection is
+// left, when the newer process has ended, or at the deadline. Guards requests that cross
+// a close: kept connections go with their next use, not before.
 func (f *Front) GiveWay(by time.Time) {
 	close(f.moving)
-	f.door.Listener.Close()
 	tick := time.NewTicker(quiet / 25)
 	defer tick.Stop()
 	for f.door.count() > 0 && time.Now().Before(by) && f.other.Succeeded() {
