Let a list come in pieces: the watch's silence is counted by bytes, not lines

Proved by TestListInPieces: a line that took 4.9 s, 20 bytes each 0.7 s, was broken off after 4.5 s (routetable.read reset the watchdog at whole lines only), again and again.

--- a/cmd/frosttide/daily_test.go
+++ b/cmd/frosttide/daily_test.go
@@ -574,3 +574,26 @@
 		})
 	}
 }
+
+// TestListInPieces guards a line of the list that takes longer to come than discovery
+// may be silent.
+func TestListInPieces(t *testing.T) {
+	t.Parallel()
+	r := newRunner(t, "s-1")
+	disc := newDiscovery(t)
+	d := start(t, disc.URL, 1024)
+	w := await(t, disc.watches, "watch")
+	line := list(42, false, r.entry())
+	for len(line) > 20 { // the pace of discovery is the matter here
+		w.lines <- line[:20] + piece
+		line = line[20:]
+		time.Sleep(700 * time.Millisecond)
+	}
+	w.lines <- line
+	d.awaitLog("target=s-1")
+	select {
+	case <-w.gone:
+		t.Error("the watch was broken off")
+	default:
+	}
+}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -226,10 +226,9 @@
 		_, _ = io.CopyN(io.Discard, resp.Body, 64<<10)
 		return fmt.Errorf("asking discovery: status %d", resp.StatusCode)
 	}
-	lines := bufio.NewScanner(resp.Body)
+	lines := bufio.NewScanner(heard{resp.Body, func() { watchdog.Reset(silence) }})
 	lines.Buffer(nil, maxLine)
 	for lines.Scan() {
-		watchdog.Reset(silence)
 		if text := bytes.Clone(bytes.TrimSpace(lines.Bytes())); len(text) > 0 {
 			line(text)
 		}
@@ -240,6 +239,21 @@
 	return nil
 }
 
+// heard tells of all that comes, whole lines or not. Guards a list that comes in pieces
+// from being broken off: the next call would bring it no faster.
+type heard struct {
+	io.Reader
+	some func()
+}
+
+func (h heard) Read(p []byte) (int, error) {
+	n, err := h.Reader.Read(p)
+	if n > 0 {
+		h.some()
+	}
+	return n, err
+}
+
 // cause names the watchdog where it was the reason of an error.
 func cause(ctx context.Context, err error) error {
 	if c := context.Cause(ctx); c != nil {
