--- a/cmd/frosttide/daily_test.go
+++ b/cmd/frosttide/daily_test.go
@@ -272,6 +272,7 @@
 			r := newRunner(t, "s-1")
 			var path string
 			began := time.Now()
+			early := make(chan int, 1) // what the console says while the peer is waited for
 			d := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()}, upgradable, func(d *dispatcher) {
 				path = handover.Path(tmpdir(d), d.addr)
 				peer := listenUnix(t, path)
@@ -280,10 +281,18 @@
 					if err != nil {
 						return
 					}
+					if a := do(&http.Client{Timeout: time.Second}, ready(d)); tc.says == "" {
+						early <- a.Status
+					}
 					io.WriteString(c, tc.says)
 					io.Copy(io.Discard, c)
 				}()
 			})
+			if tc.says == "" {
+				if status := await(t, early, "answer of the console"); status != 503 {
+					t.Errorf("ready got %d before the process serves", status)
+				}
+			}
 			if took := time.Since(began); took > 6*time.Second {
 				t.Errorf("the process was ready after %v", took)
 			}
@@ -304,6 +313,15 @@
 	}
 }
 
+// ready asks whether a dispatcher's process serves.
+func ready(d *dispatcher) *http.Request {
+	req, err := http.NewRequest("GET", "http://"+d.ops+"/api/ready", nil)
+	if err != nil {
+		panic(err) // the address is ours
+	}
+	return req
+}
+
 func listenUnix(t *testing.T, path string) *net.UnixListener {
 	t.Helper()
 	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
