--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -73,22 +73,21 @@
 	}
 	limit(cfg.Limits, 1)
 	entry := log.WithField("name", cfg.Name)
-	budget := cfg.Limits.Sockets - reserved
 	var operators net.Listener
 	if cfg.Console != "" { // open before all else, so that callers have their answers
-		budget -= console.Sockets
 		if operators, err = net.Listen("tcp", cfg.Console); err != nil {
 			return fmt.Errorf("console: %w", err)
 		}
 		defer operators.Close()
 	}
 
+	whole := sockets(cfg, 1)
 	counts := telemetry.New()
 	counts.Classes(cfg.Names.Classes)
 	table := routetable.New(routetable.Config{Addr: cfg.Discovery, Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds},
 		entry.WithField("part", "routetable"))
 	fleet := egress.NewFleet(egress.Config{ConnectTimeout: cfg.Module.Limits.ConnectTimeout,
-		Keepalive: cfg.Names.Keepalive, Sockets: budget * 3 / 8, Columns: cfg.Names.Columns,
+		Keepalive: cfg.Names.Keepalive, Sockets: whole.runners, Columns: cfg.Names.Columns,
 		Reports: len(cfg.Names.Columns) > 0, Sent: counts.Sent}, entry.WithField("part", "egress"))
 	c, err := core.New(cfg.Module, cfg.Seed, fleet, table, counts.Members, entry.WithField("part", "core"))
 	if err != nil {
@@ -102,8 +101,9 @@
 	var front *ingress.Front
 	share := func(processes int) {
 		c.Processes(processes)
-		fleet.Budget(budget * 3 / 8 / processes)
-		front.Budget(budget*4/8/processes, budget*5/8/processes)
+		part := sockets(cfg, processes)
+		fleet.Budget(part.runners)
+		front.Budget(part.jobs, part.ingress)
 		limit(cfg.Limits, processes)
 	}
 	link := handover.New(handover.Path(os.TempDir(), cfg.Listen), c, table, share,
@@ -111,7 +111,7 @@
 	defer link.Close()
 	c.Inform(link.Exclude)
 	front = ingress.New(ingress.Config{Classes: classes(cfg), Columns: cfg.Names.Columns,
-		Slots: magpierelay.MostSlots, Clients: budget * 4 / 8, Sockets: budget * 5 / 8}, c, link, counts, entry.WithField("part", "ingress"))
+		Slots: magpierelay.MostSlots, Clients: whole.jobs, Sockets: whole.ingress}, c, link, counts, entry.WithField("part", "ingress"))
 	listener, err := listen(cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -172,6 +172,20 @@
 	return nil
 }
 
+// budget is how many descriptors a process has for what.
+type budget struct{ runners, ingress, jobs int }
+
+// sockets returns the budget of one of so many processes: each needs its own reserve.
+// Where that leaves too little it has to do with less.
+func sockets(cfg config.Config, processes int) budget {
+	part := cfg.Limits.Sockets / processes
+	n := max(part-reserved, part/4)
+	if cfg.Console != "" {
+		n = max(n-console.Sockets, part/4)
+	}
+	return budget{runners: n * 3 / 8, ingress: n * 5 / 8, jobs: n * 4 / 8}
+}
+
 // listen opens the clients' address, or takes the socket that the platform holds
 // for all processes of this dispatcher.
 func listen(cfg config.Config) (net.Listener, error) {
