Wait until the older process knows of the newer one before telling ready

The platform's SIGTERM may come before the older process has read that the newer one serves; it would then go as at a planned restart and cut long jobs. Also: the test of a stopped process waits until it has stopped (it could still take a job before).

--- a/cmd/frosttide/daily_test.go
+++ b/cmd/frosttide/daily_test.go
@@ -573,6 +573,15 @@
 					t.Errorf("answer %+v after the newer process's death", a)
 				}
 			}
+			for over := time.Now().Add(patience); tc.signal == syscall.SIGSTOP; { // it takes effect a little later
+				stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", next.cmd.Process.Pid))
+				if err != nil || time.Now().After(over) {
+					t.Fatalf("the newer process does not stop: %s, %v", stat, err)
+				}
+				if strings.Contains(string(stat), ") T ") {
+					break
+				}
+			}
 			told := time.Now()
 			if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 				t.Fatal(err)
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -188,8 +188,13 @@
 	return nil
 }
 
-// Ready tells the older process that this one serves.
-func (l *Link) Ready() { l.tell(message{Ready: true}) }
+// Ready tells the older process that this one serves, and waits until it knows: its
+// SIGTERM comes with the platform's next look.
+func (l *Link) Ready() {
+	if p := l.current(); p != nil && !p.ask(message{Ready: true}, time.Now().Add(dialTime)) {
+		l.log.Warn("the older process does not say that it knows of this one")
+	}
+}
 
 // succeed takes the call of a newer process, unless there is one already, and tells it
 // the state. The core and the list answer from their mailboxes.
--- a/internal/handover/peer.go
+++ b/internal/handover/peer.go
@@ -137,6 +137,7 @@
 		switch {
 		case m.Ready:
 			p.serves.Store(true)
+			p.box.Put(message{Number: m.Number, Took: true})
 		case m.Exclusion != nil:
 			p.link.core.Heed(*m.Exclusion)
 		case m.Event != nil:
