Name the module frosttide, move it to decision/ and split the core by concern

Need: the program grows by whole subsystems; a module in the repository's root under an inherited name, and a core in one file of 977 lines, get in their way.

Change: the module path is frosttide, the decision module is package decision with its file names kept (policy and node in deploy/balancer.toml follow). internal/core/core.go becomes core, terms, requests, hops, list, exclusions, handover, timers and tally; no declaration changes.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -11,8 +11,8 @@
 	"io"
 	"os"
 
-	"magpierelay"
-	"magpierelay/internal/wire"
+	"frosttide/decision"
+	"frosttide/internal/wire"
 )
 
 func main() {
@@ -51,8 +51,8 @@
 
 // instance is one hosted dispatcher and what the current batch holds for it.
 type instance struct {
-	dispatcher *magpierelay.Dispatcher
-	events     []magpierelay.Event
+	dispatcher *decision.Dispatcher
+	events     []decision.Event
 	fault      string // why it could not start, to be reported once
 	touched    bool
 }
@@ -61,7 +61,7 @@
 type host struct {
 	instances []*instance
 	touched   []int
-	actions   []magpierelay.Action
+	actions   []decision.Action
 	log       io.Writer
 }
 
@@ -86,7 +86,7 @@
 	in.dispatcher, in.events, in.fault = nil, in.events[:0], ""
 	cfg, err := wire.ParseSettings(settings)
 	if err == nil {
-		in.dispatcher, err = magpierelay.New(cfg, seed)
+		in.dispatcher, err = decision.New(cfg, seed)
 	}
 	if err != nil {
 		in.fault = err.Error()
@@ -101,7 +101,7 @@
 }
 
 // Event queues an event for its instance.
-func (h *host) Event(n int, ev *magpierelay.Event) {
+func (h *host) Event(n int, ev *decision.Event) {
 	in := h.at(n)
 	if in.dispatcher == nil {
 		fmt.Fprintf(h.log, "adapter: event for instance %d, which is not provisioned, is passed over\n", n)
--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -18,15 +18,15 @@
 
 	"github.com/sirupsen/logrus"
 
-	"magpierelay"
-	"magpierelay/internal/config"
-	"magpierelay/internal/console"
-	"magpierelay/internal/core"
-	"magpierelay/internal/egress"
-	"magpierelay/internal/handover"
-	"magpierelay/internal/ingress"
-	"magpierelay/internal/routetable"
-	"magpierelay/internal/telemetry"
+	"frosttide/decision"
+	"frosttide/internal/config"
+	"frosttide/internal/console"
+	"frosttide/internal/core"
+	"frosttide/internal/egress"
+	"frosttide/internal/handover"
+	"frosttide/internal/ingress"
+	"frosttide/internal/routetable"
+	"frosttide/internal/telemetry"
 )
 
 const (
@@ -111,7 +111,7 @@
 	defer link.Close()
 	c.Inform(link.Exclude)
 	front = ingress.New(ingress.Config{Classes: classes(cfg), Columns: cfg.Names.Columns,
-		Slots: magpierelay.MostSlots, Clients: whole.jobs, Sockets: whole.ingress}, c, link, counts, entry.WithField("part", "ingress"))
+		Slots: decision.MostSlots, Clients: whole.jobs, Sockets: whole.ingress}, c, link, counts, entry.WithField("part", "ingress"))
 	listener, err := listen(cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -199,7 +199,7 @@
 func classes(cfg config.Config) []ingress.Class {
 	var out []ingress.Class
 	for i, class := range cfg.Module.Classes {
-		out = append(out, ingress.Class{Name: cfg.Names.Classes[i], Keyed: class.Effect == magpierelay.Keyed, Gone: cfg.Gone[i]})
+		out = append(out, ingress.Class{Name: cfg.Names.Classes[i], Keyed: class.Effect == decision.Keyed, Gone: cfg.Gone[i]})
 	}
 	return out
 }
--- a/api.go
+++ b/decision/api.go
@@ -1,4 +1,4 @@
-// Package magpierelay decides, for a dispatcher that pushes jobs to workers,
+// Package decision decides, for a dispatcher that pushes jobs to workers,
 // which worker gets which request and when to try again, wait, refuse or fail.
 //
 // A host feeds a Dispatcher with events through Step and carries out the
@@ -7,7 +7,7 @@
 // the seed it was made with, so equal events lead to equal actions.
 //
 // This file is the whole interface; dispatcher.go holds every decision.
-package magpierelay
+package decision
 
 import "time"
 
--- a/checker_test.go
+++ b/decision/checker_test.go
@@ -1,4 +1,4 @@
-package magpierelay
+package decision
 
 import (
 	"fmt"
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,8 +15,8 @@
 	"slices"
 	"strconv"
 
-	"magpierelay"
-	"magpierelay/internal/wire"
+	"frosttide/decision"
+	"frosttide/internal/wire"
 )
 
 // Limits are the bounds of the machine that the dispatcher runs on.
@@ -36,7 +36,7 @@
 	Seed      uint64
 	Limits    Limits
 	Known     json.RawMessage // the list as last held, in discovery's form; it may be old or absent
-	Module    magpierelay.Config
+	Module    decision.Config
 	Names     wire.Names
 	Gone      []bool // by class: the file in force has it no more
 
@@ -101,7 +101,7 @@
 		n := slices.Index(names, name)
 		if n < 0 {
 			n = len(names)
-			names, classes, gone = append(names, name), append(classes, magpierelay.Class{}), append(gone, false)
+			names, classes, gone = append(names, name), append(classes, decision.Class{}), append(gone, false)
 		}
 		classes[n], gone[n] = next.Module.Classes[i], false
 	}
--- /dev/null
+++ b/internal/core/handover.go
@@ -0,0 +1,144 @@
+package core
+
+import (
+	"maps"
+	"time"
+
+	"frosttide/decision"
+)
+
+// Snapshot is what the core tells a newer process of its dispatcher. Times are since
+// 1970, health is by uid.
+type Snapshot struct {
+	Excluded []string                   `json:"excluded"`
+	PutBack  map[string]time.Duration   `json:"put_back"`
+	Health   map[string]decision.Health `json:"health"`
+}
+
+// Snapshot tells what the core knows beside the list.
+func (c *Core) Snapshot(to func(Snapshot)) {
+	c.box.Put(func(c *Core) {
+		s := Snapshot{PutBack: maps.Clone(c.putBack), Health: map[string]decision.Health{}}
+		for uid := range c.excluded {
+			s.Excluded = append(s.Excluded, uid)
+		}
+		for uid, w := range c.workers {
+			s.Health[uid] = c.module.Health(w.number)
+		}
+		to(s)
+	})
+}
+
+// Restore takes over a snapshot. It comes before the first list.
+func (c *Core) Restore(s Snapshot) {
+	c.box.Put(func(c *Core) {
+		for _, uid := range s.Excluded {
+			c.move(Exclusion{UID: uid, Out: true})
+		}
+		for uid, at := range s.PutBack {
+			c.excluded[uid] = true
+			c.move(Exclusion{UID: uid, At: at})
+		}
+		c.health = s.Health
+	})
+}
+
+// Processes tells how many processes of this dispatcher share what it may send to cold
+// runners: to the module they are that many instances.
+func (c *Core) Processes(n int) {
+	c.box.Put(func(c *Core) {
+		c.processes = n
+		c.configure()
+	})
+}
+
+// Moved is what another process of the dispatcher needs to go on with a request.
+type Moved struct {
+	Deadline time.Duration `json:"deadline"` // since 1970
+	Hops     []MovedHop    `json:"hops"`
+}
+
+// MovedHop is an attempt of such a request.
+type MovedHop struct {
+	UID  string        `json:"uid"`
+	Past decision.Past `json:"past"`
+}
+
+// Release gives up a request to another process, once all its hops that are out have
+// been taken by their runners: until then what becomes of them comes here. Done is told
+// what goes along, or nil if the request has its answer; then it was not released.
+func (c *Core) Release(job *Job, done func(*Moved)) {
+	c.box.Put(func(c *Core) {
+		if r := c.byID[job.ID]; r != nil && r.job == job && !r.answered {
+			c.releasing[r] = done
+		} else {
+			done(nil)
+		}
+	})
+}
+
+// release lets go of the requests that are ready for it. It recalls nothing: their
+// hops go on.
+func (c *Core) release() {
+	for r, done := range c.releasing {
+		if r.answered {
+			delete(c.releasing, r)
+			done(nil)
+			continue
+		}
+		m := &Moved{Deadline: r.deadline}
+		past := c.module.Past(r.ref)
+		ready := len(past) == len(r.hops)
+		for i := range r.hops {
+			h := &r.hops[i]
+			ready = ready && (h.ended || h.taken || h.reported)
+			if ready {
+				m.Hops = append(m.Hops, MovedHop{UID: h.uid(), Past: past[i]})
+			}
+		}
+		if !ready {
+			continue
+		}
+		delete(c.releasing, r)
+		c.settle(r)
+		c.event(decision.Event{Type: decision.RequestGone, Request: r.ref})
+		for i := range r.hops {
+			c.end(r, i, decision.Canceled, nil)
+		}
+		c.forget(r)
+		c.step()
+		done(m)
+	}
+}
+
+// Adopt goes on with a request that another process has released.
+func (c *Core) Adopt(job *Job, m *Moved, ingress Ingress) {
+	c.box.Put(func(c *Core) {
+		if c.byID[job.ID] != nil {
+			ingress.Answer(Answer{Verdict: Duplicate})
+			return
+		}
+		r := c.take(job, ingress)
+		ev := c.arrival(r)
+		for _, h := range m.Hops {
+			w := c.workers[h.UID]
+			if w == nil { // it has left the list
+				c.lastTo++
+				w = &worker{number: c.lastTo, uid: h.UID, target: gone{}}
+			}
+			h.Past.Worker = w.number
+			ev.Past = append(ev.Past, h.Past)
+			r.hops = append(r.hops, hop{number: w.number, to: w, deadline: r.deadline, taken: true, ended: h.Past.Ended})
+		}
+		c.event(ev)
+	})
+}
+
+// gone is the target of a hop whose runner has left the list.
+type gone struct{}
+
+func (gone) Send(Hop)        {}
+func (gone) GiveUp(Hop)      {}
+func (gone) Probe(time.Time) {}
+func (gone) Move(string)     {}
+func (gone) Close()          {}
--- /dev/null
+++ b/internal/core/hops.go
@@ -0,0 +1,145 @@
+package core
+
+import (
+	"time"
+
+	"frosttide/decision"
+)
+
+// hop is one attempt. The core ends it exactly once, whatever the target and
+// the runner report, and in whatever order.
+type hop struct {
+	number   decision.WorkerID // whom the module named
+	to       *worker           // nil if it has left the list
+	deadline time.Duration
+	reported bool // the runner has said that the job started or runs
+	taken    bool // it has said that it has the job
+	ended    bool
+}
+
+// Report takes a runner's report on a job and tells whether the job is held here. One
+// that names no hop that is out, as a repeat or one on a hop given up, changes nothing.
+func (c *Core) Report(ev JobEvent, took func(bool)) {
+	c.box.Put(func(c *Core) {
+		took(c.byID[ev.ID] != nil)
+		c.reported(ev)
+	})
+}
+
+// HopEnded tells how a hop ended without a report on its job.
+func (c *Core) HopEnded(ref HopRef, outcome decision.Outcome, load []float32) {
+	c.box.Put(func(c *Core) {
+		r := c.requests[ref.Request]
+		if r == nil || outcome == decision.TimedOut && r.hops[ref.Attempt].reported {
+			return // that the runner has the job is known by its call-back
+		}
+		if c.end(r, ref.Attempt, outcome, load) {
+			r.unusable = r.unusable || outcome == decision.Unusable
+		}
+	})
+}
+
+// HopTaken tells that the runner has the job: what becomes of it comes by Report.
+func (c *Core) HopTaken(ref HopRef) {
+	c.box.Put(func(c *Core) {
+		if r := c.requests[ref.Request]; r != nil {
+			r.hops[ref.Attempt].taken = true
+		}
+	})
+}
+
+// uid names the runner of a hop; empty if it has left the list before.
+func (h *hop) uid() string {
+	if h.to == nil {
+		return ""
+	}
+	return h.to.uid
+}
+
+func (c *Core) send(a *decision.Action) {
+	r := c.requests[a.Request]
+	if r == nil {
+		return
+	}
+	w, attempt := c.byNumber[a.Worker], len(r.hops)
+	end := r.deadline
+	if a.After > 0 {
+		end = min(end, c.now+a.After)
+	}
+	r.hops = append(r.hops, hop{number: a.Worker, to: w, deadline: end})
+	if most := c.cfg.Limits.MaxAttempts; w == nil || r.answered || c.now >= end || most > 0 && attempt >= most {
+		c.end(r, attempt, decision.NotSent, nil)
+		return
+	}
+	if end < r.deadline {
+		c.remind(r, due{at: end, attempt: attempt})
+	}
+	w.target.Send(c.hop(r, attempt))
+}
+
+func (c *Core) hop(r *request, attempt int) Hop {
+	return Hop{Ref: HopRef{r.ref, attempt}, Job: r.job, Deadline: c.moment(r.hops[attempt].deadline)}
+}
+
+// giveUp stops waiting for a hop that is out.
+func (c *Core) giveUp(r *request, attempt int, outcome decision.Outcome) {
+	if attempt < 0 || attempt >= len(r.hops) || r.hops[attempt].ended {
+		return
+	}
+	r.hops[attempt].to.target.GiveUp(c.hop(r, attempt))
+	c.end(r, attempt, outcome, nil)
+}
+
+// end is the one place where a hop ends: what is told of it later is passed
+// over. Guards against a call-back that comes twice, or after the hop was given
+// up, and against a broken connection told after its call-back.
+func (c *Core) end(r *request, attempt int, outcome decision.Outcome, load []float32) bool {
+	if attempt < 0 || attempt >= len(r.hops) || r.hops[attempt].ended {
+		return false
+	}
+	h := &r.hops[attempt]
+	h.ended = true
+	c.tally.hops[outcome]++
+	// The module's own number, also for a worker that left in the same batch as
+	// the Send: with another the module would not find the attempt, and hold the
+	// request until its deadline.
+	ev := decision.Event{Type: decision.AttemptEnded, Request: r.ref, Attempt: attempt, Worker: h.number,
+		Outcome: outcome, Closed: r.answered || outcome == decision.Served}
+	ev.Loads = uint8(copy(ev.Load[:], load))
+	c.event(ev)
+	return true
+}
+
+func (c *Core) reported(ev JobEvent) {
+	r := c.byID[ev.ID]
+	if r == nil {
+		return
+	}
+	for i := range r.hops {
+		h := &r.hops[i]
+		if h.ended || h.to.uid != ev.From {
+			continue
+		}
+		note := decision.Event{Request: r.ref, Attempt: i, Worker: h.number, Progress: ev.Share}
+		switch ev.State {
+		case JobStarted:
+			h.reported = true
+			note.Type = decision.AttemptStarted
+			c.event(note)
+		case JobRunning:
+			h.reported = true
+			note.Type = decision.AttemptProgressed
+			c.event(note)
+		case JobDone:
+			c.end(r, i, decision.Served, ev.Load)
+			c.answer(r.ref, Answer{Verdict: Served, Result: ev.Result})
+		case JobFailed:
+			c.end(r, i, decision.Errored, ev.Load)
+		case JobReturned:
+			c.end(r, i, decision.Rejected, ev.Load)
+		case JobLost:
+			c.end(r, i, decision.ConnReset, ev.Load)
+		}
+		return
+	}
+}
--- /dev/null
+++ b/internal/core/terms.go
@@ -0,0 +1,115 @@
+package core
+
+import (
+	"time"
+
+	"frosttide/decision"
+)
+
+// Job is what a client asks for, in no protocol's terms. What a runner is to
+// get passes through unchanged.
+type Job struct {
+	ID       string // the client's name for the request, unique among those that are open
+	Method   string
+	Resource string // path and query
+	Key      string // idempotency key, empty for none
+	Body     []byte
+
+	Class    int
+	Slots    float64
+	Memory   float64
+	Subject  uint64        // what the request concerns; 0 for none
+	Hint     time.Duration // a rough estimate of the work; 0 for none
+	Retry    bool          // a client's repeat
+	Ending   bool          // the deadline is the end of this process
+	Deadline time.Time
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The final answers.
+const (
+	Served    Verdict = iota // Result is what a runner gave
+	Shed                     // refused: trying again is harmless
+	Failed                   // no promise about the effect
+	Duplicate                // a request of this id is open already; nothing was done
+	Unusable                 // a runner can't use the job, and none will; it never ran
+)
+
+// Answer is the one final answer of a request.
+type Answer struct {
+	Verdict    Verdict
+	Result     []byte
+	RetryAfter time.Duration // for Shed; 0 for no advice
+}
+
+// Ingress is the client's side of a request. Answer is called exactly once,
+// unless the client has left before, and must not block.
+type Ingress interface{ Answer(Answer) }
+
+// HopRef names a hop: a request of this process and its attempt's number.
+type HopRef struct {
+	Request decision.RequestID
+	Attempt int
+}
+
+// Hop is one attempt of a job at one egress target.
+type Hop struct {
+	Ref      HopRef
+	Job      *Job
+	Deadline time.Time // when the core stops waiting
+}
+
+// Target is an egress target. None of its methods may block. What becomes of a
+// hop is reported to the core by HopEnded, or by Report.
+type Target interface {
+	Send(Hop)
+	GiveUp(Hop)       // the core waits no longer: closes before the job is taken, recalls it after
+	Probe(time.Time)  // asks for a load report until the deadline; ProbeEnded tells
+	Move(addr string) // the address has changed
+	Close()           // the target has left the route table
+}
+
+// Targets makes the egress targets as the route table names them.
+type Targets interface {
+	Open(worker decision.WorkerID, uid, addr string) Target
+}
+
+// RouteTable is discovery's list. None of its methods may block; what it finds
+// comes by ListReplaced, ListChanged and ListFailed.
+type RouteTable interface {
+	Watch()
+	Fetch()
+}
+
+// Route is one entry of the route table.
+type Route struct {
+	UID, Addr string
+	decision.Member
+}
+
+// JobState is what a runner reports of a job.
+type JobState uint8
+
+// The states of a job at a runner.
+const (
+	JobStarted JobState = iota
+	JobRunning
+	JobDone
+	JobFailed
+	JobReturned // handed back unstarted
+	JobLost
+)
+
+// JobEvent is a runner's report on a job that it has been sent.
+type JobEvent struct {
+	ID, From string
+	State    JobState
+	Share    float64
+	Result   []byte
+	Load     []float32
+}
+
+// Members is told how many runners are listed, and how many of them get no new work.
+type Members func(listed, unavailable int)
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -20,10 +20,10 @@
 
 	"github.com/sirupsen/logrus"
 
-	"magpierelay"
-	"magpierelay/internal/core"
-	"magpierelay/internal/loadreport"
-	"magpierelay/internal/mailbox"
+	"frosttide/decision"
+	"frosttide/internal/core"
+	"frosttide/internal/loadreport"
+	"frosttide/internal/mailbox"
 )
 
 const (
@@ -49,8 +49,8 @@
 // Reports takes what becomes of hops and probes; the core does. It must not block.
 type Reports interface {
 	HopTaken(core.HopRef)
-	HopEnded(core.HopRef, magpierelay.Outcome, []float32)
-	ProbeEnded(magpierelay.WorkerID, magpierelay.Outcome, []float32)
+	HopEnded(core.HopRef, decision.Outcome, []float32)
+	ProbeEnded(decision.WorkerID, decision.Outcome, []float32)
 }
 
 // Config holds the figures of the egress side.
@@ -86,7 +86,7 @@
 func (f *Fleet) ReportTo(reports Reports) { f.reports = reports }
 
 // Open makes the actor of a target.
-func (f *Fleet) Open(worker magpierelay.WorkerID, uid, addr string) core.Target {
+func (f *Fleet) Open(worker decision.WorkerID, uid, addr string) core.Target {
 	t := &target{fleet: f, worker: worker, addr: addr, box: mailbox.New[func(*target)](),
 		log: f.log.WithField("target", uid), flights: map[core.HopRef]*flight{}}
 	t.kept = &http.Transport{
@@ -142,7 +142,7 @@
 type target struct {
 	fleet   *Fleet
 	log     *logrus.Entry
-	worker  magpierelay.WorkerID
+	worker  decision.WorkerID
 	addr    string
 	kept    *http.Transport // uses connections again
 	single  *http.Transport // opens one for each request
@@ -228,7 +228,7 @@
 // result is how a hop's own exchange ended.
 type result struct {
 	taken   bool
-	outcome magpierelay.Outcome // unless taken
+	outcome decision.Outcome // unless taken
 	load    []float32
 	stale   bool // a kept connection broke
 }
@@ -277,7 +277,7 @@
 	req, err := request(trace, h.Job.Method, addr, h.Job.Resource)
 	if err != nil {
 		t.log.WithError(err).WithField("id", h.Job.ID).Error("hop could not be written down")
-		return result{outcome: magpierelay.NotSent}
+		return result{outcome: decision.NotSent}
 	}
 	// Guards rule 2: without GetBody, and with a body that is not NoBody even
 	// where it is empty, the transport never sends a request again by itself, not
@@ -291,7 +291,7 @@
 	}
 	resp, err := via.RoundTrip(req)
 	if errors.Is(err, errNoSocket) {
-		return result{outcome: magpierelay.NotSent} // says nothing of the runner
+		return result{outcome: decision.NotSent} // says nothing of the runner
 	}
 	if err != nil {
 		t.log.WithError(err).WithFields(logrus.Fields{"id": h.Job.ID, "kept": kept.Load()}).Debug("hop's connection broke")
@@ -299,15 +299,15 @@
 		// come later than the error, so the body's end counts unless the trace
 		// has said that the write failed.
 		if !body.ended.Load() || broken.Load() {
-			return result{outcome: magpierelay.ConnectFailed, stale: kept.Load()}
+			return result{outcome: decision.ConnectFailed, stale: kept.Load()}
 		}
 		// Guards a job whose connection has fallen silent: nothing would come on it
 		// before the deadline. The transport has closed it, which gives the hop up.
 		var late net.Error
 		if errors.As(err, &late) && late.Timeout() {
-			return result{outcome: magpierelay.TimedOut, stale: kept.Load()}
+			return result{outcome: decision.TimedOut, stale: kept.Load()}
 		}
-		return result{outcome: magpierelay.ConnReset, stale: kept.Load()}
+		return result{outcome: decision.ConnReset, stale: kept.Load()}
 	}
 	finish(resp)
 	load := loadreport.ParseHeader(resp.Header.Get(headerLoad), t.fleet.cfg.Columns)
@@ -315,13 +315,13 @@
 	case resp.StatusCode == http.StatusAccepted:
 		return result{taken: true}
 	case neverRan(resp):
-		return result{outcome: magpierelay.Rejected, load: load}
+		return result{outcome: decision.Rejected, load: load}
 	case resp.StatusCode/100 == 4:
 		// Guards the runner's good name: what it can't use is the client's fault, and
 		// no other runner would take it.
-		return result{outcome: magpierelay.Unusable}
+		return result{outcome: decision.Unusable}
 	default:
-		return result{outcome: magpierelay.Errored, load: load}
+		return result{outcome: decision.Errored, load: load}
 	}
 }
 
@@ -352,14 +352,14 @@
 		path = "/_load"
 	}
 	text, err := t.exchange(ctx, via, http.MethodGet, addr, path)
-	outcome := magpierelay.Served
+	outcome := decision.Served
 	switch {
 	case errors.Is(err, errStatus):
-		outcome = magpierelay.Errored
+		outcome = decision.Errored
 	case errors.Is(err, context.DeadlineExceeded):
-		outcome = magpierelay.TimedOut
+		outcome = decision.TimedOut
 	case err != nil:
-		outcome = magpierelay.ConnReset
+		outcome = decision.ConnReset
 	}
 	load := loadreport.Parse(text, t.fleet.cfg.Columns)
 	t.box.Put(func(t *target) {
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -14,8 +14,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"magpierelay/internal/core"
-	"magpierelay/internal/mailbox"
+	"frosttide/internal/core"
+	"frosttide/internal/mailbox"
 )
 
 const (
--- a/internal/handover/peer.go
+++ b/internal/handover/peer.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"magpierelay/internal/mailbox"
+	"frosttide/internal/mailbox"
 )
 
 // peer is the other process of the dispatcher. Guards this one against it: no wait on
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"magpierelay/internal/core"
+	"frosttide/internal/core"
 )
 
 // door is the listener of the ingress and the owner of its connections. It takes
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -22,8 +22,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"magpierelay/internal/core"
-	"magpierelay/internal/loadreport"
+	"frosttide/internal/core"
+	"frosttide/internal/loadreport"
 )
 
 const (
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -20,9 +20,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"magpierelay"
-	"magpierelay/internal/core"
-	"magpierelay/internal/mailbox"
+	"frosttide/decision"
+	"frosttide/internal/core"
+	"frosttide/internal/mailbox"
 )
 
 const (
@@ -302,7 +302,7 @@
 		}
 		routes = append(routes, route)
 		whole[route.UID] = text
-		if route.State == magpierelay.Removed {
+		if route.State == decision.Removed {
 			delete(whole, route.UID)
 			delete(t.entries, route.UID)
 		}
@@ -328,18 +328,18 @@
 	if e.UID == "" {
 		return core.Route{}, errors.New("entry without uid")
 	}
-	m := magpierelay.Member{Cell: e.Cell, Weight: e.Weight, StartedAt: time.Duration(max(e.Boot, 0)) * time.Millisecond}
+	m := decision.Member{Cell: e.Cell, Weight: e.Weight, StartedAt: time.Duration(max(e.Boot, 0)) * time.Millisecond}
 	switch e.State {
 	case "SERVING":
-		m.State = magpierelay.Ready
+		m.State = decision.Ready
 	case "DRAINING":
-		m.State = magpierelay.Draining
+		m.State = decision.Draining
 	case "DELETED":
-		m.State = magpierelay.Removed
+		m.State = decision.Removed
 	default:
 		return core.Route{}, fmt.Errorf("entry %q: unknown state %q", e.UID, e.State)
 	}
-	if _, _, err := net.SplitHostPort(e.Endpoint); err != nil && m.State != magpierelay.Removed {
+	if _, _, err := net.SplitHostPort(e.Endpoint); err != nil && m.State != decision.Removed {
 		return core.Route{}, fmt.Errorf("entry %q: endpoint: %w", e.UID, err)
 	}
 	m.Zone, m.Kind = t.zones.number(e.Zone), t.kinds.number(e.Kind)
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -12,7 +12,7 @@
 	"math"
 	"time"
 
-	"magpierelay"
+	"frosttide/decision"
 )
 
 // Sizes of the fixed parts of the wire, in bytes.
@@ -99,13 +99,13 @@
 	Detach(instance int)
 	// Event hands over an event for an instance. Members may be kept; they
 	// are shared and must not be changed.
-	Event(instance int, ev *magpierelay.Event)
+	Event(instance int, ev *decision.Event)
 }
 
 // Decoder decodes batches. It holds the numbered worker lists, which outlive
 // a batch.
 type Decoder struct {
-	sheets [maxSheets][]magpierelay.Member
+	sheets [maxSheets][]decision.Member
 	known  [maxSheets]bool
 }
 
@@ -131,7 +131,7 @@
 		return d.census(c)
 	}
 	who := int(c.u16())
-	var ev magpierelay.Event
+	var ev decision.Event
 	switch code {
 	case evProvision:
 		seed, info := c.u64(), c.block(1)
@@ -161,15 +161,15 @@
 			return err
 		}
 	case evAccepted:
-		ev.Type, ev.Request = magpierelay.AttemptAccepted, magpierelay.RequestID(c.u32())
-		ev.Attempt, ev.Worker = int(c.u16()), magpierelay.WorkerID(c.u32())
+		ev.Type, ev.Request = decision.AttemptAccepted, decision.RequestID(c.u32())
+		ev.Attempt, ev.Worker = int(c.u16()), decision.WorkerID(c.u32())
 		c.u32()
 	case evClientLeft:
-		ev.Type, ev.Request = magpierelay.RequestGone, magpierelay.RequestID(c.u32())
+		ev.Type, ev.Request = decision.RequestGone, decision.RequestID(c.u32())
 	case evBell:
-		ev.Type, ev.Token = magpierelay.TimerFired, c.u32()
+		ev.Type, ev.Token = decision.TimerFired, c.u32()
 	case evProbeDone:
-		ev.Type, ev.Worker = magpierelay.ProbeEnded, magpierelay.WorkerID(c.u32())
+		ev.Type, ev.Worker = decision.ProbeEnded, decision.WorkerID(c.u32())
 		rc := c.u16()
 		c.u32()
 		if err := outcome(c, rc, &ev); err != nil {
@@ -204,19 +204,19 @@
 	if int(sheet) >= maxSheets {
 		return fmt.Errorf("list number %d is out of range", sheet)
 	}
-	members := make([]magpierelay.Member, 0, len(data)/memberSize)
+	members := make([]decision.Member, 0, len(data)/memberSize)
 	for in := (cursor{data: data}); in.at < len(data); {
-		m := magpierelay.Member{Worker: magpierelay.WorkerID(in.u32()), Zone: int(in.u16()), Kind: int(in.u16()),
+		m := decision.Member{Worker: decision.WorkerID(in.u32()), Zone: int(in.u16()), Kind: int(in.u16()),
 			Cell: int(in.u16())}
 		state := in.u8()
 		m.Weight, m.StartedAt = in.f32(), micros(in.u64())
 		switch state {
 		case 0:
-			m.State = magpierelay.Ready
+			m.State = decision.Ready
 		case 1:
-			m.State = magpierelay.Removed
+			m.State = decision.Removed
 		case 2:
-			m.State = magpierelay.Draining
+			m.State = decision.Draining
 		default:
 			return fmt.Errorf("list %d: worker %d has the unknown state %d", sheet, m.Worker, state)
 		}
@@ -226,7 +226,7 @@
 	return nil
 }
 
-func (d *Decoder) fleet(c *cursor, ev *magpierelay.Event) error {
+func (d *Decoder) fleet(c *cursor, ev *decision.Event) error {
 	sheet, form := c.u8(), c.u8()
 	c.u64()
 	if c.short {
@@ -234,11 +234,11 @@
 	}
 	switch form {
 	case 0:
-		ev.Type = magpierelay.MembersChanged
+		ev.Type = decision.MembersChanged
 	case 1, 3:
-		ev.Type = magpierelay.MembersReplaced
+		ev.Type = decision.MembersReplaced
 	case 4:
-		ev.Type = magpierelay.MembersFailed
+		ev.Type = decision.MembersFailed
 		return nil
 	default:
 		return fmt.Errorf("unknown form %d of a worker list", form)
@@ -250,17 +250,17 @@
 	return nil
 }
 
-func arrival(c *cursor, ev *magpierelay.Event) {
-	ev.Type, ev.Request = magpierelay.RequestArrived, magpierelay.RequestID(c.u32())
+func arrival(c *cursor, ev *decision.Event) {
+	ev.Type, ev.Request = decision.RequestArrived, decision.RequestID(c.u32())
 	ev.Deadline, ev.Slots, ev.Key = micros(c.u64()), c.f32(), c.u64()
 	ev.Memory, ev.Tenant, ev.Class = c.f32(), int(c.u32()), int(c.u8())
 	c.u32() // the cost hint
 	ev.Retry = c.u8()&2 != 0
 }
 
-func response(c *cursor, ev *magpierelay.Event) error {
-	ev.Type, ev.Request = magpierelay.AttemptEnded, magpierelay.RequestID(c.u32())
-	ev.Worker, ev.Attempt = magpierelay.WorkerID(c.u32()), int(c.u16())
+func response(c *cursor, ev *decision.Event) error {
+	ev.Type, ev.Request = decision.AttemptEnded, decision.RequestID(c.u32())
+	ev.Worker, ev.Attempt = decision.WorkerID(c.u32()), int(c.u16())
 	c.u8() // the family note
 	rc := c.u16()
 	ev.Closed = c.u8() != 0
@@ -268,17 +268,17 @@
 	return outcome(c, rc, ev)
 }
 
-func interim(c *cursor, ev *magpierelay.Event) error {
-	ev.Request, ev.Worker = magpierelay.RequestID(c.u32()), magpierelay.WorkerID(c.u32())
+func interim(c *cursor, ev *decision.Event) error {
+	ev.Request, ev.Worker = decision.RequestID(c.u32()), decision.WorkerID(c.u32())
 	sort := c.u8()
 	ev.Attempt, ev.Progress = int(c.u16()), c.f32()
 	switch {
 	case c.short:
 		return errShort
 	case sort == 1:
-		ev.Type = magpierelay.AttemptStarted
+		ev.Type = decision.AttemptStarted
 	case sort == 2:
-		ev.Type = magpierelay.AttemptProgressed
+		ev.Type = decision.AttemptProgressed
 	default:
 		return fmt.Errorf("unknown note %d on an attempt", sort)
 	}
@@ -287,35 +287,35 @@
 
 // outcome reads a load report and maps a result code; both stand in results
 // of attempts and of probes.
-func outcome(c *cursor, rc uint16, ev *magpierelay.Event) error {
+func outcome(c *cursor, rc uint16, ev *decision.Event) error {
 	n := int(c.u8())
 	for i := range n {
 		v := c.f32()
-		if i < magpierelay.MaxMetrics {
+		if i < decision.MaxMetrics {
 			ev.Load[i] = float32(v)
 		}
 	}
-	ev.Loads = uint8(min(n, magpierelay.MaxMetrics))
+	ev.Loads = uint8(min(n, decision.MaxMetrics))
 	if c.short {
 		return errShort
 	}
 	switch rc {
 	case 0:
-		ev.Outcome = magpierelay.Served
+		ev.Outcome = decision.Served
 	case 1:
-		ev.Outcome = magpierelay.Canceled
+		ev.Outcome = decision.Canceled
 	case 4:
-		ev.Outcome = magpierelay.TimedOut
+		ev.Outcome = decision.TimedOut
 	case 8:
-		ev.Outcome = magpierelay.Rejected
+		ev.Outcome = decision.Rejected
 	case 9:
-		ev.Outcome = magpierelay.NotSent
+		ev.Outcome = decision.NotSent
 	case 10:
-		ev.Outcome = magpierelay.ConnReset
+		ev.Outcome = decision.ConnReset
 	case 13:
-		ev.Outcome = magpierelay.Errored
+		ev.Outcome = decision.Errored
 	case 14:
-		ev.Outcome = magpierelay.ConnectFailed
+		ev.Outcome = decision.ConnectFailed
 	default:
 		return fmt.Errorf("unknown outcome %d", rc)
 	}
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"magpierelay"
+	"frosttide/decision"
 )
 
 // Reply collects the actions that answer one batch.
@@ -32,35 +32,35 @@
 func (r *Reply) u32(v uint32) { r.data = binary.LittleEndian.AppendUint32(r.data, v) }
 
 // Action appends an action of an instance.
-func (r *Reply) Action(instance int, a *magpierelay.Action) error {
+func (r *Reply) Action(instance int, a *decision.Action) error {
 	switch a.Type {
-	case magpierelay.Send:
+	case decision.Send:
 		r.head(acIssue, instance)
 		r.u32(uint32(a.Request))
 		r.u32(span(a.After))
 		r.u32(uint32(a.Worker))
-	case magpierelay.Cancel:
+	case decision.Cancel:
 		r.head(acCancel, instance)
 		r.u32(uint32(a.Request))
 		r.data = binary.LittleEndian.AppendUint16(r.data, uint16(a.Attempt))
-	case magpierelay.Refuse:
+	case decision.Refuse:
 		r.head(acSayNo, instance)
 		r.u32(uint32(a.Request))
 		r.u32(span(a.After))
-	case magpierelay.Fail:
+	case decision.Fail:
 		r.head(acRespondError, instance)
 		r.u32(uint32(a.Request))
-	case magpierelay.SetTimer:
+	case decision.SetTimer:
 		r.head(acWakeMe, instance)
 		r.data = binary.LittleEndian.AppendUint64(r.data, uint64(a.At/time.Microsecond))
 		r.u32(a.Token)
-	case magpierelay.Probe:
+	case decision.Probe:
 		r.head(acProbe, instance)
 		r.u32(uint32(a.Worker))
-	case magpierelay.Subscribe:
+	case decision.Subscribe:
 		r.head(acKeepInformed, instance)
 		r.data = append(r.data, 1)
-	case magpierelay.Fetch:
+	case decision.Fetch:
 		r.head(acResolve, instance)
 	default:
 		return fmt.Errorf("unknown action type %d", a.Type)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"magpierelay"
+	"frosttide/decision"
 )
 
 // settings is the part of the start-up settings that is used. Times are
@@ -70,15 +70,15 @@
 	Stream     bool    `json:"stream"`
 }
 
-var metrics = map[string]magpierelay.Metric{
-	"inflight": magpierelay.MetricInFlight, "queue": magpierelay.MetricQueued,
-	"util": magpierelay.MetricUtilization, "latency_ms": magpierelay.MetricLatency,
-	"qps": magpierelay.MetricServedRate, "eps": magpierelay.MetricErrorRate,
+var metrics = map[string]decision.Metric{
+	"inflight": decision.MetricInFlight, "queue": decision.MetricQueued,
+	"util": decision.MetricUtilization, "latency_ms": decision.MetricLatency,
+	"qps": decision.MetricServedRate, "eps": decision.MetricErrorRate,
 }
 
 // slotMetrics holds what the free columns of a report may stand for.
-var slotMetrics = map[string]magpierelay.Metric{
-	"free slots": magpierelay.MetricFreeSlots, "free memory": magpierelay.MetricFreeMemory,
+var slotMetrics = map[string]decision.Metric{
+	"free slots": decision.MetricFreeSlots, "free memory": decision.MetricFreeMemory,
 }
 
 // ParseSettings maps the start-up settings of an instance to a Config.
@@ -86,17 +86,17 @@
 // nothing optional allowed, two attempts, warm workers from the start, every
 // class safe, of worth 1 and any kind. A wrong type, a negative figure or a
 // missing class is an error that names the key.
-func ParseSettings(text []byte) (magpierelay.Config, error) {
+func ParseSettings(text []byte) (decision.Config, error) {
 	s, err := parse(text)
 	if err != nil {
-		return magpierelay.Config{}, err
+		return decision.Config{}, err
 	}
-	cfg := magpierelay.Config{
+	cfg := decision.Config{
 		Instance: int(s.Me), Instances: int(s.Balancers), Zone: int(s.Zone), Zones: len(s.Zones),
-		Limits: magpierelay.Limits{MaxAttempts: int(s.Limits.SendCap), HedgingAllowed: s.Limits.SecondCopies,
+		Limits: decision.Limits{MaxAttempts: int(s.Limits.SendCap), HedgingAllowed: s.Limits.SecondCopies,
 			CancelAllowed: s.Limits.MayCancel, ProbeAllowed: s.Limits.Probing, RetryAfter: s.Limits.RetryAfter,
 			MaxRetryAfter: us(s.Limits.MaxRetryAfter), ConnectTimeout: us(s.Limits.ConnectTimeout)},
-		Rules: magpierelay.Rules{DrainGrace: us(s.Rules.DrainGrace), ColdShare: s.Rules.ColdFrom,
+		Rules: decision.Rules{DrainGrace: us(s.Rules.DrainGrace), ColdShare: s.Rules.ColdFrom,
 			WarmUp: us(s.Rules.WarmWithin), FallMultiple: s.Rules.FallMultiple, FallWindow: us(s.Rules.Fall),
 			AskWithin: us(s.Rules.AskWithin)},
 		PullList: s.Discovery == "on_request", StartNotes: s.Family.TellsStart,
@@ -107,7 +107,7 @@
 		cfg.Metrics = s.metrics(text)
 	}
 	for _, t := range s.Tenants {
-		cfg.Tenants = append(cfg.Tenants, magpierelay.Tenant{RatePerSecond: t.Quota})
+		cfg.Tenants = append(cfg.Tenants, decision.Tenant{RatePerSecond: t.Quota})
 	}
 	for i := range s.Classes {
 		cfg.Classes = append(cfg.Classes, s.class(i))
@@ -135,7 +135,7 @@
 	n := Names{Zones: words(s.Zones), Kinds: words(s.Kinds), Keepalive: us(s.Limits.Keepalive),
 		InAnswers: s.Report.Source == "answers"}
 	if s.Report.Source == "answers" || s.Report.Source == "probe" {
-		n.Columns = s.Report.Columns[:min(len(s.Report.Columns), magpierelay.MaxMetrics)]
+		n.Columns = s.Report.Columns[:min(len(s.Report.Columns), decision.MaxMetrics)]
 	}
 	for _, c := range s.Classes {
 		n.Classes = append(n.Classes, c.Name)
@@ -172,15 +172,15 @@
 
 // metrics names the report's columns; what a free column holds is told in
 // words under a key of the column's own name.
-func (s *settings) metrics(text []byte) []magpierelay.Metric {
+func (s *settings) metrics(text []byte) []decision.Metric {
 	var meanings struct {
 		Family map[string]any `json:"family-info"`
 	}
 	_ = json.Unmarshal(text, &meanings) // it was valid a moment ago; no meaning is no harm
-	var out []magpierelay.Metric
-	for _, name := range s.Report.Columns[:min(len(s.Report.Columns), magpierelay.MaxMetrics)] {
+	var out []decision.Metric
+	for _, name := range s.Report.Columns[:min(len(s.Report.Columns), decision.MaxMetrics)] {
 		m := metrics[name]
-		if word, ok := meanings.Family["report-"+name].(string); ok && m == magpierelay.MetricUnknown {
+		if word, ok := meanings.Family["report-"+name].(string); ok && m == decision.MetricUnknown {
 			m = slotMetrics[word]
 		}
 		out = append(out, m)
@@ -188,21 +188,21 @@
 	return out
 }
 
-func (s *settings) class(i int) magpierelay.Class {
+func (s *settings) class(i int) decision.Class {
 	c := s.Classes[i]
-	out := magpierelay.Class{Window: us(c.Window), Objective: us(c.Aim), Stretch: c.AimStretch, GiveUp: us(c.GiveUp),
+	out := decision.Class{Window: us(c.Window), Objective: us(c.Aim), Stretch: c.AimStretch, GiveUp: us(c.GiveUp),
 		Worth: c.Worth, LateWorth: c.LateWorth, Streamed: c.Stream, WorkerKind: -1}
 	switch c.Effect {
 	case "keyed":
-		out.Effect = magpierelay.Keyed
+		out.Effect = decision.Keyed
 	case "unsafe":
-		out.Effect = magpierelay.Unsafe
+		out.Effect = decision.Unsafe
 	}
 	switch c.Group {
 	case "zone":
-		out.Group = magpierelay.ScopeZone
+		out.Group = decision.ScopeZone
 	case "cell":
-		out.Group = magpierelay.ScopeCell
+		out.Group = decision.ScopeCell
 	}
 	if i < len(s.Family.Kind) {
 		out.WorkerKind = int(s.Family.Kind[i])
