Add the command line, TOML settings and the export of request stories over OTLP

Need: an operator who looks into a bad peak has logs alone, a stand-alone installation has to write the platform's JSON, and wrong arguments are passed over.

Change: the core writes a story of each request where telemetry is on; package export samples stories by what happened, bounds what waits and sends it by HTTP or gRPC or into a file; measures makes figures of them; traceview reads files.

--- a/cmd/frosttide/harness_test.go
+++ b/cmd/frosttide/harness_test.go
@@ -33,9 +33,9 @@
 // patience bounds each wait for an event; no test waits for it to pass.
 const patience = 20 * time.Second
 
-// settings has a class for each effect. The connect timeout is short of nothing
+// theSettings has a class for each effect. The connect timeout is short of nothing
 // that happens on loopback.
-const settings = `{"balancers":1,"me":0,"zone":0,"zones":["a","b"],"kinds":["m"],"discovery":"on_request",
+const theSettings = `{"balancers":1,"me":0,"zone":0,"zones":["a","b"],"kinds":["m"],"discovery":"on_request",
 "request-classes":[
  {"name":"render","effect":"safe","aim":2000000,"give-up":20000000,"worth":1},
  {"name":"release","effect":"keyed","group":"zone","window":40000000,"aim":2000000,"give-up":20000000,"worth":5},
@@ -138,7 +138,7 @@
 	other.Close()
 	d.cfg = fmt.Sprintf(`{"name":"n0","listen":%q,"console":%q,"discovery":"%%s","seed":"8c1f30d27a5be964","unheard":1,
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`,
-		d.addr, d.ops, sockets, list(41, true, known...), settings)
+		d.addr, d.ops, sockets, list(41, true, known...), theSettings)
 	d.cmd, d.path = program(t, fmt.Sprintf(d.cfg, "127.0.0.1:1"))
 	d.cmd.Env = append(d.cmd.Env, "BALANCER_DISCOVERY="+strings.TrimPrefix(discoveryURL, "http://"))
 	for _, e := range edit {
--- a/cmd/frosttide/main.go
+++ b/cmd/frosttide/main.go
@@ -1,244 +1,61 @@
 // Command frosttide is a dispatcher: it takes jobs from clients and has them run
-// by the runners that discovery lists. This file wires its parts together and
-// heeds signals; every decision is the module's.
+// by the runners that discovery lists. The files of this folder wire its parts
+// together, a file for each sub-command; every decision is the module's.
 package main
 
 import (
-	"cmp"
-	"context"
+	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
-	"sync/atomic"
+	"strings"
 	"syscall"
-	"time"
-
-	"github.com/sirupsen/logrus"
-
-	"frosttide/decision"
-	"frosttide/internal/config"
-	"frosttide/internal/console"
-	"frosttide/internal/core"
-	"frosttide/internal/egress"
-	"frosttide/internal/handover"
-	"frosttide/internal/ingress"
-	"frosttide/internal/routetable"
-	"frosttide/internal/telemetry"
-)
-
-const (
-	// lingering is how long after SIGTERM clients may keep their connections: the
-	// front goes on sending new ones for a while, and the next dispatcher's restart
-	// may begin before the last one is back, so that there is nowhere else to go.
-	lingering = 2 * time.Second
-	// The platform ends the process no earlier than the longest deadline, or graceMost
-	// if that is shorter, and graceMore after SIGTERM. All that is here has its answer
-	// lead before that.
-	graceMost = 3 * time.Second
-	graceMore = 700 * time.Millisecond
-	lead      = 300 * time.Millisecond
-	// closing is how long before that the connections are closed that clients have not
-	// used since a newer process took over.
-	closing = 600 * time.Millisecond
-	// reserved descriptors are those of discovery, the log and the runtime.
-	reserved = 24
 )
 
 func main() {
 	// Notified before all else: a signal that nobody heeds ends the process.
-	ends, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(reloads, syscall.SIGHUP)
-	log := logrus.New()
-	level, err := logrus.ParseLevel(cmp.Or(os.Getenv("FROSTTIDE_LOG_LEVEL"), "info"))
-	if err != nil {
-		log.WithError(err).Error("frosttide ends")
-		os.Exit(1)
-	}
-	log.SetLevel(level)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
-	if err := run(log, ends, reloads); err != nil {
-		log.WithError(err).Error("frosttide ends")
-		os.Exit(1)
-	}
-}
-
-func run(log *logrus.Logger, ends, reloads <-chan os.Signal) error {
-	cfg, err := config.Load(os.Getenv)
-	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	limit(cfg.Limits, 1)
-	entry := log.WithField("name", cfg.Name)
-	var operators net.Listener
-	if cfg.Console != "" { // open before all else, so that callers have their answers
-		if operators, err = net.Listen("tcp", cfg.Console); err != nil {
-			return fmt.Errorf("console: %w", err)
-		}
-		defer operators.Close()
-	}
-
-	whole := sockets(cfg, 1)
-	counts := telemetry.New()
-	counts.Classes(cfg.Names.Classes)
-	table := routetable.New(routetable.Config{Addr: cfg.Discovery, Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds},
-		entry.WithField("part", "routetable"))
-	fleet := egress.NewFleet(egress.Config{ConnectTimeout: cfg.Module.Limits.ConnectTimeout,
-		Keepalive: cfg.Names.Keepalive, Sockets: whole.runners, Columns: cfg.Names.Columns,
-		Reports: len(cfg.Names.Columns) > 0, Sent: counts.Sent}, entry.WithField("part", "egress"))
-	c, err := core.New(cfg.Module, cfg.Seed, fleet, table, counts.Members, entry.WithField("part", "core"))
-	if err != nil {
-		return err
-	}
-	fleet.ReportTo(c)
-	var ready atomic.Bool
-	if operators != nil {
-		go console.New(c, ready.Load, counts.Handler(), entry.WithField("part", "console")).Serve(operators)
-	}
-	var front *ingress.Front
-	share := func(processes int) {
-		c.Processes(processes)
-		part := sockets(cfg, processes)
-		fleet.Budget(part.runners)
-		front.Budget(part.jobs, part.ingress)
-		limit(cfg.Limits, processes)
-	}
-	link := handover.New(handover.Path(os.TempDir(), cfg.Listen), c, table, share,
-		func(x net.Conn, read []byte, m *core.Moved) bool { return front.Adopt(x, read, m) }, entry.WithField("part", "handover"))
-	defer link.Close()
-	c.Inform(link.Exclude)
-	front = ingress.New(ingress.Config{Classes: classes(cfg), Columns: cfg.Names.Columns,
-		Slots: decision.MostSlots, Clients: whole.jobs, Sockets: whole.ingress}, c, link, counts, entry.WithField("part", "ingress"))
-	listener, err := listen(cfg)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	var state handover.State
-	if cfg.Inherited > 0 {
-		if told := link.Dial(); told != nil {
-			state = *told
-		}
-	}
-
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	table.Resume(state.Discovery, state.List, cfg.Known, c)
-	go table.Run(ctx)
-	go c.Run(ctx)
-	served := make(chan error, 1)
-	go func() { served <- front.Serve(listener) }()
-	var grace atomic.Int64
-	take := func(cfg config.Config) { // the core first: what the ingress lets in it must know
-		c.Settings(cfg.Module)
-		counts.Classes(cfg.Names.Classes)
-		front.Classes(classes(cfg))
-		grace.Store(int64(graceOf(cfg)))
-		table.Move(cfg.Discovery)
-	}
-	grace.Store(int64(graceOf(cfg)))
-	go reload(cfg, reloads, take, counts, entry)
-	if cfg.Inherited > 0 {
-		if err := link.Serve(); err != nil {
-			entry.WithError(err).Warn("no newer process will take over the state")
-		}
-		link.Ready()
-	}
-	ready.Store(true)
-	entry.WithField("listen", cfg.Listen).Info("frosttide serves")
-
-	select {
-	case err := <-served:
-		return err
-	case sig := <-ends:
-		ready.Store(false)
-		entry.WithField("signal", sig.String()).Info("frosttide drains")
-	}
-	by := time.Now().Add(time.Duration(grace.Load()) - lead)
-	if link.Succeeded() {
-		listener.Close()
-		front.GiveWay(by.Add(-closing))
-		front.Leave(by)
-	} else {
-		front.Leave(by)
-		time.Sleep(lingering)
-	}
-	if err := front.Drain(ctx); err != nil {
-		return err
-	}
-	entry.Info("frosttide has answered everything and ends")
-	return nil
-}
-
-// budget is how many descriptors a process has for what.
-type budget struct{ runners, ingress, jobs int }
-
-// sockets returns the budget of one of so many processes: each needs its own reserve.
-// Where that leaves too little it has to do with less.
-func sockets(cfg config.Config, processes int) budget {
-	part := cfg.Limits.Sockets / processes
-	n := max(part-reserved, part/4)
-	if cfg.Console != "" {
-		n = max(n-console.Sockets, part/4)
-	}
-	return budget{runners: n * 3 / 8, ingress: n * 5 / 8, jobs: n * 4 / 8}
-}
-
-// listen opens the clients' address, or takes the socket that the platform holds
-// for all processes of this dispatcher.
-func listen(cfg config.Config) (net.Listener, error) {
-	if cfg.Inherited > 0 {
-		return handover.Listen(cfg.Inherited)
-	}
-	return net.Listen("tcp", cfg.Listen)
-}
-
-// classes returns what the ingress has to know of the classes.
-func classes(cfg config.Config) []ingress.Class {
-	var out []ingress.Class
-	for i, class := range cfg.Module.Classes {
-		out = append(out, ingress.Class{Name: cfg.Names.Classes[i], Keyed: class.Effect == decision.Keyed, Gone: cfg.Gone[i]})
-	}
-	return out
-}
-
-// graceOf returns how long the process has to itself after SIGTERM.
-func graceOf(cfg config.Config) time.Duration {
-	var longest time.Duration
-	for i, class := range cfg.Module.Classes {
-		if !cfg.Gone[i] {
-			longest = max(longest, class.GiveUp)
-		}
-	}
-	return min(longest, graceMost) + graceMore
-}
-
-// reload rereads the configuration at each signal, also while the program
-// drains: hops may still need a runner. Signals that come close together lead to
-// one reload, which reads the newest file.
-func reload(cfg config.Config, signals <-chan os.Signal, take func(config.Config), counts *telemetry.Counts, log *logrus.Entry) {
-	for range signals {
-		next, err := cfg.Reload(os.Getenv)
-		counts.Reloaded(err == nil)
-		if err != nil {
-			log.WithError(err).Error("configuration not taken; the old one is kept")
-			continue
-		}
-		log.WithField("discovery", next.Discovery).Info("configuration reread")
-		next, waits := cfg.Keep(next)
-		if len(waits) > 0 {
-			log.WithField("changed", waits).Warn("these changes wait for the next start")
-		}
-		take(next)
-		cfg = next
-	}
-}
-
-// limit keeps the processes of the dispatcher within their machine. The memory limit
-// leaves room for stacks and what the kernel counts.
-func limit(l config.Limits, processes int) {
-	runtime.GOMAXPROCS(max(int(l.Cores), 1))
-	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 3 / 4 / int64(processes))
+	s := signals{ends: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1)}
+	signal.Notify(s.ends, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reloads, syscall.SIGHUP)
+	os.Exit(execute(s, os.Args[1:]))
+}
+
+// signals are what the process is told from outside.
+type signals struct{ ends, reloads chan os.Signal }
+
+// errSaid is the error of a command that has said itself what is wrong.
+var errSaid = errors.New("")
+
+// execute runs a command and returns the exit status: 0 for done, 1 for what went
+// wrong, 2 for arguments that can't be meant.
+func execute(s signals, args []string) int {
+	root := commands(s)
+	root.SetArgs(args)
+	cmd, err := root.ExecuteC()
+	var wrong usageError
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, errSaid):
+		return 1
+	case errors.As(err, &wrong) || !cmd.HasParent() && isUsage(err):
+		fmt.Fprintf(os.Stderr, "%s: %s (see %s --help)\n", cmd.CommandPath(), firstLine(err), cmd.CommandPath())
+		return 2
+	}
+	fmt.Fprintf(os.Stderr, "%s: %v\n", cmd.CommandPath(), err)
+	return 1
+}
+
+// usageError is a mistake in the arguments.
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error { return e.error }
+
+// isUsage tells whether an error is one of the library's own about a command's name,
+// which it gives no type.
+func isUsage(err error) bool { return strings.HasPrefix(err.Error(), "unknown ") }
+
+func firstLine(err error) string {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return line
 }
--- a/cmd/frosttide/main_test.go
+++ b/cmd/frosttide/main_test.go
@@ -856,14 +856,14 @@
 	t.Parallel()
 	for _, tc := range []struct{ cfg, says string }{
 		{`{"name":`, "unexpected end of JSON"},
-		{`{"discovery":"127.0.0.1:1","settings":` + settings + `}`, "listen: the address is missing"},
-		{`{"listen":"127.0.0.1","discovery":"127.0.0.1:1","settings":` + settings + `}`, "missing port"},
-		{`{"listen":"127.0.0.1:99999","discovery":"127.0.0.1:1","settings":` + settings + `}`, "not a port"},
+		{`{"discovery":"127.0.0.1:1","settings":` + theSettings + `}`, "listen: the address is missing"},
+		{`{"listen":"127.0.0.1","discovery":"127.0.0.1:1","settings":` + theSettings + `}`, "missing port"},
+		{`{"listen":"127.0.0.1:99999","discovery":"127.0.0.1:1","settings":` + theSettings + `}`, "not a port"},
 		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1"}`, "settings are missing"},
 		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{}}`, "request-classes: there are none"},
-		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"xyz","settings":` + settings + `}`, "seed"},
-		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","limits":{"sockets":3},"settings":` + settings + `}`, "limits.sockets"},
-		{`{"listen":"192.0.2.1:9","discovery":"127.0.0.1:1","settings":` + settings + `}`, "listen"},
+		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"xyz","settings":` + theSettings + `}`, "seed"},
+		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","limits":{"sockets":3},"settings":` + theSettings + `}`, "limits.sockets"},
+		{`{"listen":"192.0.2.1:9","discovery":"127.0.0.1:1","settings":` + theSettings + `}`, "listen"},
 	} {
 		cmd, _ := program(t, tc.cfg)
 		out, err := cmd.CombinedOutput()
--- a/decision/api.go
+++ b/decision/api.go
@@ -248,4 +248,5 @@
 	Token   uint32
 	After   time.Duration
 	At      time.Duration
+	Why     Reason // Refuse and Fail: for those who look into it later
 }
--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -653,7 +653,7 @@
 		return
 	}
 	if ev.Class < 0 || ev.Class >= len(d.cfg.Classes) {
-		d.act(Action{Type: Refuse, Request: ev.Request})
+		d.act(Action{Type: Refuse, Request: ev.Request, Why: NoClass})
 		return
 	}
 	r := &request{id: ev.Request, class: ev.Class, rules: &d.cfg.Classes[ev.Class],
@@ -670,11 +670,16 @@
 	// Guards a client that could be served elsewhere: most work of its class would be
 	// cut off.
 	hopeless := ev.Ending && (r.deadline-d.now).Seconds() < hopeShare*d.run[r.class]
-	if hopeless || d.sheds(r, ev.Retry) || !d.dispatch(r) {
-		d.finish(r)
-		return
+	switch {
+	case hopeless:
+		d.finish(r, Ending)
+	case d.sheds(r, ev.Retry):
+		d.finish(r, Overload)
+	case !d.dispatch(r):
+		d.finish(r, NoToken)
+	default:
+		d.wake(d.now+d.slack(r), timer{do: (*Dispatcher).sample, request: r})
 	}
-	d.wake(d.now+d.slack(r), timer{do: (*Dispatcher).sample, request: r})
 }
 
 // Past returns what is known of a request's attempts. It changes nothing.
@@ -709,7 +714,7 @@
 		}
 	}
 	if !out && !d.dispatch(r) {
-		d.finish(r)
+		d.finish(r, d.blocked(r))
 	}
 }
 
@@ -792,12 +797,12 @@
 		d.forget(r)
 	case ev.Outcome == Unusable: // guards the retries that others need
 		d.retries = max(d.retries-retryCredit, 0)
-		d.act(Action{Type: Fail, Request: r.id})
+		d.act(Action{Type: Fail, Request: r.id, Why: NoUse})
 		d.close(r)
 	case d.retries >= 1 && d.dispatch(r): // the budget keeps trouble from feeding itself
 		d.retries--
 	default:
-		d.finish(r)
+		d.finish(r, d.blocked(r))
 	}
 }
 
@@ -833,9 +838,9 @@
 
 // finish is the one place where a request that nobody serves is ended: it waits
 // while an attempt is out, refuses where that is harmless, else fails.
-func (d *Dispatcher) finish(r *request) {
+func (d *Dispatcher) finish(r *request, why Reason) {
 	c := r.rules
-	answer := Action{Type: Refuse, Request: r.id}
+	answer := Action{Type: Refuse, Request: r.id, Why: why}
 	for i := range r.attempts {
 		a := &r.attempts[i]
 		if !a.Ended {
--- /dev/null
+++ b/decision/tell.go
@@ -0,0 +1,65 @@
+package decision
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// What the module tells of itself beside its actions. Nothing here changes or decides
+// anything.
+
+// Reason says why a request was refused or failed, for those who look into it later.
+type Reason uint8
+
+const (
+	NoReason    Reason = iota
+	NoToken            // no worker that fits has tokens free
+	Overload           // requests start late: some are turned away
+	Ending             // the process ends before most of its class would be done
+	RetryBudget        // attempts after a failure have used up their share
+	NoAttempts         // it has had all its attempts
+	MayHaveRun         // it must not run twice, and it may have run
+	TimeUp             // its deadline has come
+	NoUse              // no worker can use it
+	NoClass            // its class is unknown
+)
+
+var reasons = [...]string{"", "no_token", "overload", "ending", "retry_budget", "attempts", "may_have_run", "deadline",
+	"unusable", "unknown_class"}
+
+func (r Reason) String() string {
+	if int(r) < len(reasons) {
+		return reasons[r]
+	}
+	return ""
+}
+
+// blocked tells why a request has no further attempt.
+func (d *Dispatcher) blocked(r *request) Reason {
+	most := d.cfg.Limits.MaxAttempts
+	ran := slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.neverRan() })
+	switch {
+	case d.now >= r.deadline:
+		return TimeUp
+	case r.rules.Effect == Unsafe && ran:
+		return MayHaveRun
+	case most > 0 && len(r.attempts) >= most:
+		return NoAttempts
+	case len(r.attempts) > 0 && d.retries < 1:
+		return RetryBudget
+	}
+	return NoToken
+}
+
+// Held returns how many tokens of a worker are out, and how many it may have out.
+func (d *Dispatcher) Held(id WorkerID) (held, limit int) {
+	w := cmp.Or(d.workers[id], &worker{})
+	return w.held, w.limit
+}
+
+// InTime returns how long a request of the class may take and be in time, if it ran for
+// so long.
+func (c *Class) InTime(run time.Duration) time.Duration {
+	return c.Objective + time.Duration(c.Stretch*float64(run))
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,11 +11,14 @@
 	"math"
 	"math/rand/v2"
 	"net"
-	"os"
 	"slices"
 	"strconv"
 
+	"github.com/sirupsen/logrus"
+
 	"frosttide/decision"
+	"frosttide/internal/export"
+	"frosttide/internal/settings"
 	"frosttide/internal/wire"
 )
 
@@ -39,6 +42,9 @@
 	Module    decision.Config
 	Names     wire.Names
 	Gone      []bool // by class: the file in force has it no more
+	Log       settings.Log
+	Telemetry export.Options
+	Warnings  []string // values of the environment that are passed over
 
 	keys map[string]any // the file, as it is
 }
@@ -58,10 +64,9 @@
 // MinSockets is the least number of descriptors a dispatcher can work with.
 const MinSockets = 64
 
-// Load reads the environment and the file at $BALANCER_CONFIG. Where the
-// environment and the file both give a value, the environment's is taken.
-func Load(getenv func(string) string) (Config, error) {
-	c, err := load(getenv, false)
+// Load reads the environment and the files. Source says whose word counts.
+func Load(src Source) (Config, error) {
+	c, err := load(src, false)
 	c.Gone = make([]bool, len(c.Names.Classes))
 	return c, err
 }
@@ -70,8 +75,8 @@
 // force. Guards against a new file that changes nothing: the environment of a running
 // process is that of its start, so here the file's discovery goes before it. The file
 // is turned down whole if anything in it can't be meant.
-func (c Config) Reload(getenv func(string) string) (Config, error) {
-	next, err := load(getenv, true)
+func (c Config) Reload(src Source) (Config, error) {
+	next, err := load(src, true)
 	if err != nil {
 		return Config{}, err
 	}
@@ -183,23 +188,16 @@
 	return all
 }
 
-func load(getenv func(string) string, fileFirst bool) (Config, error) {
-	path := getenv("BALANCER_CONFIG")
-	if path == "" {
-		return Config{}, errors.New("BALANCER_CONFIG is not set; it names the configuration file")
-	}
-	text, err := os.ReadFile(path)
+func load(src Source, fileFirst bool) (Config, error) {
+	t, err := src.read()
 	if err != nil {
-		return Config{}, fmt.Errorf("BALANCER_CONFIG: %w", err)
+		return Config{}, err
 	}
+	path, text, getenv := t.path, t.json, src.Getenv
 	f := file{Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}}
 	if err := json.Unmarshal(text, &f); err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
-	var keys map[string]any
-	if err := json.Unmarshal(text, &keys); err != nil {
-		return Config{}, fmt.Errorf("%s: %w", path, err)
-	}
 	for _, v := range []struct {
 		name string
 		to   *string
@@ -210,13 +208,14 @@
 			*v.to = s
 		}
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, Limits: f.Limits, Known: f.Known, keys: keys}
+	fixed := t.settings != nil && f.Discovery == "" && len(f.Known) > 0
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, Limits: f.Limits, Known: f.Known, keys: t.keys}
 	if fd := getenv("BALANCER_FD"); fd != "" {
 		if c.Inherited, err = strconv.Atoi(fd); err != nil || c.Inherited <= 2 {
 			return Config{}, fmt.Errorf("BALANCER_FD: %q is not an inherited descriptor", fd)
 		}
 	}
-	if err := c.check(); err != nil {
+	if err := c.check(fixed); err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
 	if c.Seed, err = seed(f.Seed); err != nil {
@@ -236,14 +235,30 @@
 			return Config{}, fmt.Errorf("%s: settings: request-classes[%d].name is missing", path, i)
 		}
 	}
+	var said settings.Telemetry
+	if t.settings != nil {
+		said = t.settings.Telemetry
+	}
+	if c.Telemetry, c.Warnings, err = export.Resolve(said, c.Name, getenv); err != nil {
+		return Config{}, err
+	}
+	c.Log = src.log(t)
+	if _, err := logrus.ParseLevel(c.Log.Level); err != nil {
+		return Config{}, fmt.Errorf("log level: %w", err)
+	}
+	if c.Log.Format != "text" && c.Log.Format != "json" {
+		return Config{}, fmt.Errorf("log format: %q is neither text nor json", c.Log.Format)
+	}
 	return c, nil
 }
 
-func (c *Config) check() error {
+// check refuses figures that can't be meant. A fixed list of runners goes without
+// discovery.
+func (c *Config) check(fixed bool) error {
 	for _, a := range []struct {
 		name, addr string
 		optional   bool
-	}{{"listen", c.Listen, false}, {"discovery", c.Discovery, false}, {"console", c.Console, true}} {
+	}{{"listen", c.Listen, false}, {"discovery", c.Discovery, fixed}, {"console", c.Console, true}} {
 		if a.addr == "" && a.optional {
 			continue
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 
 	"frosttide/decision"
 	"frosttide/internal/mailbox"
+	"frosttide/internal/trace"
 )
 
 // Core is the actor. Make it with New, start it with Run.
@@ -44,6 +45,9 @@
 	releasing map[*request]func(*Moved)  // requests that are to go to another process
 	inform    func(Exclusion)            // told of what operators say here
 	members   Members
+	ended     func(*trace.Story) // takes the stories of requests that have ended
+	held      func([]Holding)    // is told what each worker holds; nil for nobody
+	wanted    func() bool        // whether it wants to know now
 }
 
 // New makes the core. Seed is for the module's random numbers.
@@ -78,6 +82,7 @@
 		case <-summary.C:
 			c.report()
 		case <-fresh.C:
+			c.tellHeld()
 		}
 		c.now = c.clock(time.Now())
 		mail = c.box.Drain(mail[:0])
@@ -153,13 +158,13 @@
 			c.giveUp(r, a.Attempt, decision.Canceled)
 		}
 	case decision.Refuse:
-		c.answer(a.Request, Answer{Verdict: Shed, RetryAfter: a.After})
+		c.answer(a.Request, Answer{Verdict: Shed, RetryAfter: a.After}, a.Why.String())
 	case decision.Fail:
 		verdict := Failed
 		if r := c.requests[a.Request]; r != nil && r.unusable {
 			verdict = Unusable
 		}
-		c.answer(a.Request, Answer{Verdict: verdict})
+		c.answer(a.Request, Answer{Verdict: verdict}, a.Why.String())
 	case decision.SetTimer:
 		c.wake(&due{at: a.At, token: a.Token})
 	case decision.Probe:
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"frosttide/decision"
+	"frosttide/internal/trace"
 )
 
 // Snapshot is what the core tells a newer process of its dispatcher. Times are since
@@ -56,6 +57,7 @@
 type Moved struct {
 	Deadline time.Duration `json:"deadline"` // since 1970
 	Hops     []MovedHop    `json:"hops"`
+	Story    *trace.Story  `json:"story,omitempty"`
 }
 
 // MovedHop is an attempt of such a request.
@@ -86,7 +88,7 @@
 			done(nil)
 			continue
 		}
-		m := &Moved{Deadline: r.deadline}
+		m := &Moved{Deadline: r.deadline, Story: r.story}
 		past := c.module.Past(r.ref)
 		ready := len(past) == len(r.hops)
 		for i := range r.hops {
@@ -100,6 +102,7 @@
 			continue
 		}
 		delete(c.releasing, r)
+		r.story = nil // the other process goes on with it
 		c.settle(r)
 		c.event(decision.Event{Type: decision.RequestGone, Request: r.ref})
 		for i := range r.hops {
@@ -115,7 +118,7 @@
 func (c *Core) Adopt(job *Job, m *Moved, ingress Ingress) {
 	c.box.Put(func(c *Core) {
 		if c.byID[job.ID] != nil {
-			ingress.Answer(Answer{Verdict: Duplicate})
+			c.duplicate(job, ingress)
 			return
 		}
 		r := c.take(job, ingress)
@@ -130,6 +133,9 @@
 			ev.Past = append(ev.Past, h.Past)
 			r.hops = append(r.hops, hop{number: w.number, to: w, deadline: r.deadline, taken: true, ended: h.Past.Ended})
 		}
+		if r.story != nil {
+			c.adoptStory(r, m)
+		}
 		c.event(ev)
 	})
 }
--- a/internal/core/hops.go
+++ b/internal/core/hops.go
@@ -27,12 +27,13 @@
 }
 
 // HopEnded tells how a hop ended without a report on its job.
-func (c *Core) HopEnded(ref HopRef, outcome decision.Outcome, load []float32) {
+func (c *Core) HopEnded(ref HopRef, outcome decision.Outcome, load []float32, f Flight) {
 	c.box.Put(func(c *Core) {
 		r := c.requests[ref.Request]
 		if r == nil || outcome == decision.TimedOut && r.hops[ref.Attempt].reported {
 			return // that the runner has the job is known by its call-back
 		}
+		flown(r, ref.Attempt, f)
 		if c.end(r, ref.Attempt, outcome, load) {
 			r.unusable = r.unusable || outcome == decision.Unusable
 		}
@@ -40,10 +41,14 @@
 }
 
 // HopTaken tells that the runner has the job: what becomes of it comes by Report.
-func (c *Core) HopTaken(ref HopRef) {
+func (c *Core) HopTaken(ref HopRef, f Flight) {
 	c.box.Put(func(c *Core) {
 		if r := c.requests[ref.Request]; r != nil {
 			r.hops[ref.Attempt].taken = true
+			flown(r, ref.Attempt, f)
+			if r.story != nil {
+				r.story.Hops[ref.Attempt].Taken = c.now
+			}
 		}
 	})
 }
@@ -67,6 +72,9 @@
 		end = min(end, c.now+a.After)
 	}
 	r.hops = append(r.hops, hop{number: a.Worker, to: w, deadline: end})
+	if r.story != nil {
+		c.began(r.story, w)
+	}
 	if most := c.cfg.Limits.MaxAttempts; w == nil || r.answered || c.now >= end || most > 0 && attempt >= most {
 		c.end(r, attempt, decision.NotSent, nil)
 		return
@@ -78,7 +86,12 @@
 }
 
 func (c *Core) hop(r *request, attempt int) Hop {
-	return Hop{Ref: HopRef{r.ref, attempt}, Job: r.job, Deadline: c.moment(r.hops[attempt].deadline)}
+	h := Hop{Ref: HopRef{r.ref, attempt}, Job: r.job, Deadline: c.moment(r.hops[attempt].deadline)}
+	if r.story != nil {
+		of := r.story.Of(attempt)
+		h.Parent, h.State = of.Parent(), of.State
+	}
+	return h
 }
 
 // giveUp stops waiting for a hop that is out.
@@ -86,6 +99,9 @@
 	if attempt < 0 || attempt >= len(r.hops) || r.hops[attempt].ended {
 		return
 	}
+	if r.story != nil && r.hops[attempt].taken {
+		r.story.Hops[attempt].Recalled = c.now
+	}
 	r.hops[attempt].to.target.GiveUp(c.hop(r, attempt))
 	c.end(r, attempt, outcome, nil)
 }
@@ -100,6 +116,10 @@
 	h := &r.hops[attempt]
 	h.ended = true
 	c.tally.hops[outcome]++
+	if r.story != nil {
+		told := &r.story.Hops[attempt]
+		told.Ended, told.Outcome, told.MayHaveRun = c.now, outcomes[outcome], !outcome.NeverRan()
+	}
 	// The module's own number, also for a worker that left in the same batch as
 	// the Send: with another the module would not find the attempt, and hold the
 	// request until its deadline.
@@ -121,6 +141,9 @@
 			continue
 		}
 		note := decision.Event{Request: r.ref, Attempt: i, Worker: h.number, Progress: ev.Share}
+		if r.story != nil {
+			r.story.Hops[i].Note(c.now, jobStates[ev.State], ev.Share)
+		}
 		switch ev.State {
 		case JobStarted:
 			h.reported = true
@@ -132,7 +155,7 @@
 			c.event(note)
 		case JobDone:
 			c.end(r, i, decision.Served, ev.Load)
-			c.answer(r.ref, Answer{Verdict: Served, Result: ev.Result})
+			c.answer(r.ref, Answer{Verdict: Served, Result: ev.Result}, whyDone)
 		case JobFailed:
 			c.end(r, i, decision.Errored, ev.Load)
 		case JobReturned:
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -11,6 +11,7 @@
 	number decision.WorkerID
 	uid    string
 	addr   string
+	zone   string          // its name
 	member decision.Member // as discovery lists it
 	target Target
 }
@@ -71,7 +72,7 @@
 		if t.State == decision.Draining && w.member.State != t.State {
 			c.log.WithField("target", w.uid).Info("egress target drains")
 		}
-		w.member = t.Member
+		w.member, w.zone = t.Member, t.ZoneName
 		w.member.Worker = w.number
 		ev.Members = append(ev.Members, c.shown(w))
 		if t.State == decision.Removed {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"frosttide/decision"
+	"frosttide/internal/trace"
 )
 
 // request is a request from its arrival until it is answered and none of its
@@ -18,6 +19,7 @@
 	unusable bool // a runner has said so
 	hops     []hop
 	due      []*due // what is to be done about it at a time
+	story    *trace.Story
 }
 
 // Submit hands over a request; its answer goes to the ingress. The ingress names
@@ -31,6 +33,9 @@
 	c.box.Put(func(c *Core) {
 		if r := c.byID[job.ID]; r != nil && r.job == job && !r.answered {
 			c.settle(r)
+			if r.story != nil {
+				r.story.End(c.now, trace.Gone, trace.ByCore, whyLeft)
+			}
 			c.event(decision.Event{Type: decision.RequestGone, Request: r.ref})
 			c.forget(r)
 		}
@@ -53,9 +58,7 @@
 
 func (c *Core) arrived(job *Job, ingress Ingress) {
 	if c.byID[job.ID] != nil {
-		// Guards the match of call-backs by id: two open requests of one id could
-		// not be told apart.
-		ingress.Answer(Answer{Verdict: Duplicate})
+		c.duplicate(job, ingress)
 		return
 	}
 	c.event(c.arrival(c.take(job, ingress)))
@@ -67,11 +70,14 @@
 	for c.lastID == 0 || c.requests[c.lastID] != nil { // numbers may come round
 		c.lastID++
 	}
-	r := &request{ref: c.lastID, job: job, ingress: ingress, deadline: c.clock(job.Deadline)}
+	r := &request{ref: c.lastID, job: job, ingress: ingress, deadline: c.clock(job.Deadline), story: job.Story}
 	if most := c.cfg.Classes[job.Class].GiveUp; most > 0 {
 		// Guards tokens and memory against a client that claims to wait for days.
 		r.deadline = min(r.deadline, c.now+most)
 	}
+	if r.story != nil {
+		r.story.Deadline = r.deadline
+	}
 	c.requests[r.ref], c.byID[job.ID] = r, r
 	c.remind(r, due{at: r.deadline, attempt: -1})
 	return r
@@ -86,12 +92,15 @@
 }
 
 // answer is the one place where a request gets its final answer.
-func (c *Core) answer(id decision.RequestID, a Answer) {
+func (c *Core) answer(id decision.RequestID, a Answer, why string) {
 	r := c.requests[id]
 	if r == nil || r.answered {
 		return
 	}
 	c.tally.answers[a.Verdict]++
+	if r.story != nil {
+		c.tellEnd(r, a, why)
+	}
 	r.ingress.Answer(a)
 	c.settle(r)
 }
@@ -115,6 +124,9 @@
 	}
 	delete(c.requests, r.ref)
 	delete(c.byID, r.job.ID)
+	if r.story != nil {
+		c.ended(r.story)
+	}
 	for _, d := range r.due {
 		if d.place >= 0 {
 			heap.Remove(&c.due, d.place)
@@ -132,8 +144,12 @@
 	c.step()
 	if !r.answered {
 		// Guards rule 1 against a module that holds a request without a hop.
-		c.log.WithField("id", r.job.ID).Warn("request was still held at its deadline and fails")
-		c.answer(r.ref, Answer{Verdict: Failed})
+		h := Hop{Job: r.job}
+		if r.story != nil {
+			h.Parent = trace.Context{Trace: r.story.Trace, Span: r.story.Span}.Parent()
+		}
+		c.log.WithFields(h.Fields()).Warn("request was still held at its deadline and fails")
+		c.answer(r.ref, Answer{Verdict: Failed}, whyHeld)
 		c.event(decision.Event{Type: decision.RequestGone, Request: r.ref})
 	}
 }
--- a/internal/core/terms.go
+++ b/internal/core/terms.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"frosttide/decision"
+	"frosttide/internal/trace"
 )
 
 // Job is what a client asks for, in no protocol's terms. What a runner is to
@@ -23,6 +26,8 @@
 	Retry    bool          // a client's repeat
 	Ending   bool          // the deadline is the end of this process
 	Deadline time.Time
+
+	Story *trace.Story // nil for none; from Submit on it is the core's
 }
 
 // Verdict is the kind of a final answer.
@@ -59,6 +64,17 @@
 	Ref      HopRef
 	Job      *Job
 	Deadline time.Time // when the core stops waiting
+	Parent   string    // traceparent of this hop; empty where nothing is recorded
+	State    string    // tracestate
+}
+
+// Fields are what a log line about the hop says of its request.
+func (h *Hop) Fields() logrus.Fields {
+	f := logrus.Fields{"id": h.Job.ID}
+	if c, ok := trace.ParseParent(h.Parent, ""); ok {
+		f["trace"] = c.Trace.String()
+	}
+	return f
 }
 
 // Target is an egress target. None of its methods may block. What becomes of a
@@ -86,6 +102,7 @@
 // Route is one entry of the route table.
 type Route struct {
 	UID, Addr string
+	ZoneName  string
 	decision.Member
 }
 
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -32,6 +32,8 @@
 	headerKey     = "Idempotency-Key"
 	headerUnrun   = "X-Never-Ran"
 	headerLoad    = "Endpoint-Load-Metrics"
+	headerParent  = "Traceparent" // W3C Trace Context
+	headerState   = "Tracestate"
 
 	maxBody = 64 << 10 // the protocol's bound on any body
 	// aloneBase is how long a runner that broke a kept connection gets a new one for
@@ -48,8 +50,8 @@
 
 // Reports takes what becomes of hops and probes; the core does. It must not block.
 type Reports interface {
-	HopTaken(core.HopRef)
-	HopEnded(core.HopRef, decision.Outcome, []float32)
+	HopTaken(core.HopRef, core.Flight)
+	HopEnded(core.HopRef, decision.Outcome, []float32, core.Flight)
 	ProbeEnded(decision.WorkerID, decision.Outcome, []float32)
 }
 
@@ -231,6 +233,7 @@
 	outcome decision.Outcome // unless taken
 	load    []float32
 	stale   bool // a kept connection broke
+	flight  core.Flight
 }
 
 // landed is the one place where a flight ends.
@@ -243,9 +246,9 @@
 	case res.taken && f.givenUp: // given up while its 202 was on the way
 		t.recall(h)
 	case res.taken:
-		t.fleet.reports.HopTaken(h.Ref)
+		t.fleet.reports.HopTaken(h.Ref, res.flight)
 	case !f.givenUp:
-		t.fleet.reports.HopEnded(h.Ref, res.outcome, res.load)
+		t.fleet.reports.HopEnded(h.Ref, res.outcome, res.load, res.flight)
 	}
 }
 
@@ -261,10 +264,15 @@
 }
 
 // fly sends a hop once and tells whether the runner has taken it.
-func (t *target) fly(ctx context.Context, via *http.Transport, addr string, h core.Hop) result {
+func (t *target) fly(ctx context.Context, via *http.Transport, addr string, h core.Hop) (res result) {
 	body := &sentBody{data: h.Job.Body}
 	var broken atomic.Bool // the transport says that it could not write it all
 	var kept atomic.Bool   // it went out on a connection that was used before
+	defer func() {
+		if res.flight.Kept = kept.Load(); body.ended.Load() {
+			res.flight.Bytes = len(h.Job.Body)
+		}
+	}()
 	trace := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { kept.Store(info.Reused) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
@@ -276,7 +284,7 @@
 	})
 	req, err := request(trace, h.Job.Method, addr, h.Job.Resource)
 	if err != nil {
-		t.log.WithError(err).WithField("id", h.Job.ID).Error("hop could not be written down")
+		t.log.WithError(err).WithFields(h.Fields()).Error("hop could not be written down")
 		return result{outcome: decision.NotSent}
 	}
 	// Guards rule 2: without GetBody, and with a body that is not NoBody even
@@ -289,12 +297,18 @@
 	if h.Job.Key != "" {
 		req.Header[headerKey] = []string{h.Job.Key}
 	}
+	if h.Parent != "" {
+		req.Header[headerParent] = []string{h.Parent}
+		if h.State != "" {
+			req.Header[headerState] = []string{h.State}
+		}
+	}
 	resp, err := via.RoundTrip(req)
 	if errors.Is(err, errNoSocket) {
 		return result{outcome: decision.NotSent} // says nothing of the runner
 	}
 	if err != nil {
-		t.log.WithError(err).WithFields(logrus.Fields{"id": h.Job.ID, "kept": kept.Load()}).Debug("hop's connection broke")
+		t.log.WithError(err).WithFields(h.Fields()).WithField("kept", kept.Load()).Debug("hop's connection broke")
 		// The job may have run once its last byte may have left. The trace may
 		// come later than the error, so the body's end counts unless the trace
 		// has said that the write failed.
@@ -338,7 +352,7 @@
 		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(settleTime))
 		defer cancel()
 		if _, err := t.exchange(ctx, via, http.MethodDelete, addr, "/jobs/"+url.PathEscape(h.Job.ID)); err != nil {
-			t.log.WithError(err).WithField("id", h.Job.ID).Debug("job could not be recalled")
+			t.log.WithError(err).WithFields(h.Fields()).Debug("job could not be recalled")
 		}
 	}()
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -24,6 +24,7 @@
 
 	"frosttide/internal/core"
 	"frosttide/internal/loadreport"
+	"frosttide/internal/trace"
 )
 
 const (
@@ -81,6 +82,7 @@
 	Slots   float64  // most that a job may ask for
 	Clients int      // most jobs at a time
 	Sockets int      // most connections at all; the rest is the call-backs'
+	Stories Stories
 }
 
 // Class is what the ingress knows of a class.
@@ -88,6 +90,16 @@
 	Name  string
 	Keyed bool // its jobs carry a key
 	Gone  bool // no new job may be of it
+	Worth float64
+	// Repeats is how long after a job's coming one that asks for the same belongs to it.
+	Repeats time.Duration
+}
+
+// Stories begins the stories of jobs, and takes those that end at the door. Begin returns
+// nil where nothing is recorded.
+type Stories interface {
+	Begin(came time.Time, parent, state string) *trace.Story
+	Ended(*trace.Story)
 }
 
 // Front is the server of clients and call-backs.
@@ -248,6 +260,7 @@
 	}
 	switch {
 	case framed.unclear():
+		f.atDoor(f.story(r), trace.Unusable, "framing", http.StatusBadRequest)
 		f.refuse(w, "the length of the request is not clear", http.StatusBadRequest)
 	case r.URL.Path == "/_health" && (r.Method == http.MethodGet || r.Method == http.MethodHead):
 		w.WriteHeader(http.StatusOK)
@@ -305,19 +318,24 @@
 func (x exchange) Answer(a core.Answer) { x <- a }
 
 func (f *Front) job(w http.ResponseWriter, r *http.Request, c *conn) {
+	story := f.story(r)
 	class, err := f.class(r.Header.Get("X-Qos"), r.URL.Path)
 	if err != nil {
+		f.atDoor(story, trace.Unusable, "class", http.StatusBadRequest)
 		f.refuse(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	job, err := f.parse(r, class, time.Now())
+	f.describe(story, r, job, class)
 	if err != nil {
+		f.atDoor(story, trace.Unusable, "malformed", http.StatusBadRequest)
 		f.counts.Failed(class)
 		f.refuse(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	text, ok := f.body(w, r, c)
 	if !ok {
+		f.atDoor(story, trace.Unusable, "body", http.StatusBadRequest)
 		f.counts.Failed(class)
 		return
 	}
@@ -329,6 +347,7 @@
 		// Guards the budget of sockets: the connection is given back with a clean
 		// refusal, so that call-backs still find room.
 		f.crowded.Add(1)
+		f.atDoor(story, trace.Refused, "crowded", http.StatusServiceUnavailable)
 		f.counts.Rejected(class)
 		w.Header().Set("Connection", "close")
 		shed(w, crowded)
@@ -339,7 +358,11 @@
 	if c.moved != nil { // the older process has begun it
 		m, c.moved = c.moved, nil
 		job.Deadline = time.Unix(0, int64(m.Deadline))
+		if story != nil && m.Story != nil {
+			story = m.Story
+		}
 	}
+	m.Story = story
 	if f.gives() && f.move(w, r, m, text) {
 		return
 	}
@@ -348,6 +371,7 @@
 		// Guards rule 1: what the process's end finds without an answer is lost.
 		job.Deadline, job.Ending = *by, true
 	}
+	job.Story = story
 	x := make(exchange, 1)
 	if len(m.Hops) > 0 {
 		f.core.Adopt(job, m, x)
@@ -381,6 +405,7 @@
 				continue // its answer is on the way
 			}
 			if !f.move(w, r, m, job.Body) {
+				f.atDoor(m.Story, trace.Failed, "hand_over", http.StatusBadGateway)
 				f.counts.Failed(job.Class)
 				w.Header().Set("Connection", "close")
 				http.Error(w, "the job failed", http.StatusBadGateway)
@@ -423,10 +448,11 @@
 	if !f.other.Hand(c, text.Bytes(), m, time.Now().Add(passTime)) {
 		// Guards rule 1 against a newer process that has ended: it may have run, unless
 		// it was never sent.
-		status := http.StatusBadGateway
+		status, answer := http.StatusBadGateway, trace.Failed
 		if len(m.Hops) == 0 {
-			status = http.StatusServiceUnavailable
+			status, answer = http.StatusServiceUnavailable, trace.Refused
 		}
+		f.atDoor(m.Story, answer, "hand_over", status)
 		_ = c.SetWriteDeadline(time.Now().Add(passTime))
 		fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 	}
--- /dev/null
+++ b/internal/otlp/payload.go
@@ -0,0 +1,37 @@
+package otlp
+
+import (
+	"go.opentelemetry.io/collector/pdata/pmetric"
+	"go.opentelemetry.io/collector/pdata/ptrace"
+)
+
+// Payload is a message that can be written either way. The zero value is none.
+type Payload struct {
+	proto, json func() ([]byte, error)
+}
+
+// TracesPayload returns the payload of spans. Its protobuf form is that of
+// ExportTraceServiceRequest, which has the fields of TracesData.
+func TracesPayload(t ptrace.Traces) Payload {
+	return Payload{
+		proto: func() ([]byte, error) { return (&ptrace.ProtoMarshaler{}).MarshalTraces(t) },
+		json:  func() ([]byte, error) { return (&ptrace.JSONMarshaler{}).MarshalTraces(t) },
+	}
+}
+
+// MeasuresPayload returns the payload of figures.
+func MeasuresPayload(m pmetric.Metrics) Payload {
+	return Payload{
+		proto: func() ([]byte, error) { return (&pmetric.ProtoMarshaler{}).MarshalMetrics(m) },
+		json:  func() ([]byte, error) { return (&pmetric.JSONMarshaler{}).MarshalMetrics(m) },
+	}
+}
+
+// Some tells whether there is a message.
+func (p Payload) Some() bool { return p.proto != nil }
+
+// Proto writes the message as protobuf.
+func (p Payload) Proto() ([]byte, error) { return p.proto() }
+
+// JSON writes it as one line of JSON, as the file exporter's specification has it.
+func (p Payload) JSON() ([]byte, error) { return p.json() }
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -143,6 +143,9 @@
 	})
 }
 
+// Fix tells the whole list where it is fixed and there is no discovery.
+func (t *Table) Fix(known []byte) { t.box.Put(func(t *Table) { t.line(known) }) }
+
 // watch begins the one watch. Guards against changes missed at a new address,
 // whose versions may count otherwise: there the whole list is asked for first.
 func (t *Table) watch() {
@@ -343,7 +346,7 @@
 		return core.Route{}, fmt.Errorf("entry %q: endpoint: %w", e.UID, err)
 	}
 	m.Zone, m.Kind = t.zones.number(e.Zone), t.kinds.number(e.Kind)
-	return core.Route{UID: e.UID, Addr: e.Endpoint, Member: m}, nil
+	return core.Route{UID: e.UID, Addr: e.Endpoint, ZoneName: e.Zone, Member: m}, nil
 }
 
 // numbering gives names the numbers of the settings, and new names new ones.
--- /dev/null
+++ b/internal/trace/ids.go
@@ -0,0 +1,113 @@
+// Package trace holds what is told of a request after its end: its story, from
+// its coming over each hop to its one final answer, and what is decided about
+// stories: which are kept, which go first when there is no room, and which
+// request a client's repeat belongs to. It does no I/O and reads no clock.
+package trace
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+)
+
+// ID names a trace, SpanID a span of it. The zero values name none. Source: W3C
+// Trace Context, level 1.
+type (
+	ID     [16]byte
+	SpanID [8]byte
+)
+
+// NewID returns a random id. Guards against the one value that names nothing.
+func NewID() (id ID) {
+	for id == (ID{}) {
+		binary.BigEndian.PutUint64(id[:8], rand.Uint64())
+		binary.BigEndian.PutUint64(id[8:], rand.Uint64())
+	}
+	return id
+}
+
+// NewSpanID returns a random id.
+func NewSpanID() (id SpanID) {
+	for id == (SpanID{}) {
+		binary.BigEndian.PutUint64(id[:], rand.Uint64())
+	}
+	return id
+}
+
+func (id ID) String() string     { return hex.EncodeToString(id[:]) }
+func (id SpanID) String() string { return hex.EncodeToString(id[:]) }
+
+// MarshalText writes an id as lower-case hexadecimal digits.
+func (id ID) MarshalText() ([]byte, error) { return []byte(id.String()), nil }
+
+// MarshalText writes an id as lower-case hexadecimal digits.
+func (id SpanID) MarshalText() ([]byte, error) { return []byte(id.String()), nil }
+
+// UnmarshalText reads what MarshalText writes.
+func (id *ID) UnmarshalText(text []byte) error { return digits(id[:], string(text)) }
+
+// UnmarshalText reads what MarshalText writes.
+func (id *SpanID) UnmarshalText(text []byte) error { return digits(id[:], string(text)) }
+
+var errDigits = errors.New("not lower-case hexadecimal digits of the right number")
+
+// digits reads hexadecimal digits; upper-case ones are not allowed in the header.
+func digits(to []byte, text string) error {
+	if len(text) != 2*len(to) || strings.ContainsAny(text, "ABCDEF") {
+		return fmt.Errorf("%q: %w", text, errDigits)
+	}
+	if _, err := hex.Decode(to, []byte(text)); err != nil {
+		return fmt.Errorf("%q: %w", text, errDigits)
+	}
+	return nil
+}
+
+// Context is what a client tells of the trace that it is in.
+type Context struct {
+	Trace   ID     `json:"trace"`
+	Span    SpanID `json:"span"`
+	State   string `json:"state,omitempty"` // tracestate, handed on as it came
+	Sampled bool   `json:"sampled,omitempty"`
+}
+
+// maxState is the longest tracestate that is handed on; the recommendation asks for
+// 512 characters at least, and a longer one may be dropped whole.
+const maxState = 512
+
+// ParseParent reads the headers traceparent and tracestate. It reports whether they
+// name a trace; where they don't a new trace begins, and the state is not to be used.
+// Source: W3C Trace Context, level 1, 3.2 and 3.3; versions after 00 are read as far
+// as 00 goes.
+func ParseParent(parent, state string) (c Context, ok bool) {
+	const length = 2 + 1 + 32 + 1 + 16 + 1 + 2
+	if len(parent) < length || parent[2] != '-' || parent[35] != '-' || parent[52] != '-' {
+		return Context{}, false
+	}
+	var version, flags [1]byte
+	err := errors.Join(digits(version[:], parent[:2]), digits(c.Trace[:], parent[3:35]),
+		digits(c.Span[:], parent[36:52]), digits(flags[:], parent[53:55]))
+	more := parent[length:]
+	switch {
+	case err != nil, version[0] == 0xff, c.Trace == (ID{}), c.Span == (SpanID{}):
+		return Context{}, false
+	case version[0] == 0 && more != "", more != "" && more[0] != '-':
+		return Context{}, false
+	}
+	c.Sampled = flags[0]&1 == 1
+	if len(state) <= maxState {
+		c.State = state
+	}
+	return c, true
+}
+
+// Parent writes the traceparent header of a request that belongs to the span.
+func (c Context) Parent() string {
+	flags := "00"
+	if c.Sampled {
+		flags = "01"
+	}
+	return "00-" + c.Trace.String() + "-" + c.Span.String() + "-" + flags
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -76,6 +76,9 @@
 	"qps": decision.MetricServedRate, "eps": decision.MetricErrorRate,
 }
 
+// KnownColumn tells whether a load report's column has a meaning by its name alone.
+func KnownColumn(name string) bool { return metrics[name] != decision.MetricUnknown }
+
 // slotMetrics holds what the free columns of a report may stand for.
 var slotMetrics = map[string]decision.Metric{
 	"free slots": decision.MetricFreeSlots, "free memory": decision.MetricFreeMemory,
