Test the export against a stand-in collector that misbehaves; add the laboratory's start

Need: every hard case of a collector in trouble has to be provoked on the real process.

Change: internal/standin/collector speaks OTLP over HTTP and gRPC, checks ids, parents, times, temporality and buckets of all that it is sent, and hangs, drips, resets, answers garbage, too much, errors or in part as it is told. Tests start the program against it: absent from the start, gone and back, untrusted, a full queue, refusals by the thousand, the end of the process, a reload, an upgrade. cmd/frosttide-lab and internal/lab measure builds in paired rounds. A 202 that comes after the job's end is no longer noted behind its hop's end, which the stand-in found to break the protocol's times.

--- /dev/null
+++ b/cmd/frosttide-lab/telemetry.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"frosttide/internal/lab"
+	"frosttide/internal/standin/collector"
+	"frosttide/internal/toyfleet"
+)
+
+// telemetry compares runs with a collector to runs without, in pairs.
+type telemetry struct {
+	binary, other string
+	pairs         int
+	rate          float64
+	length        time.Duration
+	modes         []string
+}
+
+// The modes of a run; every other is compared to the first.
+const (
+	modeOff     = "off"
+	modeOther   = "other"   // the binary of --other, without telemetry
+	modeGood    = "good"    // everything is kept and a collector takes it
+	modeSampled = "sampled" // 1% is kept
+	modeKilled  = "killed"  // the collector is killed halfway
+	modeHanging = "hanging" // the collector takes calls and never answers
+)
+
+func telemetryCommand() *cobra.Command {
+	e := &telemetry{}
+	cmd := &cobra.Command{
+		Use:   "telemetry",
+		Short: "Compare service, latency and CPU with collectors good, killed and hanging",
+		Long: `telemetry runs the program in rounds, each mode once a round in a changing order, under
+the same load, and prints the ratios to the mode off with 95% intervals of the median.`,
+		Example: `  frosttide-lab telemetry --binary bin/frosttide --rounds 20`,
+		RunE:    func(cmd *cobra.Command, _ []string) error { return e.run(cmd.Context(), cmd.OutOrStdout()) },
+	}
+	f := cmd.Flags()
+	f.StringVar(&e.binary, "binary", "bin/frosttide", "the program")
+	f.StringVar(&e.other, "other", "", "another build of it, for the mode other")
+	f.IntVar(&e.pairs, "rounds", 20, "rounds, at most 200")
+	f.Float64Var(&e.rate, "rate", 300, "jobs a second, at most 5000")
+	f.DurationVar(&e.length, "length", 2*time.Second, "counted time of a run, at most 1m")
+	f.StringSliceVar(&e.modes, "modes", []string{modeOff, modeGood, modeSampled, modeKilled, modeHanging}, "modes, the first is compared to")
+	return cmd
+}
+
+// run is one run's figures.
+type run struct {
+	service, p50, p99, cpu float64
+	memory                 float64
+}
+
+func (e *telemetry) run(ctx context.Context, out io.Writer) error {
+	if e.pairs < 1 || e.pairs > 200 || e.rate <= 0 || e.rate > 5000 || e.length <= 0 || e.length > time.Minute || len(e.modes) < 2 {
+		return errors.New("rounds, rate, length or modes are out of their range")
+	}
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	all := map[string][]run{}
+	for round := range e.pairs {
+		for i := range e.modes {
+			mode := e.modes[(i+round)%len(e.modes)]
+			r, err := e.once(ctx, mode, uint64(round+1))
+			if err != nil {
+				return fmt.Errorf("round %d, %s: %w", round+1, mode, err)
+			}
+			all[mode] = append(all[mode], r)
+		}
+	}
+	return e.write(out, all)
+}
+
+func (e *telemetry) write(out io.Writer, all map[string][]run) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "%d rounds of %s at %g jobs/s; medians, and ratios to %s with 95%% intervals\n", e.pairs, e.length, e.rate, e.modes[0])
+	fmt.Fprintln(w, "mode\tservice\tp50 ms\tp99 ms\tCPU µs/job\tRSS KiB\tservice ratio\tp50 ratio\tp99 ratio\tCPU ratio")
+	figures := []func(run) float64{func(r run) float64 { return r.service }, func(r run) float64 { return r.p50 },
+		func(r run) float64 { return r.p99 }, func(r run) float64 { return r.cpu }, func(r run) float64 { return r.memory }}
+	for _, mode := range e.modes {
+		fmt.Fprintf(w, "%s", mode)
+		for _, f := range figures {
+			var values []float64
+			for _, r := range all[mode] {
+				values = append(values, f(r))
+			}
+			fmt.Fprintf(w, "\t%.5g", lab.Median(values))
+		}
+		for _, f := range figures[:4] {
+			if mode == e.modes[0] {
+				fmt.Fprint(w, "\t1")
+				continue
+			}
+			var ratios []float64
+			for i, r := range all[mode] {
+				ratios = append(ratios, f(r)/f(all[e.modes[0]][i]))
+			}
+			x := lab.Bootstrap(ratios, 1)
+			fmt.Fprintf(w, "\t%.4f (%.4f to %.4f)", x.Mid, x.Low, x.High)
+		}
+		fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
+
+const (
+	labDispatcher = "127.0.0.1:18081"
+	labDiscovery  = "127.0.0.1:18500"
+	labWork       = 20 * time.Millisecond
+	labWarm       = 500 * time.Millisecond
+)
+
+var labRunners = []string{"127.0.0.1:19101", "127.0.0.1:19102", "127.0.0.1:19103", "127.0.0.1:19104"}
+
+// labPlatform is in the platform's form, so that older builds take it too.
+const labPlatform = `{"name":"lab","listen":"` + labDispatcher + `","discovery":"` + labDiscovery + `","known":{"rev":0,"all":true,"targets":[]},
+"settings":{"balancers":1,"me":0,"zone":0,"zones":["studio"],"kinds":["toy"],"discovery":"on_request","weights":"none",
+"request-classes":[{"name":"preview-cut","effect":"safe","aim":2000000,"give-up":5000000,"worth":1}],
+"policy-limits":{"connect-timeout":250000,"keepalive":5000000,"max-retry-after":2000000,"may-cancel":true,"retry-after":true,
+"second-copies":false,"send-cap":4,"probing":false},"report":{"source":"none"},"family-info":{"tells-start":true},
+"rules":{"ask-within":100000,"drain-grace":500000,"cold-from":1,"warm-within":0,"fall-multiple":1,"fall":1000000}}}`
+
+// once runs the program once.
+func (e *telemetry) once(ctx context.Context, mode string, seed uint64) (r run, err error) {
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	fleet, err := toyfleet.Start(labDiscovery, labDispatcher, labRunners, labWork, quiet)
+	if err != nil {
+		return r, err
+	}
+	defer fleet.Close()
+	dir, err := os.MkdirTemp("", "frosttide-lab-")
+	if err != nil {
+		return r, err
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, []byte(labPlatform), 0o600); err != nil {
+		return r, err
+	}
+	env, binary := []string{"BALANCER_CONFIG=" + path, "TMPDIR=" + dir, "FROSTTIDE_LOG_LEVEL=warn"}, e.binary
+	var to *collector.Collector
+	switch mode {
+	case modeOff:
+	case modeOther:
+		binary = e.other
+	default:
+		if to, err = collector.Start("127.0.0.1:0", nil); err != nil {
+			return r, err
+		}
+		defer to.Kill()
+		env = append(env, "OTEL_EXPORTER_OTLP_ENDPOINT=http://"+to.Addr, "OTEL_BSP_SCHEDULE_DELAY=500", "OTEL_METRIC_EXPORT_INTERVAL=1000")
+	}
+	switch mode {
+	case modeSampled:
+		env = append(env, "OTEL_TRACES_SAMPLER=traceidratio", "OTEL_TRACES_SAMPLER_ARG=0.01")
+	case modeHanging:
+		to.Script(collector.Fault{Hang: true})
+	case modeKilled:
+		kill := time.AfterFunc(labWarm+e.length/2, to.Kill)
+		defer kill.Stop()
+	}
+	p, err := lab.Start(binary, nil, env)
+	if err != nil {
+		return r, err
+	}
+	if err = p.Await("http://"+labDispatcher+"/_health", time.Now().Add(10*time.Second)); err != nil {
+		return r, fmt.Errorf("%w; log:\n%s", err, p.Kill())
+	}
+	load := lab.Load{Addr: labDispatcher, Class: "preview-cut", Rate: e.rate, For: e.length, Warm: labWarm, Patient: 5 * time.Second,
+		Seed: seed, Most: 2000}
+	got := load.Run(ctx)
+	cpu, cpuErr := p.CPU()
+	memory, memoryErr := p.Memory()
+	text := p.Kill()
+	if err := errors.Join(cpuErr, memoryErr); err != nil {
+		return r, fmt.Errorf("%w; log:\n%s", err, text)
+	}
+	if strings.Contains(text, "level=error") {
+		return r, errors.New(text)
+	}
+	if to != nil {
+		if err := to.Broken(); err != nil {
+			return r, fmt.Errorf("rules of OTLP are broken: %w", err)
+		}
+	}
+	jobs := float64(max(got.Sent, 1)) * float64(labWarm+e.length) / float64(e.length)
+	return run{service: got.Service(), p50: got.Quantile(50).Seconds() * 1000, p99: got.Quantile(99).Seconds() * 1000,
+		cpu: float64(cpu.Microseconds()) / jobs, memory: float64(memory)}, nil
+}
--- /dev/null
+++ b/cmd/frosttide/telemetry_test.go
@@ -0,0 +1,645 @@
+package main
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	gocmp "github.com/google/go-cmp/cmp"
+	"go.opentelemetry.io/collector/pdata/ptrace"
+
+	"frosttide/internal/standin/collector"
+)
+
+// newCollector starts a stand-in collector, and at the end wants it to have seen no rule
+// of the protocol broken.
+func newCollector(t *testing.T, cert *tls.Certificate) *collector.Collector {
+	t.Helper()
+	return newCollectorAt(t, "127.0.0.1:0", cert)
+}
+
+func newCollectorAt(t *testing.T, addr string, cert *tls.Certificate) *collector.Collector {
+	t.Helper()
+	c, err := collector.Start(addr, cert)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Kill()
+		if err := c.Broken(); err != nil {
+			t.Errorf("rules of OTLP are broken:\n%v", err)
+		}
+	})
+	return c
+}
+
+// telling has a dispatcher tell a collector, soon; the edits come after.
+func telling(addr string, env ...string) func(*dispatcher) {
+	return func(d *dispatcher) {
+		d.cmd.Env = append(d.cmd.Env, "OTEL_EXPORTER_OTLP_ENDPOINT=http://"+addr, "OTEL_BSP_SCHEDULE_DELAY=20",
+			"OTEL_METRIC_EXPORT_INTERVAL=100", "OTEL_METRICS_EXPORTER=none")
+		d.cmd.Env = append(d.cmd.Env, env...)
+	}
+}
+
+// works has a runner serve all that it gets until the test ends.
+func (d *dispatcher) works(r *runner) {
+	stop := make(chan struct{})
+	d.t.Cleanup(func() { close(stop) })
+	go func() {
+		for {
+			select {
+			case h := <-r.hops:
+				h.reply(202, "")
+				if h.Method == http.MethodPost {
+					body := event(h.id(), r.uid, "done")
+					resp, err := http.Post("http://"+d.addr+"/v1/job-events", "application/json", strings.NewReader(body))
+					if err == nil {
+						resp.Body.Close()
+					}
+				}
+			case <-stop:
+				return
+			}
+		}
+	}()
+}
+
+// serves wants so many jobs served.
+func (d *dispatcher) serves(name string, n int) {
+	d.t.Helper()
+	for i := range n {
+		id := fmt.Sprintf("%s-%d", name, i)
+		if a := await(d.t, submit(d.job("render", id)), "answer"); a.Status != 200 {
+			d.t.Fatalf("job %s got %d %s %v", id, a.Status, a.Body, a.Err)
+		}
+	}
+}
+
+// spans waits until a collector has taken the spans of requests with the given ids, and
+// returns all spans that it has taken.
+func spans(t *testing.T, c *collector.Collector, ids ...string) []ptrace.Span {
+	t.Helper()
+	over := time.After(patience)
+	for {
+		var all []ptrace.Span
+		missing := slices.Clone(ids)
+		for _, call := range c.Taken() {
+			if call.Traces == nil {
+				continue
+			}
+			for _, of := range call.Traces.ResourceSpans().All() {
+				for _, in := range of.ScopeSpans().All() {
+					for _, s := range in.Spans().All() {
+						all = append(all, s)
+						missing = slices.DeleteFunc(missing, func(id string) bool { return attr(s, "frosttide.request") == id })
+					}
+				}
+			}
+		}
+		if len(missing) == 0 {
+			return all
+		}
+		select {
+		case <-c.Calls():
+		case <-over:
+			t.Fatalf("no spans of %v", missing)
+		}
+	}
+}
+
+func attr(s ptrace.Span, key string) string {
+	v, ok := s.Attributes().Get(key)
+	if !ok {
+		return ""
+	}
+	return v.AsString()
+}
+
+// tree writes the requests among spans as the tests compare them.
+func tree(all []ptrace.Span) map[string][]string {
+	out := map[string][]string{}
+	for _, s := range all {
+		if s.Kind() != ptrace.SpanKindServer {
+			continue
+		}
+		id := attr(s, "frosttide.request")
+		out[id] = append(out[id], strings.Join([]string{s.Name(), attr(s, "frosttide.answer"), attr(s, "frosttide.answer.by"),
+			attr(s, "frosttide.answer.why"), attr(s, "http.response.status_code"), attr(s, "frosttide.target")}, " "))
+		for _, h := range all {
+			if h.ParentSpanID() != s.SpanID() || h.Kind() != ptrace.SpanKindClient {
+				continue
+			}
+			var events []string
+			for _, e := range h.Events().All() {
+				events = append(events, e.Name())
+			}
+			out[id] = append(out[id], strings.Join([]string{attr(h, "frosttide.hop"), attr(h, "frosttide.hop.kind"), attr(h, "frosttide.target"),
+				attr(h, "frosttide.outcome"), attr(h, "frosttide.may_have_run"), strings.Join(events, ",")}, " "))
+		}
+	}
+	return out
+}
+
+// TestTraces guards the story that a trace tells: one request, however many hops, with
+// who answered and why.
+func TestTraces(t *testing.T) {
+	t.Parallel()
+	c := newCollector(t, nil)
+	first, second := newRunner(t, "s-1"), newRunner(t, "s-2")
+	disc := newDiscovery(t)
+	d := startWith(t, disc.URL, 1024, []string{first.entry()}, telling(c.Addr))
+	w := await(t, disc.watches, "watch")
+
+	got := submit(d.job("render", "plain"))
+	h := await(t, first.hops, "hop")
+	if p := h.Header.Get("Traceparent"); len(p) != 55 {
+		t.Errorf("the runner's traceparent is %q", p)
+	}
+	h.reply(202, "")
+	for _, state := range []string{"started", "running", "done"} {
+		d.report(event("plain", "s-1", state))
+	}
+	await(t, got, "answer")
+
+	const parent = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+	got = submit(d.job("render", "again", func(r *http.Request) {
+		r.Header.Set("Traceparent", parent)
+		r.Header.Set("Tracestate", "studio=1")
+	}))
+	h = await(t, first.hops, "hop")
+	w.lines <- list(42, false, second.entry())
+	d.awaitLog("target=s-2")
+	h.reply(500, "")
+	h = await(t, second.hops, "second hop")
+	if p := h.Header.Get("Traceparent"); !strings.HasPrefix(p, parent[:36]) || p[36:52] == parent[36:52] || h.Header.Get("Tracestate") != "studio=1" {
+		t.Errorf("the runner's trace is %q %q", p, h.Header.Get("Tracestate"))
+	}
+	h.reply(202, "")
+	d.report(event("again", "s-2", "done"))
+	await(t, got, "answer")
+
+	got = submit(d.job("once", "lost"))
+	h = await(t, merge(first.hops, second.hops), "hop")
+	h.conn.Close()
+	await(t, got, "answer")
+	await(t, submit(d.job("render", "bad", func(r *http.Request) { r.Header.Set("X-Expires-In-Ms", "soon") })), "answer")
+	ctxGone := d.raw("POST /render/x HTTP/1.1\r\nHost: x\r\nX-Qos: render\r\nX-Trace-Id: left\r\nX-Expires-In-Ms: 15000\r\nContent-Length: 0\r\n\r\n")
+	h = await(t, merge(first.hops, second.hops), "hop")
+	h.reply(202, "")
+	ctxGone.Close()
+
+	all := spans(t, c, "plain", "again", "lost", "", "left")
+	lost := tree(all)["lost"]
+	if len(lost) != 2 || lost[0] != "POST /once failed module may_have_run 502 " || !strings.Contains(lost[1], " reset true ") {
+		t.Errorf("the lost job's tree is %q", lost)
+	}
+	left := tree(all)["left"]
+	if len(left) != 2 || left[0] != "POST /render gone core client_left  " || !strings.HasSuffix(left[1], "given_up true taken,recalled") {
+		t.Errorf("the left job's tree is %q", left)
+	}
+	trees := tree(all)
+	want := map[string][]string{
+		"plain": {"POST /render served runner done 200 s-1", "1 first s-1 served true taken,started,running,done"},
+		"again": {"POST /render served runner done 200 s-2", "1 first s-1 errored true ", "2 retry s-2 served true taken,done"},
+		"":      {"POST /render unusable ingress malformed 400 "},
+	}
+	for id, tree := range want {
+		if diff := gocmp.Diff(tree, trees[id]); diff != "" {
+			t.Errorf("request %q (-want +got):\n%s", id, diff)
+		}
+	}
+	for _, s := range all {
+		if attr(s, "frosttide.request") == "again" {
+			if s.TraceID().String() != parent[3:35] || s.ParentSpanID().String() != parent[36:52] || s.TraceState().AsRaw() != "studio=1" {
+				t.Errorf("the client's trace does not go on in %s, parent %s", s.TraceID(), s.ParentSpanID())
+			}
+		}
+	}
+}
+
+// merge yields what either runner gets next.
+func merge(a, b <-chan *hop) <-chan *hop {
+	out := make(chan *hop, 1)
+	go func() {
+		select {
+		case h := <-a:
+			out <- h
+		case h := <-b:
+			out <- h
+		case <-time.After(patience):
+		}
+	}()
+	return out
+}
+
+// TestRepeats guards the way from a client's repeat to the try before it, by the key
+// and by the client's word.
+func TestRepeats(t *testing.T) {
+	t.Parallel()
+	c := newCollector(t, nil)
+	d := startWith(t, newDiscovery(t).URL, 1024, nil, telling(c.Addr)) // nobody is listed: all is refused
+	key := func(r *http.Request) { r.Header.Set("Idempotency-Key", "one-release") }
+	again := func(r *http.Request) { r.Header.Set("X-Second-Try", "1") }
+	for _, job := range []*http.Request{d.job("release", "r1", key), d.job("release", "r2", key),
+		d.job("render", "p1"), d.job("render", "p2", again), d.job("render", "p3")} {
+		await(t, submit(job), "answer")
+	}
+	all := spans(t, c, "r1", "r2", "p1", "p2", "p3")
+	span, links := map[string]string{}, map[string][]string{}
+	for _, s := range all {
+		id := attr(s, "frosttide.request")
+		span[id] = s.TraceID().String() + s.SpanID().String()
+		for _, l := range s.Links().All() {
+			links[id] = append(links[id], l.TraceID().String()+l.SpanID().String())
+		}
+	}
+	want := map[string][]string{"r2": {span["r1"]}, "p2": {span["p1"]}}
+	if diff := gocmp.Diff(want, links); diff != "" {
+		t.Errorf("links (-want +got):\n%s", diff)
+	}
+}
+
+// TestFaultyCollector guards dispatching, and the traces of the time after, against all
+// that a collector may do.
+func TestFaultyCollector(t *testing.T) {
+	t.Parallel()
+	const unavailable, exhausted, invalid = 14, 8, 3 // codes of gRPC
+	for _, tc := range []struct {
+		name  string
+		grpc  bool
+		fault []collector.Fault // then all is well
+		comes bool              // what met the fault is sent again
+	}{
+		{"hangs", false, []collector.Fault{{Hang: true}}, true},
+		{"drips", false, []collector.Fault{{Drip: true}}, false},
+		{"resets", false, []collector.Fault{{Reset: true}}, false},
+		{"garbage", false, []collector.Fault{{Body: []byte("\xff\xff<html>")}}, true},
+		{"400", false, []collector.Fault{{Status: 400}}, false},
+		{"413", false, []collector.Fault{{Status: 413}}, false},
+		{"429", false, []collector.Fault{{Status: 429, RetryAfter: "1"}}, true},
+		{"503", false, []collector.Fault{{Status: 503, RetryAfter: "0"}, {Status: 503}}, true},
+		{"10 MB", false, []collector.Fault{{Body: bytes.Repeat([]byte{0xa}, 10<<20)}}, true},
+		{"partial", false, []collector.Fault{{Rejected: 1}}, true},
+		{"grpc", true, nil, true},
+		{"grpc hangs", true, []collector.Fault{{Hang: true}}, true},
+		{"grpc unavailable", true, []collector.Fault{{Status: unavailable, RetryAfter: "0"}}, true},
+		{"grpc exhausted", true, []collector.Fault{{Status: exhausted}}, false},
+		{"grpc exhausted with a time", true, []collector.Fault{{Status: exhausted, RetryAfter: "0"}}, true},
+		{"grpc invalid", true, []collector.Fault{{Status: invalid}}, false},
+		{"grpc partial", true, []collector.Fault{{Rejected: 1}}, true},
+		{"grpc garbage", true, []collector.Fault{{Body: []byte("\xff\xff<html>")}}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCollector(t, nil)
+			c.Script(append(tc.fault, collector.Fault{})...)
+			env := []string{"OTEL_EXPORTER_OTLP_TIMEOUT=300"}
+			if tc.grpc {
+				env = append(env, "OTEL_EXPORTER_OTLP_PROTOCOL=grpc", "OTEL_EXPORTER_OTLP_COMPRESSION=gzip")
+			}
+			r := newRunner(t, "s-1")
+			d := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()}, telling(c.Addr, env...))
+			d.works(r)
+			d.serves("first", 1)
+			call := await(t, c.Calls(), "call")
+			if call.GRPC != tc.grpc {
+				t.Errorf("the call came by %q", call.Path)
+			}
+			d.serves("then", 3)
+			ids := []string{"then-0", "then-1", "then-2"}
+			if tc.comes {
+				ids = append(ids, "first-0")
+			}
+			all := spans(t, c, ids...)
+			if first := tree(all)["first-0"]; !tc.comes && first != nil {
+				t.Errorf("what may not be sent again came: %q", first)
+			}
+			if _, most := c.Connections(); most > 2 {
+				t.Errorf("%d connections at a time", most)
+			}
+		})
+	}
+}
+
+// TestAbsentCollector guards jobs while nobody listens, and the traces of a time when
+// the collector is back.
+func TestAbsentCollector(t *testing.T) {
+	t.Parallel()
+	c := newCollectorAt(t, "127.78.0.1:0", nil) // an address of its own keeps the port free
+	addr := c.Addr
+	c.Kill() // absent from the start
+	r := newRunner(t, "s-1")
+	d := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()}, telling(addr, "OTEL_EXPORTER_OTLP_TIMEOUT=300"))
+	d.works(r)
+	d.serves("without", 20)
+	back := newCollectorAt(t, addr, nil)
+	spans(t, back, "without-0", "without-19") // they waited
+	back.Kill()                               // gone halfway
+	d.serves("later", 20)
+	spans(t, newCollectorAt(t, addr, nil), "later-19")
+}
+
+// TestRefusals guards clients, and the memory, while thousands are refused in a second
+// and the collector hangs.
+func TestRefusals(t *testing.T) {
+	t.Parallel()
+	c := newCollector(t, nil)
+	c.Script(collector.Fault{Hang: true})
+	d := startWith(t, newDiscovery(t).URL, 1024, nil, telling(c.Addr)) // nobody is listed
+	var clients sync.WaitGroup
+	var refused atomic.Int64
+	for i := range 20 {
+		clients.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			for j := range 250 {
+				if a := do(client, d.job("render", fmt.Sprintf("r%d-%d", i, j))); a.Status == 503 {
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	clients.Wait()
+	if refused.Load() != 5000 {
+		t.Errorf("%d of 5000 were refused", refused.Load())
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), "VmRSS:")
+	if kb, err := strconv.Atoi(strings.Fields(rest)[0]); err != nil || kb > 64<<10 {
+		t.Errorf("the process holds %d KiB, %v", kb, err)
+	}
+}
+
+// TestFullQueue guards the stories that will be asked for, and the memory: where there
+// is no room plain ones go first.
+func TestFullQueue(t *testing.T) {
+	t.Parallel()
+	c := newCollector(t, nil)
+	c.Script(collector.Fault{Hang: true})
+	path := filepath.Join(t.TempDir(), "frosttide.toml")
+	if err := os.WriteFile(path, []byte("[telemetry]\nqueue = \"64KB\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r := newRunner(t, "s-1")
+	d := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()}, telling(c.Addr, "OTEL_EXPORTER_OTLP_TIMEOUT=500"),
+		func(d *dispatcher) { d.cmd.Args = append(d.cmd.Args, "serve", "--config", path) })
+	d.works(r)
+	d.serves("hold", 1)
+	await(t, c.Calls(), "call") // from here on the queue fills
+	await(t, submit(d.job("render", "notable", func(r *http.Request) { r.Header.Set("X-Second-Try", "1") })), "answer")
+	d.serves("plain", 300)
+	c.Script(collector.Fault{})
+	got := tree(spans(t, c, "notable", "plain-299"))
+	if got["plain-0"] != nil || len(got) > 200 {
+		t.Errorf("of 300 plain requests %d are there, the oldest: %q", len(got), got["plain-0"])
+	}
+}
+
+// TestCertificates guards against a collector that is not the one meant.
+func TestCertificates(t *testing.T) {
+	t.Parallel()
+	good, ca := certificate(t, "127.0.0.1")
+	_, stranger := certificate(t, "127.0.0.1")
+	for _, tc := range []struct {
+		name, ca string
+		grpc     bool
+		comes    bool
+	}{{"trusted", ca, false, true}, {"trusted by gRPC", ca, true, true}, {"not trusted", stranger, false, false}, {"not trusted by gRPC", stranger, true, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCollector(t, &good)
+			env := []string{"OTEL_EXPORTER_OTLP_ENDPOINT=https://" + c.Addr, "OTEL_EXPORTER_OTLP_CERTIFICATE=" + tc.ca}
+			if tc.grpc {
+				env = append(env, "OTEL_EXPORTER_OTLP_PROTOCOL=grpc")
+			}
+			r := newRunner(t, "s-1")
+			d := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()}, telling(c.Addr, env...))
+			d.works(r)
+			d.serves("job", 3)
+			if tc.comes {
+				spans(t, c, "job-2")
+				return
+			}
+			d.awaitLog("export fails; dispatching goes on")
+			if calls := c.Taken(); len(calls) > 0 {
+				t.Errorf("%d calls reached a collector that is not trusted", len(calls))
+			}
+		})
+	}
+}
+
+// certificate makes one for a host that is its own authority, and a file of it.
+func certificate(t *testing.T, host string) (tls.Certificate, string) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	what := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "stand-in"}, IsCA: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign, IPAddresses: []net.IP{net.ParseIP(host)}}
+	der, err := x509.CreateCertificate(rand.Reader, what, what, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "ca.pem")
+	text := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, path
+}
+
+// TestEndWithHangingCollector guards the process's end: it comes no later than without
+// one, as the platform may kill the process.
+func TestEndWithHangingCollector(t *testing.T) {
+	t.Parallel()
+	took := map[string]time.Duration{}
+	for _, name := range []string{"off", "hangs"} {
+		c := newCollector(t, nil)
+		c.Script(collector.Fault{Hang: true})
+		r := newRunner(t, "s-1")
+		edit := func(*dispatcher) {}
+		if name == "hangs" {
+			edit = telling(c.Addr)
+		}
+		d := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()}, edit)
+		d.works(r)
+		d.serves("job", 3)
+		if name == "hangs" {
+			await(t, c.Calls(), "call")
+		}
+		began := time.Now()
+		if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if err := await(t, d.ended, "end"); err != nil {
+			t.Errorf("%s: the process ended with %v", name, err)
+		}
+		took[name] = time.Since(began)
+	}
+	if took["hangs"] > took["off"]+400*time.Millisecond {
+		t.Errorf("the end took %v, without telemetry %v", took["hangs"], took["off"])
+	}
+}
+
+// TestLastStories guards the traces of the last jobs before a planned end.
+func TestLastStories(t *testing.T) {
+	t.Parallel()
+	c := newCollector(t, nil)
+	r := newRunner(t, "s-1")
+	d := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()}, telling(c.Addr, "OTEL_BSP_SCHEDULE_DELAY=3600000"))
+	d.works(r)
+	d.serves("early", 1)
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	d.awaitLog("frosttide drains")
+	d.serves("late", 1)
+	await(t, d.ended, "end")
+	spans(t, c, "early-0", "late-0")
+}
+
+// TestReloadMovesCollector guards a change of the endpoint while the program runs.
+func TestReloadMovesCollector(t *testing.T) {
+	t.Parallel()
+	one, two := newCollector(t, nil), newCollector(t, nil)
+	path := filepath.Join(t.TempDir(), "frosttide.toml")
+	write := func(addr string) {
+		text := fmt.Sprintf("[telemetry]\nbatch_every = \"20ms\"\n[telemetry.otlp]\nendpoint = \"http://%s\"\nmeasures = false\n", addr)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(one.Addr)
+	r := newRunner(t, "s-1")
+	d := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()},
+		func(d *dispatcher) { d.cmd.Args = append(d.cmd.Args, "serve", "--config", path) })
+	d.works(r)
+	d.serves("before", 2)
+	spans(t, one, "before-1")
+	write(two.Addr)
+	if err := d.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	d.awaitLog("configuration reread")
+	for i := 0; len(two.Taken()) == 0; i++ { // the core takes new settings a moment after the line
+		d.serves(fmt.Sprintf("after%d", i), 1)
+		if i > 1000 {
+			t.Fatal("the new collector gets nothing")
+		}
+	}
+	if err := os.WriteFile(path, []byte("[telemetry.otlp]\nendpoint = 5\nhedaers = {}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	d.awaitLog("configuration not taken")
+	d.serves("still", 1)
+	spans(t, two, "still-0")
+}
+
+// TestUpgradeKeepsTrace guards the story of a job that an older process hands over: it
+// goes on under the same request's span.
+func TestUpgradeKeepsTrace(t *testing.T) {
+	t.Parallel()
+	c := newCollector(t, nil)
+	r := newRunner(t, "s-1")
+	d := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()}, upgradable, telling(c.Addr))
+	got := submit(d.job("render", "long"))
+	h := await(t, r.hops, "hop")
+	h.reply(202, "")
+	d.report(event("long", "s-1", "started"))
+	s := d.successor()
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	await(t, d.ended, "end of the older process")
+	s.report(event("long", "s-1", "done"))
+	if a := await(t, got, "answer"); a.Status != 200 {
+		t.Fatalf("the job got %d %v", a.Status, a.Err)
+	}
+	all := spans(t, c, "long")
+	want := map[string][]string{"long": {"POST /render served runner done 200 s-1", "1 first s-1 served true taken,started,done"}}
+	if diff := gocmp.Diff(want, tree(all)); diff != "" {
+		t.Errorf("the trees (-want +got):\n%s", diff)
+	}
+	if p := h.Header.Get("Traceparent"); len(p) < 35 || all[0].TraceID().String() != p[3:35] {
+		t.Errorf("trace %s goes on as %s", p, all[0].TraceID())
+	}
+}
+
+// TestMeasures guards the figures: they count what happened, whoever keeps the traces.
+func TestMeasures(t *testing.T) {
+	t.Parallel()
+	c := newCollector(t, nil)
+	r := newRunner(t, "s-1")
+	d := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()},
+		telling(c.Addr, "OTEL_METRICS_EXPORTER=otlp", "OTEL_TRACES_SAMPLER=traceidratio", "OTEL_TRACES_SAMPLER_ARG=0"))
+	d.works(r)
+	d.serves("job", 10)
+	await(t, submit(d.job("bogus", "b")), "answer")
+	over := time.After(patience)
+	for {
+		var call collector.Call
+		select {
+		case call = <-c.Calls():
+		case <-over:
+			t.Fatal("the figures never came to what happened")
+		}
+		if call.Measures == nil {
+			continue
+		}
+		got := map[string]int64{}
+		for _, of := range call.Measures.ResourceMetrics().All() {
+			for _, in := range of.ScopeMetrics().All() {
+				for _, m := range in.Metrics().All() {
+					switch m.Name() {
+					case "frosttide.requests", "frosttide.hops":
+						for _, p := range m.Sum().DataPoints().All() {
+							got[m.Name()] += p.IntValue()
+						}
+					case "http.server.request.duration":
+						for _, p := range m.ExponentialHistogram().DataPoints().All() {
+							got[m.Name()] += int64(p.Count())
+						}
+					case "frosttide.tokens.limit":
+						for _, p := range m.Gauge().DataPoints().All() {
+							got[m.Name()] += p.IntValue()
+						}
+					}
+				}
+			}
+		}
+		want := map[string]int64{"frosttide.requests": 11, "frosttide.hops": 10, "http.server.request.duration": 11, "frosttide.tokens.limit": 8}
+		if gocmp.Equal(want, got) {
+			break
+		}
+	}
+	if trees := tree(spans(t, c, "")); trees["job-0"] != nil {
+		t.Errorf("a plain trace was kept: %q", trees)
+	}
+}
--- a/internal/core/hops.go
+++ b/internal/core/hops.go
@@ -46,7 +46,7 @@
 		if r := c.requests[ref.Request]; r != nil {
 			r.hops[ref.Attempt].taken = true
 			flown(r, ref.Attempt, f)
-			if r.story != nil {
+			if r.story != nil && !r.hops[ref.Attempt].ended { // a call-back may come before the 202
 				r.story.Hops[ref.Attempt].Taken = c.now
 			}
 		}
--- a/internal/export/collector.go
+++ b/internal/export/collector.go
@@ -15,6 +15,8 @@
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"frosttide/internal/otlp"
 )
 
 // The methods of OTLP's services. Source: opentelemetry/proto/collector.
@@ -31,7 +33,7 @@
 type collector struct {
 	to        Endpoint
 	transport *http.Transport
-	grpc      *connect.Client[raw, raw]
+	grpc      *connect.Client[otlp.Message, otlp.Message]
 }
 
 func newCollector(to Endpoint, method string) *collector {
@@ -54,11 +56,11 @@
 	}
 	c.transport.Protocols.SetHTTP2(true)
 	c.transport.Protocols.SetUnencryptedHTTP2(true)
-	options := []connect.ClientOption{connect.WithGRPC(), connect.WithCodec(rawCodec{}), connect.WithReadMaxBytes(mostAnswer)}
+	options := []connect.ClientOption{connect.WithGRPC(), connect.WithCodec(otlp.Codec{}), connect.WithReadMaxBytes(mostAnswer)}
 	if to.Gzip {
 		options = append(options, connect.WithSendGzip())
 	}
-	c.grpc = connect.NewClient[raw, raw](&http.Client{Transport: c.transport, CheckRedirect: noRedirect}, to.URL+method, options...)
+	c.grpc = connect.NewClient[otlp.Message, otlp.Message](&http.Client{Transport: c.transport, CheckRedirect: noRedirect}, to.URL+method, options...)
 	return c
 }
 
@@ -211,30 +213,16 @@
 	return nil
 }
 
-// raw is a message that is written already, or not read yet.
-type raw struct{ bytes []byte }
-
-// rawCodec lets the library carry messages that pdata has written, with no generated
-// code of theirs.
-type rawCodec struct{}
-
-func (rawCodec) Name() string                  { return "proto" }
-func (rawCodec) Marshal(m any) ([]byte, error) { return m.(*raw).bytes, nil }
-func (rawCodec) Unmarshal(text []byte, m any) error {
-	m.(*raw).bytes = bytes.Clone(text)
-	return nil
-}
-
 // call speaks OTLP/gRPC. Source: OTLP 1.x, "OTLP/gRPC" and its table of codes that may be
 // tried again.
 func (c *collector) call(ctx context.Context, body []byte) outcome {
-	req := connect.NewRequest(&raw{body})
+	req := connect.NewRequest(&otlp.Message{Bytes: body})
 	for k, v := range c.to.Headers {
 		req.Header().Set(k, v)
 	}
 	resp, err := c.grpc.CallUnary(ctx, req)
 	if err == nil {
-		n, text, err := partial(resp.Msg.bytes)
+		n, text, err := partial(resp.Msg.Bytes)
 		if err != nil {
 			return outcome{}
 		}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,117 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"frosttide/deploy"
+)
+
+const class = "[[class]]\nname = \"a\"\nwanted_within = \"1s\"\ngive_up = \"2s\"\n"
+
+// TestMistakes guards whoever writes the file: all that is wrong is told at once, each
+// with its line and key.
+func TestMistakes(t *testing.T) {
+	for _, tc := range []struct {
+		name, text string
+		want       []string
+	}{
+		{"unknown keys", "nmae = \"a\"\n[attempts]\nmost = 3\nmots = 4\n[atempts]\n" + class, []string{
+			"f:1: nmae: there is no such key; did you mean name?",
+			"f:4: attempts.mots: there is no such key; did you mean attempts.most?",
+			"f:5: atempts: there is no such key"}},
+		{"wrong types and ranges", "[attempts]\nmost = \"three\"\nconnect_timeout = 250\n[limits]\nmemory = \"8MB\"\nsockets = 3\n[cold]\nstarts_at = 1.5\n" + class, []string{
+			`f:2: attempts.most: a whole number is wanted, not "three"`,
+			`f:3: attempts.connect_timeout: a time such as "10s" or "250ms" is wanted, not 250`,
+			"f:5: limits.memory: 8MB is not from 32MB to 1024GB",
+			"f:6: limits.sockets: 3 is not from 64 to 1048576",
+			"f:8: cold.starts_at: 1.5 is not from 0 to 1"}},
+		{"classes", class + "effect = \"keyed\"\nkind = \"x\"\n[[class]]\nname = \"a\"\nworht = 2\n", []string{
+			"f:1: class[0].window: a keyed class needs the time for which repeats are dropped",
+			`f:6: class[0].kind: "x" is not among fleet.kinds`,
+			"f:7: class[1].wanted_within: it is missing",
+			"f:7: class[1].give_up: it is missing",
+			`f:8: class[1].name: "a" is there twice`,
+			"f:9: class[1].worht: there is no such key; did you mean class[1].worth?"}},
+		{"runners beside discovery", class + "[discovery]\naddress = \"127.0.0.1:1\"\n[[runner]]\nid = \"a\"\naddress = \"nowhere\"\n", []string{
+			"f: runner: a fixed list goes without discovery; leave one of them out",
+			`f:9: runner[0].address: "nowhere" is no address such as 127.0.0.1:8081`}},
+		{"syntax", "name = \n", []string{"f:1: "}},
+		{"a table where a value is due", "[name]\nx = 1\n" + class, []string{"f:1: name: a text in quotes is wanted, not a table"}},
+		{"a value where a table is due", "listen = 3\n" + class, []string{"f:1: listen: it is written as a table, [listen]"}},
+		{"headers", class + "[telemetry.otlp]\nheaders = {a = 1}\n", []string{`f:6: telemetry.otlp.headers: its value of "a" is no text`}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := Parse("f", []byte(tc.text))
+			if err == nil {
+				t.Fatal("it was taken")
+			}
+			got := strings.Split(err.Error(), "\n")
+			if tc.name == "syntax" { // the words are the library's
+				got[0] = got[0][:min(len(got[0]), len(tc.want[0]))]
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("mistakes (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestSample guards the sample: it is valid, and what it calls a default is one.
+func TestSample(t *testing.T) {
+	f, err := Parse("sample", deploy.Sample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Platform["listen"] != "127.0.0.1:8081" || len(f.Values) < 30 {
+		t.Errorf("it says %v", f.Platform)
+	}
+	bare, err := Parse("bare", []byte(class))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defaults := map[string]string{}
+	for _, v := range bare.Values {
+		if v.Source == "default" {
+			defaults[v.Key] = v.Text
+		}
+	}
+	table := ""
+	for _, line := range strings.Split(string(deploy.Sample), "\n") {
+		if strings.HasPrefix(line, "[") {
+			table = strings.Trim(strings.Split(line, " ")[0], "[]")
+		}
+		value, note, ok := strings.Cut(line, "default ")
+		key, _, set := strings.Cut(value, " = ")
+		if !ok || !set || strings.HasPrefix(line, "#") {
+			continue
+		}
+		if table == "class" {
+			table = "class[0]"
+		}
+		name := strings.TrimPrefix(table+"."+key, ".")
+		said, _, _ := strings.Cut(strings.Split(note, ";")[0], ": ")
+		plain := func(s string) string { return strings.TrimSuffix(strings.Trim(s, `'"`), ".0") }
+		if got, want := plain(said), plain(defaults[name]); got != want {
+			t.Errorf("%s: the sample says that %s is the default, it is %s", name, got, want)
+		}
+	}
+}
+
+// TestUnits guards what plain words come to in the platform's form.
+func TestUnits(t *testing.T) {
+	f, err := Parse("f", []byte("[fleet]\nzones=[\"a\",\"b\"]\nzone=\"b\"\nkinds=[\"x\",\"y\"]\n[limits]\nmemory=\"1GB\"\n"+class+
+		"kind=\"y\"\n[[runner]]\nid=\"r\"\naddress=\"127.0.0.1:9\"\nzone=\"a\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := f.Platform["settings"].(map[string]any)
+	got := []any{f.Platform["limits"].(map[string]any)["memory_mb"], s["zone"], s["discovery"],
+		s["request-classes"].([]any)[0].(map[string]any)["give-up"], s["family-info"].(map[string]any)["class-kind"],
+		f.Platform["known"].(map[string]any)["targets"].([]any)[0].(map[string]any)["uid"]}
+	if diff := cmp.Diff([]any{int64(1024), 1, "none", int64(2000000), []any{1}, "r"}, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
