Start from a list on disk while discovery is down, and weigh it by age

Need: with discovery stopped a restarted dispatcher refuses every job for as long as discovery is away, which is just when clients call after a power cut.

Runners of the list count as cold from their taking in; by rendezvous hashing each is used by few dispatchers while it is cold, so that its ration is divided by these alone.

--- a/cmd/frosttide/serve.go
+++ b/cmd/frosttide/serve.go
@@ -22,6 +22,7 @@
 	"frosttide/internal/handover"
 	"frosttide/internal/ingress"
 	"frosttide/internal/measures"
+	"frosttide/internal/roster"
 	"frosttide/internal/routetable"
 	"frosttide/internal/settings"
 	"frosttide/internal/telemetry"
@@ -94,11 +95,19 @@
 	whole := sockets(cfg, 1)
 	counts := telemetry.New()
 	counts.Classes(cfg.Names.Classes)
-	table := routetable.New(routetable.Config{Addr: cfg.Discovery, Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds},
+	table := routetable.New(routetable.Config{Addr: cfg.Discovery, Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds,
+		Whole: cfg.State.Dir != ""},
 		entry.WithField("part", "routetable"))
 	fleet := egress.NewFleet(egress.Config{ConnectTimeout: cfg.Module.Limits.ConnectTimeout,
 		Keepalive: cfg.Names.Keepalive, Sockets: whole.runners, Columns: cfg.Names.Columns,
 		Reports: len(cfg.Names.Columns) > 0, Sent: counts.Sent}, entry.WithField("part", "egress"))
+	var held *state // nil where nothing is kept
+	if cfg.State.Dir != "" {
+		if held, err = openState(cfg, entry.WithField("part", "state")); err != nil {
+			return err
+		}
+		held.learned(&cfg)
+	}
 	c, err := core.New(cfg.Module, cfg.Seed, fleet, table, counts.Members, entry.WithField("part", "core"))
 	if err != nil {
 		return err
@@ -111,9 +120,14 @@
 	defer stories.Close()
 	c.Record(stories.Ended)
 	c.TellHeld(stories.On, func(held []core.Holding) { stories.Loads(loads(held)) })
+	var keeper *roster.Roster // nil where nothing is kept
+	if held != nil {
+		keeper = held.roster(cfg, c, table, counts)
+	}
 	var ready atomic.Bool
 	if operators != nil {
-		go console.New(c, ready.Load, counts.Handler(), entry.WithField("part", "console")).Serve(operators)
+		note := func() (bool, string) { return ready.Load(), storedNote(keeper) }
+		go console.New(c, note, counts.Handler(), entry.WithField("part", "console")).Serve(operators)
 	}
 	var front *ingress.Front
 	share := func(processes int) {
@@ -126,7 +140,12 @@
 	link := handover.New(handover.Path(os.TempDir(), cfg.Listen), c, table, share,
 		func(x net.Conn, read []byte, m *core.Moved) bool { return front.Adopt(x, read, m) }, entry.WithField("part", "handover"))
 	defer link.Close()
-	c.Inform(link.Exclude)
+	c.Inform(func(e core.Exclusion) {
+		link.Exclude(e)
+		if keeper != nil {
+			keeper.Excluded(e.UID, e.Out)
+		}
+	})
 	front = ingress.New(ingress.Config{Classes: classes(cfg), Columns: cfg.Names.Columns,
 		Slots: decision.MostSlots, Clients: whole.jobs, Sockets: whole.ingress,
 		Stories: stories}, c, link, counts, entry.WithField("part", "ingress"))
@@ -143,14 +162,24 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	table.Resume(state.Discovery, state.List, cfg.Known, c)
+	if keeper == nil {
+		table.Resume(state.Discovery, state.List, cfg.Known, c)
+	} else {
+		held.begin(keeper, state, cfg.Seed)
+		table.Resume(state.Discovery, state.List, cfg.Known, keeper)
+		keeper.Start()
+		go keeper.Run(ctx)
+	}
 	go table.Run(ctx)
 	go c.Run(ctx)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
 	var grace atomic.Int64
 	told := cfg.Telemetry
-	take := func(cfg config.Config) { // the core first: what the ingress lets in it must know
+	take := func(cfg config.Config) {
+		if held != nil {
+			held.classes.Store(&cfg.Names.Classes)
+		} // the core first: what the ingress lets in it must know
 		c.Settings(cfg.Module)
 		counts.Classes(cfg.Names.Classes)
 		front.Classes(classes(cfg))
@@ -199,6 +228,9 @@
 	if err := front.Drain(ctx); err != nil {
 		return err
 	}
+	if keeper != nil {
+		keeper.Close(time.Now().Add(lastSave))
+	}
 	entry.Info("frosttide has answered everything and ends")
 	return nil
 }
@@ -214,6 +246,9 @@
 	if cfg.Console != "" {
 		n = max(n-console.Sockets, part/4)
 	}
+	if cfg.State.Dir != "" {
+		n = max(n-roster.Sockets, part/4)
+	}
 	if cfg.Telemetry.On() {
 		n = max(n-export.Sockets, part/4)
 	}
--- a/decision/api.go
+++ b/decision/api.go
@@ -44,6 +44,7 @@
 	Objective  time.Duration // an answer within this (and Stretch times the run time) earns full worth
 	Stretch    float64
 	GiveUp     time.Duration // how long a client waits in all
+	Run        time.Duration // mean time from start to answer that an earlier process has found; 0 for none
 	Worth      float64
 	LateWorth  float64 // share of Worth for an answer after the objective
 	Streamed   bool    // answers are streams: AttemptAccepted may come
@@ -174,7 +175,8 @@
 	State     MemberState
 	Weight    float64
 	StartedAt time.Duration // clock time of its last start; 0 for long ago
-	Returned  bool          // an operator put it back: it gets a little work while it is cold
+	Returned  bool          // it gets a little work while it is cold, as one that an operator put back
+	Sharers   int           // how many dispatchers use it while it is cold; 0 for all
 }
 
 // Event is one thing that happened. Type tells which fields are set.
@@ -223,6 +225,7 @@
 	RestUntil time.Duration
 	Pace      float64 // its jobs' time to run, against those of its like
 	PaceAt    time.Duration
+	Most      int // slots that its jobs have been seen to use at once
 }
 
 // ActionType says what an Action asks for.
--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -56,7 +56,7 @@
 	rationUntil    time.Duration
 	bill           float64 // seconds of work sent that count still against its ration
 	billAt         time.Duration
-	running, most  int    // slots that started attempts use, and the most that they did
+	running        int    // slots that started attempts use; Most is the most that they did
 	list, scan     uint64 // the last list and the last scan that met it
 }
 
@@ -138,7 +138,7 @@
 	d.cfg = cfg
 	d.cfg.Classes = slices.Clone(cfg.Classes)
 	for _, c := range cfg.Classes[min(len(d.run), len(cfg.Classes)):] {
-		d.run = append(d.run, max(c.Objective.Seconds(), 0.001))
+		d.run = append(d.run, max(cmp.Or(c.Run, c.Objective).Seconds(), 0.001))
 	}
 }
 
@@ -327,11 +327,12 @@
 	share := rules.ColdShare + (1-rules.ColdShare)*float64(d.now-w.StartedAt)/float64(rules.WarmUp)
 	var slots, seen float64
 	for _, other := range d.listed {
-		if other.most > 0 {
-			slots, seen = slots+float64(other.most), seen+1
+		if other.Most > 0 {
+			slots, seen = slots+float64(other.Most), seen+1
 		}
 	}
-	rate := share * rules.FallMultiple * max(slots/max(seen, 1), 1) / float64(max(d.cfg.Instances, 1))
+	sharers := max(cmp.Or(w.Sharers, d.cfg.Instances), 1)
+	rate := share * rules.FallMultiple * max(slots/max(seen, 1), 1) / float64(sharers)
 	w.bill, w.billAt = max(w.bill-rate*(d.now-w.billAt).Seconds(), 0), d.now
 	return w.bill+d.workOf(r) <= rate*rules.FallWindow.Seconds()
 }
@@ -356,6 +357,7 @@
 	w.Health = h
 	w.RestUntil, w.PaceAt = min(h.RestUntil, d.now+restMost), min(h.PaceAt, d.now)
 	w.Failures, w.Pace = max(h.Failures, 0), min(max(h.Pace, 1/paceMost), paceMost)
+	w.Most = min(max(h.Most, 0), maxTokens)
 	if w.Failed {
 		w.limit = min(w.limit, d.widest)
 		d.trim(w)
@@ -746,7 +748,7 @@
 func (d *Dispatcher) started(r *request, a *attempt) {
 	a.Started, a.StartedAt = true, d.now
 	a.worker.running += r.slots
-	a.worker.most = max(a.worker.most, a.worker.running)
+	a.worker.Most = max(a.worker.Most, a.worker.running)
 	if !a.worker.Failed {
 		a.worker.Failures = 0
 	}
--- a/decision/tell.go
+++ b/decision/tell.go
@@ -58,6 +58,15 @@
 	return w.held, w.limit
 }
 
+// Runs returns the mean times from a start to the answer, by class.
+func (d *Dispatcher) Runs() []time.Duration {
+	out := make([]time.Duration, len(d.run))
+	for i, s := range d.run {
+		out[i] = time.Duration(s * float64(time.Second))
+	}
+	return out
+}
+
 // InTime returns how long a request of the class may take and be in time, if it ran for
 // so long.
 func (c *Class) InTime(run time.Duration) time.Duration {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -44,6 +45,7 @@
 	Gone      []bool // by class: the file in force has it no more
 	Log       settings.Log
 	Telemetry export.Options
+	State     settings.State
 	Warnings  []string // values of the environment that are passed over
 
 	keys map[string]any // the file, as it is
@@ -134,7 +136,9 @@
 	keep("connect-timeout", c.Module.Limits.ConnectTimeout == next.Module.Limits.ConnectTimeout)
 	keep("me", c.Module.Instance == next.Module.Instance)
 	keep("zone", c.Module.Zone == next.Module.Zone)
+	keep("state", c.State == next.State)
 	keep("discovery's way", c.Module.PullList == next.Module.PullList)
+	next.State = c.State
 	names := next.Names.Classes
 	next.Name, next.Listen, next.Console, next.Limits, next.Names = c.Name, c.Listen, c.Console, c.Limits, c.Names
 	next.Names.Classes = names
@@ -236,9 +240,11 @@
 		}
 	}
 	var said settings.Telemetry
+	c.State = settings.DefaultState()
 	if t.settings != nil {
-		said = t.settings.Telemetry
+		said, c.State = t.settings.Telemetry, t.settings.State
 	}
+	c.State.Dir = cmp.Or(getenv("FROSTTIDE_STATE_DIR"), c.State.Dir)
 	if c.Telemetry, c.Warnings, err = export.Resolve(said, c.Name, getenv); err != nil {
 		return Config{}, err
 	}
--- a/internal/config/source.go
+++ b/internal/config/source.go
@@ -140,6 +140,7 @@
 	for _, v := range []struct{ variable, key, to, is string }{{"BALANCER_NAME", "name", "name", c.Name},
 		{"BALANCER_LISTEN", "listen.clients", "listen", c.Listen}, {"BALANCER_CONSOLE", "listen.console", "console", c.Console},
 		{"BALANCER_DISCOVERY", "discovery.address", "discovery", c.Discovery},
+		{"FROSTTIDE_STATE_DIR", "state.dir", "", c.State.Dir},
 		{"FROSTTIDE_LOG_LEVEL", "log.level", "", c.Log.Level}, {"FROSTTIDE_LOG_FORMAT", "log.format", "", c.Log.Format}} {
 		if src.Getenv(v.variable) != "" {
 			values = put(values, v.key, v.to, v.is, "$"+v.variable)
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -40,15 +40,18 @@
 	log    *logrus.Entry
 }
 
-// New makes a console. Ready tells whether the process serves, figures writes its
-// figures.
-func New(core Core, ready func() bool, figures http.Handler, log *logrus.Entry) *Console {
+// New makes a console. Ready tells whether the process serves, and what operators should
+// know of it then; figures writes its figures.
+func New(core Core, ready func() (yes bool, note string), figures http.Handler, log *logrus.Entry) *Console {
 	c := &Console{core: core, log: log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !ready() {
+		yes, note := ready()
+		if !yes {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
 		}
+		_, _ = io.WriteString(w, note) // a caller that has left hears nothing
 	})
 	mux.Handle("GET /api/telemetry", figures)
 	mux.HandleFunc("PUT /api/exclude", func(w http.ResponseWriter, r *http.Request) { c.exclude(w, r, true) })
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,6 +48,7 @@
 	ended     func(*trace.Story) // takes the stories of requests that have ended
 	held      func([]Holding)    // is told what each worker holds; nil for nobody
 	wanted    func() bool        // whether it wants to know now
+	witness   Witness            // nil for none
 }
 
 // New makes the core. Seed is for the module's random numbers.
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -14,6 +14,7 @@
 	Excluded []string                   `json:"excluded"`
 	PutBack  map[string]time.Duration   `json:"put_back"`
 	Health   map[string]decision.Health `json:"health"`
+	Runs     []time.Duration            `json:"runs"` // mean run times by class
 }
 
 // Snapshot tells what the core knows beside the list.
@@ -26,6 +27,7 @@
 		for uid, w := range c.workers {
 			s.Health[uid] = c.module.Health(w.number)
 		}
+		s.Runs = c.module.Runs()
 		to(s)
 	})
 }
--- a/internal/core/hops.go
+++ b/internal/core/hops.go
@@ -99,7 +99,7 @@
 	if attempt < 0 || attempt >= len(r.hops) || r.hops[attempt].ended {
 		return
 	}
-	if r.story != nil && r.hops[attempt].taken {
+	if r.story != nil {
 		r.story.Hops[attempt].Recalled = c.now
 	}
 	r.hops[attempt].to.target.GiveUp(c.hop(r, attempt))
@@ -116,6 +116,9 @@
 	h := &r.hops[attempt]
 	h.ended = true
 	c.tally.hops[outcome]++
+	if c.witness != nil && h.to != nil {
+		c.witness.HopEnded(h.to.uid, outcome)
+	}
 	if r.story != nil {
 		told := &r.story.Hops[attempt]
 		told.Ended, told.Outcome, told.MayHaveRun = c.now, outcomes[outcome], !outcome.NeverRan()
@@ -147,6 +150,9 @@
 		switch ev.State {
 		case JobStarted:
 			h.reported = true
+			if c.witness != nil {
+				c.witness.JobStarted(ev.From)
+			}
 			note.Type = decision.AttemptStarted
 			c.event(note)
 		case JobRunning:
@@ -165,4 +171,19 @@
 		}
 		return
 	}
+	c.strange(r, ev)
+}
+
+// strange takes in a report on a job by a runner that it was not sent to. Guards against
+// an address that is another runner's by now: while the job is out at one alone, that one
+// is not who it was.
+func (c *Core) strange(r *request, ev JobEvent) {
+	if c.witness == nil || ev.State != JobStarted || c.workers[ev.From] == nil {
+		return
+	}
+	for i := range r.hops {
+		if h := &r.hops[i]; !h.ended && len(r.hops) == 1 {
+			c.witness.Stranger(h.to.uid)
+		}
+	}
 }
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -69,7 +69,7 @@
 			w.addr = t.Addr
 			w.target.Move(t.Addr)
 		}
-		if t.State == decision.Draining && w.member.State != t.State {
+		if t.State == decision.Draining && w.member.State != t.State && !t.Withheld {
 			c.log.WithField("target", w.uid).Info("egress target drains")
 		}
 		w.member, w.zone = t.Member, t.ZoneName
@@ -97,6 +97,7 @@
 	if c.excluded[w.uid] && m.State == decision.Ready {
 		m.State = decision.Draining
 	}
+	m.Sharers *= c.processes
 	if at, ok := c.putBack[w.uid]; ok {
 		m.StartedAt, m.Returned = max(m.StartedAt, at), true
 	}
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -36,6 +36,9 @@
 	Held, Limit int
 }
 
+// Testify names who is told what jobs find of runners; it is called before Run.
+func (c *Core) Testify(w Witness) { c.witness = w }
+
 // TellHeld names who is told from time to time what the targets hold; it is called before
 // Run. It must not block; the slice is its own.
 func (c *Core) TellHeld(wanted func() bool, to func([]Holding)) {
--- a/internal/core/terms.go
+++ b/internal/core/terms.go
@@ -103,6 +103,7 @@
 type Route struct {
 	UID, Addr string
 	ZoneName  string
+	Withheld  bool // nobody vouches for it yet: it is listed as draining and gets nothing
 	decision.Member
 }
 
@@ -128,5 +129,12 @@
 	Load     []float32
 }
 
+// Witness is told what jobs find of runners. None of its methods may block.
+type Witness interface {
+	HopEnded(uid string, o decision.Outcome)
+	JobStarted(uid string)
+	Stranger(uid string) // a job sent to it is reported on by another name
+}
+
 // Members is told how many runners are listed, and how many of them get no new work.
 type Members func(listed, unavailable int)
--- a/internal/export/file.go
+++ b/internal/export/file.go
@@ -1,6 +1,7 @@
 package export
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -21,16 +22,14 @@
 	size int64
 }
 
-func (f *file) send(_ context.Context, b batch) outcome {
-	for _, p := range []otlp.Payload{b.traces, b.measures} {
-		if !p.Some() {
-			continue
-		}
-		line, err := p.JSON()
-		if err == nil {
-			err = f.write(append(line, '\n'))
-		}
-		if err != nil {
+func (f *file) write(p otlp.Payload) ([]byte, error) {
+	line, err := p.JSON()
+	return append(line, '\n'), err
+}
+
+func (f *file) send(_ context.Context, lines []byte) outcome {
+	for line := range bytes.Lines(lines) {
+		if err := f.append(line); err != nil {
 			f.close() // opened anew with the next line
 			return outcome{err: fmt.Errorf("%s: %w", f.o.Path, err), why: lostFile}
 		}
@@ -38,8 +37,8 @@
 	return outcome{}
 }
 
-// write appends a line; a line is never split over two files.
-func (f *file) write(line []byte) error {
+// append writes a line; a line is never split over two files.
+func (f *file) append(line []byte) error {
 	if f.open != nil && f.size > 0 && f.size+int64(len(line)) > f.o.Size {
 		f.close()
 		if err := f.rotate(); err != nil {
--- a/internal/export/lane.go
+++ b/internal/export/lane.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,18 +16,13 @@
 
 // sink is where a lane's batches go.
 type sink interface {
-	// send sends one batch until the context ends. Traces and measures are protobuf of
-	// OTLP but for the file, which writes them as JSON.
-	send(ctx context.Context, b batch) outcome
+	// write writes one part of a batch; the parts one after the other are the batch.
+	write(otlp.Payload) ([]byte, error)
+	// send sends a batch until the context ends.
+	send(ctx context.Context, batch []byte) outcome
 	close()
 }
 
-// batch is what one call carries: one of the two.
-type batch struct {
-	traces   otlp.Payload
-	measures otlp.Payload
-}
-
 // outcome is how one call ended.
 type outcome struct {
 	err      error
@@ -125,19 +122,38 @@
 	return wait, spent+wait < tooOld
 }
 
-// work encodes a job and sends it, again where that may help.
-func (l *lane) work(ctx context.Context, j job) report {
-	r := report{lane: l}
-	var b batch
-	items := len(j.stories)
+// atOnce is how many stories are written in one go. Guards the latency of jobs on one
+// core: a whole batch takes milliseconds, and nobody else runs meanwhile.
+const atOnce = 8
+
+// encode writes a job's batch and counts what is in it. Messages of protobuf that are
+// written one after the other are one message with all that is in them.
+func (l *lane) encode(j job) (batch []byte, items int, err error) {
 	if j.figures != nil {
 		m, err := otlp.Measures(l.resource, j.figures)
 		if err != nil {
-			return report{lane: l, lost: 1, why: lostRefused, err: err}
+			return nil, 0, err
 		}
-		b.measures, items = otlp.MeasuresPayload(m), m.DataPointCount()
-	} else {
-		b.traces = otlp.TracesPayload(otlp.Traces(l.resource, j.stories))
+		batch, err = l.sink.write(otlp.MeasuresPayload(m))
+		return batch, m.DataPointCount(), err
+	}
+	for some := range slices.Chunk(j.stories, atOnce) {
+		part, err := l.sink.write(otlp.TracesPayload(otlp.Traces(l.resource, some)))
+		if err != nil {
+			return nil, 0, err
+		}
+		batch = append(batch, part...)
+		runtime.Gosched()
+	}
+	return batch, len(j.stories), nil
+}
+
+// work encodes a job and sends it, again where that may help.
+func (l *lane) work(ctx context.Context, j job) report {
+	r := report{lane: l}
+	b, items, err := l.encode(j)
+	if err != nil {
+		return report{lane: l, lost: max(len(j.stories), 1), why: lostRefused, err: err}
 	}
 	began := time.Now()
 	for tries := 1; ; tries++ {
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -53,6 +53,14 @@
 	Core      core.Snapshot   `json:"core"`
 }
 
+// Listed tells whether the list names anybody.
+func (s *State) Listed() bool {
+	var l struct {
+		Targets []json.RawMessage `json:"targets"`
+	}
+	return json.Unmarshal(s.List, &l) == nil && len(l.Targets) > 0
+}
+
 // message is one line on the link; an empty one is a beat.
 type message struct {
 	State     *State          `json:"state,omitempty"`
--- a/internal/otlp/payload.go
+++ b/internal/otlp/payload.go
@@ -5,7 +5,7 @@
 	"go.opentelemetry.io/collector/pdata/ptrace"
 )
 
-// Payload is a message that can be written either way. The zero value is none.
+// Payload is a message that can be written either way.
 type Payload struct {
 	proto, json func() ([]byte, error)
 }
@@ -27,9 +27,6 @@
 	}
 }
 
-// Some tells whether there is a message.
-func (p Payload) Some() bool { return p.proto != nil }
-
 // Proto writes the message as protobuf.
 func (p Payload) Proto() ([]byte, error) { return p.proto() }
 
--- /dev/null
+++ b/internal/roster/prober.go
@@ -0,0 +1,99 @@
+package roster
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"frosttide/internal/trust"
+)
+
+// Sockets is how many descriptors the asking takes at most, and the state's files.
+const Sockets = places + 4
+
+// places is how many runners are asked at a time.
+const places = 12
+
+// Asker asks runners over the platform's protocol: GET /ping, which one that is well
+// answers 200; and a path that no runner has, which something that answers 200 to
+// everything gives itself away by. Where probes are not allowed it only connects.
+type Asker struct {
+	probes bool
+}
+
+// NewAsker makes an asker; probes tells whether the settings allow them.
+func NewAsker(probes bool) *Asker { return &Asker{probes: probes} }
+
+// Ask asks a runner in the background.
+func (a *Asker) Ask(addr string, by time.Time, found func(trust.Evidence)) {
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), by)
+		defer cancel()
+		found(a.ask(ctx, addr))
+	}()
+}
+
+func (a *Asker) ask(ctx context.Context, addr string) trust.Evidence {
+	if !a.probes {
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return evidence(err)
+		}
+		c.Close()
+		return trust.Connected
+	}
+	// One connection for both, so that a runner pays for one.
+	client := &http.Transport{MaxConnsPerHost: 1, MaxResponseHeaderBytes: 16 << 10, DisableCompression: true}
+	defer client.CloseIdleConnections()
+	status, err := get(ctx, client, "http://"+addr+"/ping")
+	switch {
+	case err != nil:
+		return evidence(err)
+	case status == http.StatusServiceUnavailable:
+		return trust.Busy
+	case status != http.StatusOK:
+		return trust.Impostor
+	}
+	status, err = get(ctx, client, "http://"+addr+"/jobs")
+	switch {
+	case err != nil:
+		return evidence(err)
+	case status/100 != 4:
+		return trust.Impostor
+	}
+	return trust.Answered
+}
+
+func get(ctx context.Context, client *http.Transport, url string) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := client.RoundTrip(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, 64<<10))
+	return resp.StatusCode, err
+}
+
+// evidence tells what a failed call says.
+func evidence(err error) trust.Evidence {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return trust.Refused
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
+		return trust.Silent
+	}
+	var late net.Error
+	if errors.As(err, &late) && late.Timeout() {
+		return trust.Silent
+	}
+	return trust.Broken
+}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -50,6 +50,7 @@
 	addr   string
 	zones  numbering
 	kinds  numbering
+	whole  bool
 	sink   Sink
 	log    *logrus.Entry
 	client *http.Transport
@@ -68,6 +69,7 @@
 type Config struct {
 	Addr         string
 	Zones, Kinds []string // the names of the module's numbers
+	Whole        bool     // after a failed call the whole list is asked for, whatever its version was
 }
 
 // New makes a table.
@@ -77,7 +79,7 @@
 		return d.DialContext(ctx, network, addr)
 	}
 	t := &Table{addr: cfg.Addr, entries: map[string]json.RawMessage{}, zones: numbering{names: cfg.Zones}, kinds: numbering{names: cfg.Kinds}, log: log,
-		revGiven: true, client: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
+		revGiven: true, whole: cfg.Whole, client: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: silence}, box: mailbox.New[func(*Table)]()}
 	t.calls, t.drop = context.WithCancel(context.Background())
 	return t
@@ -97,6 +99,7 @@
 // does. Where that had it from another discovery its version says nothing here.
 func (t *Table) Resume(discovery string, held, known []byte, sink Sink) {
 	t.Load(known, sink)
+	t.revGiven = t.revGiven && !t.whole
 	if len(held) > 0 && t.line(held) && discovery != t.addr {
 		t.revGiven = false
 	}
@@ -201,6 +204,9 @@
 			over(t)
 			if err != nil {
 				t.log.WithError(err).Warn("discovery call ended; the list is kept")
+				if t.whole { // guards against one that has begun its versions anew
+					t.revGiven = false
+				}
 				t.sink.ListFailed()
 			}
 		})
@@ -323,6 +329,9 @@
 	return true
 }
 
+// Parse reads an entry of the list. It may be called before Run only.
+func (t *Table) Parse(text []byte) (core.Route, error) { return t.route(text) }
+
 func (t *Table) route(text []byte) (core.Route, error) {
 	var e entry
 	if err := json.Unmarshal(text, &e); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,7 @@
 	Path      string
 	Platform  map[string]any // in the form of the platform's JSON file
 	Log       Log
+	State     State
 	Telemetry Telemetry
 	Values    []Value // of each key, for whoever wants to see what is in force
 }
@@ -31,6 +32,16 @@
 	Level, Format string
 }
 
+// State says what is kept on disk of the runners.
+type State struct {
+	Dir             string // empty for nothing
+	Generations     int64
+	Every           time.Duration // least time between two generations
+	Fresh, Old, Max time.Duration // the bounds of ages
+	DoubtFor        time.Duration // how long a list is doubted at most
+	DoubtShare      float64       // of what is known that a list may lack after an outage
+}
+
 // Telemetry says what is told to collectors. Nil and empty fields leave the word to the
 // environment and the defaults.
 type Telemetry struct {
@@ -111,6 +122,9 @@
 		platform: map[string]any{}, seen: map[string]bool{}}
 	r.fields(schema, "", tree, r.platform)
 	zones, kinds := r.fleet(tree)
+	if f, o, m := own[time.Duration](r, "state.fresh"), own[time.Duration](r, "state.old"), own[time.Duration](r, "state.max_age"); f > o || o > m {
+		r.wrong("state.old", "the ages fresh, old and max_age don't rise")
+	}
 	r.classes(tree["class"], kinds)
 	r.runners(tree["runner"], zones, kinds)
 	r.strangers("", tree)
@@ -122,7 +136,7 @@
 		}
 		return nil, errors.Join(all...)
 	}
-	return &File{Path: path, Platform: r.platform, Values: r.values, Telemetry: r.telemetry(),
+	return &File{Path: path, Platform: r.platform, Values: r.values, Telemetry: r.telemetry(), State: r.state(),
 		Log: Log{Level: own[string](r, "log.level"), Format: own[string](r, "log.format")}}, nil
 }
 
@@ -372,6 +386,23 @@
 	return nil
 }
 
+func (r *reader) state() State {
+	return State{Dir: own[string](r, "state.dir"), Generations: own[int64](r, "state.generations"),
+		Every: own[time.Duration](r, "state.every"), Fresh: own[time.Duration](r, "state.fresh"),
+		Old: own[time.Duration](r, "state.old"), Max: own[time.Duration](r, "state.max_age"),
+		DoubtFor: own[time.Duration](r, "state.doubt_for"), DoubtShare: own[float64](r, "state.doubt_share")}
+}
+
+// DefaultStateGenerations is how many generations are kept without a word.
+const DefaultStateGenerations = 3
+
+// DefaultState is what a file without a word says.
+func DefaultState() State {
+	r := &reader{platform: map[string]any{}, own: map[string]any{}, seen: map[string]bool{}}
+	r.fields(schema, "", nil, r.platform)
+	return r.state()
+}
+
 func (r *reader) telemetry() Telemetry {
 	const otlp, file = "telemetry.otlp.", "telemetry.file."
 	return Telemetry{
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -116,6 +117,21 @@
 	}
 }
 
+// Stored adds the figures of a process that may serve from a stored list: how old it is,
+// 0 while discovery has confirmed it, and how many of its runners get work or not yet.
+func (c *Counts) Stored(status func() (age time.Duration, used, withheld int)) {
+	gauge := func(name, help string, of func(age time.Duration, used, withheld int) float64) {
+		c.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: prefix, Name: name, Help: help},
+			func() float64 { return of(status()) }))
+	}
+	gauge("stored_list_age_seconds", "Age of the stored list that is served from; 0 for none.",
+		func(age time.Duration, _, _ int) float64 { return age.Seconds() })
+	gauge("stored_members_used", "Runners of the stored list that get work.",
+		func(_ time.Duration, used, _ int) float64 { return float64(used) })
+	gauge("stored_members_withheld", "Runners of the stored list that get none yet.",
+		func(_ time.Duration, _, withheld int) float64 { return float64(withheld) })
+}
+
 // Handler writes the figures in Prometheus's text form.
 func (c *Counts) Handler() http.Handler {
 	return promhttp.HandlerFor(c.registry, promhttp.HandlerOpts{DisableCompression: true})
--- /dev/null
+++ b/internal/traceview/traceview_test.go
@@ -0,0 +1,150 @@
+package traceview
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"frosttide/internal/otlp"
+	"frosttide/internal/trace"
+)
+
+// when returns a time of the tests' day, in ms.
+func when(ms int) time.Duration {
+	return time.Duration(time.Date(2026, 11, 29, 20, 45, 0, 0, time.UTC).UnixNano()) + time.Duration(ms)*time.Millisecond
+}
+
+// peak is a file with one request of each kind.
+func peak(t *testing.T) []byte {
+	t.Helper()
+	id := func(n byte) (t trace.ID, s trace.SpanID) { t[0], s[0] = n, n; return t, s }
+	story := func(n byte, request, class string, worth float64, came, took int, answer trace.Answer, why string, hops ...trace.Hop) *trace.Story {
+		s := &trace.Story{Request: request, Class: class, Method: "POST", Worth: worth, Slots: 1, Came: when(came), Deadline: when(came + 5000),
+			Ended: when(came + took), Answer: answer, By: trace.ByModule, Why: why, Hops: hops}
+		s.Trace, s.Span = id(n)
+		return s
+	}
+	hop := func(n byte, target string, began, took int, kind trace.Kind, outcome string) trace.Hop {
+		_, span := id(n)
+		return trace.Hop{Span: span, Kind: kind, Target: target, Addr: "127.0.0.1:9", Zone: "sur", Began: when(began), Ended: when(began + took), Outcome: outcome}
+	}
+	first := hop(11, "s-1", 1, 40, trace.First, "errored")
+	first.MayHaveRun, first.Cold = true, true
+	second := hop(12, "s-2", 20, 80, trace.Copy, "served")
+	second.Notes = []trace.Note{{At: when(30), What: "started"}, {At: when(60), What: "running", Share: 0.5}}
+	copied := story(1, "c1", "cut", 1, 0, 100, trace.Served, "done", first, second)
+	copied.Target, copied.Links = "s-2", []trace.Trial{{Trace: trace.ID{9}, Span: trace.SpanID{9}}}
+	late := story(2, "l1", "cut", 1, 1000, 900, trace.Served, "done", hop(21, "s-1", 1001, 899, trace.First, "served"))
+	late.Late, late.Target = true, "s-1"
+	stories := []*trace.Story{copied, late,
+		story(3, "r1", "release", 5, 2000, 1, trace.Refused, "no_token"),
+		story(4, "f1", "release", 5, 3000, 50, trace.Failed, "may_have_run", hop(41, "s-1", 3001, 49, trace.First, "reset")),
+		story(5, "u1", "", 0, 4000, 1, trace.Unusable, "malformed")}
+	line, err := otlp.TracesPayload(otlp.Traces(map[string]string{"service.name": "f", "service.instance.id": "n1"}, stories)).JSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return append(append([]byte("{\"resourceMetrics\":[]}\n\nnot a line\n"), line...), "\n{\"resourceSpans\":[{\"cut"...)
+}
+
+func TestShow(t *testing.T) {
+	var out strings.Builder
+	n, err := Show(&out, bytes.NewReader(peak(t)), "c1")
+	if err != nil || n != 1 {
+		t.Fatal(n, err)
+	}
+	want := `trace 01000000000000000000000000000000
+request c1 of cut at 2026-11-29T20:45:00Z by n1: served by module, done, after 100ms
+  worth 1, 1 slots, time 5000ms, status 200
+  after the try of trace 09000000000000000000000000000000, span 0900000000000000
+  ├─ +1ms hop 1 (first) to s-1 127.0.0.1:9 in sur: errored after 40ms, may have run, cold
+  └─ +20ms hop 2 (copy of hop 1) to s-2 127.0.0.1:9 in sur: served after 80ms
+       +30ms started
+       +60ms running 50%
+lines that could not be read: 2
+`
+	if diff := cmp.Diff(want, out.String()); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if n, _ := Show(io.Discard, bytes.NewReader(peak(t)), "04000000000000000000000000000000"); n != 1 {
+		t.Errorf("by its trace's id a request was found %d times", n)
+	}
+}
+
+func TestSummary(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		query Query
+		want  []string // lines, their spaces folded
+	}{
+		{"all", Query{By: "class", Worst: 2}, []string{
+			"5 requests from 2026-11-29T20:45:00Z to 2026-11-29T20:45:04Z: 8.3% of their worth served in time",
+			"class requests served late refused failed expired gone unusable worth lost p50 p99",
+			"(none) 1 0 0 0 0 0 0 1 0 1ms 1ms", "cut 2 2 1 0 0 0 0 0 1 100ms 900ms", "release 2 0 0 1 1 0 0 0 10 1ms 50ms",
+			"lost to requests worth lost", "failed: may_have_run 1 5", "refused: no_token 1 5", "served: late 1 1",
+			"target hops errored rejected timed_out unconnected reset not_sent", "s-1 3 1 0 0 0 1 0",
+			"worst requests", "04000000000000000000000000000000 release f1: failed, may_have_run, after 50ms, 1 hops, worth 5",
+			"03000000000000000000000000000000 release r1: refused, no_token, after 1ms, 0 hops, worth 5"}},
+		{"a part by target", Query{By: "target", From: time.Unix(0, int64(when(500))), To: time.Unix(0, int64(when(2000)))}, []string{
+			"1 requests from 2026-11-29T20:45:01Z to 2026-11-29T20:45:01Z: 0.0% of their worth served in time",
+			"target requests served late refused failed expired gone unusable worth lost p50 p99",
+			"s-1 1 1 1 0 0 0 0 0 1 900ms 900ms", "lost to requests worth lost", "served: late 1 1"}},
+		{"nothing", Query{By: "answer", From: time.Unix(0, int64(when(9000)))}, []string{"no requests"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := NewSummary(tc.query)
+			if unread, err := Read(bytes.NewReader(peak(t)), s.Add); err != nil || unread != 2 {
+				t.Fatal(unread, err)
+			}
+			var out strings.Builder
+			if err := s.Write(&out); err != nil {
+				t.Fatal(err)
+			}
+			var got []string
+			for line := range strings.Lines(out.String()) {
+				if folded := strings.Join(strings.Fields(line), " "); folded != "" {
+					got = append(got, folded)
+				}
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestOpen guards packed files, also those cut short.
+func TestOpen(t *testing.T) {
+	plain := peak(t)
+	var packed bytes.Buffer
+	z := gzip.NewWriter(&packed)
+	if _, err := z.Write(plain); err != nil {
+		t.Fatal(err)
+	}
+	if err := z.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for i, text := range [][]byte{plain, packed.Bytes(), packed.Bytes()[:packed.Len()-9], nil} {
+		path := filepath.Join(t.TempDir(), fmt.Sprint(i))
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		in, err := Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := 0
+		if _, err := Read(in, func(*Request) { n++ }); err != nil || n != 5 && text != nil {
+			t.Errorf("file %d: %d requests, %v", i, n, err)
+		}
+		in.Close()
+	}
+}
