--- a/cmd/frosttide/state.go
+++ b/cmd/frosttide/state.go
@@ -101,7 +101,7 @@
 	return roster.Config{Name: cfg.Name, Every: cfg.State.Every, Answer: cfg.Module.Limits.ConnectTimeout + answerTime,
 		Trust: trust.Config{Fresh: cfg.State.Fresh, Old: cfg.State.Old, Max: cfg.State.Max, Zone: zone, Rate: askRate,
 			Number: cfg.Module.Instance, Dispatchers: max(cfg.Module.Instances, 1), Outage: outage,
-			Lost: cfg.State.DoubtShare, Doubt: cfg.State.DoubtFor}}
+			Lost: cfg.State.DoubtShare, Doubt: cfg.State.DoubtFor, Warm: cfg.Module.Rules.WarmUp}}
 }
 
 // storedNote tells operators what the process serves from; nothing while that is
--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -338,7 +338,9 @@
 }
 
 // workOf returns the seconds of work that a request is likely to be.
-func (d *Dispatcher) workOf(r *request) float64 { return d.run[r.class] * float64(r.slots) }
+func (d *Dispatcher) workOf(r *request) float64 {
+	return max(d.run[r.class], r.hint.Seconds()) * float64(r.slots)
+}
 
 // warmed gives a worker its tokens once its cold time is over, and new places in
 // the bucket once its ration is: they have come to the front meanwhile, and would
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -198,6 +198,11 @@
 			r.ask(uid)
 		}
 		next = min(next, at)
+		warm, at := r.book.Tick(r.now)
+		for _, uid := range warm {
+			r.judged(uid)
+		}
+		next = min(next, at)
 	}
 	if r.lookAt != 0 && r.now >= r.lookAt {
 		r.lookAt = 0
@@ -247,6 +252,11 @@
 	if r.book == nil || !r.book.Hear(r.now, uid, e) {
 		return
 	}
+	r.judged(uid)
+}
+
+// judged tells the core of a runner whose standing has changed.
+func (r *Roster) judged(uid string) {
 	standing, _, why := r.book.Standing(uid)
 	r.log.WithFields(logrus.Fields{"target": uid, "standing": standing.String(), "why": why}).Info("a stored runner is judged")
 	r.dirty = true
@@ -270,7 +280,7 @@
 			route.Returned, route.Sharers = true, r.book.Share()
 		}
 		r.cold[uid] = route.StartedAt
-	case trust.Barred, trust.Withheld:
+	case trust.Barred, trust.Withheld, trust.Waiting:
 		route.State, route.Withheld = decision.Draining, true
 	default:
 		route.State = decision.Removed
--- a/internal/trust/trust.go
+++ b/internal/trust/trust.go
@@ -19,10 +19,11 @@
 	Old   time.Duration // up to this one good answer is enough
 	Max   time.Duration // past this it is not used at all
 
-	Zone        string  // runners of this zone are asked first
-	Rate        float64 // runners asked in a second
-	Number      int     // this dispatcher's, from 0
-	Dispatchers int     // how many start alike
+	Zone        string        // runners of this zone are asked first
+	Rate        float64       // runners asked in a second
+	Number      int           // this dispatcher's, from 0
+	Dispatchers int           // how many start alike
+	Warm        time.Duration // after so long a runner has all that it can do
 
 	Outage time.Duration // discovery has been away that long: its next list may be doubted
 	Lost   float64       // share of what is known that a list may lack unasked
@@ -98,13 +99,14 @@
 // The standings.
 const (
 	Withheld Standing = iota // nothing yet: it may be asked
-	Used                     // work within the ration of one that is cold
+	Waiting                  // it is well, and others use it while it is cold
+	Used                     // work, within the ration of a cold one until it is warm
 	Barred                   // nothing until discovery, or the operators, say otherwise
 	Rejected                 // nothing until discovery lists it: too old, or not who it was
 )
 
 func (s Standing) String() string {
-	return [...]string{"withheld", "used", "barred", "rejected"}[s]
+	return [...]string{"withheld", "waiting", "used", "barred", "rejected"}[s]
 }
 
 // The times of asking again: full jitter under a bound that doubles with each bad answer.
@@ -153,6 +155,7 @@
 	usable := 0
 	for _, s := range stored {
 		n := &node{Stored: s, age: cfg.Age(now, s.Confirmed), due: now}
+		b.nodes[s.UID] = n
 		n.why = n.age.String()
 		switch {
 		case s.Barred:
@@ -166,12 +169,12 @@
 				n.needs++
 			}
 		}
-		b.nodes[s.UID] = n
 	}
 	b.share = min(max((perDispatcher*all+usable-1)/max(usable, 1), 1), all)
 	for _, s := range stored {
-		if n := b.nodes[s.UID]; n.standing == Withheld {
-			n.owned = b.Owned(s.UID)
+		n := b.nodes[s.UID]
+		n.owned = b.Owned(s.UID)
+		if n.standing == Withheld {
 			b.order = append(b.order, n)
 			if n.needs == 0 {
 				b.use(n, now)
@@ -222,14 +225,42 @@
 	return d.Sum64()
 }
 
-// Share returns how many dispatchers use one runner while it is cold.
-func (b *Book) Share() int { return b.share }
+// Share returns by how much a cold runner's ration is to be divided: twice the number of
+// dispatchers that use it. The module meters its ration as a leaky bucket as deep as it
+// drains in a window, which lets through up to twice that within one window; for a runner
+// that has all its work from this ration that would be twice what it bears.
+func (b *Book) Share() int { return 2 * b.share }
 
+// use has a runner used: by this dispatcher at once if it is one of those that share it
+// while it is cold, else when it is warm. Guards rule 4: what its users send and what all
+// others would send comes to twice what it bears.
 func (b *Book) use(n *node, now time.Duration) {
-	n.standing, n.why = Used, n.age.String()+", possibly cold"
+	n.standing, n.why = Waiting, "others use it while it is cold"
+	if n.owned {
+		n.standing, n.why = Used, n.age.String()+", possibly cold"
+	}
 	n.coldFrom = now // it may have started at this very moment
 }
 
+// Tick returns the runners whose standing has changed with the time alone: those that are
+// warm by now, and when to call again; never for none.
+func (b *Book) Tick(now time.Duration) (changed []string, next time.Duration) {
+	next = never
+	for uid, n := range b.nodes {
+		if n.standing != Waiting {
+			continue
+		}
+		if at := n.coldFrom + b.cfg.Warm; now < at {
+			next = min(next, at)
+			continue
+		}
+		n.standing, n.why = Used, "warm by now"
+		changed = append(changed, uid)
+	}
+	slices.Sort(changed)
+	return changed, next
+}
+
 // Ask returns the runners that are to be asked now, at most so many, and when to call
 // again; never for nobody. They count as being asked until Hear.
 func (b *Book) Ask(now time.Duration, room int) (uids []string, next time.Duration) {
@@ -289,7 +320,7 @@
 		n.goodAt = now
 	}
 	if n.needs == 0 {
-		if n.standing != Used {
+		if n.standing == Withheld {
 			b.use(n, now)
 		}
 		n.due = now + againMost // looked at now and then until it has run a job
@@ -359,7 +390,7 @@
 		switch n.standing {
 		case Used:
 			used++
-		case Withheld:
+		case Withheld, Waiting:
 			withheld++
 		}
 	}
--- a/internal/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-var bounds = Config{Fresh: 2 * time.Minute, Old: time.Hour, Max: 24 * time.Hour, Zone: "a", Rate: 100, Dispatchers: 1,
+var bounds = Config{Fresh: 2 * time.Minute, Old: time.Hour, Max: 24 * time.Hour, Zone: "a", Rate: 100, Dispatchers: 1, Warm: 23 * time.Second,
 	Outage: 5 * time.Second, Lost: 0.5, Doubt: 30 * time.Second}
 
 const day = 24 * time.Hour
@@ -106,15 +106,22 @@
 			b.Hear(now, s.UID, e)
 			delete(asking, s.UID)
 			after, cold, why := b.Standing(s.UID)
-			if !e.Good() {
+			if !e.Good() && after == Withheld {
 				down[s.UID] = now
 			}
+			for _, uid := range func() []string { warm, _ := b.Tick(now); return warm }() {
+				if _, cold, _ := b.Standing(uid); b.Owned(uid) || now < cold+cfg.Warm || cold < down[uid] {
+					t.Fatalf("%s is taken for warm at %s, cold from %s", uid, now, cold)
+				}
+			}
 			switch {
 			case s.Barred && after != Barred:
 				t.Fatalf("%s was barred and is %s", s.UID, after)
 			case cfg.Age(start, s.Confirmed) == Unusable && after == Used:
 				t.Fatal("one that is too old is used")
-			case e.Good() && before == Used && after != Used:
+			case before == Withheld && after == Used && !b.Owned(s.UID):
+				t.Fatalf("%s is another's while it is cold", s.UID)
+			case e.Good() && before == Waiting && after != Waiting, e.Good() && before == Used && after != Used:
 				t.Fatalf("good evidence takes %s out: %s", s.UID, why)
 			case e.Good() && before == Used && cold != coldBefore:
 				t.Fatal("good evidence makes it cold again")
@@ -145,7 +152,7 @@
 			cfg := bounds
 			cfg.Dispatchers, cfg.Number = all, number
 			b := New(cfg, day, stored, uint64(number))
-			share = b.Share()
+			share = b.share
 			for _, s := range stored {
 				if b.Owned(s.UID) {
 					users[s.UID]++
