Serve Gearman clients and workers by the same core

Need: older encode farms speak Gearman behind a bridge that knows nothing of drains or warm-up.

Change: internal/gearman/proto reads and writes the binary and the administrative protocol; internal/gearman is a front whose workers are egress targets with one slot (Route.Source keeps them beside discovery's list, Member.Only and Member.Tokens tell the module what they can do) and whose clients' jobs go through Submit like all others. A grab is the offer of a slot: the module has chosen by then, and a worker that does not come within a second has not run the job. A shed job gets WORK_WARNING with the time to come back and WORK_FAIL at once. Off without [gearman] listen. TLS, unique ids, background jobs, both kinds of status, OPTION_REQ exceptions.

The tests' addresses: a process being started holds copies of descriptors just closed, so that an address could be in use once in some hundred starts; the harness waits for that.

--- /dev/null
+++ b/cmd/frosttide/gearman.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"frosttide/decision"
+	"frosttide/internal/config"
+	"frosttide/internal/core"
+	"frosttide/internal/egress"
+	"frosttide/internal/export"
+	"frosttide/internal/gearman"
+	"frosttide/internal/telemetry"
+)
+
+// targets opens the target of each runner where it is: over the platform's protocol, or on
+// the connection by which a Gearman worker has come.
+type targets struct {
+	*egress.Fleet
+	gearman *gearman.Server // nil where there is none; set before the first Open
+}
+
+func (t *targets) Open(worker decision.WorkerID, uid, addr string) core.Target {
+	if t.gearman != nil && gearman.Has(addr) {
+		return t.gearman.Open(addr)
+	}
+	return t.Fleet.Open(worker, uid, addr)
+}
+
+// farm is the Gearman front with what a reload may change of it.
+type farm struct {
+	*gearman.Server
+	tls *gearman.TLS // nil for none
+	log *logrus.Entry
+}
+
+func openFarm(cfg config.Config, c *core.Core, counts *telemetry.Counts, stories *export.Exporter, log *logrus.Entry) (*farm, error) {
+	f := &farm{log: log}
+	g := cfg.Gearman
+	of := gearman.Config{Listen: g.Listen, Functions: functions(cfg), Zone: max(slices.Index(cfg.Names.Zones, g.Zone), 0),
+		Kind: max(slices.Index(cfg.Names.Kinds, g.Kind), 0), ZoneName: g.Zone, Connections: int(g.Connections), Jobs: int(g.Jobs), Packet: int(g.Packet)}
+	if g.Certificate != "" {
+		f.tls = &gearman.TLS{}
+		if err := f.tls.Read(gearman.Certificates{Certificate: g.Certificate, Key: g.Key, Clients: g.Clients}); err != nil {
+			return nil, err
+		}
+		of.TLS = f.tls.Config()
+	}
+	var err error
+	f.Server, err = gearman.New(of, c, counts, stories, log)
+	return f, err
+}
+
+// functions returns what the functions of the settings are.
+func functions(cfg config.Config) map[string]gearman.Function {
+	out := map[string]gearman.Function{}
+	for name, class := range cfg.Gearman.Functions {
+		i := slices.Index(cfg.Names.Classes, class)
+		if i < 0 || cfg.Gone[i] {
+			continue // it was checked; a class that is gone takes no new jobs
+		}
+		c := &cfg.Module.Classes[i]
+		f := gearman.Function{Class: i, Name: class, Keyed: c.Effect == decision.Keyed, GiveUp: c.GiveUp, Worth: c.Worth, Repeats: c.GiveUp}
+		if f.Keyed {
+			f.Repeats = c.Window
+		}
+		out[name] = f
+	}
+	return out
+}
+
+// take puts new settings in force.
+func (f *farm) take(cfg config.Config) {
+	f.Functions(functions(cfg))
+	if f.tls == nil {
+		return
+	}
+	g := cfg.Gearman
+	if err := f.tls.Read(gearman.Certificates{Certificate: g.Certificate, Key: g.Key, Clients: g.Clients}); err != nil {
+		f.log.WithError(err).Error("the certificates are not taken; the old ones are kept")
+	}
+}
+
+// drain waits until no client's job is open, at most until the deadline.
+func (f *farm) drain(by time.Time) {
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for time.Now().Before(by) && !f.Idle(by) {
+		<-tick.C
+	}
+}
--- /dev/null
+++ b/cmd/frosttide/gearman_test.go
@@ -0,0 +1,508 @@
+package main
+
+import (
+	"bytes"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"frosttide/internal/gearman/proto"
+	"frosttide/internal/standin/gearman"
+)
+
+// farming is a dispatcher with a Gearman front.
+type farming struct {
+	*dispatcher
+	jobs string // the front's address
+}
+
+// newFarm starts one with a fixed list of HTTP runners; more goes into its settings.
+func newFarm(t *testing.T, more string, runners ...*runner) *farming {
+	t.Helper()
+	f := &farming{}
+	f.dispatcher = startWith(t, "", 1024, nil, func(d *dispatcher) {
+		l, err := net.Listen("tcp", strings.Split(d.addr, ":")[0]+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.jobs = l.Addr().String()
+		l.Close()
+		closed()
+		text := fmt.Sprintf(`[listen]
+clients = %q
+console = %q
+[fleet]
+zones = ["a"]
+[gearman]
+listen = %q
+packet = "64KB"
+%s
+[gearman.functions]
+cut = "render"
+out = "release"
+post = "once"
+[[class]]
+name = "render"
+wanted_within = "2s"
+give_up = "20s"
+[[class]]
+name = "release"
+effect = "keyed"
+repeats_dropped_by = "zone"
+window = "40s"
+wanted_within = "2s"
+give_up = "20s"
+[[class]]
+name = "once"
+effect = "unsafe"
+wanted_within = "2s"
+give_up = "2s"
+`, d.addr, d.ops, f.jobs, more)
+		for _, r := range append(runners, &runner{uid: "s-none", addr: "127.0.0.1:1"}) {
+			text += fmt.Sprintf("[[runner]]\nid = %q\naddress = %q\nzone = \"a\"\n", r.uid, r.addr)
+		}
+		path := filepath.Join(t.TempDir(), "frosttide.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		d.cmd.Env = []string{"FROSTTIDE_TEST_PROGRAM=1"}
+		d.cmd.Args = append(d.cmd.Args, "serve", "--config", path)
+	})
+	// The list may not be empty; the runner that is nobody is left out.
+	if code, text := f.call("PUT", "/api/exclude", `{"host":"s-none"}`); code != 200 {
+		t.Fatal(code, text)
+	}
+	return f
+}
+
+// peer connects as a client or a worker.
+func (f *farming) peer() *gearman.Peer {
+	f.t.Helper()
+	p, err := gearman.Dial(f.jobs, time.Now().Add(patience), nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { p.Close() })
+	return p
+}
+
+// worker connects one that can do functions and is listed.
+func (f *farming) worker(id string, functions ...string) *gearman.Peer {
+	f.t.Helper()
+	p := f.peer()
+	if err := p.Announce(id, functions...); err != nil {
+		f.t.Fatal(err)
+	}
+	f.awaitLog("target=g-" + id)
+	return p
+}
+
+func must[T any](t *testing.T, v T, err error) T {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// grabs has a worker grab a job.
+func (f *farming) grabs(w *gearman.Peer) gearman.Job {
+	f.t.Helper()
+	job, err := w.Grab()
+	return must(f.t, job, err)
+}
+
+// submits has a client submit, and returns the handle.
+func (f *farming) submits(c *gearman.Peer, kind proto.Type, function, unique, workload string) string {
+	f.t.Helper()
+	if err := c.Send(kind, function, unique, workload); err != nil {
+		f.t.Fatal(err)
+	}
+	g, err := c.Want(proto.JobCreated)
+	return must(f.t, g, err).Args[0]
+}
+
+// wants reads the next packet and compares it.
+func wants(t *testing.T, p *gearman.Peer, kind proto.Type, args ...string) {
+	t.Helper()
+	g, err := p.Next()
+	if err != nil {
+		t.Fatalf("want %s %q: %v", kind, args, err)
+	}
+	if diff := cmp.Diff(gearman.Got{Type: kind, Args: args}, g); diff != "" {
+		t.Fatalf("packet (-want +got):\n%s", diff)
+	}
+}
+
+// TestGearmanJob guards the way of a job from client to worker and back, with all that is
+// told meanwhile, and that there is one end.
+func TestGearmanJob(t *testing.T) {
+	t.Parallel()
+	f := newFarm(t, "")
+	w, c := f.worker("w1", "cut", "unknown"), f.peer()
+	handle := f.submits(c, proto.SubmitJob, "cut", "u1", "frames\x00of u1")
+	job := f.grabs(w)
+	if diff := cmp.Diff(gearman.Job{Handle: job.Handle, Function: "cut", Unique: "u1", Workload: "frames\x00of u1"}, job); diff != "" {
+		t.Errorf("the job (-want +got):\n%s", diff)
+	}
+	for _, s := range []func() error{
+		func() error { return w.Send(proto.WorkStatus, job.Handle, "1", "4") },
+		func() error { return w.Send(proto.WorkData, job.Handle, "half") },
+		func() error { return w.Send(proto.WorkWarning, job.Handle, "dark") },
+		func() error { return w.Send(proto.WorkComplete, job.Handle, "whole") },
+		func() error { return w.Send(proto.WorkComplete, job.Handle, "twice") },
+		func() error { return w.Send(proto.WorkFail, "W:9:9") },
+	} {
+		if err := s(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wants(t, c, proto.WorkStatus, handle, "25", "100")
+	wants(t, c, proto.WorkData, handle, "half")
+	wants(t, c, proto.WorkWarning, handle, "dark")
+	wants(t, c, proto.WorkComplete, handle, "whole")
+	for range 2 {
+		if g, err := w.Want(proto.Error); err != nil || g.Args[0] != "job_not_found" {
+			t.Errorf("a word on no job got %s, %v", g, err)
+		}
+	}
+	if err := c.Send(proto.GetStatus, handle); err != nil {
+		t.Fatal(err)
+	}
+	wants(t, c, proto.StatusRes, handle, "0", "0", "0", "0") // and nothing else has come
+	if _, text := f.call("GET", "/api/telemetry", ""); !strings.Contains(text, `edge_balancer_completed{lane="render"} 1`) ||
+		!strings.Contains(text, `edge_balancer_upstream_requests{lane="render"} 1`) || !strings.Contains(text, "edge_balancer_pending 0") {
+		t.Errorf("the figures are\n%s", text)
+	}
+}
+
+// TestMixedFronts guards that one core serves both: jobs of either front on workers of
+// either kind, and one open job for an id.
+func TestMixedFronts(t *testing.T) {
+	t.Parallel()
+	r := newRunner(t, "s-http")
+	f := newFarm(t, "", r)
+	c := f.peer()
+	handle := f.submits(c, proto.SubmitJobHigh, "cut", "u1", "frames")
+	h := await(t, r.hops, "hop at the HTTP runner")
+	if h.RequestURI != "/render/cut" || h.id() != "u1" || h.body != "frames" {
+		t.Errorf("the hop is %s of %s with %q", h.RequestURI, h.id(), h.body)
+	}
+	h.reply(202, "")
+	f.report(event("u1", "s-http", "done"))
+	wants(t, c, proto.WorkComplete, handle, "clip of u1 by s-http")
+
+	if code, text := f.call("PUT", "/api/exclude", `{"host":"s-http"}`); code != 200 {
+		t.Fatal(code, text)
+	}
+	w := f.worker("w1", "cut", "out")
+	got := submit(f.job("render", "h1"))
+	job := f.grabs(w)
+	if job.Function != "cut" || job.Workload != "frames of h1" {
+		t.Errorf("the worker got %+v", job)
+	}
+	// The same id over the other front, while it is open:
+	twin := f.submits(c, proto.SubmitJob, "cut", "h1", "frames")
+	wants(t, c, proto.WorkWarning, twin, "a job of this id is open over another front")
+	wants(t, c, proto.WorkFail, twin)
+	if err := errors.Join(w.Send(proto.WorkData, job.Handle, "a"), w.Send(proto.WorkComplete, job.Handle, "b")); err != nil {
+		t.Fatal(err)
+	}
+	if a := await(t, got, "answer"); a.Status != 200 || a.Body != "ab" {
+		t.Errorf("the HTTP client got %d %q", a.Status, a.Body)
+	}
+	handle = f.submits(c, proto.SubmitJob, "out", "k1", "x")
+	job = f.grabs(w)
+	if a := await(t, submit(f.job("release", "k1", func(r *http.Request) { r.Header.Set("Idempotency-Key", "k1") })), "answer"); a.Status != 409 {
+		t.Errorf("the same id and key over HTTP got %d", a.Status)
+	}
+	if err := w.Send(proto.WorkComplete, job.Handle, "once"); err != nil {
+		t.Fatal(err)
+	}
+	wants(t, c, proto.WorkComplete, handle, "once")
+}
+
+// TestWorkerLost guards rule 2: a connection lost in mid-job has perhaps run, and then the
+// class decides; before the grab it has not.
+func TestWorkerLost(t *testing.T) {
+	t.Parallel()
+	drop := func(w *gearman.Peer, job gearman.Job) { w.Close() }
+	for _, tc := range []struct {
+		name, function string
+		lose           func(*gearman.Peer, gearman.Job)
+		again          bool
+	}{
+		{"safe", "cut", drop, true},
+		{"keyed, in its zone", "out", drop, true},
+		{"unsafe", "post", drop, false},
+		{"after data", "post", func(w *gearman.Peer, job gearman.Job) {
+			_ = w.Send(proto.WorkData, job.Handle, "half")
+			w.Close()
+		}, false},
+		{"inside a packet", "cut", func(w *gearman.Peer, job gearman.Job) {
+			_, _ = w.Write(proto.AppendRequest(nil, proto.WorkComplete, []byte(job.Handle), []byte("never whole"))[:20])
+			w.Close()
+		}, true},
+		{"half-closed", "cut", func(w *gearman.Peer, job gearman.Job) { _ = w.Conn.(*net.TCPConn).CloseWrite() }, true},
+		{"it fails", "cut", func(w *gearman.Peer, job gearman.Job) { _ = w.Send(proto.WorkFail, job.Handle) }, true},
+		{"it fails, unsafe", "post", func(w *gearman.Peer, job gearman.Job) { _ = w.Send(proto.WorkException, job.Handle, "why") }, false},
+		{"it sends what can't be read", "post", func(w *gearman.Peer, job gearman.Job) { _, _ = w.Write([]byte("\x00RUB           ")) }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFarm(t, "")
+			first := f.worker("w1", tc.function)
+			c := f.peer()
+			handle := f.submits(c, proto.SubmitJob, tc.function, "u1", "x")
+			job := f.grabs(first)
+			second := f.worker("w2", tc.function)
+			tc.lose(first, job)
+			if !tc.again {
+				if g, err := c.Want(proto.WorkFail); err != nil || g.Args[0] != handle {
+					t.Errorf("the client got %s, %v", g, err)
+				}
+				return
+			}
+			next := f.grabs(second)
+			if err := second.Send(proto.WorkComplete, next.Handle, "done by the second"); err != nil {
+				t.Fatal(err)
+			}
+			wants(t, c, proto.WorkComplete, handle, "done by the second")
+		})
+	}
+}
+
+// TestWorkerOffers guards jobs against workers that are woken and don't come: those have
+// not run there.
+func TestWorkerOffers(t *testing.T) {
+	t.Parallel()
+	f := newFarm(t, "")
+	deaf, c := f.worker("deaf", "post"), f.peer()
+	if err := deaf.Send(proto.PreSleep); err != nil {
+		t.Fatal(err)
+	}
+	handle := f.submits(c, proto.SubmitJob, "post", "u1", "x")
+	if _, err := deaf.Want(proto.Noop); err != nil {
+		t.Fatal(err)
+	}
+	good := f.worker("good", "post")
+	job := f.grabs(good)
+	if err := good.Send(proto.WorkComplete, job.Handle, "done"); err != nil {
+		t.Fatal(err)
+	}
+	wants(t, c, proto.WorkComplete, handle, "done")
+	if err := deaf.Send(proto.GrabJob); err != nil {
+		t.Fatal(err)
+	}
+	wants(t, deaf, proto.NoJob) // the offer is not there any more
+
+	// One that grabs and never answers: the client hears at its deadline, once.
+	handle = f.submits(c, proto.SubmitJob, "post", "u2", "x")
+	f.grabs(good)
+	if g, err := c.Want(proto.WorkFail); err != nil || g.Args[0] != handle {
+		t.Errorf("the client got %s, %v", g, err)
+	}
+}
+
+// TestWorkerDrains guards rule 3: by the worker's own word or the operators' nothing new
+// comes.
+func TestWorkerDrains(t *testing.T) {
+	t.Parallel()
+	f := newFarm(t, "")
+	w, c := f.worker("w1", "cut"), f.peer()
+	refused := func(id string) {
+		t.Helper()
+		handle := f.submits(c, proto.SubmitJob, "cut", id, "x")
+		g, err := c.Next()
+		if err != nil || g.Type != proto.WorkWarning || !strings.Contains(g.Args[1], "Retry-After: 0.") {
+			t.Errorf("a job that nobody can do got %s, %v", g, err)
+		}
+		wants(t, c, proto.WorkFail, handle)
+	}
+	if err := errors.Join(w.Send(proto.CantDo, "cut"), w.Send(proto.EchoReq, "heard")); err != nil {
+		t.Fatal(err)
+	}
+	wants(t, w, proto.EchoRes, "heard")
+	refused("u1")
+	if err := errors.Join(w.Send(proto.CanDo, "cut"), w.Send(proto.EchoReq, "heard")); err != nil {
+		t.Fatal(err)
+	}
+	wants(t, w, proto.EchoRes, "heard")
+	handle := f.submits(c, proto.SubmitJob, "cut", "u2", "x")
+	job := f.grabs(w)
+	if code, text := f.call("PUT", "/api/exclude", `{"host":"g-w1"}`); code != 200 {
+		t.Fatal(code, text)
+	}
+	refused("u3")
+	if err := w.Send(proto.WorkComplete, job.Handle, "what it had goes on"); err != nil {
+		t.Fatal(err)
+	}
+	wants(t, c, proto.WorkComplete, handle, "what it had goes on")
+	refused("u4")
+}
+
+// TestUniqueJobs guards what the protocol says of unique ids, and background jobs.
+func TestUniqueJobs(t *testing.T) {
+	t.Parallel()
+	f := newFarm(t, "")
+	w, a, b := f.worker("w1", "cut"), f.peer(), f.peer()
+	handle := f.submits(a, proto.SubmitJob, "cut", "same", "x")
+	if other := f.submits(b, proto.SubmitJobLow, "cut", "same", "y"); other != handle {
+		t.Errorf("the same unique id has the handles %s and %s", handle, other)
+	}
+	job := f.grabs(w)
+	if err := b.Send(proto.GetStatusUnique, "same"); err != nil {
+		t.Fatal(err)
+	}
+	wants(t, b, proto.StatusResUnique, "same", "1", "1", "0", "0", "2")
+	if err := w.Send(proto.WorkComplete, job.Handle, "one"); err != nil {
+		t.Fatal(err)
+	}
+	wants(t, a, proto.WorkComplete, handle, "one")
+	wants(t, b, proto.WorkComplete, handle, "one")
+
+	f.submits(a, proto.SubmitJobBg, "cut", "later", "x")
+	f.submits(b, proto.SubmitJob, "cut", "left", "x")
+	a.Close() // a background job goes on without its client, another does not
+	job = f.grabs(w)
+	if job.Unique != "later" {
+		t.Errorf("the worker got %+v", job)
+	}
+	if err := w.Send(proto.WorkComplete, job.Handle, ""); err != nil {
+		t.Fatal(err)
+	}
+	text := ""
+	for over := time.Now().Add(patience); !strings.Contains(text, `completed{lane="render"} 2`); _, text = f.call("GET", "/api/telemetry", "") {
+		if time.Now().After(over) {
+			t.Fatalf("the background job did not end:\n%s", text)
+		}
+	}
+	for _, bad := range []struct{ function, unique, code string }{{"nobody", "u", "unknown_function"}, {"out", "", "unique_missing"}} {
+		if err := b.Send(proto.SubmitJob, bad.function, bad.unique, "x"); err != nil {
+			t.Fatal(err)
+		}
+		if g, err := b.Want(proto.Error); err != nil || g.Args[0] != bad.code {
+			t.Errorf("%+v got %s, %v", bad, g, err)
+		}
+	}
+}
+
+// TestOddPeers guards the front against what a peer may send, and others against it.
+func TestOddPeers(t *testing.T) {
+	t.Parallel()
+	f := newFarm(t, "")
+	w, c := f.worker("w1", "cut"), f.peer()
+	var stream []byte
+	for i := range 1000 {
+		stream = proto.AppendRequest(stream, proto.EchoReq, []byte(fmt.Sprint(i)))
+	}
+	if _, err := c.Write(stream); err != nil { // a thousand in one segment
+		t.Fatal(err)
+	}
+	for i := range 1000 {
+		wants(t, c, proto.EchoRes, fmt.Sprint(i))
+	}
+	for _, b := range proto.AppendRequest(nil, proto.EchoReq, []byte("slowly")) { // split at every byte
+		if _, err := c.Write([]byte{b}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wants(t, c, proto.EchoRes, "slowly")
+	for name, text := range map[string][]byte{"4 GB by its header": []byte("\x00REQ\x00\x00\x00\x07\xff\xff\xff\xff"),
+		"no packet": []byte("\x00HTTP/1.1 GET"), "a line without end": bytes.Repeat([]byte("x"), 1000)} {
+		p := f.peer()
+		if _, err := p.Write(text); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := p.Conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%s: the connection goes on, %v", name, err)
+		}
+	}
+	greedy := f.peer()
+	for i := range 1001 {
+		if err := greedy.Send(proto.CanDo, fmt.Sprint("f", i)); err != nil {
+			break // closed already
+		}
+	}
+	if _, err := greedy.Want(proto.EchoRes); err == nil {
+		t.Error("a worker that claims 1,001 functions goes on")
+	}
+	for line, want := range map[string]string{"version\n": "OK frosttide\n", "shutdown\n": "ERR not_allowed", "status\n": "cut\t0\t0\t1\n",
+		"workers\n": " g-w1 : cut\n", "what\n": "ERR unknown_command"} {
+		p := f.peer()
+		if _, err := io.WriteString(p, line); err != nil {
+			t.Fatal(err)
+		}
+		answer := make([]byte, 4096)
+		n, err := p.Conn.Read(answer)
+		if err != nil || !strings.Contains(string(answer[:n]), want) {
+			t.Errorf("%q got %q, %v", line, answer[:n], err)
+		}
+	}
+	handle := f.submits(c, proto.SubmitJob, "cut", "after", "x")
+	job := f.grabs(w)
+	if err := w.Send(proto.WorkComplete, job.Handle, "fine"); err != nil {
+		t.Fatal(err)
+	}
+	wants(t, c, proto.WorkComplete, handle, "fine")
+}
+
+// TestGearmanEnd guards clients at a planned end: what is open is answered, what comes is
+// refused, and the process ends.
+func TestGearmanEnd(t *testing.T) {
+	t.Parallel()
+	f := newFarm(t, "")
+	w, c := f.worker("w1", "cut"), f.peer()
+	handle := f.submits(c, proto.SubmitJob, "cut", "u1", "x")
+	job := f.grabs(w)
+	if err := f.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	f.awaitLog("frosttide drains")
+	if err := w.Send(proto.WorkComplete, job.Handle, "in time"); err != nil {
+		t.Fatal(err)
+	}
+	wants(t, c, proto.WorkComplete, handle, "in time")
+	if err := await(t, f.ended, "end"); err != nil {
+		t.Errorf("the process ended with %v", err)
+	}
+}
+
+// TestGearmanTLS guards who may come.
+func TestGearmanTLS(t *testing.T) {
+	t.Parallel()
+	pair, ca := certificate(t, "127.0.0.1")
+	key := filepath.Join(t.TempDir(), "key.pem")
+	if err := os.WriteFile(key, keyPEM(t, pair), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f := newFarm(t, fmt.Sprintf("certificate = %q\nkey = %q\n", ca, key))
+	by := time.Now().Add(patience)
+	p, err := gearman.Dial(f.jobs, by, &tls.Config{InsecureSkipVerify: true}) // its address is the test's own
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	if err := p.Send(proto.EchoReq, "secret"); err != nil {
+		t.Fatal(err)
+	}
+	wants(t, p, proto.EchoRes, "secret")
+	plain := f.peer()
+	if err := plain.Send(proto.EchoReq, "open"); err != nil {
+		t.Fatal(err)
+	}
+	if g, err := plain.Next(); err == nil {
+		t.Errorf("without TLS a peer got %s", g)
+	}
+}
--- a/cmd/frosttide/harness_test.go
+++ b/cmd/frosttide/harness_test.go
@@ -117,6 +117,14 @@
 	return fmt.Sprintf(`{"rev":%d,"all":%t,"targets":[%s]}`, rev, all, strings.Join(entries, ","))
 }
 
+// closed waits until what has just been closed is closed everywhere: a process that is
+// being started meanwhile holds copies of all descriptors until its program runs. Guards
+// addresses that are to be opened again.
+func closed() {
+	syscall.ForkLock.Lock() // held by whoever starts a process, until its program runs
+	defer syscall.ForkLock.Unlock()
+}
+
 var started atomic.Int32
 
 // start runs a dispatcher that knows the given entries.
@@ -141,6 +149,7 @@
 	d := &dispatcher{t: t, addr: free.Addr().String(), ops: other.Addr().String()}
 	free.Close()
 	other.Close()
+	closed()
 	d.cfg = fmt.Sprintf(`{"name":"n0","listen":%q,"console":%q,"discovery":"%%s","seed":"8c1f30d27a5be964","unheard":1,
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`,
 		d.addr, d.ops, sockets, list(41, true, known...), theSettings)
@@ -199,6 +208,7 @@
 		d.t.Fatal(err)
 	}
 	other.Close()
+	closed()
 	s := &dispatcher{t: d.t, addr: d.addr, ops: other.Addr().String(), cfg: d.cfg, path: d.path, cmd: exec.Command(os.Args[0])}
 	s.cmd.ExtraFiles = d.cmd.ExtraFiles
 	s.cmd.Env = append(slices.Clone(d.cmd.Env), "BALANCER_CONSOLE="+s.ops)
--- a/cmd/frosttide/serve.go
+++ b/cmd/frosttide/serve.go
@@ -108,7 +108,8 @@
 		}
 		held.learned(&cfg)
 	}
-	c, err := core.New(cfg.Module, cfg.Seed, fleet, table, counts.Members, entry.WithField("part", "core"))
+	open := &targets{Fleet: fleet}
+	c, err := core.New(cfg.Module, cfg.Seed, open, table, counts.Members, entry.WithField("part", "core"))
 	if err != nil {
 		return err
 	}
@@ -124,6 +125,13 @@
 	if held != nil {
 		keeper = held.roster(cfg, c, table, counts)
 	}
+	var farmers *farm // nil without Gearman
+	if cfg.Gearman.Listen != "" {
+		if farmers, err = openFarm(cfg, c, counts, stories, entry.WithField("part", "gearman")); err != nil {
+			return err
+		}
+		open.gearman = farmers.Server
+	}
 	var ready atomic.Bool
 	if operators != nil {
 		note := func() (bool, string) { return ready.Load(), storedNote(keeper) }
@@ -170,6 +178,9 @@
 		keeper.Start()
 		go keeper.Run(ctx)
 	}
+	if farmers != nil {
+		go farmers.Run(ctx)
+	}
 	go table.Run(ctx)
 	go c.Run(ctx)
 	served := make(chan error, 1)
@@ -183,6 +194,9 @@
 		c.Settings(cfg.Module)
 		counts.Classes(cfg.Names.Classes)
 		front.Classes(classes(cfg))
+		if farmers != nil {
+			farmers.take(cfg)
+		}
 		grace.Store(int64(graceOf(cfg)))
 		table.Move(cfg.Discovery)
 		if cfg.Discovery == "" {
@@ -217,6 +231,9 @@
 		stories.Hurry()
 	}
 	by := time.Now().Add(time.Duration(grace.Load()) - lead)
+	if farmers != nil {
+		farmers.Leave(by)
+	}
 	if link.Succeeded() {
 		listener.Close()
 		front.GiveWay(by.Add(-closing))
@@ -228,6 +245,9 @@
 	if err := front.Drain(ctx); err != nil {
 		return err
 	}
+	if farmers != nil {
+		farmers.drain(by)
+	}
 	if keeper != nil {
 		keeper.Close(time.Now().Add(lastSave))
 	}
@@ -246,6 +266,9 @@
 	if cfg.Console != "" {
 		n = max(n-console.Sockets, part/4)
 	}
+	if cfg.Gearman.Listen != "" {
+		n = max(n-int(cfg.Gearman.Connections), part/4)
+	}
 	if cfg.State.Dir != "" {
 		n = max(n-roster.Sockets, part/4)
 	}
--- a/cmd/frosttide/state_test.go
+++ b/cmd/frosttide/state_test.go
@@ -93,6 +93,7 @@
 	disc.Close()
 	retired.listener.Close()
 	swapped.listener.Close()
+	closed()
 	var posts sync.Map // at what answers 200 to everything
 	l, err := net.Listen("tcp", swapped.addr)
 	if err != nil {
@@ -364,6 +365,7 @@
 func newDiscoveryAt(t *testing.T, addr string) *discovery {
 	t.Helper()
 	d := &discovery{watches: make(chan *watch, 64)}
+	closed()
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/frosttide/telemetry_test.go
+++ b/cmd/frosttide/telemetry_test.go
@@ -39,6 +39,7 @@
 
 func newCollectorAt(t *testing.T, addr string, cert *tls.Certificate) *collector.Collector {
 	t.Helper()
+	closed()
 	c, err := collector.Start(addr, cert)
 	if err != nil {
 		t.Fatal(err)
@@ -665,3 +666,13 @@
 		t.Errorf("a plain trace was kept: %q", trees)
 	}
 }
+
+// keyPEM writes a certificate's key.
+func keyPEM(t *testing.T, pair tls.Certificate) []byte {
+	t.Helper()
+	der, err := x509.MarshalPKCS8PrivateKey(pair.PrivateKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der})
+}
--- a/decision/api.go
+++ b/decision/api.go
@@ -177,6 +177,8 @@
 	StartedAt time.Duration // clock time of its last start; 0 for long ago
 	Returned  bool          // it gets a little work while it is cold, as one that an operator put back
 	Sharers   int           // how many dispatchers use it while it is cold; 0 for all
+	Tokens    int           // all that it has; 0 for the usual number
+	Only      uint64        // classes that it can do, a bit for each number below 64; 0 for all
 }
 
 // Event is one thing that happened. Type tells which fields are set.
--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -396,6 +396,9 @@
 // tokensFor returns how many tokens a worker has when it is well: by weight,
 // and enough for the widest request.
 func (d *Dispatcher) tokensFor(w *worker) int {
+	if w.Tokens > 0 {
+		return min(w.Tokens, maxTokens)
+	}
 	n := defaultTokens
 	if d.cfg.WeightKnown && d.meanWeight > 0 {
 		n = int(math.Round(defaultTokens * min(w.weight()/d.meanWeight, maxTokens/defaultTokens)))
@@ -583,7 +586,7 @@
 // allowed tells whether rules 1 to 4 let the request go to the worker now.
 func (d *Dispatcher) allowed(r *request, w *worker) bool {
 	c := r.rules
-	wrongKind := c.WorkerKind >= 0 && w.Kind != c.WorkerKind
+	wrongKind := c.WorkerKind >= 0 && w.Kind != c.WorkerKind || w.Only != 0 && w.Only>>r.class&1 == 0
 	cold := d.now < w.coldUntil && !d.trickles(w, r)
 	if w.State != Ready || cold || wrongKind || !d.mayTry(r) || !d.bears(w, r) {
 		return false
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,7 @@
 	Log       settings.Log
 	Telemetry export.Options
 	State     settings.State
+	Gearman   settings.Gearman
 	Warnings  []string // values of the environment that are passed over
 
 	keys map[string]any // the file, as it is
@@ -137,6 +138,10 @@
 	keep("me", c.Module.Instance == next.Module.Instance)
 	keep("zone", c.Module.Zone == next.Module.Zone)
 	keep("state", c.State == next.State)
+	same := c.Gearman.Listen == next.Gearman.Listen && c.Gearman.Zone == next.Gearman.Zone && c.Gearman.Kind == next.Gearman.Kind &&
+		c.Gearman.Connections == next.Gearman.Connections && c.Gearman.Jobs == next.Gearman.Jobs &&
+		c.Gearman.Packet == next.Gearman.Packet && (c.Gearman.Certificate == "") == (next.Gearman.Certificate == "")
+	keep("gearman", same)
 	keep("discovery's way", c.Module.PullList == next.Module.PullList)
 	next.State = c.State
 	names := next.Names.Classes
@@ -242,12 +247,21 @@
 	var said settings.Telemetry
 	c.State = settings.DefaultState()
 	if t.settings != nil {
-		said, c.State = t.settings.Telemetry, t.settings.State
+		said, c.State, c.Gearman = t.settings.Telemetry, t.settings.State, t.settings.Gearman
 	}
 	c.State.Dir = cmp.Or(getenv("FROSTTIDE_STATE_DIR"), c.State.Dir)
 	if c.Telemetry, c.Warnings, err = export.Resolve(said, c.Name, getenv); err != nil {
 		return Config{}, err
 	}
+	for name, class := range c.Gearman.Functions {
+		i := slices.Index(c.Names.Classes, class)
+		if i < 0 {
+			return Config{}, fmt.Errorf("%s: gearman.functions.%s: there is no class %q", path, name, class)
+		}
+		if i >= 64 {
+			return Config{}, fmt.Errorf("%s: gearman.functions.%s: %q is not among the first 64 classes", path, name, class)
+		}
+	}
 	c.Log = src.log(t)
 	if _, err := logrus.ParseLevel(c.Log.Level); err != nil {
 		return Config{}, fmt.Errorf("log level: %w", err)
--- a/internal/core/hops.go
+++ b/internal/core/hops.go
@@ -147,6 +147,9 @@
 		if r.story != nil {
 			r.story.Hops[i].Note(c.now, jobStates[ev.State], ev.Share)
 		}
+		if to, ok := r.ingress.(Streamer); ok {
+			to.Stream(ev)
+		}
 		switch ev.State {
 		case JobStarted:
 			h.reported = true
@@ -161,7 +164,7 @@
 			c.event(note)
 		case JobDone:
 			c.end(r, i, decision.Served, ev.Load)
-			c.answer(r.ref, Answer{Verdict: Served, Result: ev.Result}, whyDone)
+			c.answer(r.ref, Answer{Verdict: Served, Result: ev.Result, Last: ev.Last, Streamed: ev.Streamed}, whyDone)
 		case JobFailed:
 			c.end(r, i, decision.Errored, ev.Load)
 		case JobReturned:
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -12,6 +12,7 @@
 	uid    string
 	addr   string
 	zone   string          // its name
+	source uint8           // who lists it
 	member decision.Member // as discovery lists it
 	target Target
 }
@@ -72,7 +73,7 @@
 		if t.State == decision.Draining && w.member.State != t.State && !t.Withheld {
 			c.log.WithField("target", w.uid).Info("egress target drains")
 		}
-		w.member, w.zone = t.Member, t.ZoneName
+		w.member, w.zone, w.source = t.Member, t.ZoneName, t.Source
 		w.member.Worker = w.number
 		ev.Members = append(ev.Members, c.shown(w))
 		if t.State == decision.Removed {
@@ -81,8 +82,12 @@
 	}
 	if kind == decision.MembersReplaced {
 		for uid, w := range c.workers {
-			if !named[uid] {
+			switch {
+			case named[uid]:
+			case w.source == 0:
 				c.drop(w)
+			default: // the module takes a whole list as it is
+				ev.Members = append(ev.Members, c.shown(w))
 			}
 		}
 	}
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -28,7 +28,7 @@
 
 // jobStates are the words for what runners report.
 var jobStates = [...]string{JobStarted: "started", JobRunning: "running", JobDone: "done", JobFailed: "failed",
-	JobReturned: "returned", JobLost: "lost"}
+	JobReturned: "returned", JobLost: "lost", JobData: "data", JobWarning: "warning", JobException: "exception"}
 
 // Holding is how many tokens of a target are out, and how many may be.
 type Holding struct {
--- a/internal/core/terms.go
+++ b/internal/core/terms.go
@@ -46,6 +46,8 @@
 type Answer struct {
 	Verdict    Verdict
 	Result     []byte
+	Last       []byte        // the part of Result that no Streamer has had
+	Streamed   bool          // Last is set
 	RetryAfter time.Duration // for Shed; 0 for no advice
 }
 
@@ -53,6 +55,10 @@
 // unless the client has left before, and must not block.
 type Ingress interface{ Answer(Answer) }
 
+// Streamer is an Ingress that wants to hear of what runners tell while a job runs. Stream
+// must not block; nothing comes after the answer.
+type Streamer interface{ Stream(JobEvent) }
+
 // HopRef names a hop: a request of this process and its attempt's number.
 type HopRef struct {
 	Request decision.RequestID
@@ -103,7 +109,8 @@
 type Route struct {
 	UID, Addr string
 	ZoneName  string
-	Withheld  bool // nobody vouches for it yet: it is listed as draining and gets nothing
+	Source    uint8 // who lists it: 0 for discovery. A whole list takes nobody else's away
+	Withheld  bool  // nobody vouches for it yet: it is listed as draining and gets nothing
 	decision.Member
 }
 
@@ -118,6 +125,9 @@
 	JobFailed
 	JobReturned // handed back unstarted
 	JobLost
+	JobData      // a part of the result
+	JobWarning   // a word to the client
+	JobException // why it will fail
 )
 
 // JobEvent is a runner's report on a job that it has been sent.
@@ -126,6 +136,8 @@
 	State    JobState
 	Share    float64
 	Result   []byte
+	Last     []byte // the part of the result that has not come as JobData
+	Streamed bool   // Last is set
 	Load     []float32
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 	Platform  map[string]any // in the form of the platform's JSON file
 	Log       Log
 	State     State
+	Gearman   Gearman
 	Telemetry Telemetry
 	Values    []Value // of each key, for whoever wants to see what is in force
 }
@@ -32,6 +33,15 @@
 	Level, Format string
 }
 
+// Gearman says how Gearman's clients and workers are served.
+type Gearman struct {
+	Listen                    string            // empty for not at all
+	Functions                 map[string]string // the class of each
+	Zone, Kind                string            // of the workers
+	Connections, Jobs, Packet int64
+	Certificate, Key, Clients string // files
+}
+
 // State says what is kept on disk of the runners.
 type State struct {
 	Dir             string // empty for nothing
@@ -122,6 +132,19 @@
 		platform: map[string]any{}, seen: map[string]bool{}}
 	r.fields(schema, "", tree, r.platform)
 	zones, kinds := r.fleet(tree)
+	if g := r.gearman(); g.Listen != "" {
+		if len(g.Functions) == 0 {
+			r.wrong("gearman.functions", "a front without functions serves nobody")
+		}
+		if (g.Certificate == "") != (g.Key == "") {
+			r.wrong("gearman.key", "a certificate and its key go together")
+		}
+		for key, of := range map[string][]any{"zone": zones, "kind": kinds} {
+			if name := own[string](r, "gearman."+key); name != "" && !slices.Contains(of, any(name)) {
+				r.wrong("gearman."+key, fmt.Sprintf("%q is not among fleet.%ss", name, key))
+			}
+		}
+	}
 	if f, o, m := own[time.Duration](r, "state.fresh"), own[time.Duration](r, "state.old"), own[time.Duration](r, "state.max_age"); f > o || o > m {
 		r.wrong("state.old", "the ages fresh, old and max_age don't rise")
 	}
@@ -136,7 +159,7 @@
 		}
 		return nil, errors.Join(all...)
 	}
-	return &File{Path: path, Platform: r.platform, Values: r.values, Telemetry: r.telemetry(), State: r.state(),
+	return &File{Path: path, Platform: r.platform, Values: r.values, Telemetry: r.telemetry(), State: r.state(), Gearman: r.gearman(),
 		Log: Log{Level: own[string](r, "log.level"), Format: own[string](r, "log.format")}}, nil
 }
 
@@ -386,6 +409,14 @@
 	return nil
 }
 
+func (r *reader) gearman() Gearman {
+	const g = "gearman."
+	return Gearman{Listen: own[string](r, g+"listen"), Functions: own[map[string]string](r, g+"functions"), Zone: own[string](r, g+"zone"),
+		Kind: own[string](r, g+"kind"), Connections: own[int64](r, g+"connections"), Jobs: own[int64](r, g+"jobs"),
+		Packet: own[int64](r, g+"packet"), Certificate: own[string](r, g+"certificate"), Key: own[string](r, g+"key"),
+		Clients: own[string](r, g+"client_certificates")}
+}
+
 func (r *reader) state() State {
 	return State{Dir: own[string](r, "state.dir"), Generations: own[int64](r, "state.generations"),
 		Every: own[time.Duration](r, "state.every"), Fresh: own[time.Duration](r, "state.fresh"),
