Count hints against rations of few sharers alone

A runner that operators put back got fewer jobs, as every job heavier by its hint than its class's mean counted in full, though the ration is divided by all dispatchers there and mostly not used up.

Change: the hint counts where Member.Sharers is set, that is for runners of a stored list and Gearman's workers.

--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -334,12 +334,18 @@
 	sharers := max(cmp.Or(w.Sharers, d.cfg.Instances), 1)
 	rate := share * rules.FallMultiple * max(slots/max(seen, 1), 1) / float64(sharers)
 	w.bill, w.billAt = max(w.bill-rate*(d.now-w.billAt).Seconds(), 0), d.now
-	return w.bill+d.workOf(r) <= rate*rules.FallWindow.Seconds()
+	return w.bill+d.workOf(w, r) <= rate*rules.FallWindow.Seconds()
 }
 
-// workOf returns the seconds of work that a request is likely to be.
-func (d *Dispatcher) workOf(r *request) float64 {
-	return max(d.run[r.class], r.hint.Seconds()) * float64(r.slots)
+// workOf returns the seconds of work that a request is likely to be at a worker. Its hint
+// counts where few share the worker's ration: there is nobody whose unused part makes up
+// for one that is heavier than its class.
+func (d *Dispatcher) workOf(w *worker, r *request) float64 {
+	work := d.run[r.class]
+	if w.Sharers > 0 {
+		work = max(work, r.hint.Seconds())
+	}
+	return work * float64(r.slots)
 }
 
 // warmed gives a worker its tokens once its cold time is over, and new places in
@@ -630,7 +636,7 @@
 	}
 	w.held += r.slots
 	w.untried = false
-	w.bill += d.workOf(r)
+	w.bill += d.workOf(w, r)
 	n := len(r.attempts)
 	r.attempts = append(r.attempts, attempt{Past: Past{Worker: w.Worker, SentAt: d.now}, worker: w})
 	d.act(Action{Type: Send, Request: r.id, Worker: w.Worker, Attempt: n})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -44,3 +44,46 @@
 type answers chan Answer
 
 func (x answers) Answer(a Answer) { x <- a }
+
+// opened remembers which targets are open.
+type opened map[string]bool
+
+func (o opened) Open(_ decision.WorkerID, uid, _ string) Target {
+	o[uid] = true
+	return target{o, uid}
+}
+
+type target struct {
+	open opened
+	uid  string
+}
+
+func (target) Send(Hop)        {}
+func (target) GiveUp(Hop)      {}
+func (target) Probe(time.Time) {}
+func (target) Move(string)     {}
+func (t target) Close()        { delete(t.open, t.uid) }
+
+// TestSources guards runners that discovery does not list against its whole lists, for the
+// core and for the module.
+func TestSources(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	cfg := decision.Config{Classes: []decision.Class{{Objective: time.Second, GiveUp: time.Hour, WorkerKind: -1}}}
+	open := opened{}
+	c, err := New(cfg, 1, open, noList{}, func(int, int) {}, logrus.NewEntry(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.now = c.clock(time.Now())
+	c.listed(decision.MembersChanged, []Route{{UID: "own", Addr: "x", Source: 1}})
+	c.listed(decision.MembersReplaced, []Route{{UID: "a", Addr: "y"}, {UID: "b", Addr: "z"}})
+	c.listed(decision.MembersReplaced, []Route{{UID: "b", Addr: "z"}})
+	c.step()
+	if !open["own"] || !open["b"] || open["a"] {
+		t.Errorf("open are %v", open)
+	}
+	if held, limit := c.module.Held(c.workers["own"].number); held != 0 || limit == 0 {
+		t.Errorf("to the module the runner has %d tokens, %d at most", held, limit)
+	}
+}
