--- /dev/null
+++ b/cmd/frosttide/mixed_test.go
@@ -0,0 +1,274 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"frosttide/internal/gearman/proto"
+	"frosttide/internal/lab/rules"
+	"frosttide/internal/standin/gearman"
+)
+
+// mixed is a run with clients and workers of one kind or of both, and with faults.
+type mixed struct {
+	*farming
+	check *rules.Checker
+	over  chan struct{}
+	jobs  sync.WaitGroup
+	work  sync.WaitGroup
+}
+
+const mixedWork = 5 * time.Millisecond
+
+var mixedClasses = map[string]rules.Class{"render": {}, "release": {Effect: rules.Keyed, Window: 40 * time.Second}, "once": {Effect: rules.Unsafe}}
+
+// mixedFunctions are the functions of the classes.
+var mixedFunctions = map[string]string{"render": "cut", "release": "out", "once": "post"}
+
+// ends draws how a job ends at a worker: mostly well.
+func ends(rng *rand.Rand) string {
+	switch n := rng.IntN(40); n {
+	case 0:
+		return "fail"
+	case 1:
+		return "drop before the end"
+	case 2:
+		return "drop after the effect"
+	default:
+		return "done"
+	}
+}
+
+// httpRunner serves as a runner over HTTP until the run is over.
+func (m *mixed) httpRunner(r *runner, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for {
+		select {
+		case h := <-r.hops:
+			if h.service() {
+				continue
+			}
+			m.check.Sent(r.uid, mixedWork, time.Now())
+			key := h.Header.Get("Idempotency-Key")
+			switch end := ends(rng); end {
+			case "drop before the end":
+				h.conn.Close()
+			case "drop after the effect":
+				m.check.Ran(h.id(), key, "a", time.Now())
+				h.conn.Close()
+			default:
+				m.check.Ran(h.id(), key, "a", time.Now())
+				h.reply(202, "")
+				m.work.Go(func() {
+					time.Sleep(mixedWork) // it works
+					state := "done"
+					if end == "fail" {
+						state = "failed"
+					}
+					m.tell(event(h.id(), r.uid, state))
+				})
+			}
+		case <-m.over:
+			return
+		}
+	}
+}
+
+// gearmanWorker serves as a worker of Gearman, and connects again when its connection has
+// ended, until the run is over.
+func (m *mixed) gearmanWorker(name string, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	for life := 0; ; life++ {
+		select {
+		case <-m.over:
+			return
+		default:
+		}
+		p, err := gearman.Dial(m.farming.jobs, time.Now().Add(patience), nil)
+		if err != nil {
+			return
+		}
+		stop := make(chan struct{})
+		go func() { // ends the wait for a job with the run
+			select {
+			case <-m.over:
+				p.Close()
+			case <-stop:
+			}
+		}()
+		m.serve(p, fmt.Sprintf("%s-%d", name, life), rng)
+		close(stop)
+		p.Close()
+	}
+}
+
+// serve works on one connection until it ends.
+func (m *mixed) serve(p *gearman.Peer, name string, rng *rand.Rand) {
+	if p.Announce(name, "cut", "out", "post") != nil {
+		return
+	}
+	for {
+		job, err := p.Grab()
+		if err != nil {
+			return
+		}
+		m.check.Sent("g-"+name, mixedWork, time.Now())
+		key := ""
+		if job.Function == "out" {
+			key = job.Unique
+		}
+		end := ends(rng)
+		if end == "drop before the end" {
+			return
+		}
+		m.check.Ran(job.Unique, key, "a", time.Now())
+		if end == "drop after the effect" {
+			return
+		}
+		time.Sleep(mixedWork) // it works
+		kind, result := proto.WorkComplete, "clip"
+		if end == "fail" {
+			err = p.Send(proto.WorkFail, job.Handle)
+		} else {
+			err = errors.Join(p.Send(proto.WorkStatus, job.Handle, "1", "2"), p.Send(kind, job.Handle, result))
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// httpClient sends jobs over HTTP, one after the other.
+func (m *mixed) httpClient(number, jobs int) {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for i := range jobs {
+		class := []string{"render", "release", "once"}[i%3]
+		id := fmt.Sprintf("h%d-%d", number, i)
+		req := m.job(class, id, func(r *http.Request) {
+			r.Header.Set("X-Expires-In-Ms", "5000")
+			if class == "release" {
+				r.Header.Set("Idempotency-Key", id)
+			}
+		})
+		m.check.Submitted(id, class, time.Now().Add(5*time.Second))
+		a := do(client, req)
+		switch {
+		case a.Err != nil:
+			m.check.Answered(id, rules.Lost, time.Now())
+		case a.Status == 200:
+			m.check.Answered(id, rules.Served, time.Now())
+		case a.Status == 503:
+			m.check.Answered(id, rules.Refused, time.Now())
+			time.Sleep(mixedWork) // as it was told, about
+		default:
+			m.check.Answered(id, rules.Failed, time.Now())
+		}
+	}
+}
+
+// gearmanClient sends jobs over Gearman, one after the other.
+func (m *mixed) gearmanClient(number, jobs int) {
+	p, err := gearman.Dial(m.farming.jobs, time.Now().Add(patience), nil)
+	if err != nil {
+		m.t.Error(err)
+		return
+	}
+	defer p.Close()
+	for i := range jobs {
+		class := []string{"render", "release", "once"}[i%3]
+		id := fmt.Sprintf("g%d-%d", number, i)
+		m.check.Submitted(id, class, time.Now().Add(20*time.Second))
+		if err := p.Send(proto.SubmitJob, mixedFunctions[class], id, "frames of "+id); err != nil {
+			m.check.Answered(id, rules.Lost, time.Now())
+			return
+		}
+		answer, over := rules.Failed, false
+		for !over {
+			g, err := p.Next()
+			if err != nil {
+				m.check.Answered(id, rules.Lost, time.Now())
+				return
+			}
+			switch g.Type {
+			case proto.WorkWarning:
+				if strings.HasPrefix(g.Args[1], "refused") {
+					answer = rules.Refused
+				}
+			case proto.WorkComplete:
+				answer, over = rules.Served, true
+			case proto.WorkFail:
+				over = true
+			}
+		}
+		m.check.Answered(id, answer, time.Now())
+		if answer == rules.Refused {
+			time.Sleep(mixedWork) // as it was told, about
+		}
+	}
+}
+
+// operator leaves a runner out and puts it back, again and again.
+func (m *mixed) operator(uid string) {
+	for range 8 {
+		code, _ := m.call("PUT", "/api/exclude", fmt.Sprintf(`{"host":%q}`, uid))
+		if code == 200 {
+			m.check.Drains(uid, time.Now())
+			time.Sleep(20 * mixedWork) // it is left out for a while
+			m.check.Back(uid)
+			m.call("PUT", "/api/include", fmt.Sprintf(`{"host":%q}`, uid))
+		}
+		time.Sleep(10 * mixedWork)
+	}
+}
+
+// TestBothKinds holds the same run over HTTP alone and with clients and workers of both
+// kinds against the same rules: no job is lost, none that must not run twice does, what
+// drains gets nothing.
+func TestBothKinds(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{"HTTP", "both"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			runners := []*runner{newRunner(t, "s-1"), newRunner(t, "s-2"), newRunner(t, "s-3")}
+			m := &mixed{farming: newFarm(t, "", runners...), over: make(chan struct{}),
+				check: rules.New(rules.Config{Classes: mixedClasses, Slack: 250 * time.Millisecond, Grace: 500 * time.Millisecond, Multiple: 2.5, Window: time.Second})}
+			for i, r := range runners {
+				m.work.Go(func() { m.httpRunner(r, uint64(i)) })
+			}
+			if kind == "both" {
+				for i := range 6 {
+					m.work.Go(func() { m.gearmanWorker(fmt.Sprint("w", i), uint64(i)) })
+				}
+			}
+			const clients, each = 6, 60
+			for i := range clients {
+				m.jobs.Go(func() {
+					if kind == "both" && i%2 == 1 {
+						m.gearmanClient(i, each)
+					} else {
+						m.httpClient(i, each)
+					}
+				})
+			}
+			m.jobs.Go(func() { m.operator("s-1") })
+			m.jobs.Wait()
+			close(m.over)
+			m.work.Wait()
+			r := m.check.Report(time.Now())
+			if len(r.Broken) > 0 {
+				t.Errorf("rules are broken:\n%s", strings.Join(r.Broken, "\n"))
+			}
+			if r.Jobs != clients*each || r.Served+r.Refused+r.Failed != r.Jobs || r.Served < r.Jobs/4 {
+				t.Errorf("of %d jobs %d were served, %d refused, %d failed", r.Jobs, r.Served, r.Refused, r.Failed)
+			}
+			t.Logf("%d jobs, %d sends: %d served, %d refused, %d failed", r.Jobs, r.Sends, r.Served, r.Refused, r.Failed)
+		})
+	}
+}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -103,6 +103,13 @@
 	return r
 }
 
+// Client returns what sends one job after the other and returns the statuses of their
+// answers, and what ends it.
+func (l Load) Client() (submit func(id string) int, end func()) {
+	client := &http.Client{Transport: &http.Transport{}}
+	return func(id string) int { return l.job(context.Background(), client, id) }, client.CloseIdleConnections
+}
+
 // job sends one job and returns the status of its answer, 0 for none.
 func (l Load) job(ctx context.Context, client *http.Client, id string) int {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(l.Patient))
