--- a/cmd/frosttide/gearman_test.go
+++ b/cmd/frosttide/gearman_test.go
@@ -29,6 +29,12 @@
 
 // newFarm starts one with a fixed list of HTTP runners; more goes into its settings.
 func newFarm(t *testing.T, more string, runners ...*runner) *farming {
+	t.Helper()
+	return newFarmWith(t, more, runners, func(*dispatcher) {})
+}
+
+// newFarmWith does so after a last edit.
+func newFarmWith(t *testing.T, more string, runners []*runner, edit func(*dispatcher)) *farming {
 	t.Helper()
 	f := &farming{}
 	f.dispatcher = startWith(t, "", 1024, nil, func(d *dispatcher) {
@@ -78,6 +84,7 @@
 		}
 		d.cmd.Env = []string{"FROSTTIDE_TEST_PROGRAM=1"}
 		d.cmd.Args = append(d.cmd.Args, "serve", "--config", path)
+		edit(d)
 	})
 	// The list may not be empty; the runner that is nobody is left out.
 	if code, text := f.call("PUT", "/api/exclude", `{"host":"s-none"}`); code != 200 {
@@ -479,6 +486,36 @@
 	}
 }
 
+// TestGearmanUpgrade guards an HTTP client's job at a Gearman worker against an upgrade:
+// the worker tells the older process alone, so that keeps it.
+func TestGearmanUpgrade(t *testing.T) {
+	t.Parallel()
+	f := newFarmWith(t, "", nil, upgradable)
+	w := f.worker("w1", "cut")
+	got := submit(f.job("render", "h1"))
+	job := f.grabs(w)
+	s := f.successor()
+	if err := f.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	f.awaitLog("frosttide drains")
+	if err := w.Send(proto.WorkComplete, job.Handle, "in time"); err != nil {
+		t.Fatal(err)
+	}
+	if a := await(t, got, "answer"); a.Status != 200 || a.Body != "in time" {
+		t.Errorf("the client got %d %q %v", a.Status, a.Body, a.Err)
+	}
+	if err := await(t, f.ended, "end of the older process"); err != nil {
+		t.Error(err)
+	}
+	// The newer one takes workers at the same address.
+	next := f.peer()
+	if err := next.Announce("w2", "cut"); err != nil {
+		t.Fatal(err)
+	}
+	s.awaitLog("target=g-w2")
+}
+
 // TestGearmanTLS guards who may come.
 func TestGearmanTLS(t *testing.T) {
 	t.Parallel()
--- a/cmd/frosttide/harness_test.go
+++ b/cmd/frosttide/harness_test.go
@@ -209,7 +209,7 @@
 	}
 	other.Close()
 	closed()
-	s := &dispatcher{t: d.t, addr: d.addr, ops: other.Addr().String(), cfg: d.cfg, path: d.path, cmd: exec.Command(os.Args[0])}
+	s := &dispatcher{t: d.t, addr: d.addr, ops: other.Addr().String(), cfg: d.cfg, path: d.path, cmd: exec.Command(os.Args[0], d.cmd.Args[1:]...)}
 	s.cmd.ExtraFiles = d.cmd.ExtraFiles
 	s.cmd.Env = append(slices.Clone(d.cmd.Env), "BALANCER_CONSOLE="+s.ops)
 	s.run()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -142,6 +142,10 @@
 		c.Gearman.Connections == next.Gearman.Connections && c.Gearman.Jobs == next.Gearman.Jobs &&
 		c.Gearman.Packet == next.Gearman.Packet && (c.Gearman.Certificate == "") == (next.Gearman.Certificate == "")
 	keep("gearman", same)
+	if g := next.Gearman; !same {
+		next.Gearman = c.Gearman
+		next.Gearman.Functions = g.Functions
+	}
 	keep("discovery's way", c.Module.PullList == next.Module.PullList)
 	next.State = c.State
 	names := next.Names.Classes
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -96,6 +96,8 @@
 		for i := range r.hops {
 			h := &r.hops[i]
 			ready = ready && (h.ended || h.taken || h.reported)
+			// A worker that is connected to this process tells it alone how its job ends.
+			ready = ready && (h.ended || h.to == nil || h.to.source == 0)
 			if ready {
 				m.Hops = append(m.Hops, MovedHop{UID: h.uid(), Past: past[i]})
 			}
--- a/internal/export/export.go
+++ b/internal/export/export.go
@@ -50,16 +50,13 @@
 // Exporter is what the rest of the program sees. Its methods may be called from any
 // goroutine, and none but Close waits.
 type Exporter struct {
-	log    *logrus.Entry
-	name   string
-	now    atomic.Pointer[actor] // nil while nothing is exported
-	mu     sync.Mutex            // guards changes of the actor; never held by those who tell
-	was    map[string]int64      // what earlier actors have let go
-	inside sync.WaitGroup
+	log *logrus.Entry
+	now atomic.Pointer[actor] // nil while nothing is exported
+	mu  sync.Mutex            // guards changes of the actor; never held by those who tell
 }
 
 // New makes an exporter that exports nothing yet.
-func New(log *logrus.Entry) *Exporter { return &Exporter{log: log, was: map[string]int64{}} }
+func New(log *logrus.Entry) *Exporter { return &Exporter{log: log} }
 
 // Take puts other options in force. What waits under the old ones is sent on by them in
 // the background for a moment, then let go.
@@ -72,11 +69,10 @@
 		if next, err = newActor(o, e.log); err != nil {
 			return err
 		}
-		maps.Copy(next.dropped, e.was)
 		go next.run()
 	}
 	if last := e.now.Swap(next); last != nil {
-		e.inside.Go(func() { last.close(time.Now().Add(o.Delay + time.Second)) })
+		go last.close(time.Now().Add(last.options.Delay + time.Second)) // it ends by then
 	}
 	return nil
 }
--- a/internal/lab/stats.go
+++ b/internal/lab/stats.go
@@ -9,11 +9,6 @@
 // Interval is an estimate with its bounds.
 type Interval struct{ Low, Mid, High float64 }
 
-// Contains tells whether the whole interval lies within a distance of a value.
-func (i Interval) Within(of, distance float64) bool {
-	return i.Low >= of-distance && i.High <= of+distance
-}
-
 // Median returns the middle of values; it sorts a copy.
 func Median(values []float64) float64 {
 	if len(values) == 0 {
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -126,6 +126,9 @@
 	{"weight", number(0, 1e6), "capacity_hint", 1.0},
 }
 
+// secret are the keys whose values nobody is shown.
+var secret = map[string]bool{"telemetry.otlp.headers": true}
+
 // required are the keys that have no value without a word.
 var required = map[string]bool{"name": true, "wanted_within": true, "give_up": true, "id": true, "address": true}
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -208,7 +208,11 @@
 			set(platform, f.to, out)
 		}
 		r.own[key] = out
-		r.values = append(r.values, Value{Key: key, Text: show(v), Source: source, To: f.to})
+		text := show(v)
+		if secret[key] {
+			text = "(not shown)"
+		}
+		r.values = append(r.values, Value{Key: key, Text: text, Source: source, To: f.to})
 	}
 }
 
