Sharpen tests that let a broken guard pass: lost workers, handles, rations, the end

A worker lost in mid-job told as one that never ran ended in a refusal that the test took for the failure; a word on another's handle came only after the job; the simulated power cut did not use rations up.

Change: the client must see no refusal, the stranger's handle comes while the job runs, a coalesced job has a client that leaves, a process with a hanging collector may take 0.2 s longer, and TestOverload asks three times what the cold fleet can do.

--- a/cmd/frosttide/gearman_test.go
+++ b/cmd/frosttide/gearman_test.go
@@ -164,6 +164,7 @@
 		t.Errorf("the job (-want +got):\n%s", diff)
 	}
 	for _, s := range []func() error{
+		func() error { return w.Send(proto.WorkComplete, "W:9:9", "another's") },
 		func() error { return w.Send(proto.WorkStatus, job.Handle, "1", "4") },
 		func() error { return w.Send(proto.WorkData, job.Handle, "half") },
 		func() error { return w.Send(proto.WorkWarning, job.Handle, "dark") },
@@ -179,7 +180,7 @@
 	wants(t, c, proto.WorkData, handle, "half")
 	wants(t, c, proto.WorkWarning, handle, "dark")
 	wants(t, c, proto.WorkComplete, handle, "whole")
-	for range 2 {
+	for range 3 {
 		if g, err := w.Want(proto.Error); err != nil || g.Args[0] != "job_not_found" {
 			t.Errorf("a word on no job got %s, %v", g, err)
 		}
@@ -276,8 +277,12 @@
 			second := f.worker("w2", tc.function)
 			tc.lose(first, job)
 			if !tc.again {
-				if g, err := c.Want(proto.WorkFail); err != nil || g.Args[0] != handle {
-					t.Errorf("the client got %s, %v", g, err)
+				for over := false; !over; { // it fails at once, and is not refused after another try
+					g, err := c.Next()
+					if err != nil || g.Type == proto.WorkWarning || g.Args[0] != handle {
+						t.Fatalf("the client got %s, %v", g, err)
+					}
+					over = g.Type == proto.WorkFail
 				}
 				return
 			}
@@ -379,9 +384,9 @@
 	wants(t, a, proto.WorkComplete, handle, "one")
 	wants(t, b, proto.WorkComplete, handle, "one")
 
-	f.submits(a, proto.SubmitJobBg, "cut", "later", "x")
-	f.submits(b, proto.SubmitJob, "cut", "left", "x")
-	a.Close() // a background job goes on without its client, another does not
+	f.submits(a, proto.SubmitJob, "cut", "later", "x")
+	f.submits(b, proto.SubmitJobBg, "cut", "later", "x")
+	a.Close() // what somebody wants done in the background goes on without its clients
 	job = f.grabs(w)
 	if job.Unique != "later" {
 		t.Errorf("the worker got %+v", job)
--- a/cmd/frosttide/telemetry_test.go
+++ b/cmd/frosttide/telemetry_test.go
@@ -523,7 +523,7 @@
 		}
 		took[name] = time.Since(began)
 	}
-	if took["hangs"] > took["off"]+400*time.Millisecond {
+	if took["hangs"] > took["off"]+200*time.Millisecond {
 		t.Errorf("the end took %v, without telemetry %v", took["hangs"], took["off"])
 	}
 }
--- a/internal/lab/outage/outage_test.go
+++ b/internal/lab/outage/outage_test.go
@@ -32,6 +32,16 @@
 	}
 }
 
+// TestOverload guards the rations where three times what the cold fleet can do is asked
+// for: there each of them is used up, so that what two rules allow together shows.
+func TestOverload(t *testing.T) {
+	r := Run(Settings{Mode: Trusted, Dispatchers: 8, Runners: 200, Retired: 0.05, Draining: 0.05, BootSpread: 10 * time.Second, Rate: 1000,
+		Run: 300 * time.Millisecond, Roster: 40 * time.Second, Length: 20 * time.Second, Seed: 1})
+	if r.Fallen > 0 || r.Worst > 1 {
+		t.Errorf("%d runners fell, the worst was sent %.2f of what it bears", r.Fallen, r.Worst)
+	}
+}
+
 // TestBaselines guards the measurement: without the weighing, runners fall or nobody is
 // served, or there is nothing to weigh against.
 func TestBaselines(t *testing.T) {
