Have tests notice a taken batch that counts as failed, and waits for the collector

Cause: with these guards taken out on purpose the tests of odd answers and of 5,000 refusals still passed.

Change: a batch whose answer can't be read must not be logged as failed, and 5,000 refusals must end before a call to the hanging collector does.

--- a/cmd/frosttide/telemetry_test.go
+++ b/cmd/frosttide/telemetry_test.go
@@ -357,6 +357,14 @@
 			if first := tree(all)["first-0"]; !tc.comes && first != nil {
 				t.Errorf("what may not be sent again came: %q", first)
 			}
+			if taken := len(tc.fault) == 0 || tc.fault[0].Status == 0 && tc.comes && !tc.fault[0].Hang; taken {
+				for len(d.lines) > 0 { // the first batch was long ago
+					d.seen = append(d.seen, <-d.lines)
+				}
+				if log := strings.Join(d.seen, "\n"); strings.Contains(log, "export fails") {
+					t.Errorf("a batch that was taken counts as failed:\n%s", log)
+				}
+			}
 			if _, most := c.Connections(); most > 2 {
 				t.Errorf("%d connections at a time", most)
 			}
@@ -391,6 +399,7 @@
 	d := startWith(t, newDiscovery(t).URL, 1024, nil, telling(c.Addr)) // nobody is listed
 	var clients sync.WaitGroup
 	var refused atomic.Int64
+	began := time.Now()
 	for i := range 20 {
 		clients.Go(func() {
 			client := &http.Client{Transport: &http.Transport{}}
@@ -402,6 +411,9 @@
 		})
 	}
 	clients.Wait()
+	if took := time.Since(began); took > 8*time.Second { // a call to the collector takes 10 s
+		t.Errorf("5000 refusals took %s: somebody waits for the collector", took)
+	}
 	if refused.Load() != 5000 {
 		t.Errorf("%d of 5000 were refused", refused.Load())
 	}
