Bound what waits for a Gearman peer that asks for lines and does not read

Cause: packets to a peer stopped at 1 MiB, lines of the administrative protocol did not, so that a peer that asked for workers without end and read nothing took memory without end.

Change: lines keep to the same bound, past which the connection is closed.

--- a/internal/gearman/session.go
+++ b/internal/gearman/session.go
@@ -149,10 +149,12 @@
 	x.wake()
 }
 
-// say writes a line of the administrative protocol.
+// say writes a line of the administrative protocol, within the same bound.
 func (x *session) say(line string) {
 	x.outMu.Lock()
-	x.out = append(x.out, line...)
+	if x.broken = x.broken || len(x.out) > mostOut; !x.broken {
+		x.out = append(x.out, line...)
+	}
 	x.outMu.Unlock()
 	x.wake()
 }
