Read load reports of probes that come in the header's form

Runners write the body of /_load as they write the header, 'TEXT queue=0, latency_ms=65, x0=4', and loadreport.Parse took JSON objects alone.

Change: Parse takes both forms. Checked: the test fails on the old Parse.

--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -3,14 +3,20 @@
 package loadreport
 
 import (
+	"bytes"
 	"encoding/json"
 	"strconv"
 	"strings"
 )
 
-// Parse reads a report written as a JSON object and returns its values in the
-// order of columns, 0 for one that is missing; nil where there is no report.
+// Parse reads a report written as a JSON object, or as in a header, and returns its
+// values in the order of columns, 0 for one that is missing; nil where there is no
+// report. Guards probes of runners that write the body of /_load as they write the
+// header: what they say would be lost.
 func Parse(text []byte, columns []string) []float32 {
+	if bytes.HasPrefix(text, []byte(headerForm)) {
+		return ParseHeader(string(text), columns)
+	}
 	var values map[string]any
 	if len(columns) == 0 || json.Unmarshal(text, &values) != nil || len(values) == 0 {
 		return nil
@@ -24,9 +30,12 @@
 	return load
 }
 
+// headerForm begins a report that is written as name=value pairs.
+const headerForm = "TEXT "
+
 // ParseHeader reads a report written as "TEXT name=value, name=value".
 func ParseHeader(text string, columns []string) []float32 {
-	text, ok := strings.CutPrefix(text, "TEXT ")
+	text, ok := strings.CutPrefix(text, headerForm)
 	if !ok || len(columns) == 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/loadreport/loadreport_test.go
@@ -0,0 +1,28 @@
+package loadreport
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestParse guards what probes find out: runners write the body of /_load as an object or
+// as they write the header.
+func TestParse(t *testing.T) {
+	columns := []string{"queue", "latency_ms", "x0"}
+	for text, want := range map[string][]float32{
+		`{"x0":3,"queue":1}`:                    {1, 0, 3},
+		"TEXT queue=2, latency_ms=64.5, x0=3.5": {2, 64.5, 3.5},
+		"TEXT x0=1,other=9":                     {0, 0, 1},
+		"":                                      nil,
+		"ok":                                    nil,
+		`{}`:                                    nil,
+	} {
+		if diff := cmp.Diff(want, Parse([]byte(text), columns)); diff != "" {
+			t.Errorf("%q: %s", text, diff)
+		}
+	}
+	if got := Parse([]byte("TEXT queue=2"), nil); got != nil {
+		t.Errorf("without columns: %v, want nothing", got)
+	}
+}
