Share cold runners among many dispatchers by turns, so that they are used

Ruled out: the list (it named them 0.7 s after their start), connections (none refused), the others' health (none rested).

Cause: Dispatcher.bears. One dispatcher's part of what a cold runner bears in a window is an eightieth, 0.016 s of work, and no job is as small as that, so no dispatcher ever sends any. Before coldUntil nothing was sent either way.

Change: internal/ration, a pure module of its own, holds the figures of rule 4. Of more than 16 sharers one at a time holds the turn of a cold runner, by its own number and the runner's start, and may send what the runner can do by then in half a window; half warm runners are chosen by as many dispatchers as they have of their capacity, with new places in the bucket at each turn (without these a test saw them draw 5.45 s of work where 5.28 s is the bound).

--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"frosttide/internal/ration"
 )
 
 // Settings of the module, not of a deployment. docs/design.md says what each
@@ -35,14 +37,6 @@
 	refusalWait   = 200 * time.Millisecond
 )
 
-// token is the right to send one slot's work to its worker.
-type token struct {
-	worker     *worker
-	prev, next *token // neighbors in the bucket
-	newer      *token // the worker's next free token
-	order      uint64 // never falls along the bucket; the head holds the next one
-}
-
 // worker is what this dispatcher knows of a worker.
 type worker struct {
 	Member
@@ -54,8 +48,8 @@
 	overdue        int    // its attempts whose start is overdue
 	coldUntil      time.Duration
 	rationUntil    time.Duration
-	bill           float64 // seconds of work sent that count still against its ration
-	billAt         time.Duration
+	bill           ration.Bill
+	turn           int64  // the last turn in which its tokens got new places
 	running        int    // slots that started attempts use; Most is the most that they did
 	list, scan     uint64 // the last list and the last scan that met it
 }
@@ -90,6 +84,7 @@
 // Dispatcher decides for one scheduler. It is not safe for concurrent use.
 type Dispatcher struct {
 	cfg      Config
+	rules    ration.Rules
 	rng      *rand.Rand
 	now      time.Duration
 	out      []Action
@@ -103,9 +98,10 @@
 	asking      bool      // a call for the list is planned
 	failedCalls int       // in a row
 	meanWeight  float64
-	widest      int // most slots that a request took
+	halfWarm    time.Duration // until when there may be half warm workers
+	widest      int           // most slots that a request took
 
-	bucket token // head of the ring of free tokens: next has been free longest
+	bucket bucket
 	scans  uint64
 
 	floor       []time.Duration // usual time to a start, by zone
@@ -129,7 +125,7 @@
 		}
 	}
 	d.configure(cfg)
-	d.bucket.prev, d.bucket.next = &d.bucket, &d.bucket
+	d.bucket.head.prev, d.bucket.head.next = &d.bucket.head, &d.bucket.head
 	return d, nil
 }
 
@@ -137,6 +133,8 @@
 func (d *Dispatcher) configure(cfg Config) {
 	d.cfg = cfg
 	d.cfg.Classes = slices.Clone(cfg.Classes)
+	d.rules = ration.Rules{ColdShare: cfg.Rules.ColdShare, WarmUp: cfg.Rules.WarmUp,
+		FallMultiple: cfg.Rules.FallMultiple, FallWindow: cfg.Rules.FallWindow}
 	for _, c := range cfg.Classes[min(len(d.run), len(cfg.Classes)):] {
 		d.run = append(d.run, max(cmp.Or(c.Run, c.Objective).Seconds(), 0.001))
 	}
@@ -265,7 +263,7 @@
 		return w.State == Removed
 	})
 	d.meanWeight = sum / float64(max(len(d.listed), 1))
-	if d.bucket.next == &d.bucket {
+	if d.bucket.head.next == &d.bucket.head {
 		d.fill(ready)
 		return
 	}
@@ -286,13 +284,14 @@
 		return false
 	}
 	w.Failures, w.Failed, w.RestUntil, w.untried = 0, false, 0, w.Returned
-	w.coldUntil, w.rationUntil = d.grown(m.StartedAt, coldFit), d.grown(m.StartedAt, coldFree)
+	w.coldUntil, w.rationUntil = d.rules.Grown(m.StartedAt, coldFit), d.rules.Grown(m.StartedAt, coldFree)
+	d.halfWarm = max(d.halfWarm, w.rationUntil)
 	for _, at := range []time.Duration{w.coldUntil, w.rationUntil} {
 		if d.now < at {
 			d.wake(at+d.jitter(d.cfg.Rules.FallWindow), timer{do: (*Dispatcher).warmed, worker: w})
 		}
 	}
-	return d.now >= w.coldUntil || w.Returned
+	return d.now >= w.coldUntil || w.Returned || d.early(w)
 }
 
 // trickles tells whether a cold worker that an operator put back may have a request:
@@ -302,47 +301,64 @@
 	return w.Returned && w.held == 0 && r.slots == 1 && r.hint.Seconds() <= d.run[r.class]
 }
 
-// grown returns when a worker started at the given time has capacity enough: when
-// what it has at least, ColdShare at first and all after WarmUp, times FallMultiple
-// covers the work of that many full workers.
-func (d *Dispatcher) grown(startedAt time.Duration, workers float64) time.Duration {
-	r := &d.cfg.Rules
-	if startedAt <= 0 || r.ColdShare >= 1 || r.FallMultiple <= 0 {
-		return 0
-	}
-	grown := max(min(workers/r.FallMultiple, 1)-r.ColdShare, 0) / (1 - r.ColdShare)
-	return startedAt + time.Duration(grown*float64(r.WarmUp))
-}
-
 // bears tells whether a worker can take a request on top of what it was sent. As
 // long as an ordinary share of the traffic, whoever sends it, could push a cold one
-// over, each dispatcher keeps to its part of the budget: FallMultiple times the
-// least capacity by now, in slots as its like have shown them in use. Guards rule
-// 4 against bursts and heavy work without a word on what the others send.
+// over, each dispatcher keeps to its part of what that one bears, in slots as its like
+// have shown them in use. Guards rule 4 against bursts and heavy work without a word on
+// what the others send.
 func (d *Dispatcher) bears(w *worker, r *request) bool {
 	if d.now >= w.rationUntil {
 		return true
 	}
-	rules := &d.cfg.Rules
-	share := rules.ColdShare + (1-rules.ColdShare)*float64(d.now-w.StartedAt)/float64(rules.WarmUp)
-	var slots, seen float64
+	who, work := d.sharer(w), d.workOf(w, r)
+	if who.ByTurns() && d.now >= w.coldUntil {
+		return d.rules.Joins(who, w.StartedAt, d.now)
+	}
+	var slots, seen, most float64
 	for _, other := range d.listed {
 		if other.Most > 0 {
-			slots, seen = slots+float64(other.Most), seen+1
+			slots, seen, most = slots+float64(other.Most), seen+1, max(most, float64(other.Most))
+		}
+	}
+	if slots /= max(seen, 1); who.ByTurns() { // each sees little of what a worker holds
+		slots = most
+	}
+	return d.rules.Bears(&w.bill, who, max(slots, 1), w.StartedAt, d.now, work)
+}
+
+// shuffle gives half warm workers that many share new places in the bucket at each turn.
+// Guards rule 4: while it is others' turn their tokens come to the front, and would then
+// draw all the work of those whose turn it is.
+func (d *Dispatcher) shuffle() {
+	if d.now >= d.halfWarm {
+		return
+	}
+	for _, w := range d.listed {
+		half := d.now >= w.coldUntil && d.now < w.rationUntil && d.sharer(w).ByTurns()
+		if !half || w.State != Ready || w.Failed {
+			continue
+		}
+		if turn := d.rules.Turn(w.StartedAt, d.now); turn != w.turn {
+			w.turn = turn
+			d.join(w)
 		}
 	}
-	sharers := max(cmp.Or(w.Sharers, d.cfg.Instances), 1)
-	rate := share * rules.FallMultiple * max(slots/max(seen, 1), 1) / float64(sharers)
-	w.bill, w.billAt = max(w.bill-rate*(d.now-w.billAt).Seconds(), 0), d.now
-	return w.bill+d.workOf(w, r) <= rate*rules.FallWindow.Seconds()
 }
 
+// sharer tells which part of a cold worker is this dispatcher's.
+func (d *Dispatcher) sharer(w *worker) ration.Sharer {
+	return ration.Sharer{Number: d.cfg.Instance, Count: max(cmp.Or(w.Sharers, d.cfg.Instances), 1)}
+}
+
+// early tells whether a worker is so cold that it gets work by turns alone.
+func (d *Dispatcher) early(w *worker) bool { return d.now < w.coldUntil && d.sharer(w).ByTurns() }
+
 // workOf returns the seconds of work that a request is likely to be at a worker. Its hint
-// counts where few share the worker's ration: there is nobody whose unused part makes up
-// for one that is heavier than its class.
+// counts where few share the worker's ration, or one at a time: there is nobody whose
+// unused part makes up for one that is heavier than its class.
 func (d *Dispatcher) workOf(w *worker, r *request) float64 {
 	work := d.run[r.class]
-	if w.Sharers > 0 {
+	if w.Sharers > 0 || d.sharer(w).ByTurns() {
 		work = max(work, r.hint.Seconds())
 	}
 	return work * float64(r.slots)
@@ -436,7 +452,7 @@
 	for _, t := range places {
 		for t != nil {
 			next := t.newer
-			d.put(t.worker, t, &d.bucket)
+			d.bucket.put(t.worker, t, &d.bucket.head)
 			t = next
 		}
 	}
@@ -457,7 +473,7 @@
 	}
 	slices.SortFunc(before, func(a, b *token) int { return cmp.Compare(a.order, b.order) })
 	for _, t := range before {
-		d.put(w, &token{}, t)
+		d.bucket.put(w, &token{}, t)
 	}
 }
 
@@ -477,37 +493,13 @@
 		}
 		return t
 	}
-	return &d.bucket
-}
-
-// put places a free token before another; before the head is the back.
-func (d *Dispatcher) put(w *worker, t, before *token) {
-	*t = token{worker: w, prev: before.prev, next: before, order: before.order}
-	if before == &d.bucket {
-		d.bucket.order++
-	}
-	t.prev.next, before.prev = t, t
-	if w.oldest == nil {
-		w.oldest = t
-	} else {
-		w.newest.newer = t
-	}
-	w.newest = t
-	w.free++
-}
-
-// take removes the worker's token that has been free longest from the bucket.
-func (d *Dispatcher) take(w *worker) {
-	t := w.oldest
-	t.prev.next, t.next.prev = t.next, t.prev
-	w.oldest = t.newer
-	w.free--
+	return &d.bucket.head
 }
 
 // trim drops free tokens beyond the worker's limit.
 func (d *Dispatcher) trim(w *worker) {
 	for w.free > 0 && w.free+w.held > w.limit {
-		d.take(w)
+		d.bucket.take(w)
 	}
 }
 
@@ -516,7 +508,7 @@
 func (d *Dispatcher) release(w *worker, slots int) {
 	w.held -= slots
 	for w.free+w.held < w.limit {
-		d.put(w, &token{}, &d.bucket)
+		d.bucket.put(w, &token{}, &d.bucket.head)
 	}
 }
 
@@ -531,7 +523,7 @@
 	}
 	d.scans++
 	least := 0.0
-	for t := d.bucket.next; t != &d.bucket; t = t.next {
+	for t := d.bucket.head.next; t != &d.bucket.head; t = t.next {
 		w := t.worker
 		if w.scan == d.scans {
 			continue
@@ -546,9 +538,10 @@
 
 // cost returns the part of its tokens that a worker would hold with the request,
 // dearer by its pace, as far as that is not forgotten, and by the way to another
-// zone. A worker that was put back is tried before all others.
+// zone. A worker that was put back is tried before all others, and so is a cold one in
+// a turn, which comes seldom.
 func (d *Dispatcher) cost(w *worker, r *request) float64 {
-	if w.untried {
+	if w.untried || d.early(w) {
 		return 0
 	}
 	known := max(1-float64(d.now-w.PaceAt)/float64(paceFor), 0)
@@ -593,7 +586,7 @@
 func (d *Dispatcher) allowed(r *request, w *worker) bool {
 	c := r.rules
 	wrongKind := c.WorkerKind >= 0 && w.Kind != c.WorkerKind || w.Only != 0 && w.Only>>r.class&1 == 0
-	cold := d.now < w.coldUntil && !d.trickles(w, r)
+	cold := d.now < w.coldUntil && !d.early(w) && !d.trickles(w, r)
 	if w.State != Ready || cold || wrongKind || !d.mayTry(r) || !d.bears(w, r) {
 		return false
 	}
@@ -632,11 +625,11 @@
 		return
 	}
 	for range r.slots {
-		d.take(w)
+		d.bucket.take(w)
 	}
 	w.held += r.slots
 	w.untried = false
-	w.bill += d.workOf(w, r)
+	w.bill.Add(d.workOf(w, r))
 	n := len(r.attempts)
 	r.attempts = append(r.attempts, attempt{Past: Past{Worker: w.Worker, SentAt: d.now}, worker: w})
 	d.act(Action{Type: Send, Request: r.id, Worker: w.Worker, Attempt: n})
@@ -680,6 +673,7 @@
 		return
 	}
 	d.retries = min(d.retries+retryCredit, creditMost)
+	d.shuffle()
 	// Guards a client that could be served elsewhere: most work of its class would be
 	// cut off.
 	hopeless := ev.Ending && (r.deadline-d.now).Seconds() < hopeShare*d.run[r.class]
@@ -719,7 +713,7 @@
 		}
 		out = true
 		for range min(r.slots, w.free) {
-			d.take(w)
+			d.bucket.take(w)
 		}
 		w.held += r.slots
 		if p.Started {
--- a/decision/dispatcher_test.go
+++ b/decision/dispatcher_test.go
@@ -790,3 +790,46 @@
 		t.Errorf("%d tokens are held at the end, want the second attempt's", n)
 	}
 }
+
+// TestColdWorkersAmongMany guards a fleet of many dispatchers whose workers have mostly
+// just started: together they keep to what a cold worker bears, and they use it. Without
+// turns the part of one dispatcher of eighty holds no job, and the worker stays idle.
+func TestColdWorkersAmongMany(t *testing.T) {
+	const many, work = 80, 0.05
+	cfg := plain()
+	cfg.Instances = many
+	hosts := make([]*host, many)
+	for i := range hosts {
+		cfg.Instance = i
+		hosts[i] = newHost(t, cfg, append(oneZone(2), Member{Worker: 7, StartedAt: time.Hour, Weight: 1}))
+		h := hosts[i]
+		h.d.run[0] = work
+		h.d.listed[0].Most = 4
+	}
+	var sent []time.Duration
+	for tick := 0; hosts[0].now < time.Hour+3*time.Second; tick++ { // 240 jobs a second, 12 s of work
+		for i, h := range hosts {
+			if (tick+i)%33 == 0 {
+				a := h.arrive(0, 1)
+				if a.Worker == 7 {
+					sent = append(sent, h.now)
+				}
+				h.step(Event{Type: AttemptStarted, Request: a.Request, Worker: a.Worker, Attempt: a.Attempt})
+				h.end(a, Canceled)
+			}
+			h.pass(10 * time.Millisecond)
+		}
+	}
+	most, first := 0, 0
+	for i := range sent {
+		for sent[i]-sent[first] > cfg.Rules.FallWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	budget := (0.2 + 0.8*0.3) * cfg.Rules.FallMultiple * 4 // at the end of these 3 s
+	if float64(most)*work > budget || len(sent) < 20 {
+		t.Errorf("%d jobs, at most %.2f s of work in a window; want 20 or more, and %.2f s at most",
+			len(sent), float64(most)*work, budget)
+	}
+}
--- /dev/null
+++ b/internal/ration/ration.go
@@ -0,0 +1,98 @@
+// Package ration shares out what a worker that has just started bears. A cold worker
+// that is sent more than a multiple of its present capacity within a window falls over,
+// and dispatchers know nothing of what the others send. So each keeps to a part of its
+// own: few dispatchers by a bill that is paid off with time, many by turns, as a part of
+// theirs would not hold a single job. The package is pure: no I/O, no clock.
+package ration
+
+import "time"
+
+const (
+	// Many is from how many sharers on a worker is shared by turns.
+	Many = 16
+	// turnFill is how much work a turn may hold, against what the worker can do by then
+	// at least. It is below every multiple that workers bear: hints are rough, clocks
+	// differ a little, and work beyond its capacity would only wait there.
+	turnFill = 1.25
+)
+
+// Rules are the figures of the rule on cold workers.
+type Rules struct {
+	ColdShare    float64       // a worker starts at this share of its capacity or more
+	WarmUp       time.Duration // and is warm after this at the latest
+	FallMultiple float64       // sent more than this many times its present capacity
+	FallWindow   time.Duration // for this long it falls over
+}
+
+// Sharer is one of the dispatchers that share a worker: its number, from 0, and how
+// many there are.
+type Sharer struct{ Number, Count int }
+
+// ByTurns tells whether that many share by turns.
+func (s Sharer) ByTurns() bool { return s.Count > Many }
+
+// Bill is the work that a dispatcher has sent to a worker and that still counts. The
+// zero value is empty.
+type Bill struct {
+	work float64 // seconds
+	at   time.Duration
+	turn int64
+}
+
+// Add puts seconds of work that have been sent on the bill.
+func (b *Bill) Add(work float64) { b.work += work }
+
+// Grown returns when a worker that started at the given time has capacity enough: when
+// what it has at least, ColdShare at first and all after WarmUp, times FallMultiple
+// covers the work of that many full workers; 0 where it is warm from the start.
+func (r Rules) Grown(startedAt time.Duration, workers float64) time.Duration {
+	if startedAt <= 0 || r.ColdShare >= 1 || r.FallMultiple <= 0 {
+		return 0
+	}
+	grown := max(min(workers/r.FallMultiple, 1)-r.ColdShare, 0) / (1 - r.ColdShare)
+	return startedAt + time.Duration(grown*float64(r.WarmUp))
+}
+
+// share returns the least share of its capacity that a worker of that age has.
+func (r Rules) share(age time.Duration) float64 {
+	return r.ColdShare + (1-r.ColdShare)*float64(age)/float64(r.WarmUp)
+}
+
+// Bears tells whether a sharer may send some seconds of work, on top of its bill, to a
+// worker of that many slots that has started at the given time.
+func (r Rules) Bears(b *Bill, who Sharer, slots float64, startedAt, now time.Duration, work float64) bool {
+	rate := r.share(now-startedAt) * slots
+	if who.ByTurns() {
+		turn, length := r.Turn(startedAt, now), r.length()
+		if turn%int64(who.Count) != int64(who.Number) {
+			return false
+		}
+		if b.turn != turn {
+			*b = Bill{turn: turn}
+		}
+		return b.work+work <= rate*turnFill*length.Seconds()
+	}
+	rate *= r.FallMultiple / float64(max(who.Count, 1))
+	b.work, b.at = max(b.work-rate*(now-b.at).Seconds(), 0), now
+	return b.work+work <= rate*r.FallWindow.Seconds()
+}
+
+// Joins tells whether a worker that bears its share of the ordinary traffic is among
+// those that a dispatcher chooses from now, where many share it: in each turn a part of
+// the dispatchers as large as the share of its capacity that it has. Guards against all
+// dispatchers at once sending a half warm worker what a warm one gets.
+func (r Rules) Joins(who Sharer, startedAt, now time.Duration) bool {
+	h := uint64(r.Turn(startedAt, now))*0x9e3779b97f4a7c15 + uint64(who.Number)*0xbf58476d1ce4e5b9
+	h = (h ^ h>>29) * 0x94d049bb133111eb
+	return float64((h^h>>32)&0xffffff)/(1<<24) < r.share(now-startedAt)
+}
+
+// Turn numbers the turns of a worker, of half a window each. All dispatchers read the
+// same clock and are told the same start, so they count alike; where clocks differ, two
+// hold a turn for a moment, which turnFill allows for. Workers that start together are
+// a millisecond or more apart, and so is whose turn it is.
+func (r Rules) Turn(startedAt, now time.Duration) int64 {
+	return int64(max(now-startedAt, 0)/r.length()) + int64(startedAt/time.Millisecond)
+}
+
+func (r Rules) length() time.Duration { return max(r.FallWindow/2, time.Millisecond) }
--- /dev/null
+++ b/internal/ration/ration_test.go
@@ -0,0 +1,106 @@
+package ration
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var rules = Rules{ColdShare: 0.13, WarmUp: 23 * time.Second, FallMultiple: 2.5, FallWindow: time.Second}
+
+// sending is work that one of the sharers has sent.
+type sending struct {
+	at   time.Duration
+	work float64
+}
+
+// greedy has every sharer send all that it may, one job of the given work after another.
+func greedy(sharers int, work float64, start, span, skew time.Duration) (all []sending) {
+	bills := make([]Bill, sharers)
+	for now := start; now < start+span; now += 10 * time.Millisecond {
+		for i := range bills {
+			own := now + skew*time.Duration(i%2)
+			for rules.Bears(&bills[i], Sharer{i, sharers}, 4, start, own, work) {
+				bills[i].Add(work)
+				all = append(all, sending{now, work})
+			}
+		}
+	}
+	return all
+}
+
+// TestManySharersKeepTheWindow guards rule 4 for all dispatchers together, whatever
+// their number, and even with clocks that differ.
+func TestManySharersKeepTheWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sharers := rapid.IntRange(1, 200).Draw(t, "sharers")
+		work := rapid.Float64Range(0.01, 3).Draw(t, "work")
+		start := time.Duration(rapid.Int64Range(1, 1e6).Draw(t, "start")) * time.Millisecond
+		skew := time.Duration(rapid.IntRange(0, 40).Draw(t, "skew")) * time.Millisecond
+		all := greedy(sharers, work, start, 6*time.Second, skew)
+		first, sum := 0, 0.0
+		for _, s := range all {
+			sum += s.work
+			for s.at-all[first].at > rules.FallWindow {
+				sum -= all[first].work
+				first++
+			}
+			// The bill of few may begin with a window's budget and go on at the rate.
+			bears := 2 * rules.share(s.at-start) * 4 * rules.FallMultiple * rules.FallWindow.Seconds()
+			if sum > bears {
+				t.Fatalf("%d sharers sent %.2f s of work within a window, %.2f is too much", sharers, sum, bears)
+			}
+		}
+	})
+}
+
+// TestManySharersUseTheRation guards a cold fleet from lying idle: a part of the ration
+// by number would not hold one job of any of eighty dispatchers.
+func TestManySharersUseTheRation(t *testing.T) {
+	for _, work := range []float64{0.05, 0.2} {
+		sum := 0.0
+		for _, s := range greedy(80, work, time.Hour, 4*time.Second, 0) {
+			sum += s.work
+		}
+		can := rules.share(2*time.Second) * 4 * 4
+		if sum < 0.7*can || sum > 1.3*can {
+			t.Errorf("jobs of %v s: sent %.2f s of work in 4 s, the worker can do %.2f", work, sum, can)
+		}
+	}
+}
+
+// TestTurnsDiffer guards the dispatcher whose turn would come at all cold workers at once.
+func TestTurnsDiffer(t *testing.T) {
+	var bill Bill
+	held := 0
+	for i := range 80 {
+		if rules.Bears(&bill, Sharer{7, 80}, 4, time.Hour+time.Duration(i)*time.Millisecond, time.Hour+time.Second, 0.01) {
+			held++
+		}
+	}
+	if held < 1 || held > 2 {
+		t.Errorf("one dispatcher of 80 holds the turn of %d workers of 80, want 1 or 2", held)
+	}
+}
+
+// TestJoinsByShare guards half warm workers: as many of a hundred dispatchers choose
+// among them as they have of their capacity, and not the same ones all the time.
+func TestJoinsByShare(t *testing.T) {
+	for _, age := range []time.Duration{8 * time.Second, 12 * time.Second, 16 * time.Second} {
+		joined, ever := 0, map[int]bool{}
+		for turn := range 100 {
+			now := time.Hour + age + time.Duration(turn)*rules.FallWindow/2
+			for i := range 100 {
+				if rules.Joins(Sharer{i, 100}, time.Hour+time.Duration(turn)*rules.FallWindow/2, now) {
+					joined++
+					ever[i] = true
+				}
+			}
+		}
+		share := rules.share(age)
+		if got := float64(joined) / 1e4; got < share-0.03 || got > share+0.03 || len(ever) < 100 {
+			t.Errorf("after %v %.2f of the dispatchers join, %d ever, want %.2f and all", age, got, len(ever), share)
+		}
+	}
+}
