Keep heavy jobs away from warming runners that many dispatchers share

Ruled out: a herd (six light jobs within that second) and the turns (a turn's hint counts). Cause: in bears a half warm runner took any job of a dispatcher that had joined.

Change: until it is warm such a runner gets no job whose hint is more than it bears in a window (ration.Light).

--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -307,13 +307,10 @@
 // have shown them in use. Guards rule 4 against bursts and heavy work without a word on
 // what the others send.
 func (d *Dispatcher) bears(w *worker, r *request) bool {
-	if d.now >= w.rationUntil {
+	who := d.sharer(w)
+	if d.now >= w.rationUntil && !(who.ByTurns() && d.warming(w)) {
 		return true
 	}
-	who, work := d.sharer(w), d.workOf(w, r)
-	if who.ByTurns() && d.now >= w.coldUntil {
-		return d.rules.Joins(who, w.StartedAt, d.now)
-	}
 	var slots, seen, most float64
 	for _, other := range d.listed {
 		if other.Most > 0 {
@@ -323,7 +320,12 @@
 	if slots /= max(seen, 1); who.ByTurns() { // each sees little of what a worker holds
 		slots = most
 	}
-	return d.rules.Bears(&w.bill, who, max(slots, 1), w.StartedAt, d.now, work)
+	slots = max(slots, 1)
+	if !who.ByTurns() || d.now < w.coldUntil {
+		return d.rules.Bears(&w.bill, who, slots, w.StartedAt, d.now, d.workOf(w, r))
+	}
+	return (d.now >= w.rationUntil || d.rules.Joins(who, w.StartedAt, d.now)) &&
+		d.rules.Light(slots, w.StartedAt, d.now, r.hint.Seconds()*float64(r.slots))
 }
 
 // shuffle gives half warm workers that many share new places in the bucket at each turn.
--- a/decision/dispatcher_test.go
+++ b/decision/dispatcher_test.go
@@ -833,3 +833,29 @@
 			len(sent), float64(most)*work, budget)
 	}
 }
+
+// TestHeavyJobsAndHalfWarmWorkers guards rule 4 after a day on which one job of many times
+// its class's mean pushed over a worker that had just joined: among many dispatchers a
+// warming worker gets what its hint says it bears, and nothing heavier.
+func TestHeavyJobsAndHalfWarmWorkers(t *testing.T) {
+	cfg := plain()
+	cfg.Instances = 80
+	for _, age := range []time.Duration{4 * time.Second, 9 * time.Second, 11 * time.Second} {
+		sent := map[time.Duration]bool{}
+		for i := range cfg.Instances {
+			cfg.Instance = i
+			h := newHost(t, cfg, []Member{{Worker: 7, StartedAt: time.Hour - age, Weight: 1}})
+			h.d.listed[0].Most = 4
+			for _, hint := range []time.Duration{100 * time.Millisecond, 30 * time.Second} {
+				h.next++
+				for _, a := range h.step(Event{Type: RequestArrived, Request: h.next, Slots: 1, Hint: hint,
+					Deadline: h.now + 5*time.Second}) {
+					sent[hint] = sent[hint] || a.Type == Send
+				}
+			}
+		}
+		if warm := age > cfg.Rules.WarmUp; !sent[100*time.Millisecond] || sent[30*time.Second] != warm {
+			t.Errorf("at the age of %v: sent %v, want the light one, and the heavy one only when warm", age, sent)
+		}
+	}
+}
--- a/internal/ration/ration.go
+++ b/internal/ration/ration.go
@@ -14,6 +14,9 @@
 	// at least. It is below every multiple that workers bear: hints are rough, clocks
 	// differ a little, and work beyond its capacity would only wait there.
 	turnFill = 1.25
+	// lightShare is the part of what a worker bears in a window that one job may take
+	// beside ordinary traffic.
+	lightShare = 1.0
 )
 
 // Rules are the figures of the rule on cold workers.
@@ -87,6 +90,13 @@
 	return float64((h^h>>32)&0xffffff)/(1<<24) < r.share(now-startedAt)
 }
 
+// Light tells whether one job of some seconds of work, on top of ordinary traffic, leaves
+// a warming worker standing. Guards against the few jobs that take many times their
+// class's mean: one alone can be more than a cold worker bears.
+func (r Rules) Light(slots float64, startedAt, now time.Duration, work float64) bool {
+	return work <= lightShare*r.share(now-startedAt)*slots*r.FallMultiple*r.FallWindow.Seconds()
+}
+
 // Turn numbers the turns of a worker, of half a window each. All dispatchers read the
 // same clock and are told the same start, so they count alike; where clocks differ, two
 // hold a turn for a moment, which turnFill allows for. Workers that start together are
