Give each dispatcher of many runners of its own, and leave a lost zone alone

Seen: all 80 dispatchers weigh 60 runners alike, and each holds 1 to 4 jobs at a time, so that what it sends says next to nothing of a runner's load; half of a runner's queue is others'.

Cause: Dispatcher.cost knows no preference beyond the zone; judge learns of each runner for itself, of a zone nothing.

Change: internal/affinity, a lasting preference by the dispatcher's number, for more than 16 dispatchers. internal/zones, what runners of a zone say together: two that no connection comes up to make the zone lost until discovery names new starts, 3 s after one has served, or 6 s.

Both tests fail without their guards.

--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -11,7 +11,9 @@
 	"slices"
 	"time"
 
+	"frosttide/internal/affinity"
 	"frosttide/internal/ration"
+	"frosttide/internal/zones"
 )
 
 // Settings of the module, not of a deployment. docs/design.md says what each
@@ -104,11 +106,11 @@
 	bucket bucket
 	scans  uint64
 
-	floor       []time.Duration // usual time to a start, by zone
-	run         []float64       // mean seconds from start to answer, by class
-	worth, work float64         // means over recent arrivals
-	shed        float64         // up to 1: share of lesser work refused; up to 2: of all work
-	retries     float64         // credit for attempts after a failure
+	zones       zones.Zones
+	run         []float64 // mean seconds from start to answer, by class
+	worth, work float64   // means over recent arrivals
+	shed        float64   // up to 1: share of lesser work refused; up to 2: of all work
+	retries     float64   // credit for attempts after a failure
 }
 
 // New makes a dispatcher. Equal configs, seeds and events lead to equal actions.
@@ -540,8 +542,8 @@
 
 // cost returns the part of its tokens that a worker would hold with the request,
 // dearer by its pace, as far as that is not forgotten, and by the way to another
-// zone. A worker that was put back is tried before all others, and so is a cold one in
-// a turn, which comes seldom.
+// zone, and by the preference of one dispatcher of many. A worker that was put back is
+// tried before all others, and so is a cold one in a turn, which comes seldom.
 func (d *Dispatcher) cost(w *worker, r *request) float64 {
 	if w.untried || d.early(w) {
 		return 0
@@ -551,7 +553,7 @@
 	if w.Zone != d.cfg.Zone {
 		cost *= farCost
 	}
-	return cost
+	return cost * affinity.Factor(d.cfg.Instance, d.cfg.Instances, uint32(w.Worker))
 }
 
 // noteRun takes in how long a job of a class ran at a worker.
@@ -563,7 +565,8 @@
 
 // fits tells whether a worker is compatible with a request.
 func (d *Dispatcher) fits(w *worker, r *request, unwell bool) bool {
-	well := w.overdue == 0 && d.now >= w.RestUntil
+	away := d.sharer(w).ByTurns() && d.zones.Away(w.Zone, w.StartedAt, d.now)
+	well := w.overdue == 0 && d.now >= w.RestUntil && !away
 	return w.free >= r.slots && (well || unwell) && d.allowed(r, w)
 }
 
@@ -636,7 +639,7 @@
 	r.attempts = append(r.attempts, attempt{Past: Past{Worker: w.Worker, SentAt: d.now}, worker: w})
 	d.act(Action{Type: Send, Request: r.id, Worker: w.Worker, Attempt: n})
 	if d.cfg.StartNotes {
-		wait := 2*d.usualStart(w.Zone) + r.rules.Objective/startShare
+		wait := 2*d.zones.Usual(w.Zone) + r.rules.Objective/startShare
 		d.wake(d.now+wait, timer{do: (*Dispatcher).startDue, request: r, attempt: n})
 	}
 }
@@ -762,25 +765,7 @@
 	if a.overdue {
 		a.worker.overdue--
 	}
-	d.noteStart(a.worker.Zone, d.now-a.SentAt)
-}
-
-// noteStart keeps the quickest recent time to a start; it is forgotten slowly.
-func (d *Dispatcher) noteStart(zone int, took time.Duration) {
-	for zone >= len(d.floor) && zone < math.MaxUint16 {
-		d.floor = append(d.floor, took)
-	}
-	if zone >= 0 && zone < len(d.floor) {
-		d.floor[zone] = min(took, d.floor[zone]+d.floor[zone]/32+time.Microsecond)
-	}
-}
-
-// usualStart returns what noteStart keeps.
-func (d *Dispatcher) usualStart(zone int) time.Duration {
-	if zone < 0 || zone >= len(d.floor) {
-		return 0
-	}
-	return d.floor[zone]
+	d.zones.Started(a.worker.Zone, d.now-a.SentAt)
 }
 
 func (d *Dispatcher) ended(r *request, a *attempt, ev *Event) {
@@ -825,8 +810,12 @@
 		return // says nothing of it
 	}
 	d.widen(r.slots)
+	if a.Outcome == ConnectFailed {
+		d.zones.Unreached(w.Zone, w.Failures > 0, d.now)
+	}
 	switch a.Outcome {
 	case Served:
+		d.zones.Served(w.Zone, a.SentAt, d.now)
 		w.Failures, w.RestUntil = 0, 0
 		if w.Failed && w.State == Ready {
 			w.Failed = false
--- a/decision/dispatcher_test.go
+++ b/decision/dispatcher_test.go
@@ -1,6 +1,7 @@
 package decision
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -503,7 +504,8 @@
 		}
 		h := &host{t: t, d: d, now: time.Hour, timers: map[uint32]time.Duration{}}
 		h.step(Event{Type: MembersReplaced, Members: list})
-		d.floor = []time.Duration{time.Millisecond, 100 * time.Millisecond} // starts in zone 1 take long
+		d.zones.Started(0, time.Millisecond)
+		d.zones.Started(1, 100*time.Millisecond) // starts in zone 1 take long
 		for range 100 {
 			h.end(h.arrive(4, 1), Served)
 		}
@@ -859,3 +861,47 @@
 		}
 	}
 }
+
+// TestLostZoneOfManyDispatchers guards the workers of a zone that comes back cold before
+// discovery has said so: two that can't be reached tell of all others, also of those that
+// this dispatcher has not met, and work goes elsewhere until the list names a new start.
+func TestLostZoneOfManyDispatchers(t *testing.T) {
+	for _, instances := range []int{4, 80} {
+		cfg := plain()
+		cfg.Zones, cfg.Instances = 2, instances
+		list := members(12) // zone 0 is the own one
+		h := newHost(t, cfg, list)
+		for range 20 {
+			for out := []Action{h.arrive(0, 1)}; len(out) == 1 && out[0].Type == Send; {
+				outcome := Served
+				if list[out[0].Worker-100].Zone == 0 {
+					outcome = ConnectFailed
+				}
+				out = slices.Clone(h.end(out[0], outcome))
+			}
+		}
+		h.pass(time.Second)
+		own := func() (n int) {
+			for range 20 {
+				a := h.arrive(0, 1)
+				if a.Type == Send && list[a.Worker-100].Zone == 0 {
+					n++
+				}
+				h.step(Event{Type: AttemptStarted, Request: a.Request, Worker: a.Worker, Attempt: a.Attempt})
+				h.end(a, Canceled) // says nothing of the worker's pace
+			}
+			return n
+		}
+		if n := own(); (n == 0) != (instances == 80) {
+			t.Errorf("%d dispatchers: %d of 20 jobs went to the lost zone", instances, n)
+		}
+		for i := range list {
+			list[i].StartedAt = h.now
+		}
+		h.step(Event{Type: MembersReplaced, Members: list})
+		h.pass(cfg.Rules.WarmUp + time.Second)
+		if n := own(); n == 0 {
+			t.Errorf("%d dispatchers: nothing goes to the zone long after its start was told", instances)
+		}
+	}
+}
--- /dev/null
+++ b/internal/affinity/affinity_test.go
@@ -0,0 +1,35 @@
+package affinity
+
+import "testing"
+
+// TestFirstChoicesSpread guards the runners that every dispatcher would choose first: of
+// 80 dispatchers and 60 workers nobody is the first choice of many, nobody that of few
+// among the first ten, and it stays the same.
+func TestFirstChoicesSpread(t *testing.T) {
+	const dispatchers, workers = 80, 60
+	first, among := map[uint32]int{}, map[uint32]int{}
+	for i := range dispatchers {
+		best, least := uint32(0), 9.0
+		for w := range uint32(workers) {
+			f := Factor(i, dispatchers, w)
+			if f < 1 || f >= 1+spread || f != Factor(i, dispatchers, w) {
+				t.Fatalf("factor %v of worker %d at %d", f, w, i)
+			}
+			if f < least {
+				best, least = w, f
+			}
+			if f < 1+spread/6 {
+				among[w]++
+			}
+		}
+		first[best]++
+	}
+	for w := range uint32(workers) {
+		if first[w] > 6 || among[w] < 4 || among[w] > 26 {
+			t.Errorf("worker %d is the first choice of %d dispatchers, among the best sixth of %d", w, first[w], among[w])
+		}
+	}
+	if Factor(3, Many, 7) != 1 {
+		t.Error("few dispatchers have a preference")
+	}
+}
