Spread calls for the list by the number of dispatchers

Ruled out: lost watches (none ended) and the silence guard (all ended in discovery's own 503 after 2 s).

Cause: askForList. All ask within a sixteenth of the time that they have, whatever their number, and after a failure within an eighth: waves that discovery can't answer in time.

Change: past 16 dispatchers the spread grows with their number, to the time they have at most. Answering order by own number was not needed: the jitter alone has no wave.

--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -36,6 +36,7 @@
 	coldFree      = 2.0              // and when it is used without a ration
 	hopeShare     = 1.5              // mean run times that must be left before the process ends
 	meanGain      = 1.0 / 16         // weight of a new sample in a mean
+	callers       = 16               // dispatchers that discovery answers without their spreading out further
 	refusalWait   = 200 * time.Millisecond
 )
 
@@ -223,13 +224,16 @@
 // ---- The worker list ----
 
 // askForList subscribes to the worker list after a random wait that grows with
-// each failed call: all dispatchers asking at once would swamp discovery.
+// each failed call and, past a number of them, with that of dispatchers: all of them
+// asking at once would swamp discovery, where a call that waits too long fails.
 func (d *Dispatcher) askForList() {
 	if !d.cfg.PullList || d.asking {
 		return
 	}
 	d.asking = true
 	spread := d.cfg.Rules.AskWithin / 16 << min(d.failedCalls, 4)
+	wider := spread * time.Duration(max(d.cfg.Instances, callers)) / callers
+	spread = min(wider, max(spread, d.cfg.Rules.AskWithin))
 	d.wake(d.now+d.jitter(spread), timer{do: func(d *Dispatcher, _ timer) {
 		d.asking = false
 		d.act(Action{Type: Subscribe})
--- a/decision/dispatcher_test.go
+++ b/decision/dispatcher_test.go
@@ -905,3 +905,37 @@
 		}
 	}
 }
+
+// TestManyCallersSpread guards discovery, which answers about ten calls a second and fails
+// those that wait for two: 80 dispatchers that start at one moment, or lose it at one, ask
+// over seconds, and still within the time in which each has to ask.
+func TestManyCallersSpread(t *testing.T) {
+	cfg := testConfig()
+	cfg.Instances = 80
+	for _, failures := range []int{0, 1, 4} {
+		perSecond := map[time.Duration]int{}
+		for i := range cfg.Instances {
+			d, err := New(cfg, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			h := &host{t: t, d: d, now: time.Hour, timers: map[uint32]time.Duration{}}
+			h.step()
+			for range failures {
+				h.pass(20 * time.Second)
+				h.step(Event{Type: MembersFailed})
+			}
+			for _, at := range h.timers {
+				perSecond[(at-h.now)/time.Second]++
+				if at-h.now > cfg.Rules.AskWithin {
+					t.Errorf("after %d failures a call comes after %v", failures, at-h.now)
+				}
+			}
+		}
+		for second, n := range perSecond {
+			if n > 40>>min(failures, 1) {
+				t.Errorf("after %d failures %d calls come in second %d", failures, n, second)
+			}
+		}
+	}
+}
