Refuse a number that is not among the dispatchers, and none or too many of them

Cause: the settings took me = 80 of 80 and balancers = 0. With turns by number such a dispatcher would never send a cold runner anything, and a number of dispatchers without bound could overflow the spread of calls for the list.

Change: balancers is from 1 to 65,536 and me below it, in the platform's JSON and as fleet.dispatchers and fleet.number in TOML, each told with file and key and exit status 1. The spread is reckoned in floating point up to its bound.

--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -232,8 +232,8 @@
 	}
 	d.asking = true
 	spread := d.cfg.Rules.AskWithin / 16 << min(d.failedCalls, 4)
-	wider := spread * time.Duration(max(d.cfg.Instances, callers)) / callers
-	spread = min(wider, max(spread, d.cfg.Rules.AskWithin))
+	wider := float64(spread) * float64(max(d.cfg.Instances, callers)) / callers
+	spread = time.Duration(min(wider, float64(max(spread, d.cfg.Rules.AskWithin))))
 	d.wake(d.now+d.jitter(spread), timer{do: func(d *Dispatcher, _ timer) {
 		d.asking = false
 		d.act(Action{Type: Subscribe})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -228,6 +228,10 @@
 		settings["zone"] = max(i, 0)
 	}
 	settings["weights"] = "none"
+	many, named := r.own["fleet.dispatchers"].(int64)
+	if number, _ := r.own["fleet.number"].(int64); number >= max(many, 1) && (named || number > 0) {
+		r.wrong("fleet.number", fmt.Sprintf("%d is not the number of one of %d dispatchers, which count from 0", number, max(many, 1)))
+	}
 	if r.own["fleet.weights"] == true {
 		settings["weights"] = "listed"
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,6 +38,9 @@
 		{"runners beside discovery", class + "[discovery]\naddress = \"127.0.0.1:1\"\n[[runner]]\nid = \"a\"\naddress = \"nowhere\"\n", []string{
 			"f: runner: a fixed list goes without discovery; leave one of them out",
 			`f:9: runner[0].address: "nowhere" is no address such as 127.0.0.1:8081`}},
+		{"a number past the dispatchers", class + "[fleet]\ndispatchers = 80\nnumber = 80\n", []string{
+			"f:7: fleet.number: 80 is not the number of one of 80 dispatchers, which count from 0"}},
+		{"no dispatchers", class + "[fleet]\ndispatchers = 0\n", []string{"f:6: fleet.dispatchers: 0 is not from 1 to 65536"}},
 		{"syntax", "name = \n", []string{"f:1: "}},
 		{"a table where a value is due", "[name]\nx = 1\n" + class, []string{"f:1: name: a text in quotes is wanted, not a table"}},
 		{"a value where a table is due", "listen = 3\n" + class, []string{"f:1: listen: it is written as a table, [listen]"}},
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -236,6 +236,9 @@
 // sums of times could overflow.
 const longest = int64(1) << 50
 
+// mostDispatchers bounds how many share a fleet, far above any that is meant.
+const mostDispatchers = 1 << 16
+
 // timeKey is a time or count among the settings.
 type timeKey struct {
 	key string
@@ -266,6 +269,12 @@
 	if err := checkTimes(times); err != nil {
 		return err
 	}
+	if s.Balancers < 1 || s.Balancers > mostDispatchers {
+		return fmt.Errorf("balancers: %d is not a number of dispatchers from 1 to %d", s.Balancers, mostDispatchers)
+	}
+	if s.Me >= s.Balancers { // it would never have its turn at a cold worker
+		return fmt.Errorf("me: %d is not the number of one of %d dispatchers, which count from 0", s.Me, s.Balancers)
+	}
 	if s.Rules.ColdFrom < 0 || s.Rules.ColdFrom > 1 {
 		return fmt.Errorf("rules.cold-from: %g is not a share", s.Rules.ColdFrom)
 	}
