--- a/decision/dispatcher_test.go
+++ b/decision/dispatcher_test.go
@@ -93,6 +93,18 @@
 	return cfg
 }
 
+// mostWithin returns how many of the times, in order, lie within a window at most.
+func mostWithin(at []time.Duration, window time.Duration) (most int) {
+	first := 0
+	for i := range at {
+		for at[i]-at[first] > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 func oneZone(n int) []Member {
 	list := members(n)
 	for i := range list {
@@ -666,13 +678,7 @@
 		}
 		h.pass(20 * time.Millisecond)
 	}
-	most, first := 0, 0
-	for i := range sent {
-		for sent[i]-sent[first] > cfg.Rules.FallWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
+	most := mostWithin(sent, cfg.Rules.FallWindow)
 	if heavy > 0 || len(sent) < 10 || float64(most)*0.05 > 2*budget {
 		t.Errorf("%d jobs, %d heavy, at most %.2f s of work in a window, want some light ones below %.2f s",
 			len(sent), heavy, float64(most)*0.05, 2*budget)
@@ -822,13 +828,7 @@
 			h.pass(10 * time.Millisecond)
 		}
 	}
-	most, first := 0, 0
-	for i := range sent {
-		for sent[i]-sent[first] > cfg.Rules.FallWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
+	most := mostWithin(sent, cfg.Rules.FallWindow)
 	budget := (0.2 + 0.8*0.3) * cfg.Rules.FallMultiple * 4 // at the end of these 3 s
 	if float64(most)*work > budget || len(sent) < 20 {
 		t.Errorf("%d jobs, at most %.2f s of work in a window; want 20 or more, and %.2f s at most",
