--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -291,7 +291,9 @@
 	}
 	w.Failures, w.Failed, w.RestUntil, w.untried = 0, false, 0, w.Returned
 	w.coldUntil, w.rationUntil = d.rules.Grown(m.StartedAt, coldFit), d.rules.Grown(m.StartedAt, coldFree)
-	d.halfWarm = max(d.halfWarm, w.rationUntil)
+	if d.sharer(w).ByTurns() {
+		d.halfWarm = max(d.halfWarm, w.rationUntil)
+	}
 	for _, at := range []time.Duration{w.coldUntil, w.rationUntil} {
 		if d.now < at {
 			d.wake(at+d.jitter(d.cfg.Rules.FallWindow), timer{do: (*Dispatcher).warmed, worker: w})
--- a/decision/dispatcher_test.go
+++ b/decision/dispatcher_test.go
@@ -445,27 +445,30 @@
 	}
 }
 
+// nextCall returns how long a dispatcher waits with its call for the list after failures.
+func nextCall(t *testing.T, cfg Config, seed uint64, failures int) time.Duration {
+	t.Helper()
+	d, err := New(cfg, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &host{t: t, d: d, now: time.Hour, timers: map[uint32]time.Duration{}}
+	h.step()
+	for range failures {
+		h.pass(20 * time.Second)
+		h.step(Event{Type: MembersFailed})
+	}
+	for _, at := range h.timers {
+		return at - h.now
+	}
+	t.Fatal("no call is planned")
+	return 0
+}
+
 // TestListCallsAreSpreadAndBackOff guards discovery, which cannot answer every
 // dispatcher at once.
 func TestListCallsAreSpreadAndBackOff(t *testing.T) {
-	first := func(seed uint64, failures int) time.Duration {
-		d, err := New(testConfig(), seed)
-		if err != nil {
-			t.Fatal(err)
-		}
-		h := &host{t: t, d: d, now: time.Hour, timers: map[uint32]time.Duration{}}
-		h.step()
-		for range failures {
-			h.pass(20 * time.Second)
-			h.step(Event{Type: MembersFailed})
-		}
-		began := h.now
-		for _, at := range h.timers {
-			return at - began
-		}
-		t.Fatal("no call is planned")
-		return 0
-	}
+	first := func(seed uint64, failures int) time.Duration { return nextCall(t, testConfig(), seed, failures) }
 	mean := func(failures int) (sum time.Duration) {
 		for seed := range uint64(50) {
 			sum += first(seed, failures) / 50
@@ -915,21 +918,10 @@
 	for _, failures := range []int{0, 1, 4} {
 		perSecond := map[time.Duration]int{}
 		for i := range cfg.Instances {
-			d, err := New(cfg, uint64(i))
-			if err != nil {
-				t.Fatal(err)
-			}
-			h := &host{t: t, d: d, now: time.Hour, timers: map[uint32]time.Duration{}}
-			h.step()
-			for range failures {
-				h.pass(20 * time.Second)
-				h.step(Event{Type: MembersFailed})
-			}
-			for _, at := range h.timers {
-				perSecond[(at-h.now)/time.Second]++
-				if at-h.now > cfg.Rules.AskWithin {
-					t.Errorf("after %d failures a call comes after %v", failures, at-h.now)
-				}
+			wait := nextCall(t, cfg, uint64(i), failures)
+			perSecond[wait/time.Second]++
+			if wait > cfg.Rules.AskWithin {
+				t.Errorf("after %d failures a call comes after %v", failures, wait)
 			}
 		}
 		for second, n := range perSecond {
