Shed at size by full queues alone, not by a dispatcher's own late starts

A dispatcher of 300 sends a runner a three-hundredth of its work; its few late starts say that one queue is full, not all (decision/dispatcher.go, sample: noteLate(!started) for every sample).

--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -914,10 +914,12 @@
 }
 
 // sample sees whether a request has started within its slack. One that ended
-// without a start says nothing.
+// without a start says nothing, nor does a late start where many dispatchers share the
+// workers: it tells of the one queue that it met by chance, not of all, and a full
+// queue's refusal still counts. Guards against refusals while other workers are free.
 func (d *Dispatcher) sample(t timer) {
 	started := slices.ContainsFunc(t.request.attempts, func(a attempt) bool { return a.Started })
-	if started || !t.request.over {
+	if started || !t.request.over && !(ration.Sharer{Count: d.cfg.Instances}).ByTurns() {
 		d.noteLate(!started)
 	}
 }
--- a/decision/dispatcher_test.go
+++ b/decision/dispatcher_test.go
@@ -487,20 +487,47 @@
 // TestFullQueuesShedSooner guards the seconds between the first full queues and
 // the first late starts in them, in which all queues of a slow fleet fill.
 func TestFullQueuesShedSooner(t *testing.T) {
+	for _, instances := range []int{10, 300} {
+		cfg := testConfig()
+		cfg.PullList, cfg.Instances = false, instances
+		h := newHost(t, cfg, oneZone(30))
+		for range 8 {
+			h.end(h.arrive(4, 1), Rejected)
+		}
+		refused := 0
+		for range 20 {
+			if h.arrive(4, 1).Type == Refuse {
+				refused++
+			}
+		}
+		if refused < 10 {
+			t.Errorf("of %d dispatchers: %d of 20 refused after 8 full queues within one moment", instances, refused)
+		}
+	}
+}
+
+// TestLateStartsAmongManyDoNotShed guards the calm days at size, on which a third of
+// the arrivals were refused while most workers had room: one of 300 dispatchers meets
+// a queue that is full by chance.
+func TestLateStartsAmongManyDoNotShed(t *testing.T) {
 	cfg := testConfig()
-	cfg.PullList = false
-	h := newHost(t, cfg, oneZone(30))
-	for range 8 {
-		h.end(h.arrive(4, 1), Rejected)
+	cfg.PullList, cfg.Instances = false, 300
+	h := newHost(t, cfg, oneZone(40))
+	for range 6 {
+		h.arrive(1, 1)
+		h.pass(800 * time.Millisecond)
 	}
 	refused := 0
-	for range 20 {
-		if h.arrive(4, 1).Type == Refuse {
+	for range 40 {
+		if a := h.arrive(0, 1); a.Type != Send {
 			refused++
+		} else {
+			h.step(Event{Type: RequestGone, Request: a.Request})
+			h.end(a, Canceled)
 		}
 	}
-	if refused < 10 {
-		t.Errorf("%d of 20 refused after 8 full queues within one moment", refused)
+	if refused > 0 {
+		t.Errorf("%d of 40 refused after 6 late starts of one of 300 dispatchers", refused)
 	}
 }
 
