Test a host that refuses the upgrade's unix link: one line, serve on, drain alone

Where an inherited socket asks for the link and the listen fails, serve.go logs one warning and serves on; nothing tested that.

The test starts the program on an inherited socket with TMPDIR a plain file, so the link's listen fails with ENOTDIR; it wants exactly one line, a job served, a job answered across SIGTERM, and a clean end. With the fallback replaced by a return of the error the program ends at the start and the test fails.

--- /dev/null
+++ b/cmd/frosttide/locked_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// TestLockedDownHost guards a host that refuses the link between the processes of an
+// upgrade, as one that allows no unix sockets does: the program says so in one line,
+// serves on the inherited socket, and drains as a single process at SIGTERM.
+func TestLockedDownHost(t *testing.T) {
+	t.Parallel()
+	r := newRunner(t, "s-1")
+	notADir := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(notADir, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d := startWith(t, newDiscovery(t).URL, 1024, []string{r.entry()}, upgradable, func(d *dispatcher) {
+		d.cmd.Env = append(d.cmd.Env, "TMPDIR="+notADir) // the last of a name counts
+	})
+	refused := func(line string) bool { return strings.Contains(line, "no newer process will take over the state") }
+	if n := len(slices.DeleteFunc(slices.Clone(d.seen), func(l string) bool { return !refused(l) })); n != 1 {
+		t.Fatalf("%d lines on the refused link, want 1; log:\n%s", n, strings.Join(d.seen, "\n"))
+	}
+	for _, id := range []string{"before-the-end", "during-the-end"} {
+		got := submit(d.job("render", id))
+		h := await(t, r.hops, "hop")
+		h.reply(202, "")
+		if id == "during-the-end" {
+			if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			d.awaitLog("frosttide drains")
+		}
+		if code := d.report(event(id, r.uid, "done")); code != 204 {
+			t.Fatalf("call-back of %s got %d", id, code)
+		}
+		if a := await(t, got, "answer"); a.Status != 200 {
+			t.Fatalf("%s got %d %q, %v", id, a.Status, a.Body, a.Err)
+		}
+	}
+	d.awaitLog("frosttide has answered everything and ends")
+	if err := await(t, d.ended, "end"); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
