Take a runner that has just failed last when only unwell runners are left

Checked with the module alone: at 300 dispatchers in three zones, two runners of each zone that do not connect make every zone count as lost; pick's second pass (decision/dispatcher.go, pick with unwell set) then weighs resting runners like any other, and the one of least cost, which had just failed, took every request in a row. The new test shows it: without the change the first request after the sixth failure goes to a runner that failed.

Change: in that pass a resting runner is taken only where no runner that does not rest fits; the first pass is as before.

--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -524,23 +524,26 @@
 
 // pick returns the compatible worker with the least cost; of equal ones that whose
 // token has been free longest. With unwell set it takes workers that rest or are
-// slow to start as well. Guards against queues: of several dispatchers each sees
-// little of a worker's load, and the longest-free token alone would go to one that
-// holds jobs of ours while others hold none.
+// slow to start as well, and those that rest only where no other fits: where all
+// zones seem lost, one that has just failed would otherwise draw every request in a
+// row. Guards against queues: of several dispatchers each sees little of a worker's
+// load, and the longest-free token alone would go to one that holds jobs of ours while
+// others hold none.
 func (d *Dispatcher) pick(r *request, unwell bool) (best *worker) {
 	if !d.mayTry(r) {
 		return nil
 	}
 	d.scans++
-	least := 0.0
+	least, resting := 0.0, false
 	for t := d.bucket.head.next; t != &d.bucket.head; t = t.next {
 		w := t.worker
 		if w.scan == d.scans {
 			continue
 		}
 		w.scan = d.scans
-		if cost := d.cost(w, r); (best == nil || cost < least) && d.fits(w, r, unwell) {
-			best, least = w, cost
+		cost, rests := d.cost(w, r), d.now < w.RestUntil
+		if (best == nil || rests == resting && cost < least || resting && !rests) && d.fits(w, r, unwell) {
+			best, least, resting = w, cost, rests
 		}
 	}
 	return best
--- a/decision/dispatcher_test.go
+++ b/decision/dispatcher_test.go
@@ -958,3 +958,35 @@
 		}
 	}
 }
+
+// TestAllZonesSeemLost guards a dispatcher of many to which two runners of each zone
+// did not connect: every zone counts as lost, and the runner of least cost among all
+// drew each request in a row although it had just failed.
+func TestAllZonesSeemLost(t *testing.T) {
+	cfg := testConfig()
+	cfg.PullList, cfg.Instances, cfg.Instance, cfg.Zones, cfg.Zone = false, 300, 17, 3, 0
+	list := members(99)
+	for i := range list {
+		list[i].Zone = i % 3
+	}
+	h := newHost(t, cfg, list)
+	failed := map[WorkerID]bool{}
+	for zones := map[int]int{}; len(zones) < 3 || zones[0] < 2 || zones[1] < 2 || zones[2] < 2; {
+		a := h.arrive(0, 1)
+		for a.Type == Send {
+			failed[a.Worker] = true
+			zones[int(a.Worker-100)%3]++
+			out := h.end(a, ConnectFailed)
+			if a = (Action{}); len(out) == 1 {
+				a = out[0]
+			}
+		}
+	}
+	for range 10 {
+		a := h.arrive(0, 1)
+		if a.Type != Send || failed[a.Worker] {
+			t.Fatalf("got %v while %d of 99 runners had failed", a, len(failed))
+		}
+		h.end(a, Canceled)
+	}
+}
