Begin a hop's trace no earlier than its request

The request's span begins at the ingress's wall clock (export.New's story, Came), the hop's at the core's clock, which the core reads before it drains its mailbox (core.go: c.now is set, then box.Drain): a request that comes in that batch was stamped after the core's reading.

Change: began takes the later of the core's time and the request's arrival. The new core test fails without it.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"frosttide/decision"
+	"frosttide/internal/trace"
 )
 
 // noList is a route table that names nobody.
@@ -87,3 +88,14 @@
 		t.Errorf("to the module the runner has %d tokens, %d at most", held, limit)
 	}
 }
+
+// TestHopBeginsWithItsRequest guards traces against a clock that was read before the
+// request came in the same batch: its hop would begin before it.
+func TestHopBeginsWithItsRequest(t *testing.T) {
+	c := &Core{now: time.Second}
+	s := &trace.Story{Came: time.Second + time.Microsecond}
+	c.began(s, nil)
+	if got := s.Hops[0].Began; got < s.Came {
+		t.Errorf("the hop begins at %v, its request at %v", got, s.Came)
+	}
+}
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -71,7 +71,7 @@
 
 // began takes down a hop. It has the same place in the story as in the request.
 func (c *Core) began(s *trace.Story, w *worker) {
-	h := trace.Hop{Began: c.now}
+	h := trace.Hop{Began: max(c.now, s.Came)} // the clock was read before the request came in its batch
 	if w != nil {
 		h.Target, h.Addr, h.Zone = w.uid, w.addr, w.zone
 		h.Cold = w.member.StartedAt > 0 && c.now < w.member.StartedAt+c.cfg.Rules.WarmUp
