Bound the loop of the test of all zones lost

The loop that fails runners until two of each zone have failed had no bound: were arrivals refused, no runner would fail and the test would hang until go test's own time-out. It now stops at 100 arrivals with a line.

--- a/decision/dispatcher_test.go
+++ b/decision/dispatcher_test.go
@@ -971,7 +971,10 @@
 	}
 	h := newHost(t, cfg, list)
 	failed := map[WorkerID]bool{}
-	for zones := map[int]int{}; len(zones) < 3 || zones[0] < 2 || zones[1] < 2 || zones[2] < 2; {
+	for zones, n := map[int]int{}, 0; len(zones) < 3 || zones[0] < 2 || zones[1] < 2 || zones[2] < 2; n++ {
+		if n == 100 { // guards the test: arrivals that are refused fail no runner
+			t.Fatalf("after 100 arrivals runners of %v zones had failed", zones)
+		}
 		a := h.arrive(0, 1)
 		for a.Type == Send {
 			failed[a.Worker] = true
