Read a pushed list from the agent by the route table itself, from the start

Changed: where discovery is pushed the table watches from its Run on and again whenever a call ends, after 10 ms doubling to an eighth of the settings' drain-grace. SIGHUP changes the grace and the address. A whole list that could not be read now counts as a failed call: nothing asked again after it, with either way of discovery.

--- /dev/null
+++ b/cmd/frosttide/pushed_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// pushes has lists come from an agent on the dispatcher's machine, with another grace.
+func pushes(d *dispatcher) {
+	d.cfg = strings.NewReplacer(`"on_request"`, `"pushed"`, `"drain-grace":500000`, `"drain-grace":400000`).Replace(d.cfg)
+	if err := os.WriteFile(d.path, fmt.Appendf(nil, d.cfg, "127.0.0.1:1"), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// only has some jobs served, and fails the test for each that goes to another runner.
+func (d *dispatcher) only(want *runner, others ...*runner) {
+	d.t.Helper()
+	for i := range 6 {
+		id := fmt.Sprintf("only%d-%s", i, want.uid)
+		got := submit(d.job("render", id))
+		await(d.t, want.hops, "hop at "+want.uid).reply(202, "")
+		d.report(event(id, want.uid, "done"))
+		if a := await(d.t, got, "answer"); a.Status != 200 {
+			d.t.Errorf("answer %+v", a)
+		}
+	}
+	for _, r := range others {
+		if len(r.hops) > 0 {
+			d.t.Errorf("%s got work", r.uid)
+		}
+	}
+}
+
+// TestPushedList guards the rule on drains where nobody has to ask for the list: what the
+// agent on the dispatcher's machine has counts as told. It is read from the start and
+// again whenever a reading ends, whatever the module asks for.
+func TestPushedList(t *testing.T) {
+	t.Parallel()
+	a, b := newRunner(t, "s-1"), newRunner(t, "s-2")
+	agent := newDiscovery(t)
+	d := startWith(t, agent.URL, 1024, []string{a.entry(), b.entry()}, pushes)
+	w := await(t, agent.watches, "watch")
+	if w.query != "watch=1&from=41" {
+		t.Errorf("the agent was asked for %q", w.query)
+	}
+	w.lines <- list(42, false, entry("s-1", a.addr, "DRAINING"))
+	d.awaitLog("egress target drains")
+	d.only(b, a)
+
+	w.lines <- `{"rev":43,"all":true,"targets":[` + a.entry() + piece // cut off: b would be gone
+	close(w.lines)
+	begun, ended := time.Now(), 10
+	for range ended {
+		w = await(t, agent.watches, "watch after one that has ended")
+		if w.query != "watch=1&from=42" {
+			t.Errorf("the agent was asked for %q after half a list", w.query)
+		}
+		close(w.lines)
+	}
+	if took := time.Since(begun); took > time.Duration(ended)*400*time.Millisecond {
+		t.Errorf("%d watches that ended at once took %v, more than the grace each", ended, took)
+	}
+	d.only(b, a)
+	w = await(t, agent.watches, "watch")
+
+	moved := newDiscovery(t) // its versions may count otherwise, and its first words make no list
+	d.reload(fmt.Sprintf(d.cfg, strings.TrimPrefix(moved.URL, "http://")))
+	await(t, w.gone, "end of the watch at the old address")
+	for _, text := range []string{`{"rev":"x"`, list(7, true, a.entry(), entry("s-2", b.addr, "DRAINING"))} {
+		w = await(t, moved.watches, "call for the whole list")
+		if w.query != "" {
+			t.Errorf("the new agent was asked for %q first", w.query)
+		}
+		w.lines <- text
+		close(w.lines)
+	}
+	if w = await(t, moved.watches, "watch"); w.query != "watch=1&from=7" {
+		t.Errorf("the new agent was asked for %q", w.query)
+	}
+	d.awaitLog("egress target drains")
+	d.only(a, b)
+}
+
+// TestPushedListLate guards the start beside an agent that is not there yet.
+func TestPushedListLate(t *testing.T) {
+	t.Parallel()
+	a, b := newRunner(t, "s-1"), newRunner(t, "s-2")
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	free.Close()
+	closed()
+	d := startWith(t, free.Addr().String(), 1024, []string{a.entry()}, pushes)
+	d.awaitLog("discovery call ended")
+	d.only(a)
+	agent := newDiscoveryAt(t, free.Addr().String())
+	await(t, agent.watches, "watch").lines <- list(42, true, entry("s-1", a.addr, "DRAINING"), b.entry())
+	d.awaitLog("egress target drains")
+	d.only(b, a)
+}
+
+// TestPushedListUpgrade has both processes of an upgrade follow the agent.
+func TestPushedListUpgrade(t *testing.T) {
+	t.Parallel()
+	a, b := newRunner(t, "s-1"), newRunner(t, "s-2")
+	agent := newDiscovery(t)
+	old := startWith(t, agent.URL, 1024, []string{a.entry(), b.entry()}, pushes, upgradable)
+	first := await(t, agent.watches, "watch")
+	next := old.successor()
+	second := await(t, agent.watches, "watch of the newer process")
+	for _, w := range []*watch{first, second} {
+		w.lines <- list(42, false, entry("s-1", a.addr, "DRAINING"))
+	}
+	old.awaitLog("egress target drains")
+	next.awaitLog("egress target drains")
+	next.only(b, a)
+}
+
+// TestListUnread guards a dispatcher that has to ask from waiting for ever once the answer
+// to its call for the whole list makes no sense.
+func TestListUnread(t *testing.T) {
+	t.Parallel()
+	a := newRunner(t, "s-1")
+	disc, moved := newDiscovery(t), newDiscovery(t)
+	d := start(t, disc.URL, 1024, a.entry())
+	await(t, disc.watches, "watch")
+	d.reload(fmt.Sprintf(d.cfg, strings.TrimPrefix(moved.URL, "http://")))
+	for range 2 {
+		w := await(t, moved.watches, "call for the whole list")
+		w.lines <- "<html>"
+		close(w.lines)
+	}
+}
--- a/cmd/frosttide/serve.go
+++ b/cmd/frosttide/serve.go
@@ -96,7 +96,7 @@
 	counts := telemetry.New()
 	counts.Classes(cfg.Names.Classes)
 	table := routetable.New(routetable.Config{Addr: cfg.Discovery, Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds,
-		Whole: cfg.State.Dir != ""},
+		Whole: cfg.State.Dir != "", Pushed: cfg.Names.Pushed, Grace: cfg.Module.Rules.DrainGrace},
 		entry.WithField("part", "routetable"))
 	fleet := egress.NewFleet(egress.Config{ConnectTimeout: cfg.Module.Limits.ConnectTimeout,
 		Keepalive: cfg.Names.Keepalive, Sockets: whole.runners, Columns: cfg.Names.Columns,
@@ -198,6 +198,7 @@
 			farmers.take(cfg)
 		}
 		grace.Store(int64(graceOf(cfg)))
+		table.Within(cfg.Module.Rules.DrainGrace)
 		table.Move(cfg.Discovery)
 		if cfg.Discovery == "" {
 			table.Fix(cfg.Known)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -146,7 +146,7 @@
 		next.Gearman = c.Gearman
 		next.Gearman.Functions = g.Functions
 	}
-	keep("discovery's way", c.Module.PullList == next.Module.PullList)
+	keep("discovery's way", c.Module.PullList == next.Module.PullList && c.Names.Pushed == next.Names.Pushed)
 	next.State = c.State
 	names := next.Names.Classes
 	next.Name, next.Listen, next.Console, next.Limits, next.Names = c.Name, c.Listen, c.Console, c.Limits, c.Names
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -1,11 +1,14 @@
 // Package routetable keeps up with discovery's list of runners. Its actor holds
 // the one watch, notices when it falls silent, and hands what it learns to the
-// core at once; when to ask again is the module's decision.
+// core at once. Where discovery is shared and has to be asked, when to ask again is
+// the module's decision; where lists are pushed to an agent on this machine, the table
+// reads that agent on its own.
 package routetable
 
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -36,6 +39,12 @@
 	// are missing. What is told counts as told after 6 s, so it has to be noticed before.
 	silence = 4500 * time.Millisecond
 	maxLine = 4 << 20 // a whole list of a large fleet
+	// firstAgain is how long after a call to an agent has ended the next one begins;
+	// it doubles with each that brings nothing, up to a part of the drains' grace.
+	firstAgain = 10 * time.Millisecond
+	againParts = 8
+	// againMost bounds that wait where the settings name a long grace.
+	againMost = time.Second
 )
 
 // Sink takes what the table learns; the core does. It must not block.
@@ -63,13 +72,18 @@
 	watching bool // there is one, or the call that leads to one
 	calls    context.Context
 	drop     context.CancelFunc // ends all calls to the address
+	pushed   bool               // the address is an agent's, read without being asked to
+	grace    time.Duration      // what the agent has counts as told, and binds after this
+	failed   int                // calls to the agent in a row that have brought nothing
 }
 
 // Config says where discovery is and what its names stand for.
 type Config struct {
 	Addr         string
-	Zones, Kinds []string // the names of the module's numbers
-	Whole        bool     // after a failed call the whole list is asked for, whatever its version was
+	Zones, Kinds []string      // the names of the module's numbers
+	Whole        bool          // after a failed call the whole list is asked for, whatever its version was
+	Pushed       bool          // lists are pushed to an agent at the address: it is read all the time
+	Grace        time.Duration // where Pushed: how long after being told of a drain work may still be sent
 }
 
 // New makes a table.
@@ -79,7 +93,7 @@
 		return d.DialContext(ctx, network, addr)
 	}
 	t := &Table{addr: cfg.Addr, entries: map[string]json.RawMessage{}, zones: numbering{names: cfg.Zones}, kinds: numbering{names: cfg.Kinds}, log: log,
-		revGiven: true, whole: cfg.Whole, client: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
+		revGiven: true, whole: cfg.Whole, pushed: cfg.Pushed && cfg.Addr != "", grace: cfg.Grace, client: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: silence}, box: mailbox.New[func(*Table)]()}
 	t.calls, t.drop = context.WithCancel(context.Background())
 	return t
@@ -126,7 +140,9 @@
 }
 
 // Fetch asks for the whole list once.
-func (t *Table) Fetch() { t.box.Put(func(t *Table) { t.call("", func(*Table) {}) }) }
+func (t *Table) Fetch() {
+	t.box.Put(func(t *Table) { t.call("", func(_ *Table, err error) error { return err }) })
+}
 
 // Move tells that discovery has another address. The list that is held stays
 // until the new address tells its own; what the old one still says is dropped.
@@ -139,13 +155,25 @@
 		t.drop()
 		t.client.CloseIdleConnections()
 		t.calls, t.drop = context.WithCancel(context.Background())
-		t.addr, t.revGiven, t.watching = addr, false, false
+		t.addr, t.revGiven, t.watching, t.failed = addr, false, false, 0
 		if t.asked {
 			t.watch()
 		}
 	})
 }
 
+// Within tells how long after being told of a drain work may still be sent, by the
+// settings in force.
+func (t *Table) Within(grace time.Duration) { t.box.Put(func(t *Table) { t.grace = grace }) }
+
+// again returns how long after a call to the agent has ended the next one begins. The
+// agent answers at no cost and whatever it has counts as told, so the longest wait is a
+// small part of the grace. Guards an agent that is absent from a call without end.
+func (t *Table) again() time.Duration {
+	most := max(min(t.grace/againParts, againMost), firstAgain)
+	return min(firstAgain<<min(t.failed, 10), most)
+}
+
 // Fix tells the whole list where it is fixed and there is no discovery.
 func (t *Table) Fix(known []byte) { t.box.Put(func(t *Table) { t.line(known) }) }
 
@@ -157,20 +185,48 @@
 	}
 	t.watching = true
 	if !t.revGiven {
-		t.call("", func(t *Table) {
+		t.call("", func(t *Table, err error) error {
 			t.watching = false
 			if t.revGiven {
 				t.watch()
+			} else {
+				err = cmp.Or(err, errNoList)
 			}
+			return err
 		})
 		return
 	}
-	t.call("?watch=1&from="+strconv.FormatUint(t.rev, 10), func(t *Table) { t.watching = false })
+	t.call("?watch=1&from="+strconv.FormatUint(t.rev, 10), func(t *Table, err error) error {
+		t.watching = false
+		return cmp.Or(err, errEnded)
+	})
+}
+
+var (
+	errEnded  = errors.New("the watch was ended by discovery")
+	errNoList = errors.New("the list could not be read")
+)
+
+// retry begins the watch of an agent anew a while after it has ended.
+func (t *Table) retry(calls context.Context) {
+	wait := t.again()
+	t.failed++
+	time.AfterFunc(wait, func() {
+		t.box.Put(func(t *Table) {
+			if calls.Err() == nil {
+				t.watch()
+			}
+		})
+	})
 }
 
 // Run works until the context ends.
 func (t *Table) Run(ctx context.Context) {
 	defer t.client.CloseIdleConnections()
+	if t.pushed { // what the agent has counts as told, asked for or not
+		t.asked = true
+		t.watch()
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -184,9 +240,9 @@
 }
 
 // call makes a call in the background; each line of its answer comes to the
-// mailbox, and so does its end. Guards against a call to an address that is no
+// mailbox, and so does its end, of which over says whether it is a failure. Guards against a call to an address that is no
 // longer discovery's: neither its late lines nor its end change anything.
-func (t *Table) call(query string, over func(*Table)) {
+func (t *Table) call(query string, over func(*Table, error) error) {
 	calls, url := t.calls, "http://"+t.addr+listPath+query
 	put := func(message func(*Table)) {
 		t.box.Put(func(t *Table) {
@@ -196,23 +252,37 @@
 		})
 	}
 	go func() {
-		err := t.read(calls, url, func(text []byte) { put(func(t *Table) { t.line(text) }) })
-		if err == nil && query != "" {
-			err = errors.New("the watch was ended by discovery")
-		}
-		put(func(t *Table) {
-			over(t)
-			if err != nil {
-				t.log.WithError(err).Warn("discovery call ended; the list is kept")
-				if t.whole { // guards against one that has begun its versions anew
-					t.revGiven = false
+		err := t.read(calls, url, func(text []byte) {
+			put(func(t *Table) {
+				if t.line(text) {
+					t.failed = 0
 				}
-				t.sink.ListFailed()
+			})
+		})
+		put(func(t *Table) {
+			if err := over(t, err); err != nil {
+				t.ended(calls, err)
 			}
 		})
 	}()
 }
 
+// ended takes in that a call has failed or a watch has ended.
+func (t *Table) ended(calls context.Context, err error) {
+	level := logrus.WarnLevel
+	if t.pushed && t.failed > 0 { // guards the log from an agent that is absent for long
+		level = logrus.DebugLevel
+	}
+	t.log.WithError(err).Log(level, "discovery call ended; the list is kept")
+	if t.whole { // guards against one that has begun its versions anew
+		t.revGiven = false
+	}
+	t.sink.ListFailed()
+	if t.pushed && !t.watching {
+		t.retry(calls)
+	}
+}
+
 var errSilent = errors.New("discovery has fallen silent")
 
 // read makes a call and reads its answer line by line. Guards against a watch
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -127,6 +127,7 @@
 	Columns   []string // of load reports, in the order of Config.Metrics; none where there are no reports
 	InAnswers bool     // load reports come with answers too
 	Keepalive time.Duration
+	Pushed    bool // lists are pushed to an agent that has to be read
 }
 
 // ParseNames reads the Names from the settings that ParseSettings reads.
@@ -136,7 +137,7 @@
 		return Names{}, err
 	}
 	n := Names{Zones: words(s.Zones), Kinds: words(s.Kinds), Keepalive: us(s.Limits.Keepalive),
-		InAnswers: s.Report.Source == "answers"}
+		InAnswers: s.Report.Source == "answers", Pushed: s.Discovery == "pushed"}
 	if s.Report.Source == "answers" || s.Report.Source == "probe" {
 		n.Columns = s.Report.Columns[:min(len(s.Report.Columns), decision.MaxMetrics)]
 	}
