--- a/cmd/frosttide/serve.go
+++ b/cmd/frosttide/serve.go
@@ -154,7 +154,7 @@
 			keeper.Excluded(e.UID, e.Out)
 		}
 	})
-	front = ingress.New(ingress.Config{Classes: classes(cfg), Columns: cfg.Names.Columns,
+	front = ingress.New(ingress.Config{Classes: classes(cfg), Tenants: cfg.Names.Tenants, Columns: cfg.Names.Columns,
 		Slots: decision.MostSlots, Clients: whole.jobs, Sockets: whole.ingress,
 		Stories: stories}, c, link, counts, entry.WithField("part", "ingress"))
 	listener, err := listen(cfg)
@@ -194,6 +194,7 @@
 		c.Settings(cfg.Module)
 		counts.Classes(cfg.Names.Classes)
 		front.Classes(classes(cfg))
+		front.Tenants(cfg.Names.Tenants)
 		if farmers != nil {
 			farmers.take(cfg)
 		}
--- a/decision/bucket.go
+++ b/decision/bucket.go
@@ -1,5 +1,10 @@
 package decision
 
+import (
+	"cmp"
+	"slices"
+)
+
 // token is the right to send one slot's work to its worker.
 type token struct {
 	worker     *worker
@@ -34,3 +39,71 @@
 	w.oldest = t.newer
 	w.free--
 }
+
+// fill gives the first workers their tokens, spread so that a worker's share of
+// any stretch of the bucket is its share of the tokens; at equal counts the first
+// of each comes before any second. The seed places them, so that dispatchers do
+// not march in step.
+func (d *Dispatcher) fill(ready []*worker) {
+	total := 0
+	for _, w := range ready {
+		w.limit = d.tokensFor(w)
+		total += max(w.limit-w.held, 0)
+	}
+	tokens := make([]token, total)
+	places := make([]*token, total) // a chain for each place
+	for _, w := range ready {
+		offset := d.rng.Float64()
+		for j := range w.limit - w.held {
+			total--
+			at := int((float64(j) + offset) / float64(w.limit) * float64(len(places)))
+			t := &tokens[total]
+			t.worker, t.newer, places[at] = w, places[at], t
+		}
+	}
+	for _, t := range places {
+		for t != nil {
+			next := t.newer
+			d.bucket.put(t.worker, t, &d.bucket.head)
+			t = next
+		}
+	}
+}
+
+// join gives a worker all its tokens and spreads the free ones over the
+// bucket at random: it gets its share of the traffic at once and
+// no more. Guards rule 4, as tokens at one place would draw many jobs in a row,
+// and guards the others in a rolling restart, as a worker that got its tokens
+// back one by one would leave them its traffic for long.
+func (d *Dispatcher) join(w *worker) {
+	w.limit = 0
+	d.trim(w)
+	w.limit = d.tokensFor(w)
+	var before []*token
+	for range w.limit - w.held {
+		before = append(before, d.anchor(w))
+	}
+	slices.SortFunc(before, func(a, b *token) int { return cmp.Compare(a.order, b.order) })
+	for _, t := range before {
+		d.bucket.put(w, &token{}, t)
+	}
+}
+
+// anchor returns a random free token of another worker of the zone, or the back
+// of the bucket; walking a large fleet's bucket for each joining worker costs too
+// much. Guards rule 4: where the own zone comes first, tokens of other zones lie
+// unused at the front, and a place among them is as good as the first.
+func (d *Dispatcher) anchor(w *worker) *token {
+	for range 8 * max(d.cfg.Zones, 1) { // enough to find one
+		other := d.listed[d.rng.IntN(len(d.listed))]
+		if other == w || other.free == 0 || other.Zone != w.Zone {
+			continue
+		}
+		t := other.oldest
+		for range d.rng.IntN(other.free) {
+			t = t.newer
+		}
+		return t
+	}
+	return &d.bucket.head
+}
--- a/decision/checker_test.go
+++ b/decision/checker_test.go
@@ -252,9 +252,30 @@
 	if s.rng.IntN(20) == 0 {
 		ev.Slots = []float64{math.NaN(), math.Inf(1), -1, 1e30}[s.rng.IntN(4)]
 	}
+	if n := len(s.check.cfg.Tenants); n > 0 {
+		ev.Tenant, ev.Hint = s.rng.IntN(n+2)-1, time.Duration(s.rng.IntN(300))*time.Millisecond
+	}
 	return ev
 }
 
+// reports puts a load report on an event, where the settings have any: mostly one that can
+// be, sometimes one that no worker means.
+func (s *sequence) reports(ev *Event) {
+	for _, m := range s.check.cfg.Metrics {
+		v := float32(s.rng.IntN(5))
+		if m == MetricQueued {
+			v = max(v-3, 0)
+		} else {
+			v *= 6
+		}
+		if s.rng.IntN(10) == 0 {
+			v = []float32{float32(math.NaN()), float32(math.Inf(1)), -3, 1e30}[s.rng.IntN(4)]
+		}
+		ev.Load[ev.Loads] = v
+		ev.Loads++
+	}
+}
+
 // odd returns an event that names what the dispatcher doesn't know or is stale.
 func (s *sequence) odd() Event {
 	return Event{Type: EventType(s.rng.IntN(int(TimerFired) + 3)), Request: RequestID(s.rng.IntN(int(s.nextID) + 50)),
@@ -307,6 +328,7 @@
 			ev.Closed = r.over
 		case n < 4:
 			ev.Type, ev.Outcome, ev.Closed = AttemptEnded, Served, true
+			s.reports(&ev)
 		case n < 7:
 			ev.Type = AttemptStarted
 		default:
@@ -369,6 +391,12 @@
 		"pushed list":    func(c *Config) { c.PullList = false },
 		"one attempt":    func(c *Config) { c.Limits.MaxAttempts = 1 },
 		"no limits":      func(c *Config) { c.Limits.MaxAttempts = 0; c.WeightKnown = true },
+		"load reports": func(c *Config) {
+			c.Metrics, c.Tenants = []Metric{MetricQueued, MetricFreeSlots}, []Tenant{{RatePerSecond: 5}, {}}
+			for i := range c.Classes {
+				c.Classes[i].LateWorth, c.Classes[i].Objective = 0, 2*time.Second
+			}
+		},
 	}
 	for name, change := range variants {
 		t.Run(name, func(t *testing.T) {
--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -12,7 +12,10 @@
 	"time"
 
 	"frosttide/internal/affinity"
+	"frosttide/internal/fairshare"
+	"frosttide/internal/forecast"
 	"frosttide/internal/ration"
+	"frosttide/internal/shedding"
 	"frosttide/internal/zones"
 )
 
@@ -29,9 +32,7 @@
 	farCost       = 1.3              // a worker of another zone counts as that much slower
 	paceFor       = 20 * time.Second // a worker's pace is forgotten this long after its last job
 	paceMost      = 4.0              // slowest that a worker is taken for
-	lateShare     = 0.2              // share of requests that may start late before arrivals are shed
-	shedGain      = 0.2              // how fast shedding follows
-	shedMost      = 0.8              // share of any class that is shed at most: the rest shows when to stop
+	farPrices     = 3                // a forecast in another zone is dearer by that many times its price
 	coldFit       = 1.0              // full workers that FallMultiple times a cold one covers when it is used
 	coldFree      = 2.0              // and when it is used without a ration
 	hopeShare     = 1.5              // mean run times that must be left before the process ends
@@ -52,9 +53,11 @@
 	coldUntil      time.Duration
 	rationUntil    time.Duration
 	bill           ration.Bill
-	turn           int64  // the last turn in which its tokens got new places
-	running        int    // slots that started attempts use; Most is the most that they did
-	list, scan     uint64 // the last list and the last scan that met it
+	load           forecast.Worker
+	work           float64 // seconds times slots that its attempts are taken for
+	turn           int64   // the last turn in which its tokens got new places
+	running        int     // slots that started attempts use; Most is the most that they did
+	list, scan     uint64  // the last list and the last scan that met it
 }
 
 // attempt is one send of a request. It holds tokens until it ends.
@@ -71,6 +74,8 @@
 	rules    *Class // its class as it was when it came
 	slots    int
 	hint     time.Duration
+	job      forecast.Job
+	late     bool // no worker is likely to have done it in time
 	deadline time.Duration
 	attempts []attempt
 	over     bool
@@ -107,11 +112,12 @@
 	bucket bucket
 	scans  uint64
 
-	zones       zones.Zones
-	run         []float64 // mean seconds from start to answer, by class
-	worth, work float64   // means over recent arrivals
-	shed        float64   // up to 1: share of lesser work refused; up to 2: of all work
-	retries     float64   // credit for attempts after a failure
+	zones   zones.Zones
+	fleet   forecast.Fleet
+	shares  fairshare.Shares
+	run     []float64 // mean seconds from start to answer, by class
+	shedder shedding.Shedder
+	retries float64 // credit for attempts after a failure
 }
 
 // New makes a dispatcher. Equal configs, seeds and events lead to equal actions.
@@ -138,6 +144,11 @@
 	d.cfg.Classes = slices.Clone(cfg.Classes)
 	d.rules = ration.Rules{ColdShare: cfg.Rules.ColdShare, WarmUp: cfg.Rules.WarmUp,
 		FallMultiple: cfg.Rules.FallMultiple, FallWindow: cfg.Rules.FallWindow}
+	var rates []float64
+	for _, t := range cfg.Tenants {
+		rates = append(rates, t.RatePerSecond)
+	}
+	d.shares.Set(rates, cfg.Instances)
 	for _, c := range cfg.Classes[min(len(d.run), len(cfg.Classes)):] {
 		d.run = append(d.run, max(cmp.Or(c.Run, c.Objective).Seconds(), 0.001))
 	}
@@ -438,74 +449,6 @@
 	return max(n, d.widest)
 }
 
-// fill gives the first workers their tokens, spread so that a worker's share of
-// any stretch of the bucket is its share of the tokens; at equal counts the first
-// of each comes before any second. The seed places them, so that dispatchers do
-// not march in step.
-func (d *Dispatcher) fill(ready []*worker) {
-	total := 0
-	for _, w := range ready {
-		w.limit = d.tokensFor(w)
-		total += max(w.limit-w.held, 0)
-	}
-	tokens := make([]token, total)
-	places := make([]*token, total) // a chain for each place
-	for _, w := range ready {
-		offset := d.rng.Float64()
-		for j := range w.limit - w.held {
-			total--
-			at := int((float64(j) + offset) / float64(w.limit) * float64(len(places)))
-			t := &tokens[total]
-			t.worker, t.newer, places[at] = w, places[at], t
-		}
-	}
-	for _, t := range places {
-		for t != nil {
-			next := t.newer
-			d.bucket.put(t.worker, t, &d.bucket.head)
-			t = next
-		}
-	}
-}
-
-// join gives a worker all its tokens and spreads the free ones over the
-// bucket at random: it gets its share of the traffic at once and
-// no more. Guards rule 4, as tokens at one place would draw many jobs in a row,
-// and guards the others in a rolling restart, as a worker that got its tokens
-// back one by one would leave them its traffic for long.
-func (d *Dispatcher) join(w *worker) {
-	w.limit = 0
-	d.trim(w)
-	w.limit = d.tokensFor(w)
-	var before []*token
-	for range w.limit - w.held {
-		before = append(before, d.anchor(w))
-	}
-	slices.SortFunc(before, func(a, b *token) int { return cmp.Compare(a.order, b.order) })
-	for _, t := range before {
-		d.bucket.put(w, &token{}, t)
-	}
-}
-
-// anchor returns a random free token of another worker of the zone, or the back
-// of the bucket; walking a large fleet's bucket for each joining worker costs too
-// much. Guards rule 4: where the own zone comes first, tokens of other zones lie
-// unused at the front, and a place among them is as good as the first.
-func (d *Dispatcher) anchor(w *worker) *token {
-	for range 8 * max(d.cfg.Zones, 1) { // enough to find one
-		other := d.listed[d.rng.IntN(len(d.listed))]
-		if other == w || other.free == 0 || other.Zone != w.Zone {
-			continue
-		}
-		t := other.oldest
-		for range d.rng.IntN(other.free) {
-			t = t.newer
-		}
-		return t
-	}
-	return &d.bucket.head
-}
-
 // trim drops free tokens beyond the worker's limit.
 func (d *Dispatcher) trim(w *worker) {
 	for w.free > 0 && w.free+w.held > w.limit {
@@ -549,14 +492,54 @@
 	return best
 }
 
-// cost returns the part of its tokens that a worker would hold with the request,
-// dearer by its pace, as far as that is not forgotten, and by the way to another
-// zone, and by the preference of one dispatcher of many. A worker that was put back is
+// own tells what this dispatcher has out at a worker.
+func (w *worker) own() forecast.Own {
+	return forecast.Own{Held: float64(w.held), Running: float64(w.running), Work: w.work}
+}
+
+// reported takes in a load report.
+func (d *Dispatcher) reported(w *worker, ev *Event) {
+	r := forecast.Report{Free: math.NaN(), Queued: math.NaN()}
+	for i, m := range d.cfg.Metrics[:min(len(d.cfg.Metrics), int(ev.Loads))] {
+		switch m {
+		case MetricFreeSlots:
+			r.Free = float64(ev.Load[i])
+		case MetricQueued:
+			r.Queued = float64(ev.Load[i])
+		}
+	}
+	d.fleet.Reported(&w.load, r, w.own(), d.now)
+}
+
+// inside tells whether a request is inside its tenant's share, by this dispatcher's part of
+// the work that the fleet is known to hold.
+func (d *Dispatcher) inside(tenant int) bool {
+	if d.fleet.Known() && d.shares.Due(d.now) {
+		var own, all float64
+		for _, w := range d.listed {
+			own, all = own+float64(w.held), all+float64(w.held)+d.fleet.Others(&w.load, d.now)
+		}
+		d.shares.Look(own, all, d.now)
+	}
+	return d.shares.Inside(tenant, d.now)
+}
+
+// cost returns, where workers tell of their load, the time that a request is likely to take
+// and the way to another zone by its price; else the part of its tokens that the worker would
+// hold with it, dearer by its pace, as far as that is not forgotten, and by the way to another
+// zone; and both by the preference of one dispatcher of many. A worker that was put back is
 // tried before all others, and so is a cold one in a turn, which comes seldom.
 func (d *Dispatcher) cost(w *worker, r *request) float64 {
 	if w.untried || d.early(w) {
 		return 0
 	}
+	if d.fleet.Known() {
+		cost := d.fleet.Needs(&w.load, w.Kind, w.own(), &r.job, d.now)
+		if w.Zone != d.cfg.Zone {
+			cost += farPrices * d.cfg.ZonePrice * r.job.Aim
+		}
+		return cost * affinity.Factor(d.cfg.Instance, d.cfg.Instances, uint32(w.Worker))
+	}
 	known := max(1-float64(d.now-w.PaceAt)/float64(paceFor), 0)
 	cost := float64(w.held+r.slots) / float64(d.tokensFor(w)) * (1 + known*(w.Pace-1))
 	if w.Zone != d.cfg.Zone {
@@ -566,7 +549,9 @@
 }
 
 // noteRun takes in how long a job of a class ran at a worker.
-func (d *Dispatcher) noteRun(w *worker, class int, took time.Duration) {
+func (d *Dispatcher) noteRun(w *worker, r *request, took time.Duration) {
+	class := r.class
+	d.fleet.Ran(&w.load, w.Kind, class, r.hint, r.job.Work, took.Seconds(), d.now)
 	pace := min(took.Seconds()/d.run[class], paceMost)
 	w.Pace, w.PaceAt = w.Pace+(pace-w.Pace)*meanGain, d.now
 	d.run[class] += (took.Seconds() - d.run[class]) * meanGain
@@ -644,26 +629,35 @@
 	w.held += r.slots
 	w.untried = false
 	w.bill.Add(d.workOf(w, r))
+	w.work += r.job.Slots * r.job.Work
 	n := len(r.attempts)
 	r.attempts = append(r.attempts, attempt{Past: Past{Worker: w.Worker, SentAt: d.now}, worker: w})
 	d.act(Action{Type: Send, Request: r.id, Worker: w.Worker, Attempt: n})
+	if d.cfg.StartNotes && d.fleet.Known() && d.cfg.Limits.CancelAllowed && r.rules.LateWorth == 0 {
+		until := d.fleet.Hope(&w.load, w.Kind, &r.job, d.now)
+		d.wake(until, timer{do: (*Dispatcher).hopeless, request: r, attempt: n})
+	}
 	if d.cfg.StartNotes {
 		wait := 2*d.zones.Usual(w.Zone) + r.rules.Objective/startShare
 		d.wake(d.now+wait, timer{do: (*Dispatcher).startDue, request: r, attempt: n})
 	}
 }
 
-// dispatch sends the request to the first worker that fits; where only unwell
-// ones are left it fails open. It reports whether it sent.
+// dispatch sends the request to the first worker that fits; where only unwell ones are
+// left it fails open. Where even the best of those that tell of their load would be late
+// it is not sent. It reports whether it sent.
 func (d *Dispatcher) dispatch(r *request) bool {
 	w := d.pick(r, false)
 	if w == nil {
 		w = d.pick(r, true)
 	}
-	if w != nil {
+	if w == nil {
+		return false
+	}
+	if r.late = d.fleet.Known() && d.fleet.Late(&w.load, w.Kind, w.own(), &r.job, d.now); !r.late {
 		d.send(r, w)
 	}
-	return w != nil
+	return !r.late
 }
 
 // ---- The course of a request ----
@@ -682,6 +676,9 @@
 		r.slots = int(math.Ceil(min(ev.Slots, maxTokens)))
 	}
 	d.requests[r.id] = r
+	r.job = d.fleet.Arrived(r.class, float64(r.slots), r.hint, d.run[r.class])
+	aim := r.rules.InTime(cmp.Or(r.hint, time.Duration(r.job.Work*float64(time.Second))))
+	r.job.Aim, r.job.Until, r.job.Past = aim.Seconds(), d.now+aim, !d.inside(ev.Tenant)
 	if len(ev.Past) > 0 {
 		d.adopt(r, ev.Past)
 		return
@@ -694,11 +691,12 @@
 	switch {
 	case hopeless:
 		d.finish(r, Ending)
-	case d.sheds(r, ev.Retry):
+	case !d.fleet.Known() && d.sheds(r, ev.Retry):
 		d.finish(r, Overload)
 	case !d.dispatch(r):
-		d.finish(r, NoToken)
+		d.finish(r, d.blocked(r))
 	default:
+		d.shares.Use(ev.Tenant)
 		d.wake(d.now+d.slack(r), timer{do: (*Dispatcher).sample, request: r})
 	}
 }
@@ -730,6 +728,7 @@
 			d.bucket.take(w)
 		}
 		w.held += r.slots
+		w.work += r.job.Slots * r.job.Work
 		if p.Started {
 			w.running += r.slots
 		}
@@ -763,6 +762,20 @@
 	}
 }
 
+// hopeless gives up an attempt that waits and could not be in time any more where late
+// answers are worth nothing: what it waits for serves others. What must not run twice fails.
+func (d *Dispatcher) hopeless(t timer) {
+	r := t.request
+	switch a := &r.attempts[t.attempt]; {
+	case a.Ended || a.Started || r.over:
+	case r.rules.Effect == Unsafe:
+		d.act(Action{Type: Fail, Request: r.id, Why: Overload})
+		d.close(r)
+	default:
+		d.cancel(r, t.attempt)
+	}
+}
+
 // started takes in that a worker runs an attempt.
 func (d *Dispatcher) started(r *request, a *attempt) {
 	a.Started, a.StartedAt = true, d.now
@@ -775,6 +788,7 @@
 		a.worker.overdue--
 	}
 	d.zones.Started(a.worker.Zone, d.now-a.SentAt)
+	d.fleet.Started(&a.worker.load, a.overdue, a.worker.own(), d.now)
 }
 
 func (d *Dispatcher) ended(r *request, a *attempt, ev *Event) {
@@ -786,12 +800,14 @@
 		a.worker.overdue--
 	}
 	if ev.Outcome == Served && a.Started {
-		d.noteRun(a.worker, r.class, d.now-a.StartedAt)
+		d.noteRun(a.worker, r, d.now-a.StartedAt)
 	}
+	d.reported(a.worker, ev)
+	a.worker.work -= r.job.Slots * r.job.Work
 	d.judge(r, a)
 	d.release(a.worker, r.slots)
 	if ev.Outcome == Rejected { // a full queue says so sooner than the late starts in it
-		d.noteLate(true)
+		d.shedder.Note(true)
 	}
 	switch {
 	case ev.Closed || ev.Outcome == Served:
@@ -890,23 +906,14 @@
 
 // ---- Overload ----
 
-// sheds tells whether an arrival is refused because requests start late: work
-// of less than mean worth a second first, and a client's repeat at the worth of
-// a late answer. Guards against queues that all stand full, so that everything
-// is served and nothing in time.
+// sheds tells whether an arrival is refused because requests start late; a client's
+// repeat counts at the worth of a late answer.
 func (d *Dispatcher) sheds(r *request, repeat bool) bool {
-	c := r.rules
-	worth := c.Worth
+	worth := r.rules.Worth
 	if repeat {
-		worth *= c.LateWorth
-	}
-	d.worth += (worth - d.worth) * meanGain
-	d.work += (d.run[r.class] - d.work) * meanGain
-	p := d.shed
-	if worth*d.work > d.worth*d.run[r.class] {
-		p--
+		worth *= r.rules.LateWorth
 	}
-	return d.rng.Float64() < min(p, shedMost)
+	return d.rng.Float64() < d.shedder.Share(worth, d.run[r.class])
 }
 
 // slack returns how long a typical request can wait and still be in time: run
@@ -923,17 +930,6 @@
 func (d *Dispatcher) sample(t timer) {
 	started := slices.ContainsFunc(t.request.attempts, func(a attempt) bool { return a.Started })
 	if started || !t.request.over && !(ration.Sharer{Count: d.cfg.Instances}).ByTurns() {
-		d.noteLate(!started)
-	}
-}
-
-// noteLate moves the share that is shed by whether a request started late or met
-// a full queue. Where few are let in few are seen, so the way back is longer by
-// the sample but no longer by the clock.
-func (d *Dispatcher) noteLate(late bool) {
-	step := -lateShare / max(1-d.shed, 1-shedMost)
-	if late {
-		step = 1 - lateShare
+		d.shedder.Note(!started)
 	}
-	d.shed = min(max(d.shed+step*shedGain, 0), 1+shedMost)
 }
--- /dev/null
+++ b/decision/forecast_test.go
@@ -0,0 +1,162 @@
+package decision
+
+import (
+	"testing"
+	"time"
+)
+
+// told is a config of a deployment whose workers tell of their load in answers.
+func told() Config {
+	cfg := plain()
+	cfg.Instances, cfg.StartNotes = 4, true
+	cfg.Metrics = []Metric{MetricUtilization, MetricQueued, MetricFreeSlots}
+	cfg.Tenants = []Tenant{{RatePerSecond: 40}, {RatePerSecond: 40}}
+	for i := range cfg.Classes {
+		cfg.Classes[i].LateWorth, cfg.Classes[i].GiveUp = 0, 5*time.Second
+	}
+	return cfg
+}
+
+// ask brings a request with a hint of a tenant's and returns what is done with it.
+func (h *host) ask(class, tenant int, hint time.Duration) Action {
+	h.t.Helper()
+	h.next++
+	out := h.step(Event{Type: RequestArrived, Request: h.next, Class: class, Tenant: tenant, Slots: 1, Hint: hint,
+		Deadline: h.now + 5*time.Second})
+	if len(out) != 1 {
+		h.t.Fatalf("an arrival led to %v, want one action", out)
+	}
+	return out[0]
+}
+
+func (h *host) start(a Action) {
+	h.step(Event{Type: AttemptStarted, Request: a.Request, Worker: a.Worker, Attempt: a.Attempt})
+}
+
+// done has a job served and its worker report how many jobs wait and how many slots are free.
+func (h *host) done(a Action, load [2]float32) {
+	h.step(Event{Type: AttemptEnded, Request: a.Request, Worker: a.Worker, Attempt: a.Attempt, Outcome: Served,
+		Closed: true, Loads: 3, Load: [MaxMetrics]float32{1, load[0], load[1]}})
+}
+
+// tell has every worker serve a job and report on its load.
+func (h *host) tell(load map[WorkerID][2]float32) {
+	h.t.Helper()
+	out := map[WorkerID]Action{}
+	for n := 0; len(out) < len(load); n++ {
+		a := h.ask(0, 0, 100*time.Millisecond)
+		if a.Type != Send || n > 20 {
+			h.t.Fatalf("%+v, want a job at each of %d workers", a, len(load))
+		}
+		h.start(a)
+		out[a.Worker] = a
+	}
+	h.pass(100 * time.Millisecond)
+	for w, a := range out {
+		h.done(a, load[w])
+	}
+}
+
+// calm lets four workers tell that they have four slots and nothing to do.
+func calm(t *testing.T, cfg Config) *host {
+	h := newHost(t, cfg, oneZone(4))
+	for range 3 {
+		h.tell(map[WorkerID][2]float32{100: {0, 4}, 101: {0, 4}, 102: {0, 4}, 103: {0, 4}})
+	}
+	return h
+}
+
+// TestReportsSteer guards jobs against queues of other dispatchers' jobs: workers that have
+// told of none get the work, however many tokens the others have.
+func TestReportsSteer(t *testing.T) {
+	h := calm(t, told())
+	h.tell(map[WorkerID][2]float32{100: {9, 0}, 101: {9, 0}, 102: {9, 0}, 103: {0, 4}})
+	got := map[WorkerID]int{}
+	for range 3 {
+		a := h.ask(0, 0, 100*time.Millisecond)
+		got[a.Worker]++
+	}
+	if got[103] != 3 {
+		t.Errorf("jobs went to %v, want all at 103, which alone has told of free slots", got)
+	}
+}
+
+// TestLateIsRefused guards clients from answers that come too late to be worth anything, and
+// others from the queue that these would make: what no worker can do in time is refused at
+// once, with a time to come back.
+func TestLateIsRefused(t *testing.T) {
+	h := calm(t, told())
+	h.tell(map[WorkerID][2]float32{100: {30, 0}, 101: {30, 0}, 102: {30, 0}, 103: {30, 0}})
+	for _, class := range []int{0, 1, 4} {
+		if a := h.ask(class, 0, 100*time.Millisecond); a.Type != Refuse || a.Why != Overload || a.After <= 0 {
+			t.Errorf("class %d: %+v, want a refusal with a time to come back", class, a)
+		}
+	}
+	h.pass(20 * time.Second)
+	if a := h.ask(0, 0, 100*time.Millisecond); a.Type != Send {
+		t.Errorf("%+v, want a send: what was told is too old to refuse anybody by", a)
+	}
+}
+
+// TestHeavyIsNotRefused guards work that is late by its own length alone: nothing waits
+// behind a queue, so to refuse it would help nobody.
+func TestHeavyIsNotRefused(t *testing.T) {
+	h := calm(t, told())
+	if a := h.ask(0, 0, 4*time.Second); a.Type != Send {
+		t.Errorf("%+v, want a send to an idle worker", a)
+	}
+}
+
+// TestHopelessIsGivenUp guards those who could still be in time from jobs that wait and can
+// not: they are called off, what may run again goes elsewhere and what must not run twice
+// fails without another send.
+func TestHopelessIsGivenUp(t *testing.T) {
+	for class, unsafe := range map[int]bool{1: false, 4: true} {
+		h := calm(t, told())
+		a := h.ask(class, 0, 100*time.Millisecond)
+		out := h.pass(390 * time.Millisecond) // the aim is 200 ms and twice the run
+		canceled, failed := false, false
+		for _, x := range out {
+			canceled = canceled || x.Type == Cancel && x.Attempt == a.Attempt
+			failed = failed || x.Type == Fail
+		}
+		if !canceled || failed != unsafe {
+			t.Errorf("class %d: %v, want the attempt called off, and a failure: %v", class, out, unsafe)
+		}
+		after := h.end(a, Canceled)
+		if sent := len(after) == 1 && after[0].Type == Send && after[0].Worker != a.Worker; sent == unsafe {
+			t.Errorf("class %d: then %v", class, after)
+		}
+	}
+	h := calm(t, told())
+	a := h.ask(1, 0, 100*time.Millisecond)
+	h.start(a)
+	if out := h.pass(2 * time.Second); len(out) > 0 {
+		t.Errorf("a job that runs led to %v", out)
+	}
+}
+
+// TestShareIsKept guards a tenant inside its share from one past it: while there is a queue
+// the latter is refused and the former served.
+func TestShareIsKept(t *testing.T) {
+	h := calm(t, told())
+	var served, refused [2]int
+	h.tell(map[WorkerID][2]float32{100: {3, 0}, 101: {3, 0}, 102: {3, 0}, 103: {3, 0}})
+	for i := range 140 { // tenant 0 sends 57 a second, tenant 1 ten; the part of each is ten
+		h.pass(15 * time.Millisecond)
+		tenant := 0
+		if i%7 == 0 {
+			tenant = 1
+		}
+		a := h.ask(0, tenant, 400*time.Millisecond)
+		if a.Type == Refuse {
+			refused[tenant]++
+			continue
+		}
+		served[tenant]++
+		h.done(a, [2]float32{3, 0})
+	}
+	if served[1] < 4*refused[1] || refused[0] < 4*served[0] {
+		t.Errorf("served %v, refused %v: want the one past its share refused, the other served", served, refused)
+	}
+}
--- a/decision/tell.go
+++ b/decision/tell.go
@@ -42,6 +42,8 @@
 	switch {
 	case d.now >= r.deadline:
 		return TimeUp
+	case r.late:
+		return Overload
 	case r.rules.Effect == Unsafe && ran:
 		return MayHaveRun
 	case most > 0 && len(r.attempts) >= most:
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -148,9 +148,9 @@
 	}
 	keep("discovery's way", c.Module.PullList == next.Module.PullList && c.Names.Pushed == next.Names.Pushed)
 	next.State = c.State
-	names := next.Names.Classes
+	names, tenants := next.Names.Classes, next.Names.Tenants
 	next.Name, next.Listen, next.Console, next.Limits, next.Names = c.Name, c.Listen, c.Console, c.Limits, c.Names
-	next.Names.Classes = names
+	next.Names.Classes, next.Names.Tenants = names, tenants
 	m := &next.Module
 	m.Metrics, m.Limits.ConnectTimeout, m.PullList = c.Module.Metrics, c.Module.Limits.ConnectTimeout, c.Module.PullList
 	m.Instance, m.Zone, m.Zones = c.Module.Instance, c.Module.Zone, c.Module.Zones
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -86,7 +86,7 @@
 // arrival is the event of a new request.
 func (c *Core) arrival(r *request) decision.Event {
 	job := r.job
-	return decision.Event{Type: decision.RequestArrived, Request: r.ref, Class: job.Class,
+	return decision.Event{Type: decision.RequestArrived, Request: r.ref, Class: job.Class, Tenant: job.Tenant - 1,
 		Deadline: r.deadline, Slots: job.Slots, Memory: job.Memory, Hint: job.Hint, Key: job.Subject, Retry: job.Retry,
 		Ending: job.Ending}
 }
--- a/internal/core/terms.go
+++ b/internal/core/terms.go
@@ -19,6 +19,7 @@
 	Body     []byte
 
 	Class    int
+	Tenant   int // whose it is, from 1 in the order of the settings; 0 for nobody's
 	Slots    float64
 	Memory   float64
 	Subject  uint64        // what the request concerns; 0 for none
--- /dev/null
+++ b/internal/fairshare/fairshare_test.go
@@ -0,0 +1,78 @@
+package fairshare
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestInside has a tenant that keeps to its part always be inside, one that sends more be so
+// for its part, and nobody be outside where there is no limit.
+func TestInside(t *testing.T) {
+	var s Shares
+	s.Set([]float64{40, 40, 0}, 4)
+	let := map[int]int{}
+	for i := range 1000 { // ten seconds
+		now := time.Hour + time.Duration(i)*10*time.Millisecond
+		for _, tenant := range []int{0, 2, -1, 7} { // a hundred a second
+			if s.Inside(tenant, now) {
+				s.Use(tenant)
+				let[tenant]++
+			}
+		}
+		if i%10 == 0 && s.Inside(1, now) { // ten a second: its part of 40
+			s.Use(1)
+			let[1]++
+		}
+	}
+	if let[0] < 95 || let[0] > 125 || let[1] != 100 || let[2] != 1000 || let[-1] != 1000 || let[7] != 1000 {
+		t.Errorf("inside were %v", let)
+	}
+}
+
+// TestPart has the part of a dispatcher follow the work that it holds.
+func TestPart(t *testing.T) {
+	var s Shares
+	s.Set([]float64{40}, 4)
+	for i := range 200 {
+		now := time.Duration(i) * lookEvery
+		if !s.Due(now) {
+			t.Fatalf("no look is due at %v", now)
+		}
+		s.Look(8, 10, now)
+		if s.Due(now + lookEvery/2) {
+			t.Fatal("another look is due at once")
+		}
+	}
+	if s.part < 0.75 || s.part > 0.85 {
+		t.Errorf("its part is %g, want 0.8", s.part)
+	}
+}
+
+// TestBound has no tenant get more than what its rate allows and could be saved up, and owe
+// no more than twice that after it was let in past it.
+func TestBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Shares
+		rate := rapid.Float64Range(0.1, 100).Draw(t, "rate")
+		s.Set([]float64{rate}, 1)
+		begin, now, let := time.Hour, time.Hour, 0.0
+		for range rapid.IntRange(1, 200).Draw(t, "requests") {
+			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
+			if s.Inside(0, now) {
+				s.Use(0)
+				let++
+			}
+		}
+		if most := rate*(now-begin).Seconds() + max(rate*burst.Seconds(), least) + 1e-6; let > most {
+			t.Fatalf("%g let in, %g allowed", let, most)
+		}
+		for range 1000 {
+			s.Use(0)
+		}
+		if wait := burst + time.Duration(least/rate*float64(time.Second))*2; !s.Inside(0, now+2*wait) {
+			t.Fatalf("still outside %v after a time in which all were let in", 2*wait)
+		}
+	})
+}
--- /dev/null
+++ b/internal/forecast/forecast.go
@@ -0,0 +1,205 @@
+// Package forecast says when a job would be done at a worker: from what the worker's load
+// reports tell, from what the dispatcher has out there itself and from how fast it has been.
+//
+// A report is late and tells of all dispatchers together; what the dispatcher has sent since
+// is known to it at once. So a report is split: the dispatcher's own part is taken out, and
+// what others hold fades towards the fleet's mean as the report ages. The package is pure: no
+// I/O, no clock, and bounded by the numbers of workers and classes that it is asked about.
+package forecast
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// fades is how fast what others hold at a worker is forgotten: by then most of the
+	// jobs that the report told of are done.
+	fades = 4 * time.Second
+	// sizeGain is how fast the slots that a worker has follow the most that are reported
+	// free: reports are a little noisy, so the highest one alone says too much.
+	sizeGain = 0.1
+	// mostSlots bounds the slots that a worker is taken to have.
+	mostSlots = 1 << 12
+	// unsure is how many slots what is held may be off: a worker that is nearly full is
+	// likelier to make a job wait than one that is empty.
+	unsure = 0.4
+	// meanGain is the weight of a new sample in the fleet's means.
+	meanGain = 1.0 / 16
+	// waitMore is how much longer than the mean a wait is taken for: a job of many slots
+	// at a queue's head keeps slots empty until enough of them are free.
+	waitMore = 1.2
+	// lateFrom is the part of its time that a job may be taken to need at most.
+	lateFrom = 1.0
+	// Past its tenant's share a job may wait for pastWait of its time at most.
+	pastWait = 0.3
+	// queueFrom is the part of its time from which a job waits in a queue: below it what
+	// makes it late is its own run, and a refusal would spare nobody anything.
+	queueFrom = 0.2
+	// A job that has not started is given up when less than hopeRun of its run is left of
+	// its time, and after hopeLeast of its time at the soonest.
+	hopeRun   = 0.5
+	hopeLeast = 0.4
+)
+
+// Report is what a load report tells. NaN is unknown.
+type Report struct {
+	Free   float64 // slots without a job
+	Queued float64 // jobs that wait
+}
+
+// Own is what the dispatcher itself has out at a worker.
+type Own struct {
+	Held    float64 // slots of all its jobs there
+	Running float64 // slots of those that have started
+	Work    float64 // slots times seconds of them at a usual worker
+}
+
+// Worker is what is known of a worker's load and pace. The zero value knows nothing.
+type Worker struct {
+	free   float64 // the most that reports have said to be free, about
+	most   float64 // the most that the dispatcher's own jobs have used
+	others float64 // slots that others' jobs hold, waiting ones too
+	at     time.Duration
+	known  bool
+	pace   pace
+}
+
+// Job is a request as it is reckoned with.
+type Job struct {
+	Slots float64
+	Work  float64       // seconds that it is taken to run at a usual worker
+	Aim   float64       // seconds in which it has to be done, from its arrival
+	Until time.Duration // when they are over
+	Past  bool          // it is past its tenant's share
+}
+
+// Fleet is what is known of all workers together. The zero value knows nothing.
+type Fleet struct {
+	known   bool
+	at      time.Duration // when a worker has last reported
+	fill    float64       // others' slots against a worker's own, the mean
+	slots   float64       // of a worker, the mean
+	wide    float64       // slots of a job, the mean
+	work    float64       // seconds that a slot's job takes at a usual worker, the mean
+	kinds   [kinds]pace
+	guesses []guess // by class
+}
+
+// Known tells whether reports have come that say what workers hold.
+func (f *Fleet) Known() bool { return f.known }
+
+// Arrived returns a request of a class as it is reckoned with; usual is how long its like
+// run, in seconds, where nothing else is known.
+func (f *Fleet) Arrived(class int, slots float64, hint time.Duration, usual float64) Job {
+	j := Job{Slots: slots, Work: f.guess(class).work(hint, usual)}
+	if f.wide == 0 {
+		f.wide, f.work = slots, j.Work
+	}
+	f.wide += (slots - f.wide) * meanGain
+	f.work += (j.Work - f.work) * min(meanGain*slots/f.wide, 1)
+	return j
+}
+
+// Reported takes in a report of a worker where the dispatcher has something out.
+func (f *Fleet) Reported(w *Worker, r Report, own Own, now time.Duration) {
+	if !(r.Free >= 0 && r.Free <= mostSlots) {
+		return // without it nothing tells a full worker from an empty one
+	}
+	free, queued := r.Free, 0.0
+	if r.Queued >= 0 { // false for NaN
+		queued = min(r.Queued, mostSlots)
+	}
+	if free > w.free+1 {
+		w.free = free
+	} else if free > w.free-1 {
+		w.free += (free - w.free) * sizeGain
+	}
+	slots := f.size(w)
+	if queued > 0 { // nothing waits where all is free
+		free = min(free, max(f.wide, 1))
+	}
+	w.others, w.at, w.known = max(slots-free+queued*max(f.wide, 1)-own.Held, 0), now, true
+	if !f.known {
+		f.known, f.slots = true, slots
+	}
+	f.at = now
+	f.slots += (slots - f.slots) * meanGain
+	f.fill += (w.others/slots - f.fill) * meanGain
+}
+
+// Started takes in that a job of the dispatcher's has started, counted in own, and whether
+// it had to wait: what is at the worker beside it is known for a moment.
+func (f *Fleet) Started(w *Worker, waited bool, own Own, now time.Duration) {
+	w.most = min(max(w.most, own.Running), mostSlots)
+	if !f.known {
+		return
+	}
+	others, room := f.Others(w, now), max(f.size(w)-own.Running, 0)
+	if waited {
+		others = max(others, room)
+	} else {
+		others = min(others, room)
+	}
+	w.others, w.at, w.known = others, now, true
+}
+
+// size returns how many slots a worker has, the fleet's mean while it is not known.
+func (f *Fleet) size(w *Worker) float64 {
+	if slots := max(math.Round(w.free), w.most); slots > 0 {
+		return slots
+	}
+	return max(f.slots, 1)
+}
+
+// Others returns the slots that others are likely to hold at a worker. Guards a dispatcher
+// that refuses all from doing so for good: it is told nothing, and the mean fades too.
+func (f *Fleet) Others(w *Worker, now time.Duration) float64 {
+	usual := f.fill * f.size(w) * faded(now-f.at)
+	if !w.known {
+		return usual
+	}
+	return usual + (w.others-usual)*faded(now-w.at)
+}
+
+func faded(age time.Duration) float64 { return math.Exp(-float64(age) / float64(fades)) }
+
+// wait returns how many seconds a job is likely to wait at a worker. Its queue is served in
+// order, so where a job of the dispatcher's own waits nothing is free.
+func (f *Fleet) wait(w *Worker, kind int, own Own, slots float64, now time.Duration) float64 {
+	size := f.size(w)
+	held := own.Held + f.Others(w, now)
+	if own.Held > own.Running {
+		held = max(held, size+own.Held-own.Running)
+	}
+	over := held + slots - size
+	if x := over / unsure; x < 30 { // the mean of what is over, where held is off by chance
+		over = unsure * math.Log1p(math.Exp(x))
+	}
+	held = max(held, over)
+	work := max(own.Work, 0) + max(held-own.Held, 0)*f.work
+	return waitMore * over / held * work / size * f.Pace(w, kind, now)
+}
+
+// Needs returns in how many seconds a worker of a kind is likely to have done a job.
+func (f *Fleet) Needs(w *Worker, kind int, own Own, j *Job, now time.Duration) float64 {
+	return f.wait(w, kind, own, j.Slots, now) + j.Work*f.Pace(w, kind, now)
+}
+
+// Late tells whether a job is to be refused rather than sent to a worker, the best there is:
+// it would wait there and be done too late, or wait for long past its tenant's share.
+func (f *Fleet) Late(w *Worker, kind int, own Own, j *Job, now time.Duration) bool {
+	wait, left := f.wait(w, kind, own, j.Slots, now), (j.Until - now).Seconds()
+	if j.Past && wait > pastWait*j.Aim {
+		return true
+	}
+	return wait >= queueFrom*j.Aim && wait+j.Work*f.Pace(w, kind, now) > lateFrom*left
+}
+
+// Hope returns until when a job that is sent to a worker now may wait there: after that it
+// would be done too late.
+func (f *Fleet) Hope(w *Worker, kind int, j *Job, now time.Duration) time.Duration {
+	left := (j.Until - now).Seconds()
+	wait := max(left-hopeRun*j.Work*f.Pace(w, kind, now), hopeLeast*left, 0)
+	return now + time.Duration(wait*float64(time.Second))
+}
--- /dev/null
+++ b/internal/forecast/forecast_test.go
@@ -0,0 +1,141 @@
+package forecast
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestSplit guards the dispatcher's own jobs from counting twice, in a report and by
+// themselves, and others' from counting for ever.
+func TestSplit(t *testing.T) {
+	var f Fleet
+	var w, other Worker
+	now := time.Hour
+	f.Arrived(0, 1, time.Second, 1)
+	f.Reported(&other, Report{Free: 4}, Own{}, now)
+	f.Reported(&w, Report{Free: 4}, Own{}, now)
+	f.Reported(&w, Report{Free: 0, Queued: 2}, Own{Held: 3, Running: 3}, now)
+	if got := f.Others(&w, now); math.Abs(got-3) > 1e-9 {
+		t.Errorf("others hold %g slots, want the 3 of 6 that are not our own", got)
+	}
+	if got := f.Others(&w, now+time.Minute); got > 0.1 {
+		t.Errorf("others hold %g slots a minute later, want next to none", got)
+	}
+	busy := f.Needs(&w, 0, Own{Held: 3, Running: 3, Work: 3}, &Job{Slots: 1, Work: 1}, now)
+	idle := f.Needs(&other, 0, Own{}, &Job{Slots: 1, Work: 1}, now)
+	if busy < idle+0.3 {
+		t.Errorf("a full worker needs %g s and an idle one %g s", busy, idle)
+	}
+	before := f.Others(&w, now)
+	for _, bad := range []float64{math.NaN(), math.Inf(1), -1, 1e30} {
+		f.Reported(&w, Report{Free: bad, Queued: 1}, Own{}, now)
+	}
+	if got := f.Others(&w, now); got != before {
+		t.Errorf("reports that mean nothing moved the others from %g to %g slots", before, got)
+	}
+}
+
+// TestSize guards a worker with four slots from being taken for a larger one by the noise of
+// its reports, and one whose reports lag from being taken for a smaller one than we have used.
+func TestSize(t *testing.T) {
+	var f Fleet
+	var w Worker
+	for i := range 200 {
+		noise := 1 + 0.068*math.Sin(float64(i)*1.7)
+		f.Reported(&w, Report{Free: 4 * noise}, Own{}, time.Duration(i)*time.Second)
+	}
+	if got := f.size(&w); got != 4 {
+		t.Errorf("it has %g slots, want 4", got)
+	}
+	f.Started(&w, false, Own{Held: 6, Running: 6}, time.Hour)
+	if got := f.size(&w); got != 6 {
+		t.Errorf("it has %g slots, want the 6 that we have had in use at once", got)
+	}
+}
+
+// TestHints guards forecasts from hints that say less than the class's mean, and believes
+// those that say more, whatever they are a multiple of.
+func TestHints(t *testing.T) {
+	var good, bad guess
+	for i := range 64 {
+		took := 0.1 * float64(1+i%10)
+		good.ran(time.Duration(3*took*float64(time.Second)), took)
+		bad.ran(time.Duration(float64(1+(i*7)%13)*float64(time.Second)), took)
+	}
+	if got := good.work(3*time.Second, 9); math.Abs(got-1) > 0.05 {
+		t.Errorf("a hint of three times the work leads to %g s, want 1", got)
+	}
+	if got := bad.work(13*time.Second, 9); got != bad.mean {
+		t.Errorf("a hint that says nothing leads to %g s, want the mean of %g", got, bad.mean)
+	}
+	if got := new(guess).work(0, 9); got != 9 {
+		t.Errorf("without anything known a job takes %g s, want what is usual", got)
+	}
+}
+
+// TestPace has a worker that was never met taken for one of its kind, and a worker's own
+// jobs say more than its kind once there are some; a slow time is forgotten.
+func TestPace(t *testing.T) {
+	var f Fleet
+	var w, like Worker
+	now := time.Hour
+	for range 20 {
+		f.Ran(&w, 2, 0, 0, 1, 2, now)
+	}
+	if got := f.Pace(&like, 2, now); got < 1.8 || got > 2.1 {
+		t.Errorf("one of its kind has a pace of %g, want about 2", got)
+	}
+	var slow Worker
+	for range 20 {
+		f.Ran(&slow, 2, 0, 0, 1, 6, now)
+		f.Ran(&w, 2, 0, 0, 1, 2, now)
+	}
+	if a, b := f.Pace(&slow, 2, now), f.Pace(&w, 2, now); a < 1.5*b {
+		t.Errorf("the slow one has a pace of %g, the other of %g", a, b)
+	}
+	if got, was := f.Pace(&slow, 2, now+5*time.Minute), f.Pace(&slow, 2, now); got > 0.8*was {
+		t.Errorf("its pace is %g minutes later, %g before", got, was)
+	}
+}
+
+// TestSound has any history lead to forecasts that can be: finite, not negative, no sooner
+// with more of our own jobs waiting, and a hope that lies between now and the job's end.
+func TestSound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var f Fleet
+		workers := make([]Worker, 3)
+		now := time.Hour
+		odd := rapid.OneOf(rapid.Float64Range(0, 20), rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), -1, 1e300}))
+		for range rapid.IntRange(0, 60).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+			w := &workers[rapid.IntRange(0, 2).Draw(t, "worker")]
+			held := float64(rapid.IntRange(0, 9).Draw(t, "held"))
+			own := Own{Held: held, Running: math.Floor(held / 2), Work: held}
+			kind, class := rapid.IntRange(-1, 70).Draw(t, "kind"), rapid.IntRange(-1, 3).Draw(t, "class")
+			hint := time.Duration(rapid.IntRange(0, 5000).Draw(t, "hint")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				f.Reported(w, Report{Free: odd.Draw(t, "free"), Queued: odd.Draw(t, "queued")}, own, now)
+			case 1:
+				f.Started(w, rapid.Bool().Draw(t, "waited"), own, now)
+			case 2:
+				f.Ran(w, kind, class, hint, rapid.Float64Range(0, 9).Draw(t, "work"), rapid.Float64Range(0, 9).Draw(t, "took"), now)
+			}
+			j := f.Arrived(class, float64(rapid.IntRange(1, 8).Draw(t, "slots")), hint, 1)
+			j.Aim, j.Until = 2, now+2*time.Second
+			needs := f.Needs(w, kind, own, &j, now)
+			more := own
+			more.Held, more.Work = own.Held+1, own.Work+1
+			if !(needs >= 0) || math.IsInf(needs, 0) || f.Needs(w, kind, more, &j, now) < needs-1e-9 {
+				t.Fatalf("needs %g s, and %g with another job of ours waiting", needs, f.Needs(w, kind, more, &j, now))
+			}
+			if hope := f.Hope(w, kind, &j, now); hope < now || hope > j.Until {
+				t.Fatalf("hope until %v, it is %v and over at %v", hope, now, j.Until)
+			}
+			f.Late(w, kind, own, &j, now)
+		}
+	})
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -78,6 +79,7 @@
 // Config holds the figures of the ingress.
 type Config struct {
 	Classes []Class  // by their numbers
+	Tenants []string // likewise
 	Columns []string // of load reports
 	Slots   float64  // most that a job may ask for
 	Clients int      // most jobs at a time
@@ -115,6 +117,7 @@
 	jobs    atomic.Int64 // those that wait for the core's answer
 	clients atomic.Int64 // most of them
 	classes atomic.Pointer[[]Class]
+	tenants atomic.Pointer[[]string]
 	moving  chan struct{} // closed when all jobs go to a newer process
 	adopted *adopted
 	bad     atomic.Int64              // requests refused as malformed, since the last summary
@@ -129,6 +132,7 @@
 	f.adopted = &adopted{conns: make(chan net.Conn, 64), over: make(chan struct{}), door: f.door}
 	f.clients.Store(int64(cfg.Clients))
 	f.classes.Store(&cfg.Classes)
+	f.tenants.Store(&cfg.Tenants)
 	f.server = &http.Server{
 		Handler:           http.HandlerFunc(f.handle),
 		ReadTimeout:       hearTime,
@@ -169,6 +173,9 @@
 // Classes sets what jobs may be of from now on.
 func (f *Front) Classes(classes []Class) { f.classes.Store(&classes) }
 
+// Tenants takes the names of the tenants by their numbers.
+func (f *Front) Tenants(names []string) { f.tenants.Store(&names) }
+
 // Budget sets how many jobs and connections there may be from now on.
 func (f *Front) Budget(clients, sockets int) {
 	f.clients.Store(int64(clients))
@@ -528,6 +535,9 @@
 	if hint, err := strconv.ParseInt(h.Get("X-Size-Hint"), 10, 64); err == nil && hint > 0 && hint < math.MaxInt32 {
 		job.Hint = time.Duration(hint) * time.Microsecond
 	}
+	if name := h.Get("X-Customer"); name != "" { // one that the settings don't name has no share
+		job.Tenant = slices.Index(*f.tenants.Load(), name) + 1
+	}
 	if c, err := r.Cookie("k"); err == nil {
 		subject := fnv.New64a() // only equality matters
 		subject.Write([]byte(c.Value))
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -5,13 +5,14 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"strconv"
 	"strings"
 )
 
 // Parse reads a report written as a JSON object, or as in a header, and returns its
-// values in the order of columns, 0 for one that is missing; nil where there is no
-// report. Guards probes of runners that write the body of /_load as they write the
+// values in the order of columns, NaN for one that is missing; nil where there is no
+// report. Guards a runner that leaves a figure out from looking full or empty. Guards probes of runners that write the body of /_load as they write the
 // header: what they say would be lost.
 func Parse(text []byte, columns []string) []float32 {
 	if bytes.HasPrefix(text, []byte(headerForm)) {
@@ -21,7 +22,7 @@
 	if len(columns) == 0 || json.Unmarshal(text, &values) != nil || len(values) == 0 {
 		return nil
 	}
-	load := make([]float32, len(columns))
+	load := unknown(len(columns))
 	for i, name := range columns {
 		if v, ok := values[name].(float64); ok {
 			load[i] = float32(v)
@@ -39,7 +40,7 @@
 	if !ok || len(columns) == 0 {
 		return nil
 	}
-	load := make([]float32, len(columns))
+	load := unknown(len(columns))
 	for pair := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
 		v, err := strconv.ParseFloat(value, 32)
@@ -51,3 +52,12 @@
 	}
 	return load
 }
+
+// unknown returns a report that says nothing.
+func unknown(n int) []float32 {
+	load := make([]float32, n)
+	for i := range load {
+		load[i] = float32(math.NaN())
+	}
+	return load
+}
--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -1,24 +1,27 @@
 package loadreport
 
 import (
+	"math"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
 // TestParse guards what probes find out: runners write the body of /_load as an object or
 // as they write the header.
 func TestParse(t *testing.T) {
+	nan := float32(math.NaN())
 	columns := []string{"queue", "latency_ms", "x0"}
 	for text, want := range map[string][]float32{
-		`{"x0":3,"queue":1}`:                    {1, 0, 3},
+		`{"x0":3,"queue":1}`:                    {1, nan, 3},
 		"TEXT queue=2, latency_ms=64.5, x0=3.5": {2, 64.5, 3.5},
-		"TEXT x0=1,other=9":                     {0, 0, 1},
+		"TEXT x0=1,other=9":                     {nan, nan, 1},
 		"":                                      nil,
 		"ok":                                    nil,
 		`{}`:                                    nil,
 	} {
-		if diff := cmp.Diff(want, Parse([]byte(text), columns)); diff != "" {
+		if diff := cmp.Diff(want, Parse([]byte(text), columns), cmpopts.EquateNaNs()); diff != "" {
 			t.Errorf("%q: %s", text, diff)
 		}
 	}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -254,8 +254,11 @@
 	ev.Type, ev.Request = decision.RequestArrived, decision.RequestID(c.u32())
 	ev.Deadline, ev.Slots, ev.Key = micros(c.u64()), c.f32(), c.u64()
 	ev.Memory, ev.Tenant, ev.Class = c.f32(), int(c.u32()), int(c.u8())
-	c.u32() // the cost hint
-	ev.Retry = c.u8()&2 != 0
+	hint, attrs := micros(uint64(c.u32())), c.u8()
+	if attrs&1 != 0 {
+		ev.Hint = hint
+	}
+	ev.Retry = attrs&2 != 0
 }
 
 func response(c *cursor, ev *decision.Event) error {
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -67,7 +67,7 @@
 	}{
 		"arrival": {"0801 0300 c4913a5d da05840000000000 00000040 640ad2557c3bf091 0000c03f 00000000 00 e02e0000 01", 1,
 			decision.Event{Type: decision.RequestArrived, Request: id, Deadline: ms(0x8405da), Slots: 2,
-				Key: 0x91f03b7c55d20a64, Memory: 1.5}},
+				Key: 0x91f03b7c55d20a64, Memory: 1.5, Hint: 12 * time.Millisecond}},
 		"bell":        {"0201 0300 4d000000", 1, decision.Event{Type: decision.TimerFired, Token: 77}},
 		"client left": {"0701 0500 192b6f0e", 1, decision.Event{Type: decision.RequestGone, Request: 0x0e6f2b19}},
 		"accepted": {"0101 0300 c4913a5d 0000 074a1203 22240000", 1,
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -22,6 +23,7 @@
 	Weights   string  `json:"weights"`
 	Classes   []class `json:"request-classes"`
 	Tenants   []struct {
+		Name  any     `json:"name"`
 		Quota float64 `json:"quota-per-s"`
 	} `json:"tenants"`
 	Deductions struct {
@@ -122,6 +124,7 @@
 // the words that stand for numbers, and how long a connection may sit idle.
 type Names struct {
 	Classes   []string
+	Tenants   []string
 	Zones     []string
 	Kinds     []string
 	Columns   []string // of load reports, in the order of Config.Metrics; none where there are no reports
@@ -144,6 +147,9 @@
 	for _, c := range s.Classes {
 		n.Classes = append(n.Classes, c.Name)
 	}
+	for _, t := range s.Tenants {
+		n.Tenants = append(n.Tenants, fmt.Sprint(cmp.Or(t.Name, any(""))))
+	}
 	return n, nil
 }
 
