--- a/cmd/frosttide/main_test.go
+++ b/cmd/frosttide/main_test.go
@@ -861,6 +861,7 @@
 		{`{"listen":"127.0.0.1:99999","discovery":"127.0.0.1:1","settings":` + theSettings + `}`, "not a port"},
 		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1"}`, "settings are missing"},
 		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{}}`, "request-classes: there are none"},
+		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{"request-classes":[{"name":"a"}]}}`, "settings: discovery is missing"},
 		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"xyz","settings":` + theSettings + `}`, "seed"},
 		{`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","limits":{"sockets":3},"settings":` + theSettings + `}`, "limits.sockets"},
 		{`{"listen":"192.0.2.1:9","discovery":"127.0.0.1:1","settings":` + theSettings + `}`, "listen"},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -243,6 +243,9 @@
 	if c.Names, err = wire.ParseNames(f.Settings); err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
+	if c.Discovery != "" && !c.Module.PullList && !c.Names.Pushed { // it would never be read
+		return Config{}, fmt.Errorf("%s: settings: discovery is missing: on_request where it has to be asked, pushed where an agent holds the list", path)
+	}
 	for i, name := range c.Names.Classes {
 		if name == "" {
 			return Config{}, fmt.Errorf("%s: settings: request-classes[%d].name is missing", path, i)
--- /dev/null
+++ b/internal/ingress/parse_test.go
@@ -0,0 +1,37 @@
+package ingress
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// TestTenant guards the shares: a job is its tenant's by name, as the settings in force have
+// them, and one of a name that they lack is nobody's.
+func TestTenant(t *testing.T) {
+	f := New(Config{Classes: []Class{{Name: "a"}}, Tenants: []string{"north", "south"}, Slots: 8}, nil, nil, nil, logrus.NewEntry(logrus.New()))
+	tenant := func(name string) int {
+		r := httptest.NewRequest("POST", "/a", nil)
+		r.Header.Set("X-Trace-Id", "x")
+		r.Header.Set("X-Expires-In-Ms", "100")
+		if name != "" {
+			r.Header.Set("X-Customer", name)
+		}
+		job, err := f.parse(r, 0, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return job.Tenant
+	}
+	for name, want := range map[string]int{"north": 1, "south": 2, "east": 0, "": 0} {
+		if got := tenant(name); got != want {
+			t.Errorf("%q is tenant %d, want %d", name, got, want)
+		}
+	}
+	f.Tenants([]string{"south"})
+	if got := tenant("south"); got != 1 {
+		t.Errorf("after new settings it is tenant %d, want 1", got)
+	}
+}
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -34,6 +34,7 @@
 	{"listen.clients", address, "listen", "127.0.0.1:8081"},
 	{"listen.console", address, "console", nil},
 	{"discovery.address", address, "discovery", nil},
+	{"discovery.list", oneOf("asked", "pushed"), "", "asked"},
 	{"discovery.ask_within", micros(time.Millisecond), "settings.rules.ask-within", "10s"},
 	{"fleet.zones", words, "settings.zones", nil},
 	{"fleet.zone", text, "", nil},
@@ -42,6 +43,7 @@
 	{"fleet.number", whole(0, 1<<16), "settings.me", int64(0)},
 	{"fleet.tells_start", flag, "settings.family-info.tells-start", true},
 	{"fleet.weights", flag, "", false},
+	{"fleet.far_price", number(0, 1), "settings.deductions.cross-zone", 0.0},
 	{"attempts.most", whole(1, 64), "settings.policy-limits.send-cap", int64(4)},
 	{"attempts.second_copies", flag, "settings.policy-limits.second-copies", false},
 	{"attempts.may_cancel", flag, "settings.policy-limits.may-cancel", true},
@@ -52,6 +54,7 @@
 	{"probes.allowed", flag, "settings.policy-limits.probing", true},
 	{"probes.report", oneOf("none", "probe", "answers"), "settings.report.source", "none"},
 	{"probes.columns", words, "settings.report.columns", nil},
+	{"probes.free_slots", text, "", nil},
 	{"cold.starts_at", number(0, 1), "settings.rules.cold-from", 1.0},
 	{"cold.warm_within", micros(0), "settings.rules.warm-within", "0s"},
 	{"cold.falls_at", number(0, 1000), "settings.rules.fall-multiple", 1.0},
@@ -116,6 +119,12 @@
 	{"priority", whole(0, 1000), "", int64(0)},
 }
 
+// tenants holds the keys of each [[tenant]].
+var tenants = []field{
+	{"name", text, "name", nil},
+	{"per_second", number(0, 1e9), "quota-per-s", 0.0},
+}
+
 // runners holds the keys of each [[runner]], a fixed list in place of discovery.
 var runners = []field{
 	{"id", text, "uid", nil},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -149,6 +149,7 @@
 		r.wrong("state.old", "the ages fresh, old and max_age don't rise")
 	}
 	r.classes(tree["class"], kinds)
+	r.tenants(tree["tenant"])
 	r.runners(tree["runner"], zones, kinds)
 	r.strangers("", tree)
 	if len(r.mistakes) > 0 {
@@ -236,7 +237,15 @@
 		settings["weights"] = "listed"
 	}
 	columns, _ := r.own["probes.columns"].([]any)
-	if err := knownColumns(columns); err != nil {
+	family := settings["family-info"].(map[string]any)
+	free, named := r.own["probes.free_slots"].(string)
+	if named {
+		if !slices.Contains(columns, any(free)) {
+			r.wrong("probes.free_slots", fmt.Sprintf("%q is not among probes.columns", free))
+		}
+		family["report-"+free] = "free slots"
+	}
+	if err := knownColumns(slices.DeleteFunc(slices.Clone(columns), func(c any) bool { return named && c == free })); err != nil {
 		r.wrong("probes.columns", err.Error())
 	}
 	if r.own["probes.report"] != "none" && len(columns) == 0 {
@@ -244,7 +253,7 @@
 	}
 	settings["discovery"] = "none"
 	if _, found := lookup(tree, "discovery.address"); found {
-		settings["discovery"] = "on_request"
+		settings["discovery"] = map[any]string{"asked": "on_request", "pushed": "pushed"}[r.own["discovery.list"]]
 		if _, list := tree["runner"]; list {
 			r.wrong("runner", "a fixed list goes without discovery; leave one of them out")
 		}
@@ -268,11 +277,7 @@
 		if r.own[prefix+"effect"] == "keyed" && r.own[prefix+"window"] == int64(0) {
 			r.wrong(prefix+"window", "a keyed class needs the time for which repeats are dropped")
 		}
-		for j := range i {
-			if name := r.own[prefix+"name"]; name != nil && name == r.own[fmt.Sprintf("class[%d].name", j)] {
-				r.wrong(prefix+"name", fmt.Sprintf("%q is there twice", name))
-			}
-		}
+		r.twice("class", "name", i)
 		list, ofKind, priorities = append(list, class), append(ofKind, kind), append(priorities, r.own[prefix+"priority"])
 	}
 	if family == nil {
@@ -284,6 +289,28 @@
 	}
 }
 
+// tenants reads who shares the fleet, and what each one's share is.
+func (r *reader) tenants(v any) {
+	list := []any{}
+	for i, tree := range r.tables("tenant", v) {
+		prefix, tenant := fmt.Sprintf("tenant[%d].", i), map[string]any{}
+		r.fields(tenants, prefix, tree, tenant)
+		r.twice("tenant", "name", i)
+		list = append(list, tenant)
+	}
+	r.platform["settings"].(map[string]any)["tenants"] = list
+}
+
+// twice finds a value of an item of a list that an earlier one has too.
+func (r *reader) twice(list, key string, i int) {
+	at := func(j int) string { return fmt.Sprintf("%s[%d].%s", list, j, key) }
+	for j := range i {
+		if v := r.own[at(i)]; v != nil && v == r.own[at(j)] {
+			r.wrong(at(i), fmt.Sprintf("%q is there twice", v))
+		}
+	}
+}
+
 func (r *reader) runners(v any, zones, kinds []any) {
 	var list []any
 	for i, tree := range r.tables("runner", v) {
@@ -297,11 +324,7 @@
 				r.wrong(prefix+named.key, fmt.Sprintf("%q is not among fleet.%ss", name, named.key))
 			}
 		}
-		for j := range i {
-			if id := r.own[prefix+"id"]; id != nil && id == r.own[fmt.Sprintf("runner[%d].id", j)] {
-				r.wrong(prefix+"id", fmt.Sprintf("%q is there twice", id))
-			}
-		}
+		r.twice("runner", "id", i)
 		list = append(list, runner)
 	}
 	if len(list) > 0 {
@@ -339,7 +362,7 @@
 				continue
 			}
 		case []any:
-			if prefix == "" && (name == "class" || name == "runner") {
+			if prefix == "" && (name == "class" || name == "runner" || name == "tenant") {
 				for i, item := range v {
 					if t, ok := item.(map[string]any); ok {
 						r.strangers(fmt.Sprintf("%s[%d].", name, i), t)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -41,6 +41,13 @@
 		{"a number past the dispatchers", class + "[fleet]\ndispatchers = 80\nnumber = 80\n", []string{
 			"f:7: fleet.number: 80 is not the number of one of 80 dispatchers, which count from 0"}},
 		{"no dispatchers", class + "[fleet]\ndispatchers = 0\n", []string{"f:6: fleet.dispatchers: 0 is not from 1 to 65536"}},
+		{"tenants, reports and lists", class + "[discovery]\nlist = \"pulled\"\n[probes]\nreport = \"answers\"\ncolumns = [\"queue\"]\nfree_slots = \"x0\"\n" +
+			"[[tenant]]\nname = \"n\"\n[[tenant]]\nname = \"n\"\nper_second = -1\n[[tenant]]\n", []string{
+			`f:6: discovery.list: "pulled" is none of asked, pushed`,
+			`f:10: probes.free_slots: "x0" is not among probes.columns`,
+			`f:14: tenant[1].name: "n" is there twice`,
+			"f:15: tenant[1].per_second: -1 is not from 0 to 1e+09",
+			"f:16: tenant[2].name: it is missing"}},
 		{"syntax", "name = \n", []string{"f:1: "}},
 		{"a table where a value is due", "[name]\nx = 1\n" + class, []string{"f:1: name: a text in quotes is wanted, not a table"}},
 		{"a value where a table is due", "listen = 3\n" + class, []string{"f:1: listen: it is written as a table, [listen]"}},
@@ -105,13 +112,24 @@
 
 // TestUnits guards what plain words come to in the platform's form.
 func TestUnits(t *testing.T) {
-	f, err := Parse("f", []byte("[fleet]\nzones=[\"a\",\"b\"]\nzone=\"b\"\nkinds=[\"x\",\"y\"]\n[limits]\nmemory=\"1GB\"\n"+class+
-		"kind=\"y\"\n[[runner]]\nid=\"r\"\naddress=\"127.0.0.1:9\"\nzone=\"a\"\n"))
+	f, err := Parse("f", []byte("[discovery]\nlist=\"pushed\"\naddress=\"127.0.0.1:1\"\n[probes]\nreport=\"answers\"\ncolumns=[\"queue\",\"x0\"]\nfree_slots=\"x0\"\n"+
+		class+"[[tenant]]\nname=\"n\"\nper_second=3\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := f.Platform["settings"].(map[string]any)
-	got := []any{f.Platform["limits"].(map[string]any)["memory_mb"], s["zone"], s["discovery"],
+	got := []any{s["discovery"], s["report"], s["family-info"].(map[string]any)["report-x0"], s["tenants"]}
+	if diff := cmp.Diff([]any{"pushed", map[string]any{"source": "answers", "columns": []any{"queue", "x0"}}, "free slots",
+		[]any{map[string]any{"name": "n", "quota-per-s": 3.0}}}, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	f, err = Parse("f", []byte("[fleet]\nzones=[\"a\",\"b\"]\nzone=\"b\"\nkinds=[\"x\",\"y\"]\n[limits]\nmemory=\"1GB\"\n"+class+
+		"kind=\"y\"\n[[runner]]\nid=\"r\"\naddress=\"127.0.0.1:9\"\nzone=\"a\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s = f.Platform["settings"].(map[string]any)
+	got = []any{f.Platform["limits"].(map[string]any)["memory_mb"], s["zone"], s["discovery"],
 		s["request-classes"].([]any)[0].(map[string]any)["give-up"], s["family-info"].(map[string]any)["class-kind"],
 		f.Platform["known"].(map[string]any)["targets"].([]any)[0].(map[string]any)["uid"]}
 	if diff := cmp.Diff([]any{int64(1024), 1, "none", int64(2000000), []any{1}, "r"}, got); diff != "" {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"frosttide/decision"
@@ -282,6 +283,12 @@
 	if s.Me >= s.Balancers { // it would never have its turn at a cold worker
 		return fmt.Errorf("me: %d is not the number of one of %d dispatchers, which count from 0", s.Me, s.Balancers)
 	}
+	if !slices.Contains([]string{"", "none", "on_request", "pushed"}, s.Discovery) {
+		return fmt.Errorf("discovery: %q is neither on_request nor pushed", s.Discovery)
+	}
+	if !slices.Contains([]string{"", "none", "answers", "probe"}, s.Report.Source) {
+		return fmt.Errorf("report.source: %q is none of answers, probe and none", s.Report.Source)
+	}
 	if s.Rules.ColdFrom < 0 || s.Rules.ColdFrom > 1 {
 		return fmt.Errorf("rules.cold-from: %g is not a share", s.Rules.ColdFrom)
 	}
--- a/internal/wire/settings_test.go
+++ b/internal/wire/settings_test.go
@@ -82,6 +82,8 @@
 		`{"family-info": {"class-stretch": [-1]}, "request-classes": [{}]}`:    "family-info.class-stretch[0]",
 		`{"family-info": {"tells-start": "perhaps"}, "request-classes": [{}]}`: "family-info.tells-start",
 		`{"request-classes": [{"give-up": 9000000000000000000}]}`:              "request-classes[0].give-up",
+		`{"discovery": "shouted", "request-classes": [{}]}`:                    "discovery",
+		`{"report": {"source": "rumour"}, "request-classes": [{}]}`:            "report.source",
 		`{"rules": {"fall-multiple": -3}, "request-classes": [{}]}`:            "rules.fall-multiple",
 	}
 	for text, key := range tests {
