--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -678,7 +678,8 @@
 	d.requests[r.id] = r
 	r.job = d.fleet.Arrived(r.class, float64(r.slots), r.hint, d.run[r.class])
 	aim := r.rules.InTime(cmp.Or(r.hint, time.Duration(r.job.Work*float64(time.Second))))
-	r.job.Aim, r.job.Until, r.job.Past = aim.Seconds(), d.now+aim, !d.inside(ev.Tenant)
+	r.job.Until, r.job.Past = min(d.now+aim, r.deadline), !d.inside(ev.Tenant)
+	r.job.Aim = (r.job.Until - d.now).Seconds()
 	if len(ev.Past) > 0 {
 		d.adopt(r, ev.Past)
 		return
