Know runners' sizes by their kind, and hand what was learned on at upgrades

Cause: forecast.size took a runner for as large as the most slots that a report had shown free, and the newer process had seen busy ones only; Health carried neither sizes nor paces.

Changed: one that was never seen empty has as many slots as others of its kind, up to twice what it showed; Health carries sizes and paces, by the link and the state on disk.

--- a/decision/api.go
+++ b/decision/api.go
@@ -9,7 +9,11 @@
 // This file is the whole interface; dispatcher.go holds every decision.
 package decision
 
-import "time"
+import (
+	"time"
+
+	"frosttide/internal/forecast"
+)
 
 // RequestID names one try of a client; the host never uses an ID twice.
 type RequestID uint32
@@ -228,6 +232,7 @@
 	Pace      float64 // its jobs' time to run, against those of its like
 	PaceAt    time.Duration
 	Most      int // slots that its jobs have been seen to use at once
+	Load      forecast.Learned
 }
 
 // ActionType says what an Action asks for.
--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -395,7 +395,12 @@
 }
 
 // Health returns what has been found of a worker's health. It changes nothing.
-func (d *Dispatcher) Health(id WorkerID) Health { return cmp.Or(d.workers[id], &worker{}).Health }
+func (d *Dispatcher) Health(id WorkerID) Health {
+	w := cmp.Or(d.workers[id], &worker{})
+	h := w.Health
+	h.Load = w.load.Learned()
+	return h
+}
 
 // restore takes over what an earlier process has found of a worker's health.
 func (d *Dispatcher) restore(w *worker, h Health) {
@@ -403,6 +408,7 @@
 	w.RestUntil, w.PaceAt = min(h.RestUntil, d.now+restMost), min(h.PaceAt, d.now)
 	w.Failures, w.Pace = max(h.Failures, 0), min(max(h.Pace, 1/paceMost), paceMost)
 	w.Most = min(max(h.Most, 0), maxTokens)
+	w.load.Learn(h.Load, d.now)
 	if w.Failed {
 		w.limit = min(w.limit, d.widest)
 		d.trim(w)
@@ -508,7 +514,7 @@
 			r.Queued = float64(ev.Load[i])
 		}
 	}
-	d.fleet.Reported(&w.load, r, w.own(), d.now)
+	d.fleet.Reported(&w.load, w.Kind, r, w.own(), d.now)
 }
 
 // inside tells whether a request is inside its tenant's share, by this dispatcher's part of
@@ -517,7 +523,7 @@
 	if d.fleet.Known() && d.shares.Due(d.now) {
 		var own, all float64
 		for _, w := range d.listed {
-			own, all = own+float64(w.held), all+float64(w.held)+d.fleet.Others(&w.load, d.now)
+			own, all = own+float64(w.held), all+float64(w.held)+d.fleet.Others(&w.load, w.Kind, d.now)
 		}
 		d.shares.Look(own, all, d.now)
 	}
@@ -789,7 +795,7 @@
 		a.worker.overdue--
 	}
 	d.zones.Started(a.worker.Zone, d.now-a.SentAt)
-	d.fleet.Started(&a.worker.load, a.overdue, a.worker.own(), d.now)
+	d.fleet.Started(&a.worker.load, a.worker.Kind, a.overdue, a.worker.own(), d.now)
 }
 
 func (d *Dispatcher) ended(r *request, a *attempt, ev *Event) {
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -28,7 +28,7 @@
 	meanGain = 1.0 / 16
 	// waitMore is how much longer than the mean a wait is taken for: a job of many slots
 	// at a queue's head keeps slots empty until enough of them are free.
-	waitMore = 1.2
+	waitMore = 1.5
 	// lateFrom is the part of its time that a job may be taken to need at most.
 	lateFrom = 1.0
 	// Past its tenant's share a job may wait for pastWait of its time at most.
@@ -39,7 +39,7 @@
 	// A job that has not started is given up when less than hopeRun of its run is left of
 	// its time, and after hopeLeast of its time at the soonest.
 	hopeRun   = 0.5
-	hopeLeast = 0.4
+	hopeLeast = 0.6
 )
 
 // Report is what a load report tells. NaN is unknown.
@@ -57,7 +57,7 @@
 
 // Worker is what is known of a worker's load and pace. The zero value knows nothing.
 type Worker struct {
-	free   float64 // the most that reports have said to be free, about
+	free   size    // by its own reports
 	most   float64 // the most that the dispatcher's own jobs have used
 	others float64 // slots that others' jobs hold, waiting ones too
 	at     time.Duration
@@ -83,6 +83,7 @@
 	wide    float64       // slots of a job, the mean
 	work    float64       // seconds that a slot's job takes at a usual worker, the mean
 	kinds   [kinds]pace
+	sizes   [kinds]size
 	guesses []guess // by class
 }
 
@@ -101,8 +102,19 @@
 	return j
 }
 
-// Reported takes in a report of a worker where the dispatcher has something out.
-func (f *Fleet) Reported(w *Worker, r Report, own Own, now time.Duration) {
+// size is the most slots that reports have said to be free, about.
+type size float64
+
+func (s *size) saw(free float64) {
+	if of := float64(*s); free > of+1 || of < 0.5 && free > of {
+		*s = size(free)
+	} else if free > of-1 {
+		*s += size((free - of) * sizeGain)
+	}
+}
+
+// Reported takes in a report of a worker of a kind where the dispatcher has something out.
+func (f *Fleet) Reported(w *Worker, kind int, r Report, own Own, now time.Duration) {
 	if !(r.Free >= 0 && r.Free <= mostSlots) {
 		return // without it nothing tells a full worker from an empty one
 	}
@@ -110,12 +122,9 @@
 	if r.Queued >= 0 { // false for NaN
 		queued = min(r.Queued, mostSlots)
 	}
-	if free > w.free+1 {
-		w.free = free
-	} else if free > w.free-1 {
-		w.free += (free - w.free) * sizeGain
-	}
-	slots := f.size(w)
+	w.free.saw(free)
+	f.sizes[uint(kind)%kinds].saw(free)
+	slots := f.size(w, kind)
 	if queued > 0 { // nothing waits where all is free
 		free = min(free, max(f.wide, 1))
 	}
@@ -130,12 +139,12 @@
 
 // Started takes in that a job of the dispatcher's has started, counted in own, and whether
 // it had to wait: what is at the worker beside it is known for a moment.
-func (f *Fleet) Started(w *Worker, waited bool, own Own, now time.Duration) {
+func (f *Fleet) Started(w *Worker, kind int, waited bool, own Own, now time.Duration) {
 	w.most = min(max(w.most, own.Running), mostSlots)
 	if !f.known {
 		return
 	}
-	others, room := f.Others(w, now), max(f.size(w)-own.Running, 0)
+	others, room := f.Others(w, kind, now), max(f.size(w, kind)-own.Running, 0)
 	if waited {
 		others = max(others, room)
 	} else {
@@ -144,18 +153,22 @@
 	w.others, w.at, w.known = others, now, true
 }
 
-// size returns how many slots a worker has, the fleet's mean while it is not known.
-func (f *Fleet) size(w *Worker) float64 {
-	if slots := max(math.Round(w.free), w.most); slots > 0 {
-		return slots
+// size returns how many slots a worker has, the fleet's mean while less than one has been
+// seen. One that was never seen empty has as many as others of its kind, up to twice what it
+// has shown. Guards wide jobs, after a start above all, from being refused since all workers
+// are busy and so look small.
+func (f *Fleet) size(w *Worker, kind int) float64 {
+	own := max(float64(w.free), w.most)
+	if own < 0.5 {
+		return max(f.slots, 1)
 	}
-	return max(f.slots, 1)
+	return max(math.Round(max(own, min(float64(f.sizes[uint(kind)%kinds]), 2*own))), 1)
 }
 
 // Others returns the slots that others are likely to hold at a worker. Guards a dispatcher
 // that refuses all from doing so for good: it is told nothing, and the mean fades too.
-func (f *Fleet) Others(w *Worker, now time.Duration) float64 {
-	usual := f.fill * f.size(w) * faded(now-f.at)
+func (f *Fleet) Others(w *Worker, kind int, now time.Duration) float64 {
+	usual := f.fill * f.size(w, kind) * faded(now-f.at)
 	if !w.known {
 		return usual
 	}
@@ -167,8 +180,8 @@
 // wait returns how many seconds a job is likely to wait at a worker. Its queue is served in
 // order, so where a job of the dispatcher's own waits nothing is free.
 func (f *Fleet) wait(w *Worker, kind int, own Own, slots float64, now time.Duration) float64 {
-	size := f.size(w)
-	held := own.Held + f.Others(w, now)
+	size := f.size(w, kind)
+	held := own.Held + f.Others(w, kind, now)
 	if own.Held > own.Running {
 		held = max(held, size+own.Held-own.Running)
 	}
@@ -203,3 +216,25 @@
 	wait := max(left-hopeRun*j.Work*f.Pace(w, kind, now), hopeLeast*left, 0)
 	return now + time.Duration(wait*float64(time.Second))
 }
+
+// Learned is what outlives the process that has learned it.
+type Learned struct {
+	Slots float64 // that the worker has; 0 for not known
+	Pace  float64 // against a usual worker, a logarithm
+	Jobs  float64 // that the pace rests on
+}
+
+// Learned returns what is known of a worker that another process can use.
+func (w *Worker) Learned() Learned {
+	return Learned{Slots: max(float64(w.free), w.most), Pace: w.pace.log, Jobs: w.pace.n}
+}
+
+// Learn takes over what an earlier process has learned, as far as it can be.
+func (w *Worker) Learn(l Learned, now time.Duration) {
+	if l.Slots > 0 && l.Slots <= mostSlots {
+		w.free = size(l.Slots)
+	}
+	if math.Abs(l.Pace) <= paceSpread && l.Jobs > 0 {
+		w.pace = pace{log: l.Pace, n: min(l.Jobs, paceMost), at: now}
+	}
+}
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -15,13 +15,13 @@
 	var w, other Worker
 	now := time.Hour
 	f.Arrived(0, 1, time.Second, 1)
-	f.Reported(&other, Report{Free: 4}, Own{}, now)
-	f.Reported(&w, Report{Free: 4}, Own{}, now)
-	f.Reported(&w, Report{Free: 0, Queued: 2}, Own{Held: 3, Running: 3}, now)
-	if got := f.Others(&w, now); math.Abs(got-3) > 1e-9 {
+	f.Reported(&other, 0, Report{Free: 4}, Own{}, now)
+	f.Reported(&w, 0, Report{Free: 4}, Own{}, now)
+	f.Reported(&w, 0, Report{Free: 0, Queued: 2}, Own{Held: 3, Running: 3}, now)
+	if got := f.Others(&w, 0, now); math.Abs(got-3) > 1e-9 {
 		t.Errorf("others hold %g slots, want the 3 of 6 that are not our own", got)
 	}
-	if got := f.Others(&w, now+time.Minute); got > 0.1 {
+	if got := f.Others(&w, 0, now+time.Minute); got > 0.1 {
 		t.Errorf("others hold %g slots a minute later, want next to none", got)
 	}
 	busy := f.Needs(&w, 0, Own{Held: 3, Running: 3, Work: 3}, &Job{Slots: 1, Work: 1}, now)
@@ -29,11 +29,11 @@
 	if busy < idle+0.3 {
 		t.Errorf("a full worker needs %g s and an idle one %g s", busy, idle)
 	}
-	before := f.Others(&w, now)
+	before := f.Others(&w, 0, now)
 	for _, bad := range []float64{math.NaN(), math.Inf(1), -1, 1e30} {
-		f.Reported(&w, Report{Free: bad, Queued: 1}, Own{}, now)
+		f.Reported(&w, 0, Report{Free: bad, Queued: 1}, Own{}, now)
 	}
-	if got := f.Others(&w, now); got != before {
+	if got := f.Others(&w, 0, now); got != before {
 		t.Errorf("reports that mean nothing moved the others from %g to %g slots", before, got)
 	}
 }
@@ -45,17 +45,54 @@
 	var w Worker
 	for i := range 200 {
 		noise := 1 + 0.068*math.Sin(float64(i)*1.7)
-		f.Reported(&w, Report{Free: 4 * noise}, Own{}, time.Duration(i)*time.Second)
+		f.Reported(&w, 0, Report{Free: 4 * noise}, Own{}, time.Duration(i)*time.Second)
 	}
-	if got := f.size(&w); got != 4 {
+	if got := f.size(&w, 0); got != 4 {
 		t.Errorf("it has %g slots, want 4", got)
 	}
-	f.Started(&w, false, Own{Held: 6, Running: 6}, time.Hour)
-	if got := f.size(&w); got != 6 {
+	f.Started(&w, 0, false, Own{Held: 6, Running: 6}, time.Hour)
+	if got := f.size(&w, 0); got != 6 {
 		t.Errorf("it has %g slots, want the 6 that we have had in use at once", got)
 	}
 }
 
+// TestSizeOfKind guards wide jobs from workers that look small since they are busy: one that
+// was never seen empty has as many slots as others of its kind, up to twice what it showed, one that showed nothing as many as all have, and what was learned of it outlives the process.
+func TestSizeOfKind(t *testing.T) {
+	var f Fleet
+	var empty, busy, full, next Worker
+	f.Reported(&empty, 3, Report{Free: 4}, Own{}, time.Hour)
+	f.Reported(&busy, 3, Report{Free: 2}, Own{Held: 1, Running: 1}, time.Hour)
+	f.Reported(&full, 3, Report{Free: 0, Queued: 3}, Own{}, time.Hour)
+	f.Reported(&next, 4, Report{Free: 2}, Own{}, time.Hour)
+	for _, tc := range []struct {
+		w    *Worker
+		kind int
+		want float64
+	}{{&empty, 3, 4}, {&busy, 3, 4}, {&full, 3, f.slots}, {&next, 4, 2}} {
+		if got := f.size(tc.w, tc.kind); got != tc.want {
+			t.Errorf("it has %g slots, want %g", got, tc.want)
+		}
+	}
+	f.Ran(&empty, 3, 0, 0, 1, 2, time.Hour)
+	var later Fleet
+	var w Worker
+	w.Learn(empty.Learned(), 2*time.Hour)
+	if got := later.size(&w, 3); got != 4 {
+		t.Errorf("after a start it has %g slots, want 4", got)
+	}
+	if got := later.Pace(&w, 3, 2*time.Hour); got < 1.1 {
+		t.Errorf("after a start its pace is %g, want one above 1", got)
+	}
+	for _, odd := range []Learned{{Slots: math.NaN(), Pace: math.NaN(), Jobs: 1}, {Slots: -1, Pace: 9, Jobs: 1}, {Slots: math.Inf(1), Jobs: math.Inf(1)}} {
+		var w Worker
+		w.Learn(odd, time.Hour)
+		if got := later.Needs(&w, 3, Own{}, &Job{Slots: 1, Work: 1}, time.Hour); !(got >= 0) || math.IsInf(got, 0) {
+			t.Errorf("%+v leads to %g s", odd, got)
+		}
+	}
+}
+
 // TestHints guards forecasts from hints that say less than the class's mean, and believes
 // those that say more, whatever they are a multiple of.
 func TestHints(t *testing.T) {
@@ -102,7 +139,7 @@
 }
 
 // TestSound has any history lead to forecasts that can be: finite, not negative, no sooner
-// with more of our own jobs waiting, and a hope that lies between now and the job's end.
+// with another of our own jobs running, and a hope that lies between now and the job's end.
 func TestSound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var f Fleet
@@ -118,9 +155,9 @@
 			hint := time.Duration(rapid.IntRange(0, 5000).Draw(t, "hint")) * time.Millisecond
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
 			case 0:
-				f.Reported(w, Report{Free: odd.Draw(t, "free"), Queued: odd.Draw(t, "queued")}, own, now)
+				f.Reported(w, kind, Report{Free: odd.Draw(t, "free"), Queued: odd.Draw(t, "queued")}, own, now)
 			case 1:
-				f.Started(w, rapid.Bool().Draw(t, "waited"), own, now)
+				f.Started(w, kind, rapid.Bool().Draw(t, "waited"), own, now)
 			case 2:
 				f.Ran(w, kind, class, hint, rapid.Float64Range(0, 9).Draw(t, "work"), rapid.Float64Range(0, 9).Draw(t, "took"), now)
 			}
