Believe load reports only as far as waits prove them

Seen in a probe: a host whose workers always report a queue of 60 and no free slot, though each job starts at once, had 99 of 100 jobs refused, for good: hardly anything was sent, so nothing showed that the reports were wrong (forecast.Late). Ruled out: belief alone, without a job that goes out now and then (99 of 100 still).

Changed: the forecast keeps what waits it had said and what they were, and believes less of reports that say far more; where nothing has been sent for 250 ms for each dispatcher, one job is. TestReportsThatLie fails without (95 of 100). Also: two goroutines of a process test wrote when the last connection was opened; a race in the tests alone, met once in 20 runs under load.

--- a/cmd/frosttide/daily_test.go
+++ b/cmd/frosttide/daily_test.go
@@ -546,7 +546,7 @@
 	for _, end := range ends {
 		await(t, end, "end of a connection that never finishes")
 	}
-	if took := time.Since(d.lastRaw); took > 3*time.Second {
+	if took := time.Since(*d.lastRaw.Load()); took > 3*time.Second {
 		t.Errorf("a connection that never finishes lasted %v", took)
 	}
 }
--- a/cmd/frosttide/harness_test.go
+++ b/cmd/frosttide/harness_test.go
@@ -57,7 +57,7 @@
 	cfg   string // the file, with the address of discovery as %s
 	path  string // of the file
 
-	lastRaw time.Time // when raw opened its last connection
+	lastRaw atomic.Pointer[time.Time] // when raw opened its last connection; several may open at once
 }
 
 // discovery serves the list; the test writes the lines of each watch.
@@ -327,7 +327,8 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	d.lastRaw = time.Now()
+	now := time.Now()
+	d.lastRaw.Store(&now)
 	d.t.Cleanup(func() { c.Close() })
 	if _, err := io.WriteString(c, text); err != nil {
 		d.t.Fatal(err)
--- a/cmd/frosttide/main_test.go
+++ b/cmd/frosttide/main_test.go
@@ -594,7 +594,7 @@
 			t.Errorf("connection %d got %+v", i, a)
 		}
 	}
-	if took := time.Since(d.lastRaw); took > 3*time.Second {
+	if took := time.Since(*d.lastRaw.Load()); took > 3*time.Second {
 		t.Errorf("a connection that never finishes lasted %v", took)
 	}
 	if len(a.hops)+len(b.hops)+len(c.hops) > 0 {
--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -556,11 +556,10 @@
 
 // noteRun takes in how long a job of a class ran at a worker.
 func (d *Dispatcher) noteRun(w *worker, r *request, took time.Duration) {
-	class := r.class
-	d.fleet.Ran(&w.load, w.Kind, class, r.hint, r.job.Work, took.Seconds(), d.now)
-	pace := min(took.Seconds()/d.run[class], paceMost)
+	d.fleet.Ran(&w.load, w.Kind, r.class, r.hint, r.job.Work, took.Seconds(), d.now)
+	pace := min(took.Seconds()/d.run[r.class], paceMost)
 	w.Pace, w.PaceAt = w.Pace+(pace-w.Pace)*meanGain, d.now
-	d.run[class] += (took.Seconds() - d.run[class]) * meanGain
+	d.run[r.class] += (took.Seconds() - d.run[r.class]) * meanGain
 }
 
 // fits tells whether a worker is compatible with a request.
@@ -632,6 +631,7 @@
 	for range r.slots {
 		d.bucket.take(w)
 	}
+	d.fleet.Sent(&w.load, w.Kind, w.own(), &r.job, d.now)
 	w.held += r.slots
 	w.untried = false
 	w.bill.Add(d.workOf(w, r))
@@ -660,7 +660,8 @@
 	if w == nil {
 		return false
 	}
-	if r.late = d.fleet.Known() && d.fleet.Late(&w.load, w.Kind, w.own(), &r.job, d.now); !r.late {
+	r.late = d.fleet.Known() && d.fleet.Late(&w.load, w.Kind, w.own(), &r.job, d.cfg.Instances, d.now)
+	if !r.late {
 		d.send(r, w)
 	}
 	return !r.late
@@ -795,7 +796,7 @@
 		a.worker.overdue--
 	}
 	d.zones.Started(a.worker.Zone, d.now-a.SentAt)
-	d.fleet.Started(&a.worker.load, a.worker.Kind, a.overdue, a.worker.own(), d.now)
+	d.fleet.Started(&a.worker.load, a.worker.Kind, &r.job, a.overdue, a.worker.own(), d.now)
 }
 
 func (d *Dispatcher) ended(r *request, a *attempt, ev *Event) {
--- a/decision/forecast_test.go
+++ b/decision/forecast_test.go
@@ -160,3 +160,26 @@
 		t.Errorf("served %v, refused %v: want the one past its share refused, the other served", served, refused)
 	}
 }
+
+// TestReportsThatLie guards clients of a deployment whose workers say that all is full,
+// though each job starts at once: the refusals end.
+func TestReportsThatLie(t *testing.T) {
+	h := newHost(t, told(), oneZone(4))
+	late := 0
+	for i := range 1000 {
+		h.pass(50 * time.Millisecond)
+		a := h.ask(0, 0, 100*time.Millisecond)
+		if a.Type != Send {
+			if i >= 900 {
+				late++
+			}
+			continue
+		}
+		h.start(a)
+		h.pass(100 * time.Millisecond)
+		h.done(a, [2]float32{60, 0})
+	}
+	if late > 10 {
+		t.Errorf("%d of the last 100 were refused", late)
+	}
+}
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -29,6 +29,12 @@
 	// waitMore is how much longer than the mean a wait is taken for: a job of many slots
 	// at a queue's head keeps slots empty until enough of them are free.
 	waitMore = 1.5
+	// unproved is how many seconds of mean wait prove nothing of the reports, and saidMost
+	// bounds what one job says of them.
+	unproved = 0.1
+	saidMost = 10.0
+	// proofEvery is how long nothing may be sent before one job is, for each dispatcher.
+	proofEvery = 250 * time.Millisecond
 	// lateFrom is the part of its time that a job may be taken to need at most.
 	lateFrom = 1.0
 	// Past its tenant's share a job may wait for pastWait of its time at most.
@@ -72,6 +78,9 @@
 	Aim   float64       // seconds in which it has to be done, from its arrival
 	Until time.Duration // when they are over
 	Past  bool          // it is past its tenant's share
+
+	sent time.Duration // to a worker, the last time
+	said float64       // seconds that it was to wait there, by the reports alone
 }
 
 // Fleet is what is known of all workers together. The zero value knows nothing.
@@ -82,6 +91,9 @@
 	slots   float64       // of a worker, the mean
 	wide    float64       // slots of a job, the mean
 	work    float64       // seconds that a slot's job takes at a usual worker, the mean
+	said    float64       // seconds that jobs were to wait, by the reports alone, the mean
+	was     float64       // seconds that they have waited, the mean
+	sentAt  time.Duration // when the dispatcher has last sent anything
 	kinds   [kinds]pace
 	sizes   [kinds]size
 	guesses []guess // by class
@@ -137,9 +149,21 @@
 	f.fill += (w.others/slots - f.fill) * meanGain
 }
 
+// Sent takes in that a job goes to a worker, not yet counted in own.
+func (f *Fleet) Sent(w *Worker, kind int, own Own, j *Job, now time.Duration) {
+	j.sent, j.said, f.sentAt = now, f.queue(w, kind, own, j.Slots, now), now
+}
+
+// belief returns how much of the waits that reports lead to is believed: less than all where
+// jobs start far sooner than these said. Guards a deployment whose reports say that all is
+// full, for whatever reason, from being refused what its workers would do at once.
+func (f *Fleet) belief() float64 { return min((f.was+unproved)/(f.said+unproved), 1) }
+
 // Started takes in that a job of the dispatcher's has started, counted in own, and whether
 // it had to wait: what is at the worker beside it is known for a moment.
-func (f *Fleet) Started(w *Worker, kind int, waited bool, own Own, now time.Duration) {
+func (f *Fleet) Started(w *Worker, kind int, j *Job, waited bool, own Own, now time.Duration) {
+	f.said += (min(j.said, saidMost) - f.said) * meanGain
+	f.was += (min((now-j.sent).Seconds(), saidMost) - f.was) * meanGain
 	w.most = min(max(w.most, own.Running), mostSlots)
 	if !f.known {
 		return
@@ -177,9 +201,14 @@
 
 func faded(age time.Duration) float64 { return math.Exp(-float64(age) / float64(fades)) }
 
-// wait returns how many seconds a job is likely to wait at a worker. Its queue is served in
-// order, so where a job of the dispatcher's own waits nothing is free.
+// wait returns how many seconds a job is likely to wait at a worker.
 func (f *Fleet) wait(w *Worker, kind int, own Own, slots float64, now time.Duration) float64 {
+	return f.queue(w, kind, own, slots, now) * f.belief()
+}
+
+// queue returns the same by the reports alone. The worker's queue is served in
+// order, so where a job of the dispatcher's own waits nothing is free.
+func (f *Fleet) queue(w *Worker, kind int, own Own, slots float64, now time.Duration) float64 {
 	size := f.size(w, kind)
 	held := own.Held + f.Others(w, kind, now)
 	if own.Held > own.Running {
@@ -201,7 +230,13 @@
 
 // Late tells whether a job is to be refused rather than sent to a worker, the best there is:
 // it would wait there and be done too late, or wait for long past its tenant's share.
-func (f *Fleet) Late(w *Worker, kind int, own Own, j *Job, now time.Duration) bool {
+//
+// Guards clients from reports that keep all away for good: where nothing has been sent for a
+// while, the longer the more dispatchers share the workers, one job goes out and shows.
+func (f *Fleet) Late(w *Worker, kind int, own Own, j *Job, dispatchers int, now time.Duration) bool {
+	if now-f.sentAt > proofEvery*time.Duration(max(dispatchers, 1)) {
+		return false
+	}
 	wait, left := f.wait(w, kind, own, j.Slots, now), (j.Until - now).Seconds()
 	if j.Past && wait > pastWait*j.Aim {
 		return true
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -50,7 +50,7 @@
 	if got := f.size(&w, 0); got != 4 {
 		t.Errorf("it has %g slots, want 4", got)
 	}
-	f.Started(&w, 0, false, Own{Held: 6, Running: 6}, time.Hour)
+	f.Started(&w, 0, &Job{}, false, Own{Held: 6, Running: 6}, time.Hour)
 	if got := f.size(&w, 0); got != 6 {
 		t.Errorf("it has %g slots, want the 6 that we have had in use at once", got)
 	}
@@ -138,6 +138,42 @@
 	}
 }
 
+// TestBelief guards service from reports that always say that all is full while jobs start at
+// once: less of them is believed with each, and all again once what they say comes true.
+func TestBelief(t *testing.T) {
+	var f Fleet
+	var w Worker
+	now := time.Hour
+	f.Arrived(0, 1, time.Second, 1)
+	send := func(wait time.Duration) {
+		f.Reported(&w, 0, Report{Free: 1, Queued: 30}, Own{}, now)
+		j := Job{Slots: 1, Work: 1, Aim: 3, Until: now + 3*time.Second}
+		f.Sent(&w, 0, Own{}, &j, now)
+		now += wait
+		f.Started(&w, 0, &j, wait > 0, Own{Held: 1, Running: 1}, now)
+	}
+	late := func() bool {
+		f.sentAt = now
+		f.Reported(&w, 0, Report{Free: 1, Queued: 30}, Own{}, now)
+		return f.Late(&w, 0, Own{}, &Job{Slots: 1, Work: 1, Aim: 3, Until: now + 3*time.Second}, 4, now)
+	}
+	if !late() {
+		t.Fatal("a queue of 30 jobs of a second is no reason to refuse one that has three")
+	}
+	for range 100 {
+		send(0)
+	}
+	if late() {
+		t.Errorf("after 100 jobs that started at once it is still refused, for a wait of %g s", f.wait(&w, 0, Own{}, 1, now))
+	}
+	for range 100 {
+		send(10 * time.Second)
+	}
+	if !late() {
+		t.Error("after 100 jobs that did wait it is not refused")
+	}
+}
+
 // TestSound has any history lead to forecasts that can be: finite, not negative, no sooner
 // with another of our own jobs running, and a hope that lies between now and the job's end.
 func TestSound(t *testing.T) {
@@ -157,7 +193,9 @@
 			case 0:
 				f.Reported(w, kind, Report{Free: odd.Draw(t, "free"), Queued: odd.Draw(t, "queued")}, own, now)
 			case 1:
-				f.Started(w, kind, rapid.Bool().Draw(t, "waited"), own, now)
+				j := Job{Slots: 1}
+				f.Sent(w, kind, own, &j, now)
+				f.Started(w, kind, &j, rapid.Bool().Draw(t, "waited"), own, now)
 			case 2:
 				f.Ran(w, kind, class, hint, rapid.Float64Range(0, 9).Draw(t, "work"), rapid.Float64Range(0, 9).Draw(t, "took"), now)
 			}
@@ -172,7 +210,7 @@
 			if hope := f.Hope(w, kind, &j, now); hope < now || hope > j.Until {
 				t.Fatalf("hope until %v, it is %v and over at %v", hope, now, j.Until)
 			}
-			f.Late(w, kind, own, &j, now)
+			f.Late(w, kind, own, &j, 4, now)
 		}
 	})
 }
