--- a/decision/bucket.go
+++ b/decision/bucket.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 )
 
@@ -41,14 +40,6 @@
 	w.free--
 }
 
-// weight returns a usable weight: 1 where the list gives none.
-func (w *worker) weight() float64 {
-	if w.Weight > 0 && !math.IsInf(w.Weight, 0) {
-		return w.Weight
-	}
-	return 1
-}
-
 // fill gives the first workers their tokens, spread so that a worker's share of
 // any stretch of the bucket is its share of the tokens; at equal counts the first
 // of each comes before any second. The seed places them, so that dispatchers do
--- a/decision/dispatcher.go
+++ b/decision/dispatcher.go
@@ -432,6 +432,14 @@
 	d.trim(w)
 }
 
+// weight returns a usable weight: 1 where the list gives none.
+func (w *worker) weight() float64 {
+	if w.Weight > 0 && !math.IsInf(w.Weight, 0) {
+		return w.Weight
+	}
+	return 1
+}
+
 // ---- The bucket ----
 
 // tokensFor returns how many tokens a worker has when it is well: by weight,
@@ -522,10 +530,11 @@
 	return d.shares.Inside(tenant, d.now)
 }
 
-// cost returns, where workers tell of their load, the time that a request is likely to take;
-// else the part of its tokens that the worker would hold with it, dearer by its pace. Both are
-// dearer in another zone and by the preference of one dispatcher of many. A worker that was
-// put back is tried before all others, and so is a cold one in a turn, which comes seldom.
+// cost returns, where workers tell of their load, the time that a request is likely to take
+// and the way to another zone by its price; else the part of its tokens that the worker would
+// hold with it, dearer by its pace, as far as that is not forgotten, and by the way to another
+// zone; and both by the preference of one dispatcher of many. A worker that was put back is
+// tried before all others, and so is a cold one in a turn, which comes seldom.
 func (d *Dispatcher) cost(w *worker, r *request) float64 {
 	if w.untried || d.early(w) {
 		return 0
@@ -763,21 +772,16 @@
 
 // hopeless gives up an attempt that waits and could not be in time any more where late
 // answers are worth nothing: what it waits for serves others. What must not run twice fails.
-// A worker that was not known to be that busy counts as one that does not answer.
 func (d *Dispatcher) hopeless(t timer) {
-	r, a := t.request, &t.request.attempts[t.attempt]
-	if a.Ended || a.Started || r.over {
-		return
-	}
-	if a.Outcome = TimedOut; r.job.Unexpected(d.now) {
-		d.judge(r, a)
-	}
-	if r.rules.Effect != Unsafe {
+	r := t.request
+	switch a := &r.attempts[t.attempt]; {
+	case a.Ended || a.Started || r.over:
+	case r.rules.Effect == Unsafe:
+		d.act(Action{Type: Fail, Request: r.id, Why: Overload})
+		d.close(r)
+	default:
 		d.cancel(r, t.attempt)
-		return
 	}
-	d.act(Action{Type: Fail, Request: r.id, Why: Overload})
-	d.close(r)
 }
 
 // started takes in that a worker runs an attempt.
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -154,12 +154,6 @@
 	j.sent, j.said, f.sentAt = now, f.queue(w, kind, own, j.Slots, now), now
 }
 
-// Unexpected tells whether a job that has not started has waited far longer than the reports
-// had said: its worker may be gone rather than busy.
-func (j *Job) Unexpected(now time.Duration) bool {
-	return (now - j.sent).Seconds() > 2*j.said+unproved
-}
-
 // belief returns how much of the waits that reports lead to is believed: less than all where
 // jobs start far sooner than these said. Guards a deployment whose reports say that all is
 // full, for whatever reason, from being refused what its workers would do at once.
