--- a/cmd/frosttide/deployments_test.go
+++ b/cmd/frosttide/deployments_test.go
@@ -286,3 +286,62 @@
 		}
 	})
 }
+
+// TestLife guards a deployment's day of operations: settings reread, an upgrade and a planned
+// restart, each with a job under way that keeps its runner and gets its one answer.
+func TestLife(t *testing.T) {
+	t.Parallel()
+	eachDeployment(t, func(t *testing.T, dep *deployment) {
+		a := newRunner(t, "s-1")
+		disc := newDiscovery(t)
+		d := startWith(t, disc.URL, 1024, []string{dep.entry(a, "SERVING")}, dep.settled, upgradable)
+		await(t, disc.watches, "watch")
+		class := dep.Settings.Classes[0].Name
+		begin := func(d *dispatcher, id string) <-chan answer {
+			got := submit(d.job(class, id, dep.keyed(0)))
+			_, h := dep.hopAt(t, a)
+			if h.id() != id {
+				t.Fatalf("hop of %s, want %s", h.id(), id)
+			}
+			h.reply(202, "")
+			d.report(event(id, a.uid, "started"))
+			return got
+		}
+		over := func(what string, d *dispatcher, id string, got <-chan answer) {
+			for d.report(event(id, a.uid, "done")) != 204 { // repeated while the job is on its way
+			}
+			if ans := await(t, got, "answer "+what); ans.Status != 200 {
+				t.Errorf("answer %+v %s", ans, what)
+			}
+		}
+		got := begin(d, "x-reread")
+		d.reload(fmt.Sprintf(d.cfg, strings.TrimPrefix(disc.URL, "http://")))
+		d.awaitLog("configuration reread")
+		over("across a rereading", d, "x-reread", got)
+
+		got = begin(d, "x-upgrade")
+		next := d.successor()
+		if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		d.awaitLog("frosttide drains")
+		over("across an upgrade", next, "x-upgrade", got)
+		if err := await(t, d.ended, "end"); err != nil {
+			t.Errorf("the older process ended with %v", err)
+		}
+		next.awaitLog("the other process has ended")
+
+		got = begin(next, "x-restart")
+		if err := next.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		next.awaitLog("frosttide drains")
+		over("across a planned restart", next, "x-restart", got)
+		if err := await(t, next.ended, "end"); err != nil {
+			t.Errorf("the program ended with %v", err)
+		}
+		if len(a.hops) > 0 {
+			t.Error("a job was sent twice")
+		}
+	})
+}
