--- /dev/null
+++ b/cmd/frosttide/clustercmd.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"frosttide/internal/cluster"
+	"frosttide/internal/config"
+	"frosttide/internal/quorum"
+)
+
+// consoleWait bounds a call to a console.
+const consoleWait = 3 * time.Second
+
+func clusterCommand() *cobra.Command {
+	var at string
+	cmd := &cobra.Command{
+		Use:   "cluster",
+		Short: "Look at the dispatchers that know each other, and at what they share",
+		Long: `cluster asks a dispatcher's console about the members of its cluster. recover works on the
+folder of one that is stopped.`,
+		Args: noArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	cmd.PersistentFlags().StringVar(&at, "console", "127.0.0.1:8090", "address of a member's console")
+	get := func(use, short string, show func(io.Writer, cluster.Report)) {
+		var asJSON bool
+		sub := &cobra.Command{Use: use, Short: short, Example: "  frosttide cluster " + use + " --console 127.0.0.1:8090", Args: noArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				text, err := consoleCall(http.MethodGet, at, "/api/cluster", nil)
+				if err != nil {
+					return err
+				}
+				if asJSON {
+					_, err = cmd.OutOrStdout().Write(text)
+					return err
+				}
+				var r cluster.Report
+				if err := json.Unmarshal(text, &r); err != nil {
+					return fmt.Errorf("the console's answer: %w", err)
+				}
+				show(cmd.OutOrStdout(), r)
+				return nil
+			}}
+		sub.Flags().BoolVar(&asJSON, "json", false, "print all that the console tells")
+		cmd.AddCommand(sub)
+	}
+	get("members", "Print who is there, who is gone, and who leads", showMembers)
+	get("state", "Print what is shared: runners left out, copies and how far behind they are", showShared)
+	get("log", "Print how the log does and its last entries", showLog)
+	post := func(use, short, example, path, key string) {
+		args := noArgs
+		if key != "" {
+			args = exactly(strings.Fields(use)[1:]...)
+		}
+		cmd.AddCommand(&cobra.Command{Use: use, Short: short, Example: example, Args: args,
+			RunE: func(_ *cobra.Command, args []string) error {
+				body := map[string]string{}
+				if key != "" {
+					body[key] = args[0]
+				}
+				_, err := consoleCall(http.MethodPost, at, path, body)
+				return err
+			}})
+	}
+	post("snapshot", "Have the member write its state down and cut its log short", "  frosttide cluster snapshot", "/api/cluster/snapshot", "")
+	post("join ADDRESS", "Have the member join another at an address", "  frosttide cluster join 127.0.0.2:7946", "/api/cluster/join", "address")
+	post("leave NAME", "Take a member that is gone for good out of the log; said to the leader", "  frosttide cluster leave studio-3", "/api/cluster/remove", "name")
+	cmd.AddCommand(recoverCommand())
+	return cmd
+}
+
+// consoleCall makes a call to a console and returns the answer's body.
+func consoleCall(method, at, path string, body any) ([]byte, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(consoleWait))
+	defer cancel()
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("console: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+at+path, bytes.NewReader(text))
+	if err != nil {
+		return nil, fmt.Errorf("console: %w", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("console: %w", err)
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(io.LimitReader(resp.Body, 64<<20))
+	if err != nil {
+		return nil, fmt.Errorf("console: %w", err)
+	}
+	switch {
+	case resp.StatusCode == http.StatusNotFound:
+		return nil, fmt.Errorf("the dispatcher at %s knows no others; [cluster] in its settings names them", at)
+	case resp.StatusCode != http.StatusOK:
+		return nil, fmt.Errorf("%s: %s", at, strings.TrimSpace(string(got)))
+	}
+	return got, nil
+}
+
+func showMembers(out io.Writer, r cluster.Report) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "MEMBER\tADDRESS\tLIFE\tSITE\tLOG\tBUILD")
+	for _, m := range r.Members {
+		part := "-"
+		for _, v := range r.Log.Voters {
+			if v == m.Name {
+				part = "voter"
+			}
+		}
+		for _, f := range r.Log.Followed {
+			if f == m.Name {
+				part = "follower"
+			}
+		}
+		if m.Name == r.Log.Leader {
+			part = "leader"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.Addr, m.Life, m.Site, part, m.Build)
+	}
+	w.Flush()
+}
+
+func showShared(out io.Writer, r cluster.Report) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "agreed up to\t%d\n", r.State.Index)
+	for _, d := range r.State.Out {
+		fmt.Fprintf(w, "left out\t%s\tby %s since %s\t%s\n", d.UID, d.By, time.UnixMilli(d.At).UTC().Format(time.RFC3339), d.Why)
+	}
+	c := r.Copies
+	fmt.Fprintf(w, "copies\t%s\tdigest\n", c.Digest)
+	for _, kind := range []string{"runners", "starts", "health", "members", "fates"} {
+		fmt.Fprintf(w, "%s\t%d\t%d dropped for want of room\n", kind, c.Held[kind], c.Dropped[kind])
+	}
+	synced := "never yet"
+	if c.Synced >= 0 {
+		synced = fmt.Sprintf("%.1f s ago", c.Synced)
+	}
+	fmt.Fprintf(w, "behind\t%d of 256 parts\tequal to another's %s\n", c.Behind, synced)
+	fmt.Fprintf(w, "words\t%d heard, %d new, %d refused, %d contradictions\t%d wait\n", c.Heard, c.Took, c.Refused, c.Clashes, c.Waiting)
+	w.Flush()
+}
+
+func showLog(out io.Writer, r cluster.Report) {
+	l := r.Log
+	leader := l.Leader
+	if leader == "" {
+		leader = "nobody: no majority of the voters is reached, and nothing can be written"
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "role\t%s (%s)\nleader\t%s\nterm\t%d\nlast entry\t%d\napplied\t%d\nvoters\t%s\nfollowers\t%s\n", l.Role, l.ID, leader, l.Term,
+		l.Last, l.Applied, strings.Join(l.Voters, " "), strings.Join(l.Followed, " "))
+	w.Flush()
+	w = tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, d := range r.State.Last {
+		effect := "no change"
+		if d.Changed {
+			effect = "done"
+		}
+		if d.Refused != "" {
+			effect = d.Refused
+		}
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\tby %s\t%s\t%s\n", d.Index, time.UnixMilli(d.At).UTC().Format(time.RFC3339), d.Op, d.UID, d.By, effect, d.Why)
+	}
+	w.Flush()
+}
+
+func recoverCommand() *cobra.Command {
+	var sure bool
+	cmd := &cobra.Command{
+		Use:   "recover",
+		Short: "Make a stopped member the log's only voter, after a majority is lost for good",
+		Long: `recover makes this member the only voter of the log in its folder. It is for the one case in
+which a majority of the voters will never come back. What only the lost ones had is lost:
+entries that were acknowledged and had not reached this member. Entries that this member has
+and that were never acknowledged come to be. Run it on the member whose log goes furthest
+("frosttide cluster log" on each), start that one, then the others with empty folders.`,
+		Example: `  frosttide cluster recover --config /etc/frosttide.toml --yes`,
+		Args:    noArgs,
+	}
+	src := sourceFlags(cmd)
+	cmd.Flags().BoolVar(&sure, "yes", false, "do it; without, only what would happen is told")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		cfg, err := config.Load(*src)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return errSaid
+		}
+		if cfg.Cluster.Listen == "" || cfg.Cluster.Dir == "" {
+			return fmt.Errorf("[cluster] names no folder of a log")
+		}
+		addr := cfg.Cluster.Advertise
+		if addr == "" {
+			addr = cfg.Cluster.Listen
+		}
+		found, err := quorum.Recover(cfg.Cluster.Dir, cfg.Name, addr, sure)
+		if err != nil {
+			return err
+		}
+		out := cmd.OutOrStdout()
+		fmt.Fprintf(out, "the log here goes to entry %d, of term %d; its voters were %s\n", found.Last, found.Term, strings.Join(found.Voters, " "))
+		fmt.Fprintf(out, "left out by it: %d runners\n", found.Out)
+		fmt.Fprintln(out, "acknowledged entries after that one, if the lost voters had any, are lost")
+		if !sure {
+			fmt.Fprintln(out, "nothing was changed; say --yes to go on")
+			return nil
+		}
+		fmt.Fprintf(out, "%s is the only voter now; start it, then the others with empty folders\n", cfg.Name)
+		return nil
+	}
+	return cmd
+}
--- a/cmd/frosttide/commands.go
+++ b/cmd/frosttide/commands.go
@@ -30,7 +30,7 @@
 		RunE:          func(*cobra.Command, []string) error { return serve(s, config.Source{Getenv: os.Getenv}) },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(serveCommand(s), checkCommand(), versionCommand(), traceCommand(), stateCommand(), demoCommand(s))
+	root.AddCommand(serveCommand(s), checkCommand(), versionCommand(), traceCommand(), stateCommand(), clusterCommand(), demoCommand(s))
 	return root
 }
 
--- /dev/null
+++ b/cmd/frosttide/faults_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"frosttide/internal/lab/faults"
+)
+
+// TestFaults plays the scripts of faults with several processes of the program each, and holds
+// what is seen from outside against the rules and the invariants of the log and the copies.
+func TestFaults(t *testing.T) {
+	t.Parallel()
+	scripts, err := filepath.Glob(filepath.Join("..", "..", "internal", "lab", "faults", "scripts", "*.txt"))
+	if err != nil || len(scripts) == 0 {
+		t.Fatalf("no scripts: %v", err)
+	}
+	atOnce := make(chan struct{}, 4) // each has up to five processes
+	for _, path := range scripts {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			atOnce <- struct{}{}
+			defer func() { <-atOnce }()
+			text, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s, err := faults.Parse(filepath.Base(path), string(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := faults.Run(s, func(args ...string) *exec.Cmd {
+				cmd := exec.Command(os.Args[0], args...)
+				cmd.Env = []string{"FROSTTIDE_TEST_PROGRAM=1", underRace}
+				return cmd
+			}, t.TempDir())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log("\n" + strings.Join(got.Timeline, "\n"))
+			if len(got.Broken) > 0 {
+				t.Errorf("broken: %s\n%s", strings.Join(got.Broken, "\n"), got.Logs)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cmd/frosttide/others.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"frosttide/decision"
+	"frosttide/internal/cluster"
+	"frosttide/internal/config"
+	"frosttide/internal/console"
+	"frosttide/internal/core"
+	"frosttide/internal/handover"
+	"frosttide/internal/replica"
+	"frosttide/internal/roster"
+	"frosttide/internal/routetable"
+)
+
+// others are the dispatchers that this one knows. All methods may be called on nil, the
+// others of a dispatcher on its own.
+type others struct {
+	cfg cluster.Config
+	log *logrus.Entry
+
+	core   *core.Core
+	table  *routetable.Table
+	link   *handover.Link
+	keeper *roster.Roster
+
+	mu      sync.Mutex
+	member  *cluster.Cluster // nil before it has begun, and after it has ended
+	ended   bool
+	tellers []routetable.Telling // of the time before
+}
+
+// openOthers returns nil where the settings name nobody.
+func openOthers(cfg config.Config, log *logrus.Entry) *others {
+	s := cfg.Cluster
+	if s.Listen == "" {
+		return nil
+	}
+	site := ""
+	if z := cfg.Module.Zone; z < len(cfg.Names.Zones) {
+		site = cfg.Names.Zones[z]
+	}
+	return &others{log: log, cfg: cluster.Config{Name: cfg.Name, Site: site, Build: version(), Listen: s.Listen, Advertise: s.Advertise,
+		Join: s.Join, Voters: s.Voters, Dir: s.Dir, Source: cmp.Or(s.Discovery, cfg.Discovery)}}
+}
+
+// again is how often a member's address is tried that an older process has yet.
+const again = 100 * time.Millisecond
+
+// begin takes part. Where an older process of this dispatcher is the member yet, it does so
+// once that has ended its part.
+func (o *others) begin(c *core.Core, table *routetable.Table, link *handover.Link, keeper *roster.Roster, held *state) error {
+	o.core, o.table, o.link, o.keeper = c, table, link, keeper
+	if held != nil && held.loaded != nil {
+		o.cfg.Out = held.loaded.Excluded
+	}
+	err := o.open()
+	if !errors.Is(err, syscall.EADDRINUSE) {
+		return err
+	}
+	o.log.WithError(err).Warn("another process is this member; it is waited for")
+	go func() {
+		for {
+			time.Sleep(again)
+			err := o.open()
+			if err == nil {
+				return
+			}
+			if !errors.Is(err, syscall.EADDRINUSE) {
+				o.log.WithError(err).Error("the member could not begin; this dispatcher is on its own")
+				return
+			}
+		}
+	}()
+	return nil
+}
+
+func (o *others) open() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ended {
+		return nil
+	}
+	m, err := cluster.Open(o.cfg, o, o.log)
+	if err != nil {
+		return err
+	}
+	o.member = m
+	for _, t := range o.tellers {
+		tellMember(m, t)
+	}
+	o.tellers = nil
+	return nil
+}
+
+// now returns the member, nil for none.
+func (o *others) now() *cluster.Cluster {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.member
+}
+
+// drains tells the others that this process is about to end; one that was succeeded gives
+// its part to its successor at once.
+func (o *others) drains(succeeded bool) {
+	if succeeded {
+		o.close(false)
+	} else if m := o.now(); m != nil {
+		m.Drains()
+	}
+}
+
+// end ends the part for good.
+func (o *others) end() { o.close(true) }
+
+func (o *others) close(farewell bool) {
+	o.mu.Lock()
+	m := o.member
+	o.member, o.ended = nil, true
+	o.mu.Unlock()
+	if m != nil {
+		m.Close(farewell)
+	}
+}
+
+// told returns who hears what discovery tells, nil for nobody.
+func (o *others) told() func(routetable.Telling) {
+	if o == nil {
+		return nil
+	}
+	return func(t routetable.Telling) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.member != nil {
+			tellMember(o.member, t)
+			return
+		}
+		if t.Whole { // what came before counts no more
+			o.tellers = nil
+		}
+		if len(o.tellers) < mostTellings {
+			o.tellers = append(o.tellers, t)
+		}
+	}
+}
+
+// mostTellings bounds what is kept for a member that has not begun; what is past it comes
+// with the next whole list.
+const mostTellings = 1000
+
+func tellMember(m *cluster.Cluster, t routetable.Telling) {
+	entries := make([]cluster.Entry, len(t.Entries))
+	for i, e := range t.Entries {
+		state := replica.Serving
+		switch e.State {
+		case decision.Draining:
+			state = replica.Draining
+		case decision.Removed:
+			state = replica.Deleted
+		}
+		entries[i] = cluster.Entry{UID: e.UID, State: state, Boot: e.Boot.Milliseconds(), Text: e.Text}
+	}
+	m.Told(t.Rev, t.Whole, t.Back, entries)
+}
+
+// Exclude carries out what operators have said at any member.
+func (o *others) Exclude(uid string, out bool, at time.Time) {
+	e := core.Exclusion{UID: uid, Out: out, At: time.Duration(at.UnixNano())}
+	o.core.Heed(e)
+	o.link.Exclude(e)
+	if o.keeper != nil {
+		o.keeper.Excluded(uid, out)
+	}
+}
+
+// Hear brings what another's discovery has told.
+func (o *others) Hear(rev uint64, entries [][]byte) { o.table.Hear(rev, entries) }
+
+// handler answers operators about the others.
+func (o *others) handler() http.Handler {
+	if o == nil {
+		return nil
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m := o.now()
+		if m == nil {
+			http.Error(w, errNoMember.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		m.Operators().ServeHTTP(w, r)
+	})
+}
+
+var errNoMember = errors.New("this process is no member; its older or newer one is")
+
+// operators carries out what operators say at this console: at this dispatcher alone, or by
+// the log at all.
+type operators struct {
+	core   *core.Core
+	others *others
+}
+
+func (o *others) operators(c *core.Core) console.Core { return operators{c, o} }
+
+// Exclude leaves a runner out, or puts it back.
+func (p operators) Exclude(uid string, out bool, by time.Time, done func(error)) {
+	if p.others == nil {
+		p.core.Exclude(uid, out, by, func(known bool) { done(unknown(known)) })
+		return
+	}
+	p.core.Lists(uid, func(known bool) {
+		m := p.others.now()
+		switch {
+		case m == nil:
+			done(errNoMember)
+		case !known && !m.Out(uid):
+			done(console.ErrUnknown)
+		default:
+			m.Exclude(uid, out, "", by, func(err error) {
+				if err != nil {
+					err = fmt.Errorf("%w; nothing is lost by trying again", err)
+				}
+				done(err)
+			})
+		}
+	})
+}
+
+func unknown(known bool) error {
+	if known {
+		return nil
+	}
+	return console.ErrUnknown
+}
--- a/cmd/frosttide/serve.go
+++ b/cmd/frosttide/serve.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"frosttide/decision"
+	"frosttide/internal/cluster"
 	"frosttide/internal/config"
 	"frosttide/internal/console"
 	"frosttide/internal/core"
@@ -95,8 +96,9 @@
 	whole := sockets(cfg, 1)
 	counts := telemetry.New()
 	counts.Classes(cfg.Names.Classes)
+	others := openOthers(cfg, entry.WithField("part", "cluster")) // nil for a dispatcher on its own
 	table := routetable.New(routetable.Config{Addr: cfg.Discovery, Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds,
-		Whole: cfg.State.Dir != "", Pushed: cfg.Names.Pushed, Grace: cfg.Module.Rules.DrainGrace},
+		Whole: cfg.State.Dir != "", Pushed: cfg.Names.Pushed, Grace: cfg.Module.Rules.DrainGrace, Told: others.told()},
 		entry.WithField("part", "routetable"))
 	fleet := egress.NewFleet(egress.Config{ConnectTimeout: cfg.Module.Limits.ConnectTimeout,
 		Keepalive: cfg.Names.Keepalive, Sockets: whole.runners, Columns: cfg.Names.Columns,
@@ -135,7 +137,7 @@
 	var ready atomic.Bool
 	if operators != nil {
 		note := func() (bool, string) { return ready.Load(), storedNote(keeper) }
-		go console.New(c, note, counts.Handler(), entry.WithField("part", "console")).Serve(operators)
+		go console.New(others.operators(c), note, counts.Handler(), others.handler(), entry.WithField("part", "console")).Serve(operators)
 	}
 	var front *ingress.Front
 	share := func(processes int) {
@@ -183,6 +185,12 @@
 	}
 	go table.Run(ctx)
 	go c.Run(ctx)
+	if others != nil {
+		if err := others.begin(c, table, link, keeper, held); err != nil {
+			return err
+		}
+		defer others.end()
+	}
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
 	var grace atomic.Int64
@@ -233,6 +241,9 @@
 		stories.Hurry()
 	}
 	by := time.Now().Add(time.Duration(grace.Load()) - lead)
+	if others != nil {
+		others.drains(link.Succeeded())
+	}
 	if farmers != nil {
 		farmers.Leave(by)
 	}
@@ -277,6 +288,9 @@
 	if cfg.Telemetry.On() {
 		n = max(n-export.Sockets, part/4)
 	}
+	if cfg.Cluster.Listen != "" {
+		n = max(n-cluster.Sockets, part/4)
+	}
 	return budget{runners: n * 3 / 8, ingress: n * 5 / 8, jobs: n * 4 / 8}
 }
 
--- a/cmd/frosttide/state_test.go
+++ b/cmd/frosttide/state_test.go
@@ -380,3 +380,68 @@
 	})
 	return d
 }
+
+// TestPlannedRestart guards clients while discovery is down and the dispatcher is restarted
+// as planned: runners that were warm are warm, so that a fleet's usual load is served at once,
+// of a class that was served before as of one that never was.
+func TestPlannedRestart(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	disc := newDiscovery(t)
+	fresh := func(d *dispatcher) {
+		keeping(dir)(d)
+		path := d.cmd.Args[len(d.cmd.Args)-1]
+		text, err := os.ReadFile(path)
+		if err == nil {
+			err = os.WriteFile(path, []byte(strings.Replace(string(text), `fresh = "0s"`, `fresh = "2m"`, 1)), 0o600)
+		}
+		if err != nil {
+			d.t.Fatal(err)
+		}
+	}
+	var runners []*runner
+	var entries []string
+	for i := range 5 {
+		r := newRunner(t, fmt.Sprintf("s-%d", i))
+		runners, entries = append(runners, r), append(entries, r.entry())
+	}
+	d := startWith(t, disc.URL, 1024, nil, fresh)
+	await(t, disc.watches, "watch").lines <- list(42, true, entries...)
+	var idle []func()
+	for _, r := range runners {
+		idle = append(idle, d.works(r))
+	}
+	d.knows(dir, func(s *rosterstore.Snapshot) bool { return len(s.Nodes) == 5 })
+	disc.CloseClientConnections()
+	disc.Close()
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	await(t, d.ended, "end")
+	for _, off := range idle {
+		off()
+	}
+	d = startWith(t, disc.URL, 1024, nil, fresh)
+	for _, r := range runners {
+		d.works(r)
+	}
+	served := 0
+	for round := range 10 { // ten at a time, half of what the runners do at once
+		var all []<-chan answer
+		for i := range 10 {
+			class := "render"
+			if i%5 == 4 {
+				class = "once"
+			}
+			all = append(all, submit(d.job(class, fmt.Sprintf("after-%d-%d", round, i))))
+		}
+		for _, got := range all {
+			if a := await(t, got, "answer"); a.Status == 200 {
+				served++
+			}
+		}
+	}
+	if served < 100 {
+		t.Errorf("%d of 100 jobs were served after a planned restart", served)
+	}
+}
--- a/deploy/deploy.go
+++ b/deploy/deploy.go
@@ -7,3 +7,8 @@
 //
 //go:embed frosttide.toml
 var Sample []byte
+
+// Cluster is the text of cluster.toml.
+//
+//go:embed cluster.toml
+var Cluster []byte
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,7 @@
 	Log       settings.Log
 	Telemetry export.Options
 	State     settings.State
+	Cluster   settings.Cluster
 	Gearman   settings.Gearman
 	Warnings  []string // values of the environment that are passed over
 
@@ -147,7 +148,9 @@
 		next.Gearman.Functions = g.Functions
 	}
 	keep("discovery's way", c.Module.PullList == next.Module.PullList && c.Names.Pushed == next.Names.Pushed)
-	next.State = c.State
+	keep("cluster", c.Cluster.Listen == next.Cluster.Listen && c.Cluster.Advertise == next.Cluster.Advertise && c.Cluster.Dir == next.Cluster.Dir &&
+		c.Cluster.Discovery == next.Cluster.Discovery && slices.Equal(c.Cluster.Join, next.Cluster.Join) && slices.Equal(c.Cluster.Voters, next.Cluster.Voters))
+	next.State, next.Cluster = c.State, c.Cluster
 	names, tenants := next.Names.Classes, next.Names.Tenants
 	next.Name, next.Listen, next.Console, next.Limits, next.Names = c.Name, c.Listen, c.Console, c.Limits, c.Names
 	next.Names.Classes, next.Names.Tenants = names, tenants
@@ -254,7 +257,7 @@
 	var said settings.Telemetry
 	c.State = settings.DefaultState()
 	if t.settings != nil {
-		said, c.State, c.Gearman = t.settings.Telemetry, t.settings.State, t.settings.Gearman
+		said, c.State, c.Gearman, c.Cluster = t.settings.Telemetry, t.settings.State, t.settings.Gearman, t.settings.Cluster
 	}
 	c.State.Dir = cmp.Or(getenv("FROSTTIDE_STATE_DIR"), c.State.Dir)
 	if c.Telemetry, c.Warnings, err = export.Resolve(said, c.Name, getenv); err != nil {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	stdlog "log"
 	"net"
@@ -30,9 +31,14 @@
 
 // Core does what operators ask for.
 type Core interface {
-	Exclude(uid string, out bool, by time.Time, done func(known bool))
+	// Exclude leaves a runner out, or puts it back. Done is told ErrUnknown where nobody has
+	// the runner, and another error where it is not done; it may come after the deadline.
+	Exclude(uid string, out bool, by time.Time, done func(error))
 }
 
+// ErrUnknown is told of a runner that nobody has.
+var ErrUnknown = errors.New("no runner has this id")
+
 // Console is the server of operators.
 type Console struct {
 	server *http.Server
@@ -41,8 +47,9 @@
 }
 
 // New makes a console. Ready tells whether the process serves, and what operators should
-// know of it then; figures writes its figures.
-func New(core Core, ready func() (yes bool, note string), figures http.Handler, log *logrus.Entry) *Console {
+// know of it then; figures writes its figures; cluster answers what is asked of the other
+// dispatchers, nil where there are none.
+func New(core Core, ready func() (yes bool, note string), figures, cluster http.Handler, log *logrus.Entry) *Console {
 	c := &Console{core: core, log: log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
@@ -54,6 +61,10 @@
 		_, _ = io.WriteString(w, note) // a caller that has left hears nothing
 	})
 	mux.Handle("GET /api/telemetry", figures)
+	if cluster != nil {
+		mux.Handle("/api/cluster", cluster)
+		mux.Handle("/api/cluster/", cluster)
+	}
 	mux.HandleFunc("PUT /api/exclude", func(w http.ResponseWriter, r *http.Request) { c.exclude(w, r, true) })
 	mux.HandleFunc("PUT /api/include", func(w http.ResponseWriter, r *http.Request) { c.exclude(w, r, false) })
 	c.server = &http.Server{Handler: mux, ReadTimeout: hearTime, WriteTimeout: 2 * hearTime, MaxHeaderBytes: 4 << 10,
@@ -82,14 +93,16 @@
 		http.Error(w, `the body is to be {"host":"ID"}`, http.StatusBadRequest)
 		return
 	}
-	known := make(chan bool, 1)
-	c.core.Exclude(call.Host, out, by, func(k bool) { known <- k })
+	told := make(chan error, 1)
+	c.core.Exclude(call.Host, out, by, func(err error) { told <- err })
 	late := time.NewTimer(time.Until(by.Add(tellTime)))
 	defer late.Stop()
 	select {
-	case k := <-known:
-		if !k {
-			http.Error(w, "no runner has this id", http.StatusNotFound)
+	case err := <-told:
+		if errors.Is(err, ErrUnknown) {
+			http.Error(w, err.Error(), http.StatusNotFound)
+		} else if err != nil {
+			http.Error(w, "not done: "+err.Error(), http.StatusServiceUnavailable)
 		}
 	case <-late.C:
 		http.Error(w, "not done, try again", http.StatusServiceUnavailable)
--- a/internal/core/exclusions.go
+++ b/internal/core/exclusions.go
@@ -19,6 +19,11 @@
 	})
 }
 
+// Lists tells whether anybody has a runner, or operators have left it out.
+func (c *Core) Lists(uid string, known func(bool)) {
+	c.box.Put(func(c *Core) { known(c.workers[uid] != nil || c.excluded[uid]) })
+}
+
 // Exclusion is what operators say of a runner, as one process of a dispatcher tells it
 // to the other.
 type Exclusion struct {
--- /dev/null
+++ b/internal/lab/faults/standins.go
@@ -0,0 +1,227 @@
+package faults
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// catalog is what all discoveries know; each tells it to its own dispatcher unless it is held.
+type catalog struct {
+	mu      sync.Mutex
+	rev     int
+	targets []target
+	changed chan struct{} // closed at each change
+	held    map[int]int   // by member: the last version that its discovery tells; absent for all
+	past    [][]target    // by version
+}
+
+// target is an entry of the list, in discovery's form.
+type target struct {
+	UID      string `json:"uid"`
+	Endpoint string `json:"endpoint"`
+	Zone     string `json:"az"`
+	Kind     string `json:"model"`
+	State    string `json:"state"`
+	Weight   int    `json:"capacity_hint"`
+	Boot     int64  `json:"boot_ms"`
+}
+
+func newCatalog() *catalog {
+	return &catalog{changed: make(chan struct{}), held: map[int]int{}, past: [][]target{nil}}
+}
+
+// change makes a new version.
+func (c *catalog) change(edit func([]target) []target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rev++
+	c.targets = edit(append([]target(nil), c.targets...))
+	c.past = append(c.past, c.targets)
+	c.wake()
+}
+
+func (c *catalog) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// hold has a member's discovery tell nothing newer from now on, or everything again.
+func (c *catalog) hold(member int, on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if on {
+		c.held[member] = c.rev
+	} else {
+		delete(c.held, member)
+	}
+	c.wake()
+}
+
+func (c *catalog) list(member int) (rev int, text []byte, changed <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rev, targets := c.rev, c.targets
+	if last, ok := c.held[member]; ok {
+		rev, targets = last, c.past[last]
+	}
+	text, _ = json.Marshal(map[string]any{"rev": rev, "all": true, "targets": targets}) // plain values
+	return rev, append(text, '\n'), c.changed
+}
+
+// handler is one member's discovery.
+func (c *catalog) handler(member int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		told, text, changed := c.list(member)
+		w.Write(text)
+		for r.URL.Query().Get("watch") == "1" {
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				return
+			}
+			select {
+			case <-changed:
+				var rev int
+				if rev, text, changed = c.list(member); rev != told {
+					told = rev
+					w.Write(text)
+				}
+			case <-time.After(2 * time.Second): // discovery's own pace
+				io.WriteString(w, "\n")
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
+}
+
+// sending is a job that came to a runner.
+type sending struct {
+	runner, member string
+	at             time.Time
+}
+
+// runners are the stand-ins for all runners. A job's id begins with its dispatcher's name.
+type runners struct {
+	work    time.Duration
+	clients func(member string) string // where call-backs go
+
+	mu   sync.Mutex
+	sent []sending
+	runs map[string]int
+	http http.Client
+}
+
+func (s *runners) handler(uid string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			return // a probe, or a recall of what is done in a moment
+		}
+		id := r.Header.Get("X-Trace-Id")
+		member, _, _ := strings.Cut(id, ".")
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.sent = append(s.sent, sending{uid, member, time.Now()})
+		s.runs[id]++
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusAccepted)
+		time.AfterFunc(s.work, func() {
+			s.report(member, map[string]any{"id": id, "from": uid, "state": "started"})
+			s.report(member, map[string]any{"id": id, "from": uid, "state": "done", "result": "done by " + uid})
+		})
+	})
+}
+
+// report makes a call-back, again where it is not answered, as runners do.
+func (s *runners) report(member string, event map[string]any) {
+	text, _ := json.Marshal(event) // plain values
+	for range 5 {
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(time.Second))
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.clients(member)+"/v1/job-events", bytes.NewReader(text))
+		if err != nil {
+			cancel()
+			return
+		}
+		req.Header.Set("Content-Type", "application/json")
+		resp, err := s.http.Do(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
+
+// client sends jobs to one member, one after the other, until it is told to end.
+type client struct {
+	member, addr string
+	http         *http.Client
+	answers      map[int]int // by status; 0 for a broken connection
+	late         []string
+	every        time.Duration
+}
+
+// patience is how long a client waits; slack what an answer may take beyond.
+const (
+	jobPatience = 2 * time.Second
+	jobSlack    = 300 * time.Millisecond
+)
+
+func (c *client) run(ctx context.Context) {
+	tick := time.NewTicker(c.every)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		c.send(ctx, fmt.Sprintf("%s.%d", c.member, n))
+	}
+}
+
+func (c *client) send(ctx context.Context, id string) {
+	began := time.Now()
+	// The call goes on past the run's end, so that every job has its answer or is late.
+	call, cancel := context.WithDeadline(context.WithoutCancel(ctx), began.Add(jobPatience+2*jobSlack))
+	defer cancel()
+	req, err := http.NewRequestWithContext(call, http.MethodPost, "http://"+c.addr+"/render/"+id, strings.NewReader("frames"))
+	if err != nil {
+		return
+	}
+	for k, v := range map[string]string{"X-Qos": "render", "X-Trace-Id": id, "X-Expires-In-Ms": fmt.Sprint(jobPatience.Milliseconds())} {
+		req.Header.Set(k, v)
+	}
+	resp, err := c.http.Do(req)
+	status := 0
+	if err == nil {
+		status = resp.StatusCode
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	c.answers[status]++
+	if took := time.Since(began); took > jobPatience+jobSlack {
+		c.late = append(c.late, fmt.Sprintf("%s took %s", id, took.Round(time.Millisecond)))
+	}
+}
+
+// serve opens a stand-in.
+func serve(addr string, h http.Handler) (*http.Server, string, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, "", fmt.Errorf("stand-in: %w", err)
+	}
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }() // until it is closed
+	return s, l.Addr().String(), nil
+}
--- /dev/null
+++ b/internal/lab/faults/watch.go
@@ -0,0 +1,200 @@
+package faults
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"frosttide/internal/ledger"
+)
+
+// watch holds what was said and seen against the invariants.
+type watch struct {
+	began   time.Time
+	calls   []*call
+	entries map[uint64]string       // by index: the entry that a member had there
+	by      map[uint64]string       // who
+	faults  []string                // found while looking
+	last    map[string]ledger.State // by member
+}
+
+// call is what an operator said to a member.
+type call struct {
+	member, uid string
+	out         bool
+	at, by      time.Duration // since the beginning; by is that of the answer
+	said        said
+	lost        bool // the member that said it has lost its disk since, and may not know it for a moment
+}
+
+func newWatch() *watch {
+	return &watch{began: time.Now(), entries: map[uint64]string{}, by: map[uint64]string{}, last: map[string]ledger.State{}}
+}
+
+func (w *watch) call(member, uid string, out bool) *call {
+	c := &call{member: member, uid: uid, out: out, at: time.Since(w.began), said: unclear}
+	w.calls = append(w.calls, c)
+	return c
+}
+
+// forget takes in that a member has lost its disk.
+func (w *watch) forget(member string) {
+	for _, c := range w.calls {
+		c.lost = c.lost || c.member == member
+	}
+}
+
+func (w *watch) answer(c *call, s said) { c.by, c.said = time.Since(w.began), s }
+
+// saw takes in a member's state: two members must not have different entries at an index.
+func (w *watch) saw(member string, s ledger.State) {
+	for _, d := range s.Last {
+		text := fmt.Sprintf("%s %s %s %t", d.ID, d.Op, d.UID, d.Changed)
+		if was, ok := w.entries[d.Index]; ok && was != text {
+			w.faults = append(w.faults, fmt.Sprintf("entry %d is %q at %s and %q at %s", d.Index, was, w.by[d.Index], text, member))
+			continue
+		}
+		w.entries[d.Index], w.by[d.Index] = text, member
+	}
+	if was, ok := w.last[member]; ok && s.Index < was.Index && s.Index > 0 && len(s.Last) >= len(was.Last) {
+		w.faults = append(w.faults, fmt.Sprintf("%s went back from entry %d to %d with more entries", member, was.Index, s.Index))
+	}
+	w.last[member] = s
+}
+
+// input and output of the model: a runner is left out or not.
+type input struct {
+	uid  string
+	out  bool
+	read bool
+}
+
+// model is a register for each runner. An answer that was not a yes says nothing: the entry
+// may come to be at any later time, or never.
+var model = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		by := map[string][]porcupine.Operation{}
+		var order []string
+		for _, o := range history {
+			uid := o.Input.(input).uid
+			if by[uid] == nil {
+				order = append(order, uid)
+			}
+			by[uid] = append(by[uid], o)
+		}
+		var out [][]porcupine.Operation
+		for _, uid := range order {
+			out = append(out, by[uid])
+		}
+		return out
+	},
+	Init: func() any { return false },
+	Step: func(state, in, out any) (bool, any) {
+		i := in.(input)
+		if i.read {
+			return out.(bool) == state.(bool), state
+		}
+		return true, i.out
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// histories tells whether what was acknowledged and what members hold at the end can have
+// come about in one order.
+func (w *watch) histories(ends map[string]ledger.State) []string {
+	end := time.Since(w.began)
+	uids := map[string]bool{}
+	var maybe []*call
+	var sure []porcupine.Operation
+	for i, c := range w.calls {
+		uids[c.uid] = true
+		if c.said != done {
+			maybe = append(maybe, c)
+			continue
+		}
+		sure = append(sure, porcupine.Operation{ClientId: i, Input: input{uid: c.uid, out: c.out}, Output: true, Call: int64(c.at), Return: int64(c.by)})
+	}
+	at := int64(end) + 1
+	for _, member := range sortedKeys(ends) {
+		for _, uid := range sortedKeys(uids) {
+			_, out := ends[member].Out[uid]
+			sure = append(sure, porcupine.Operation{ClientId: len(w.calls) + 1, Input: input{uid: uid, read: true}, Output: out, Call: at, Return: at + 1})
+			at += 2
+		}
+	}
+	// Each call without a yes may have come to be or not: any of the ways will do.
+	for ways := range 1 << min(len(maybe), 10) {
+		history := slices.Clone(sure)
+		for i, c := range maybe {
+			if i < 10 && ways>>i&1 == 1 {
+				history = append(history, porcupine.Operation{ClientId: len(w.calls) + 2 + i, Input: input{uid: c.uid, out: c.out}, Output: true,
+					Call: int64(c.at), Return: int64(end)})
+			}
+		}
+		if porcupine.CheckOperations(model, history) {
+			return nil
+		}
+	}
+	return []string{fmt.Sprintf("what was acknowledged can't lead to what members hold: %d calls, %d members", len(w.calls), len(ends))}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	var out []string
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// grace is the settings' for drains; a little more is for the runner's own clock.
+const grace = 500*time.Millisecond + 50*time.Millisecond
+
+// check closes the books. Whole tells that the run came to its end, so that what members hold
+// then is what they agree on.
+func (r *runner) check(whole bool) {
+	for _, f := range r.watch.faults {
+		r.broken("%s", f)
+	}
+	ends := map[string]ledger.State{}
+	for _, m := range r.running() {
+		if got, err := r.fleet.report(m); err == nil {
+			ends[m.name] = got.State
+		}
+	}
+	if whole {
+		for _, f := range r.watch.histories(ends) {
+			r.broken("%s", f)
+		}
+	}
+	for _, m := range r.fleet.members {
+		if m.client == nil {
+			continue
+		}
+		for _, l := range m.client.late {
+			r.broken("rule 1: job %s", l)
+		}
+		r.line("%s answered %v", m.name, m.client.answers)
+	}
+	sent := r.fleet.runners.since(0)
+	for _, c := range r.watch.calls {
+		if c.said != done || !c.out || c.lost {
+			continue
+		}
+		until := time.Duration(1 << 62) // the next word about this runner, said anywhere
+		for _, o := range r.watch.calls {
+			if o.uid == c.uid && o.at > c.at && !o.out {
+				until = min(until, o.at)
+			}
+		}
+		for _, s := range sent {
+			at := s.at.Sub(r.watch.began)
+			if s.runner == c.uid && s.member == c.member && at > c.by+grace && at < until {
+				r.broken("rule 3: %s sent %s work %s after it had said that it is left out", s.member, s.runner, at-c.by)
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,85 @@
+package ledger
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+)
+
+func entries() *rapid.Generator[Entry] {
+	return rapid.Custom(func(t *rapid.T) Entry {
+		return Entry{ID: fmt.Sprint(rapid.IntRange(0, 600).Draw(t, "id")), Op: rapid.SampledFrom([]Op{Exclude, Include, "of tomorrow"}).Draw(t, "op"),
+			UID: rapid.SampledFrom([]string{"s-1", "s-2", "s-3"}).Draw(t, "uid"), At: 7}
+	})
+}
+
+// TestReplay guards members from differing: a state that went through a snapshot anywhere
+// goes on as one that did not, and what is said to dispatchers brings the one to the other.
+func TestReplay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := rapid.SliceOfN(entries(), 0, 400).Draw(t, "log")
+		cut := rapid.IntRange(0, len(log)).Draw(t, "cut")
+		var plain, stored State
+		for i, e := range log {
+			if i == cut {
+				text, err := stored.Bytes()
+				if err != nil {
+					t.Fatal(err)
+				}
+				was := stored.Clone()
+				if stored, err = Parse(text); err != nil {
+					t.Fatal(err)
+				}
+				if d := Differences(&was, &stored); len(d) > 0 {
+					t.Fatalf("a snapshot changes %v", d)
+				}
+			}
+			before := plain.Clone()
+			a, b := plain.Apply(uint64(i+1), e), stored.Apply(uint64(i+1), e)
+			if diff := cmp.Diff(a, b); diff != "" {
+				t.Fatalf("entry %d comes to something else after a snapshot:\n%s", i, diff)
+			}
+			if got := Differences(&before, &plain); (len(got) == 1) != a.Changed || len(got) == 1 && (got[0].UID != e.UID || got[0].Op != e.Op) {
+				t.Fatalf("entry %+v is told as %v", a, got)
+			}
+		}
+		if diff := cmp.Diff(plain, stored, cmpopts.IgnoreUnexported(State{}), cmpopts.EquateEmpty()); diff != "" {
+			t.Fatalf("the states differ:\n%s", diff)
+		}
+		if len(plain.Last) > History {
+			t.Fatalf("%d entries are kept", len(plain.Last))
+		}
+	})
+}
+
+// TestApply has each operation do what it says, once.
+func TestApply(t *testing.T) {
+	var s State
+	for i, tc := range []struct {
+		e       Entry
+		changed bool
+		refused bool
+		out     []string
+	}{
+		{Entry{ID: "1", Op: Exclude, UID: "s-1"}, true, false, []string{"s-1"}},
+		{Entry{ID: "2", Op: Exclude, UID: "s-1"}, false, false, []string{"s-1"}},
+		{Entry{ID: "3", Op: Include, UID: "s-1"}, true, false, nil},
+		{Entry{ID: "1", Op: Exclude, UID: "s-1"}, false, false, nil}, // proposed again: an answer was lost
+		{Entry{ID: "4", Op: Include, UID: "s-2"}, false, false, nil},
+		{Entry{ID: "5", Op: "of tomorrow", UID: "s-1"}, false, true, nil},
+		{Entry{ID: "6", Op: Exclude}, false, true, nil},
+		{Entry{Op: Exclude, UID: "s-1"}, false, true, nil},
+	} {
+		d := s.Apply(uint64(i+1), tc.e)
+		if d.Changed != tc.changed || (d.Refused != "") != tc.refused || len(s.Out) != len(tc.out) {
+			t.Errorf("%+v came to %+v, out %v", tc.e, d, maps.Keys(s.Out))
+		}
+	}
+	if s.Odd != 1 || s.Index != 8 {
+		t.Errorf("odd %d, index %d", s.Odd, s.Index)
+	}
+}
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,375 @@
+// Package members knows which dispatchers of a cluster are alive, by gossip: those named in
+// the settings are joined and joined again after a cut, others are heard of, suspected when
+// they are silent and taken out when nobody reaches them. It carries small messages to all
+// in the gossip's own packets. Of what it learns it tells a sink, which must not block.
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	stdlog "log"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/sirupsen/logrus"
+
+	"frosttide/internal/clusterport"
+)
+
+const (
+	// The pace of probing and gossip: a member that dies is known to be dead after about
+	// three probes, a word is with all fifteen members after some three rounds.
+	probeEvery  = 500 * time.Millisecond
+	probeWithin = 200 * time.Millisecond
+	gossipEvery = 50 * time.Millisecond
+	suspicion   = 3
+	// streamTime bounds a whole exchange by TCP.
+	streamTime = 2 * time.Second
+	// Packet is the most bytes that go in a packet, and Word of one message in it.
+	Packet = 1400
+	Word   = 1200
+	// rejoinEvery is how often members named in the settings that are not alive are tried
+	// anew. Guards against a cut that lasts longer than the dead are remembered.
+	rejoinEvery = 2 * time.Second
+	// leaveTime is how long a member that leaves waits for others to hear of it.
+	leaveTime = 500 * time.Millisecond
+	// waiting is how many words may wait to be gossiped; more push out the oldest.
+	waiting = 512
+	maxMeta = 500
+)
+
+// Meta is what a member says of itself. Unknown fields of newer builds are passed over.
+type Meta struct {
+	Site  string `json:"site,omitempty"`
+	Build string `json:"build,omitempty"`
+	Epoch uint64 `json:"epoch"`          // drawn at its start, higher than before
+	Disk  string `json:"disk,omitempty"` // names the log on its disk; empty for none
+	Log   bool   `json:"log,omitempty"`  // it has a log that has begun
+	Drain bool   `json:"drain,omitempty"`
+	Goes  bool   `json:"goes,omitempty"` // it has said farewell: memberlist does not tell
+}
+
+// Life is how a member does.
+type Life string
+
+// The lives of members.
+const (
+	Alive Life = "alive"
+	Dead  Life = "dead"
+	Left  Life = "left"
+)
+
+// Info is a member as the others see it.
+type Info struct {
+	Name string `json:"name"`
+	Addr string `json:"address"`
+	Life Life   `json:"life"`
+	Meta
+}
+
+// Sink is told what happens.
+type Sink interface {
+	Joined(Info)
+	Changed(Info)
+	Gone(Info)
+	Heard(word []byte) // its own copy
+	Clash(mine, other Info)
+}
+
+// Config says who the member is.
+type Config struct {
+	Name  string
+	Seeds []string // addresses
+	Meta  Meta
+}
+
+// Members is one member's view of all. Make it with New.
+type Members struct {
+	log   *logrus.Entry
+	cfg   Config
+	sink  Sink
+	list  *memberlist.Memberlist
+	words *memberlist.TransmitLimitedQueue
+
+	mu   sync.Mutex
+	meta Meta
+	here map[string]Info // who is alive, by name: memberlist's own list may change while it is read
+	gone map[string]Info // the last ones, by name, bounded by remembered
+}
+
+// remembered is how many members that are gone are still listed.
+const remembered = 64
+
+// New starts the gossip on a port.
+func New(cfg Config, port *clusterport.Port, sink Sink, log *logrus.Entry) (*Members, error) {
+	m := &Members{log: log, cfg: cfg, sink: sink, meta: cfg.Meta, here: map[string]Info{}, gone: map[string]Info{}}
+	ip, n, err := port.Host()
+	if err != nil {
+		return nil, err
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Transport = cfg.Name, newTransport(port)
+	c.BindAddr, c.BindPort, c.AdvertiseAddr, c.AdvertisePort = ip.String(), n, ip.String(), n
+	c.ProbeInterval, c.ProbeTimeout, c.GossipInterval, c.SuspicionMult = probeEvery, probeWithin, gossipEvery, suspicion
+	c.PushPullInterval, c.TCPTimeout = 10*time.Second, streamTime
+	c.UDPBufferSize, c.EnableCompression = Packet, true
+	c.Delegate, c.Events, c.Conflict = (*delegate)(m), (*events)(m), (*conflicts)(m)
+	c.Logger = stdlog.New(said{log}, "", 0)
+	c.DNSConfigPath = ""
+	m.words = &memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: m.count}
+	if m.list, err = memberlist.Create(c); err != nil {
+		return nil, fmt.Errorf("cluster: %w", err)
+	}
+	return m, nil
+}
+
+// Run joins those named in the settings, now and after each cut, until the context ends.
+func (m *Members) Run(ctx context.Context) {
+	wait := time.Duration(0)
+	for {
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+		m.join()
+		wait = rejoinEvery/2 + rand.N(rejoinEvery) // so that all don't try at once
+	}
+}
+
+// join tries the seeds that are not alive, and members that have been lost.
+func (m *Members) join() {
+	alive := map[string]bool{}
+	m.mu.Lock()
+	for _, i := range m.here {
+		alive[i.Addr] = true
+	}
+	try := slices.Clone(m.cfg.Seeds)
+	for _, i := range m.gone {
+		if i.Life == Dead && !slices.Contains(try, i.Addr) {
+			try = append(try, i.Addr)
+		}
+	}
+	m.mu.Unlock()
+	rand.Shuffle(len(try), func(i, j int) { try[i], try[j] = try[j], try[i] })
+	tried := 0
+	for _, addr := range try {
+		if alive[addr] || tried == 3 {
+			continue
+		}
+		tried++
+		if _, err := m.list.Join([]string{addr}); err != nil {
+			m.log.WithError(err).WithField("addr", addr).Debug("member not reached")
+		}
+	}
+}
+
+func (m *Members) count() int { return max(m.list.NumMembers(), 1) }
+
+// Alive returns who is alive, the member itself included, ordered by name.
+func (m *Members) Alive() []Info {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Info, 0, len(m.here))
+	for _, i := range m.here {
+		out = append(out, i)
+	}
+	slices.SortFunc(out, func(a, b Info) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// All returns who is alive and those who are gone, as far as they are remembered.
+func (m *Members) All() []Info {
+	out := m.Alive()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, i := range m.gone {
+		if !slices.ContainsFunc(out, func(o Info) bool { return o.Name == i.Name }) {
+			out = append(out, i)
+		}
+	}
+	slices.SortFunc(out, func(a, b Info) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Update changes what the member says of itself and tells the others.
+func (m *Members) Update(change func(*Meta)) {
+	m.mu.Lock()
+	was := m.meta
+	change(&m.meta)
+	same := was == m.meta
+	m.mu.Unlock()
+	if !same {
+		m.retell(time.Millisecond) // with 0 memberlist would wait until the word has gone out, for ever if need be
+	}
+}
+
+// retell has the others hear what the member says of itself, and waits for that so long.
+func (m *Members) retell(wait time.Duration) {
+	if err := m.list.UpdateNode(wait); err != nil {
+		m.log.WithError(err).Debug("the others hear of it later")
+	}
+}
+
+// Say gossips a word under a key; a later one under the same key takes its place. A word
+// that is too long is not said and false is returned.
+func (m *Members) Say(key string, word []byte) bool {
+	if len(word) > Word {
+		return false
+	}
+	m.words.QueueBroadcast(&broadcast{key: key, word: word})
+	if m.words.NumQueued() > waiting+waiting/8 {
+		m.words.Prune(waiting)
+	}
+	return true
+}
+
+// Waiting returns how many words wait to be gossiped.
+func (m *Members) Waiting() int { return m.words.NumQueued() }
+
+// Leave tells the others that the member goes, and ends its gossip. It takes up to leaveTime.
+func (m *Members) Leave() {
+	m.mu.Lock()
+	m.meta.Goes = true
+	m.mu.Unlock()
+	m.retell(leaveTime / 2)
+	if err := m.list.Leave(leaveTime / 2); err != nil {
+		m.log.WithError(err).Debug("the others may not have heard that this member leaves")
+	}
+	m.Close()
+}
+
+// Close ends the gossip without a word.
+func (m *Members) Close() {
+	if err := m.list.Shutdown(); err != nil {
+		m.log.WithError(err).Debug("gossip has ended already")
+	}
+}
+
+func info(n *memberlist.Node, life Life) Info {
+	i := Info{Name: n.Name, Addr: n.Address(), Life: life}
+	_ = json.Unmarshal(n.Meta, &i.Meta) // of a build that says it otherwise nothing is known
+	return i
+}
+
+// broadcast is a word on its way.
+type broadcast struct {
+	key  string
+	word []byte
+}
+
+// Invalidates has a later word under the same key take the place of an earlier one.
+func (b *broadcast) Invalidates(other memberlist.Broadcast) bool {
+	o, ok := other.(*broadcast)
+	return ok && o.key == b.key
+}
+
+// Name is the key; memberlist keeps one word for each.
+func (b *broadcast) Name() string { return b.key }
+
+// Message is what goes out.
+func (b *broadcast) Message() []byte { return b.word }
+
+// Finished is called when the word is not sent any more.
+func (b *broadcast) Finished() {}
+
+// delegate is what memberlist asks and tells.
+type delegate Members
+
+// NodeMeta says who the member is.
+func (d *delegate) NodeMeta(limit int) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	text, err := json.Marshal(d.meta)
+	if err != nil || len(text) > min(limit, maxMeta) { // names in the settings are shorter
+		return nil
+	}
+	return text
+}
+
+// NotifyMsg brings a word.
+func (d *delegate) NotifyMsg(b []byte) { d.sink.Heard(slices.Clone(b)) }
+
+// GetBroadcasts gives words for a packet.
+func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
+	return d.words.GetBroadcasts(overhead, limit)
+}
+
+// LocalState is not used: what is missing is fetched in parts.
+func (d *delegate) LocalState(bool) []byte { return nil }
+
+// MergeRemoteState is not used.
+func (d *delegate) MergeRemoteState([]byte, bool) {}
+
+// events are memberlist's.
+type events Members
+
+// NotifyJoin tells of a member that is new or back.
+func (e *events) NotifyJoin(n *memberlist.Node) {
+	i := info(n, Alive)
+	e.mu.Lock()
+	delete(e.gone, n.Name)
+	e.here[n.Name] = i
+	e.mu.Unlock()
+	e.sink.Joined(i)
+}
+
+// NotifyLeave tells of one that is gone.
+func (e *events) NotifyLeave(n *memberlist.Node) {
+	i := info(n, Dead)
+	if i.Goes {
+		i.Life = Left
+	}
+	e.mu.Lock()
+	if len(e.gone) >= remembered {
+		for name := range e.gone {
+			delete(e.gone, name)
+			break
+		}
+	}
+	delete(e.here, n.Name)
+	e.gone[n.Name] = i
+	e.mu.Unlock()
+	e.sink.Gone(i)
+}
+
+// NotifyUpdate tells that a member says something else of itself.
+func (e *events) NotifyUpdate(n *memberlist.Node) {
+	i := info(n, Alive)
+	e.mu.Lock()
+	e.here[n.Name] = i
+	e.mu.Unlock()
+	e.sink.Changed(i)
+}
+
+// conflicts hears of two members of one name.
+type conflicts Members
+
+// NotifyConflict tells of another who uses a name that is taken.
+func (c *conflicts) NotifyConflict(existing, other *memberlist.Node) {
+	c.sink.Clash(info(existing, Alive), info(other, Alive))
+}
+
+// said writes memberlist's lines to the log, at debug level: it repeats itself
+// while a member is away, and what matters is told to the sink.
+type said struct{ log *logrus.Entry }
+
+func (s said) Write(line []byte) (int, error) {
+	s.log.Debug(strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
+// Join tries an address that an operator names.
+func (m *Members) Join(addr string) error {
+	if _, err := m.list.Join([]string{addr}); err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,156 @@
+package members
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"frosttide/internal/clusterport"
+)
+
+const patience = 20 * time.Second
+
+type heard struct {
+	joined, gone, changed chan Info
+	heard                 chan string
+	clashes               chan [2]Info
+}
+
+func (h *heard) Joined(i Info)          { h.joined <- i }
+func (h *heard) Changed(i Info)         { h.changed <- i }
+func (h *heard) Gone(i Info)            { h.gone <- i }
+func (h *heard) Heard(word []byte)      { h.heard <- string(word) }
+func (h *heard) Clash(mine, other Info) { h.clashes <- [2]Info{mine, other} }
+
+type member struct {
+	*Members
+	seen *heard
+	port *clusterport.Port
+	end  context.CancelFunc
+}
+
+var next atomic.Int32
+
+func start(t *testing.T, name, addr string, seeds ...string) *member {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	if addr == "" {
+		addr = fmt.Sprintf("127.61.0.%d:0", next.Add(1))
+	}
+	port, err := clusterport.Open(addr, "", logrus.NewEntry(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &heard{joined: make(chan Info, 64), gone: make(chan Info, 64), changed: make(chan Info, 64), heard: make(chan string, 4096), clashes: make(chan [2]Info, 64)}
+	m, err := New(Config{Name: name, Seeds: seeds, Meta: Meta{Site: "a", Epoch: 1}}, port, h, logrus.NewEntry(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go m.Run(ctx)
+	x := &member{Members: m, seen: h, port: port, end: cancel}
+	t.Cleanup(x.kill)
+	return x
+}
+
+// kill ends a member as a crash would.
+func (m *member) kill() {
+	m.end()
+	m.Close()
+	m.port.Close()
+}
+
+func await[T any](t *testing.T, from <-chan T, what string, ok func(T) bool) T {
+	t.Helper()
+	over := time.After(patience)
+	for {
+		select {
+		case v := <-from:
+			if ok(v) {
+				return v
+			}
+		case <-over:
+			t.Fatalf("no %s", what)
+		}
+	}
+}
+
+func named(name string) func(Info) bool { return func(i Info) bool { return i.Name == name } }
+
+// TestMembers has members find each other, hear each other's words, tell a crash from a
+// farewell, and take back one that comes again at its old address.
+func TestMembers(t *testing.T) {
+	t.Parallel()
+	a := start(t, "a", "")
+	b := start(t, "b", "", a.port.Advertised())
+	c := start(t, "c", "", a.port.Advertised())
+	for _, m := range []*member{a, b, c} {
+		seen := map[string]bool{}
+		await(t, m.seen.joined, "all three joined", func(i Info) bool { seen[i.Name] = true; return len(seen) == 3 })
+	}
+	if !a.Say("k", []byte("one")) || a.Say("k", make([]byte, Word+1)) {
+		t.Error("a short word was not said, or one that is too long was")
+	}
+	await(t, c.seen.heard, "word", func(w string) bool { return w == "one" })
+	b.Update(func(m *Meta) { m.Drain = true })
+	if i := await(t, c.seen.changed, "change", named("b")); !i.Drain || i.Site != "a" {
+		t.Errorf("b is heard of as %+v", i)
+	}
+	at := b.port.Advertised()
+	b.kill()
+	if i := await(t, a.seen.gone, "end of b", named("b")); i.Life != Dead {
+		t.Errorf("after a crash b is %s", i.Life)
+	}
+	b = start(t, "b", at, c.port.Advertised())
+	await(t, a.seen.joined, "b back", named("b"))
+	c.Leave()
+	if i := await(t, a.seen.gone, "farewell of c", named("c")); i.Life != Left {
+		t.Errorf("after its farewell c is %s", i.Life)
+	}
+	if all := a.All(); len(all) != 3 || all[2].Life != Left {
+		t.Errorf("a lists %+v", all)
+	}
+}
+
+// TestClash guards against two members of one name: the first keeps it, and is told.
+func TestClash(t *testing.T) {
+	t.Parallel()
+	a := start(t, "a", "")
+	b := start(t, "b", "", a.port.Advertised())
+	await(t, a.seen.joined, "b", named("b"))
+	other := start(t, "b", "", a.port.Advertised())
+	clash := await(t, a.seen.clashes, "clash", func([2]Info) bool { return true })
+	if clash[0].Addr != b.port.Advertised() || clash[1].Addr != other.port.Advertised() {
+		t.Errorf("told of %+v", clash)
+	}
+}
+
+// TestGarbled guards members from packets and connections that make no sense.
+func TestGarbled(t *testing.T) {
+	t.Parallel()
+	a := start(t, "a", "")
+	odd := start(t, "odd", "")
+	for _, text := range []string{"", "\x00", "\xff\xff\xff", "\x08\x00\x00\x00", string(make([]byte, 1300)), "{\"k\":1}"} {
+		if err := odd.port.WriteTo([]byte(text), a.port.Advertised()); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(patience))
+		c, err := odd.port.Dial(ctx, clusterport.Gossip, a.port.Advertised())
+		cancel()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+	}
+	start(t, "b", "", a.port.Advertised())
+	await(t, a.seen.joined, "b, after all that", named("b"))
+}
--- /dev/null
+++ b/internal/quorum/recover.go
@@ -0,0 +1,67 @@
+package quorum
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+
+	"frosttide/internal/ledger"
+)
+
+// Found is what a folder holds.
+type Found struct {
+	Last, Term uint64
+	Voters     []string
+	Out        int // runners that are left out by it
+}
+
+// Recover makes a stopped member the only voter of the log in its folder, where sure, and
+// tells what the folder held. What only other voters had is lost, and what this one has
+// counts as agreed.
+func Recover(dir, name, addr string, sure bool) (Found, error) {
+	var found Found
+	if _, err := os.Stat(dir); err != nil {
+		return found, fmt.Errorf("cluster: %w", err)
+	}
+	quiet := hclog.NewNullLogger()
+	d, err := tryDisk(dir, quiet)
+	if err != nil {
+		return found, err
+	}
+	defer d.close()
+	id := raft.ServerID(name + "/" + d.id)
+	m := &machine{applied: func(ledger.Done) {}, replaced: func(_, _ ledger.State) {}}
+	addrs, trans := raft.NewInmemTransport(addressOf(d.id, addr))
+	defer trans.Close()
+	conf, err := raft.GetConfiguration(engineConfig(id, quiet), m, d.logs, d.logs, d.snaps, trans)
+	if err != nil {
+		return found, fmt.Errorf("cluster: %w", err)
+	}
+	for _, s := range conf.Servers {
+		if s.Suffrage == raft.Voter {
+			found.Voters = append(found.Voters, nameOf(s.ID))
+		}
+	}
+	if found.Last, err = d.logs.LastIndex(); err != nil {
+		return found, fmt.Errorf("cluster: %w", err)
+	}
+	if list, err := d.snaps.List(); err == nil && len(list) > 0 {
+		found.Last = max(found.Last, list[0].Index)
+	}
+	if found.Term, err = d.logs.GetUint64([]byte("CurrentTerm")); err != nil {
+		return found, fmt.Errorf("cluster: the folder holds no log that has begun: %w", err)
+	}
+	found.Out = len(m.state.Out)
+	if !sure {
+		return found, nil
+	}
+	only := raft.Configuration{Servers: []raft.Server{{ID: id, Address: addrs}}}
+	m = &machine{applied: m.applied, replaced: m.replaced}
+	if err := raft.RecoverCluster(engineConfig(id, quiet), m, d.logs, d.logs, d.snaps, trans, only); err != nil {
+		return found, fmt.Errorf("cluster: %w", err)
+	}
+	found.Out = len(m.state.Out)
+	return found, nil
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,197 @@
+package replica
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+const now = int64(1_790_000_000_000)
+
+// facts draws facts that meet: few names, times and versions.
+func facts() *rapid.Generator[Fact] {
+	return rapid.Custom(func(t *rapid.T) Fact {
+		kind := Kind(rapid.IntRange(1, Kinds-1).Draw(t, "kind"))
+		f := Fact{Key: Key{Kind: kind, Name: rapid.SampledFrom([]string{"s-1", "s-2", "s-3"}).Draw(t, "name")},
+			At: now - int64(rapid.IntRange(0, 5).Draw(t, "at")), By: rapid.SampledFrom([]string{"d1", "d2"}).Draw(t, "by")}
+		small := func(name string) uint64 { return uint64(rapid.IntRange(0, 3).Draw(t, name)) }
+		switch kind {
+		case Runner:
+			f.Scope = rapid.SampledFrom([]string{"disc-a", "disc-b"}).Draw(t, "scope")
+			f.Gen, f.Rev, f.State = small("gen"), small("rev"), State(1+small("state")%3)
+		case Start:
+			f.Boot = now - int64(small("boot"))
+		case Health, Member:
+			f.Epoch, f.Seq = small("epoch"), small("seq")
+			f.Entry = json.RawMessage(fmt.Sprint(small("entry")))
+		case Fate:
+			f.State, f.Until, f.Sum = State(1+small("state")%3), now+1+int64(small("until")), fmt.Sprint(small("sum"))
+		}
+		return f
+	})
+}
+
+func storeOf(list []Fact) *Store {
+	s := New(DefaultBounds())
+	for _, f := range list {
+		_, _, _ = s.Merge(f, now)
+	}
+	return s
+}
+
+func contents(s *Store) []Fact {
+	var out []Fact
+	for k := range Kinds {
+		out = append(out, s.All(Kind(k))...)
+	}
+	return out
+}
+
+// TestMergeIsALattice guards copies from staying apart: in whatever order, how often and in
+// whatever groups facts are merged, the same is left, and equal stores have equal digests.
+func TestMergeIsALattice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := rapid.SliceOf(facts()).Draw(t, "a"), rapid.SliceOf(facts()).Draw(t, "b"), rapid.SliceOf(facts()).Draw(t, "c")
+		want := storeOf(slices.Concat(a, b, c))
+		left := storeOf(slices.Concat(contents(storeOf(slices.Concat(a, b))), c))
+		right := storeOf(slices.Concat(contents(storeOf(slices.Concat(c, b))), contents(storeOf(a)), b, a, a))
+		for _, got := range []*Store{left, right} {
+			if diff := cmp.Diff(contents(want), contents(got)); diff != "" {
+				t.Fatalf("another order leaves something else (-one +other):\n%s", diff)
+			}
+			if got.Digest() != want.Digest() {
+				t.Fatal("equal stores have different digests")
+			}
+		}
+	})
+}
+
+// TestDrainHolds guards rule 3: after any merging a runner whose drain was told by a
+// discovery does not look ready unless that discovery has said so in a newer version.
+func TestDrainHolds(t *testing.T) {
+	scopes := []string{"disc-a", "disc-b"}
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOf(facts()).Draw(t, "facts")
+		s := storeOf(list)
+		for _, drain := range list {
+			if drain.Kind != Runner || drain.State != Draining {
+				continue
+			}
+			v, _ := s.Runner(drain.Name, scopes)
+			f, _ := s.Get(drain.Key)
+			newer := f.Gen > drain.Gen || f.Gen == drain.Gen && f.Rev > drain.Rev
+			if !newer && (f.State == Serving || v.State == Serving) {
+				t.Fatalf("%+v was told, and the runner looks ready: %+v", drain, f)
+			}
+		}
+	})
+}
+
+// TestDigestFinds guards copies that differ from being taken for equal, and has two stores
+// become equal by sending each other the buckets that differ and no others.
+func TestDigestFinds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := storeOf(rapid.SliceOf(facts()).Draw(t, "a")), storeOf(rapid.SliceOf(facts()).Draw(t, "b"))
+		differ := a.Against(b.Digest(), now)
+		if same := cmp.Equal(contents(a), contents(b)); same != (len(differ) == 0) {
+			t.Fatalf("the stores are the same: %t, buckets that differ: %v", same, differ)
+		}
+		for _, i := range differ {
+			mine, others := a.Bucket(i), b.Bucket(i)
+			for _, f := range others {
+				_, _, _ = a.Merge(f, now)
+			}
+			for _, f := range mine {
+				_, _, _ = b.Merge(f, now)
+			}
+		}
+		if a.Digest() != b.Digest() || len(a.Against(b.Digest(), now)) > 0 {
+			t.Fatal("after an exchange they differ still")
+		}
+	})
+}
+
+// TestBounds guards memory: past its bound a store drops its oldest facts, says how many,
+// and does not take them back from a member that has them yet.
+func TestBounds(t *testing.T) {
+	small, large := New(Bounds{Health: 32, Fate: 32}), New(DefaultBounds())
+	order := rand.New(rand.NewPCG(1, 2)).Perm(100)
+	for _, i := range order {
+		f := Fact{Key: Key{Kind: Health, Name: fmt.Sprint(i)}, At: now - int64(i)}
+		_, _, _ = small.Merge(f, now)
+		_, _, _ = large.Merge(f, now)
+	}
+	n, dropped := small.Len(Health)
+	if n > 32 || n < 16 || dropped == 0 {
+		t.Errorf("%d facts are left and %d dropped, of a bound of 32", n, dropped)
+	}
+	if _, ok := small.Get(Key{Health, "0", ""}); !ok {
+		t.Error("the newest is gone")
+	}
+	large.Against(small.Digest(), now)
+	if small.Digest() != large.Digest() {
+		t.Error("the other keeps what was dropped here, and would send it for ever")
+	}
+	if out, _, _ := small.Merge(Fact{Key: Key{Kind: Health, Name: "99"}, At: now - 99}, now); out != TooOld {
+		t.Errorf("what was dropped comes back: %d", out)
+	}
+}
+
+// TestEnds has windows and the memory of runners that are gone end by the clock.
+func TestEnds(t *testing.T) {
+	gone := Fact{Key: Key{Runner, "s-1", "d"}, State: Deleted, Rev: 4, At: now}
+	job := Fact{Key: Key{Fate, "render/k", "zone-a"}, State: Sent, At: now, Until: now + 500}
+	s := storeOf([]Fact{gone, job})
+	if s.Expire(now + 499); len(contents(s)) != 2 {
+		t.Errorf("left %v, want both", contents(s))
+	}
+	if s.Expire(now + 500); len(contents(s)) != 1 {
+		t.Errorf("left %v, want the window ended", contents(s))
+	}
+	if s.Expire(now + tombstones); len(contents(s)) != 0 || s.Digest() != New(DefaultBounds()).Digest() {
+		t.Errorf("left %v", contents(s))
+	}
+	if out, _, _ := s.Merge(gone, now+tombstones); out != TooOld {
+		t.Errorf("a forgotten end was taken in again: %d", out)
+	}
+}
+
+// TestConflicts has people hear of what can't both be true.
+func TestConflicts(t *testing.T) {
+	job := Fact{Key: Key{Fate, "render/k", "zone-a"}, State: Done, At: now, Until: now + 500, Sum: "1"}
+	s := storeOf([]Fact{job})
+	other := job
+	other.Sum = "2"
+	if _, conflict, _ := s.Merge(other, now); !conflict {
+		t.Error("two results of one key are no conflict")
+	}
+	if _, conflict, _ := s.Merge(other, now); conflict {
+		t.Error("the same told again is one")
+	}
+}
+
+// TestInvalid guards a store from what can't be meant.
+func TestInvalid(t *testing.T) {
+	long := string(make([]byte, 2000))
+	for name, f := range map[string]Fact{
+		"no kind":        {},
+		"newer kind":     {Key: Key{Kind: kindEnd, Name: "x"}},
+		"no name":        {Key: Key{Kind: Start}},
+		"long name":      {Key: Key{Kind: Start, Name: long}},
+		"long entry":     {Key: Key{Kind: Health, Name: "x"}, Entry: json.RawMessage(`"` + long + `"`)},
+		"entry no JSON":  {Key: Key{Kind: Health, Name: "x"}, Entry: json.RawMessage(`{`)},
+		"from tomorrow":  {Key: Key{Kind: Health, Name: "x"}, At: now + 86_400_000},
+		"no state":       {Key: Key{Kind: Runner, Name: "x"}},
+		"endless window": {Key: Key{Kind: Fate, Name: "x"}, State: Sent, At: now, Until: now + 1e12},
+	} {
+		s := New(DefaultBounds())
+		if out, _, err := s.Merge(f, now); out != Invalid || err == nil || len(contents(s)) > 0 {
+			t.Errorf("%s: outcome %d, %v", name, out, err)
+		}
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -90,6 +90,7 @@
 	lookAt   time.Duration              // when a second list is asked for; 0 for never
 	saveAt   time.Duration              // when the state is written next
 	saving   bool                       // it is being gathered
+	ended    bool                       // the dispatcher ends as planned
 	dirty    bool
 	asking   int // runners that are being asked
 }
@@ -143,10 +144,14 @@
 		}
 		r.routes[n.UID], r.entries[n.UID], r.voiced[n.UID] = route, n.Entry, voice{n.Confirmed, n.By}
 		stored = append(stored, trust.Stored{UID: n.UID, Addr: route.Addr, Zone: route.ZoneName, Confirmed: n.Confirmed,
-			Barred: route.State == decision.Draining || out[n.UID], Failing: snapshot.Health[n.UID].Failed})
+			Barred: route.State == decision.Draining || out[n.UID], Failing: snapshot.Health[n.UID].Failed, ColdFrom: n.ColdFrom})
 	}
 	r.answered = s.Answered
-	r.book = trust.New(r.cfg.Trust, r.now, stored, seed)
+	of := r.cfg.Trust
+	if gap := r.now - s.Saved; s.Ended && gap > 0 { // false where the clock went back
+		of.Planned = gap
+	}
+	r.book = trust.New(of, r.now, stored, seed)
 	r.lists = trust.NewLists(r.cfg.Trust, true)
 	r.lists.Failed(r.now)
 	r.log.WithFields(logrus.Fields{"runners": len(stored), "age": (r.now - s.Answered).Round(time.Second).String()}).
--- a/internal/roster/save.go
+++ b/internal/roster/save.go
@@ -40,7 +40,7 @@
 		r.log.WithError(err).Error("the list could not be written down") // it has been read before
 		return nil
 	}
-	s := &rosterstore.Snapshot{Name: r.cfg.Name, Saved: r.now, Discovery: discovery, Rev: held.Rev,
+	s := &rosterstore.Snapshot{Name: r.cfg.Name, Saved: r.now, Ended: r.ended, Discovery: discovery, Rev: held.Rev,
 		Excluded: known.Excluded, PutBack: known.PutBack}
 	slices.Sort(s.Excluded)
 	if r.lists.Away() == 0 {
@@ -98,6 +98,7 @@
 	r.table.Snapshot(func(discovery string, list []byte) {
 		r.core.Snapshot(func(known core.Snapshot) {
 			r.box.Put(func(r *Roster) {
+				r.ended = true
 				r.gathered(discovery, list, known)
 				close(done)
 			})
--- a/internal/rosterstore/snapshot.go
+++ b/internal/rosterstore/snapshot.go
@@ -18,11 +18,12 @@
 // Snapshot is one generation. Times are since 1970 by the clock of the machine, which
 // may go back.
 type Snapshot struct {
-	Name      string        `json:"name"`      // of the dispatcher
-	Saved     time.Duration `json:"saved"`     // when it was written
-	Discovery string        `json:"discovery"` // the address that the list is from
-	Rev       uint64        `json:"rev"`       // of the list
-	Answered  time.Duration `json:"answered"`  // when discovery last said anything
+	Name      string        `json:"name"`            // of the dispatcher
+	Saved     time.Duration `json:"saved"`           // when it was written
+	Discovery string        `json:"discovery"`       // the address that the list is from
+	Rev       uint64        `json:"rev"`             // of the list
+	Answered  time.Duration `json:"answered"`        // when discovery last said anything
+	Ended     bool          `json:"ended,omitempty"` // it was written by a dispatcher that ended as planned
 	Nodes     []Node        `json:"nodes"`
 
 	Excluded []string                 `json:"excluded,omitempty"` // uids that operators have left out
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -75,6 +75,8 @@
 	pushed   bool               // the address is an agent's, read without being asked to
 	grace    time.Duration      // what the agent has counts as told, and binds after this
 	failed   int                // calls to the agent in a row that have brought nothing
+	told     func(Telling)      // nil for nobody
+	heard    map[string]hearsay // what others' discoveries told that ours has yet to tell, by uid
 }
 
 // Config says where discovery is and what its names stand for.
@@ -84,6 +86,7 @@
 	Whole        bool          // after a failed call the whole list is asked for, whatever its version was
 	Pushed       bool          // lists are pushed to an agent at the address: it is read all the time
 	Grace        time.Duration // where Pushed: how long after being told of a drain work may still be sent
+	Told         func(Telling) // is told what discovery says, nil for nobody; it must not block
 }
 
 // New makes a table.
@@ -93,7 +96,7 @@
 		return d.DialContext(ctx, network, addr)
 	}
 	t := &Table{addr: cfg.Addr, entries: map[string]json.RawMessage{}, zones: numbering{names: cfg.Zones}, kinds: numbering{names: cfg.Kinds}, log: log,
-		revGiven: true, whole: cfg.Whole, pushed: cfg.Pushed && cfg.Addr != "", grace: cfg.Grace, client: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
+		revGiven: true, whole: cfg.Whole, pushed: cfg.Pushed && cfg.Addr != "", grace: cfg.Grace, told: cfg.Told, client: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: silence}, box: mailbox.New[func(*Table)]()}
 	t.calls, t.drop = context.WithCancel(context.Background())
 	return t
@@ -370,8 +373,13 @@
 		t.log.WithError(err).Warn("list line skipped")
 		return false
 	}
+	back := l.All && l.Rev < t.rev
+	if back { // what others heard counts by versions that are no more
+		clear(t.heard)
+	}
 	routes := make([]core.Route, 0, len(l.Targets))
 	whole := map[string]json.RawMessage{}
+	var told []Told
 	for _, text := range l.Targets {
 		route, err := t.route(text)
 		if err != nil {
@@ -379,6 +387,12 @@
 			l.All = false
 			continue
 		}
+		if t.told != nil {
+			told = append(told, Told{UID: route.UID, State: route.State, Boot: route.StartedAt, Text: text})
+		}
+		if h, ok := t.heard[route.UID]; ok && h.rev > l.Rev { // a later word was heard
+			route, text = h.route, h.text
+		}
 		routes = append(routes, route)
 		whole[route.UID] = text
 		if route.State == decision.Removed {
@@ -391,11 +405,15 @@
 	}
 	maps.Copy(t.entries, whole)
 	t.rev, t.revGiven = l.Rev, true
+	maps.DeleteFunc(t.heard, func(_ string, h hearsay) bool { return h.rev <= t.rev })
 	if l.All {
 		t.sink.ListReplaced(routes)
 	} else {
 		t.sink.ListChanged(routes)
 	}
+	if t.told != nil {
+		t.told(Telling{Rev: l.Rev, Whole: l.All, Back: back, Entries: told})
+	}
 	return true
 }
 
--- a/internal/routetable/routetable_test.go
+++ b/internal/routetable/routetable_test.go
@@ -1,6 +1,7 @@
 package routetable
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 
+	"frosttide/decision"
 	"frosttide/internal/core"
 )
 
@@ -65,3 +67,63 @@
 		}
 	})
 }
+
+// TestHearsay guards rule 3 among dispatchers: a drain that another's discovery has told
+// counts until ours has come as far, an older word than ours changes nothing, and versions
+// that begin anew end all that was heard.
+func TestHearsay(t *testing.T) {
+	entry := func(state string) string {
+		return `{"uid":"s-1","endpoint":"127.0.0.1:1","az":"a","model":"m","state":"` + state + `"}`
+	}
+	line := func(rev int, all bool, state string) []byte {
+		return fmt.Appendf(nil, `{"rev":%d,"all":%t,"targets":[%s]}`, rev, all, entry(state))
+	}
+	var told []Telling
+	sink := &states{}
+	table := New(Config{Addr: "127.0.0.1:1", Told: func(x Telling) { told = append(told, x) }}, quiet())
+	table.Load(line(40, true, "SERVING"), sink)
+	for i, step := range []struct {
+		do   func()
+		want decision.MemberState
+	}{
+		{func() { table.hear(39, [][]byte{[]byte(entry("DRAINING"))}) }, decision.Ready},
+		{func() { table.hear(43, [][]byte{[]byte(entry("DRAINING"))}) }, decision.Draining},
+		{func() { table.line(line(42, false, "SERVING")) }, decision.Draining},
+		{func() { table.line(line(42, true, "SERVING")) }, decision.Draining},
+		{func() { table.hear(42, [][]byte{[]byte(entry("SERVING"))}) }, decision.Draining},
+		{func() { table.line(line(44, false, "SERVING")) }, decision.Ready},
+		{func() { table.hear(50, [][]byte{[]byte(entry("DELETED")), []byte("{")}) }, decision.Removed},
+		{func() { table.line(line(3, true, "SERVING")) }, decision.Ready},
+		{func() { table.line(line(4, false, "SERVING")) }, decision.Ready},
+	} {
+		if step.do(); sink.last != step.want {
+			t.Errorf("step %d leaves the runner in state %d, want %d", i, sink.last, step.want)
+		}
+	}
+	if len(table.heard) > 0 {
+		t.Errorf("still held: %v", table.heard)
+	}
+	backs := 0
+	for _, x := range told {
+		if x.Back {
+			backs++
+		}
+		if len(x.Entries) != 1 || x.Entries[0].State != decision.Ready {
+			t.Errorf("told of %+v, want what discovery said and nothing heard", x)
+		}
+	}
+	if backs != 1 || len(told) != 6 {
+		t.Errorf("told %d times, %d of them that versions begin anew", len(told), backs)
+	}
+}
+
+// states remembers how the last runner told of is.
+type states struct{ last decision.MemberState }
+
+func (s *states) ListReplaced(r []core.Route) { s.ListChanged(r) }
+func (s *states) ListChanged(r []core.Route) {
+	for i := range r {
+		s.last = r[i].State
+	}
+}
+func (s *states) ListFailed() {}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 	Platform  map[string]any // in the form of the platform's JSON file
 	Log       Log
 	State     State
+	Cluster   Cluster
 	Gearman   Gearman
 	Telemetry Telemetry
 	Values    []Value // of each key, for whoever wants to see what is in force
@@ -148,6 +149,7 @@
 	if f, o, m := own[time.Duration](r, "state.fresh"), own[time.Duration](r, "state.old"), own[time.Duration](r, "state.max_age"); f > o || o > m {
 		r.wrong("state.old", "the ages fresh, old and max_age don't rise")
 	}
+	r.clusterMistakes()
 	r.classes(tree["class"], kinds)
 	r.tenants(tree["tenant"])
 	r.runners(tree["runner"], zones, kinds)
@@ -160,7 +162,7 @@
 		}
 		return nil, errors.Join(all...)
 	}
-	return &File{Path: path, Platform: r.platform, Values: r.values, Telemetry: r.telemetry(), State: r.state(), Gearman: r.gearman(),
+	return &File{Path: path, Platform: r.platform, Values: r.values, Telemetry: r.telemetry(), State: r.state(), Cluster: r.cluster(), Gearman: r.gearman(),
 		Log: Log{Level: own[string](r, "log.level"), Format: own[string](r, "log.format")}}, nil
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -48,6 +48,15 @@
 			`f:14: tenant[1].name: "n" is there twice`,
 			"f:15: tenant[1].per_second: -1 is not from 0 to 1e+09",
 			"f:16: tenant[2].name: it is missing"}},
+		{"a cluster", class + "[cluster]\nlisten = \"10.0.0.1:7946\"\njoin = [\"nowhere\"]\nvoters = [\"frosttide\", \"b\"]\n", []string{
+			"f:5: cluster.dir: it is missing, and \"frosttide\" votes: what it acknowledges has to be on disk",
+			"f:6: cluster.listen: members talk in plain text; say plain_text = true where that is meant",
+			`f:7: cluster.join: item 1: "nowhere" is no address such as 127.0.0.1:8081`,
+			"f:8: cluster.voters: 2 voters bear no more losses than 1; name an odd number"}},
+		{"a cluster that is everywhere", class + "[cluster]\nlisten = \"0.0.0.0:7946\"\nplain_text = true\n", []string{
+			"f:5: cluster.advertise: it has to say where others reach a dispatcher that listens everywhere",
+			"f:5: cluster.voters: it is missing; name one, three or five members"}},
+		{"a cluster without an address", class + "[cluster]\nvoters = [\"a\"]\n", []string{"f:5: cluster.listen: it is missing, and cluster.voters is there"}},
 		{"syntax", "name = \n", []string{"f:1: "}},
 		{"a table where a value is due", "[name]\nx = 1\n" + class, []string{"f:1: name: a text in quotes is wanted, not a table"}},
 		{"a value where a table is due", "listen = 3\n" + class, []string{"f:1: listen: it is written as a table, [listen]"}},
@@ -140,6 +149,7 @@
 // FuzzParse has no text end the program, and each that is not taken named with its file.
 func FuzzParse(f *testing.F) {
 	f.Add(deploy.Sample)
+	f.Add(deploy.Cluster)
 	f.Add([]byte(class))
 	f.Add([]byte("[[tenant]]\nname = 3\n[probes]\ncolumns = [1]\nfree_slots = \"x\"\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
@@ -152,3 +162,15 @@
 		}
 	})
 }
+
+// TestClusterSample guards the sample of a cluster.
+func TestClusterSample(t *testing.T) {
+	f, err := Parse("sample", deploy.Cluster)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Cluster{Listen: "127.0.0.1:7946", Join: []string{"127.0.0.2:7946", "127.0.0.3:7946"}, Voters: []string{"studio-1", "studio-2", "studio-3"}, Dir: "cluster"}
+	if diff := cmp.Diff(want, f.Cluster); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/trust/trust.go
+++ b/internal/trust/trust.go
@@ -25,6 +25,8 @@
 	Dispatchers int           // how many start alike
 	Warm        time.Duration // after so long a runner has all that it can do
 
+	Planned time.Duration // since a planned end that is known of; 0 for an end of another kind
+
 	Outage time.Duration // discovery has been away that long: its next list may be doubted
 	Lost   float64       // share of what is known that a list may lack unasked
 	Doubt  time.Duration // and is believed after this at the latest
@@ -69,6 +71,7 @@
 	Confirmed       time.Duration // since 1970
 	Barred          bool          // it drained, or operators had left it out
 	Failing         bool          // it failed its last jobs
+	ColdFrom        time.Duration // it may have started then, by what was known; 0 for long ago
 }
 
 // Evidence is what is found of a runner.
@@ -235,13 +238,25 @@
 // while it is cold, else when it is warm. Guards rule 4: what its users send and what all
 // others would send comes to twice what it bears.
 func (b *Book) use(n *node, now time.Duration) {
-	n.standing, n.why = Waiting, "others use it while it is cold"
-	if n.owned {
+	n.coldFrom = now // it may have started at this very moment
+	if b.cfg.Planned > 0 && b.cfg.Planned <= pause && now == b.start && now-n.Confirmed <= pause {
+		n.coldFrom = n.ColdFrom
+	}
+	switch {
+	case n.coldFrom+b.cfg.Warm <= now:
+		n.standing, n.why = Used, n.age.String()+", as warm as it was before a planned restart"
+	case n.owned:
 		n.standing, n.why = Used, n.age.String()+", possibly cold"
+	default:
+		n.standing, n.why = Waiting, "others use it while it is cold"
 	}
-	n.coldFrom = now // it may have started at this very moment
 }
 
+// pause is how long after a planned end runners are as they were. A power cut ends no
+// dispatcher as planned, or keeps it away for longer; a runner of its own that starts again
+// just then is one, and its first jobs tell.
+const pause = 5 * time.Second
+
 // Tick returns the runners whose standing has changed with the time alone: those that are
 // warm by now, and when to call again; never for none.
 func (b *Book) Tick(now time.Duration) (changed []string, next time.Duration) {
