Keyed jobs told among dispatchers; a full disk and a second name; measurements

- A log that can't be written stands still and comes back (disk-full.txt: without, the engine ends the process); a member whose name another had first does not write (same-name.txt); facts of newer builds are passed over (tomorrow.txt).

--- a/cmd/frosttide/others.go
+++ b/cmd/frosttide/others.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +30,8 @@
 	cfg cluster.Config
 	log *logrus.Entry
 
+	classes atomic.Pointer[[]string]
+
 	core   *core.Core
 	table  *routetable.Table
 	link   *handover.Link
@@ -49,8 +53,10 @@
 	if z := cfg.Module.Zone; z < len(cfg.Names.Zones) {
 		site = cfg.Names.Zones[z]
 	}
-	return &others{log: log, cfg: cluster.Config{Name: cfg.Name, Site: site, Build: version(), Listen: s.Listen, Advertise: s.Advertise,
+	o := &others{log: log, cfg: cluster.Config{Name: cfg.Name, Site: site, Build: version(), Listen: s.Listen, Advertise: s.Advertise,
 		Join: s.Join, Voters: s.Voters, Dir: s.Dir, Source: cmp.Or(s.Discovery, cfg.Discovery)}}
+	o.classes.Store(&cfg.Names.Classes)
+	return o
 }
 
 // again is how often a member's address is tried that an older process has yet.
@@ -60,6 +66,7 @@
 // once that has ended its part.
 func (o *others) begin(c *core.Core, table *routetable.Table, link *handover.Link, keeper *roster.Roster, held *state) error {
 	o.core, o.table, o.link, o.keeper = c, table, link, keeper
+	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is a full disk, and no end of the dispatcher
 	if held != nil && held.loaded != nil {
 		o.cfg.Out = held.loaded.Excluded
 	}
--- a/cmd/frosttide/serve.go
+++ b/cmd/frosttide/serve.go
@@ -123,6 +123,9 @@
 	defer stories.Close()
 	c.Record(stories.Ended)
 	c.TellHeld(stories.On, func(held []core.Holding) { stories.Loads(loads(held)) })
+	if others != nil {
+		c.Remember(fates{others})
+	}
 	var keeper *roster.Roster // nil where nothing is kept
 	if held != nil {
 		keeper = held.roster(cfg, c, table, counts)
@@ -199,6 +202,9 @@
 		if held != nil {
 			held.classes.Store(&cfg.Names.Classes)
 		} // the core first: what the ingress lets in it must know
+		if others != nil {
+			others.classes.Store(&cfg.Names.Classes)
+		}
 		c.Settings(cfg.Module)
 		counts.Classes(cfg.Names.Classes)
 		front.Classes(classes(cfg))
--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -46,6 +46,7 @@
 	})
 	mux.HandleFunc("POST /v1/compare", c.compared)
 	mux.HandleFunc("POST /v1/facts", c.facts)
+	mux.HandleFunc("POST /v1/fates", c.fates)
 	c.calls = &http.Server{Handler: mux, ReadTimeout: answerWithin, WriteTimeout: answerWithin, IdleTimeout: 10 * time.Second,
 		MaxHeaderBytes: 4 << 10, ErrorLog: stdlog.New(c.log.WriterLevel(logrus.DebugLevel), "", 0)}
 	c.http = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, MaxIdleConns: 16, IdleConnTimeout: 5 * time.Second,
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -73,8 +74,11 @@
 	calls  *http.Server
 	http   *http.Client
 	box    *mailbox.Box[func(*Cluster)]
+	ctx    context.Context // ends with the membership
 	end    context.CancelFunc
 	done   sync.WaitGroup
+	peers  map[string]*peer // by address
+	second atomic.Bool      // another member had this one's name first
 
 	store   *replica.Store
 	gen     uint64         // of the source's versions
@@ -110,7 +114,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Cluster{cfg: cfg, log: log, to: to, port: port, box: mailbox.New[func(*Cluster)](), end: cancel,
+	c := &Cluster{cfg: cfg, log: log, to: to, port: port, box: mailbox.New[func(*Cluster)](), ctx: ctx, end: cancel, peers: map[string]*peer{},
 		store: replica.New(replica.DefaultBounds()), mine: map[string]own{}, outs: map[string]bool{}, started: time.Now()}
 	meta := members.Meta{Site: cfg.Site, Build: cfg.Build, Epoch: uint64(c.started.UnixMilli())}
 	c.remember()
@@ -218,8 +222,14 @@
 // Clash tells of two members of one name.
 func (g *gossip) Clash(mine, other members.Info) {
 	g.log.WithFields(logrus.Fields{"member": mine.Name, "addr": mine.Addr, "other": other.Addr}).Error("two members have the same name; the first keeps it")
+	if mine.Addr == g.port.Advertised() && mine.Epoch > other.Epoch {
+		g.second.Store(true)
+	}
 }
 
+// errSecond is why a member whose name another has had before does not write.
+var errSecond = errors.New("another member had this name first; give this one a name of its own")
+
 // Heard brings a word.
 func (g *gossip) Heard(word []byte) { g.box.Put(func(c *Cluster) { c.word(word) }) }
 
@@ -307,6 +317,9 @@
 	if e.ID == "" {
 		e.ID = fmt.Sprintf("%s-%x-%x", c.cfg.Name, c.started.UnixMilli(), rand.Uint64())
 	}
+	if c.second.Load() {
+		return ledger.Done{}, errSecond
+	}
 	e.By, e.At = c.cfg.Name, now()
 	var err error
 	for ctx.Err() == nil {
--- a/internal/cluster/operators.go
+++ b/internal/cluster/operators.go
@@ -142,3 +142,15 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
 }
+
+// Alive returns how many members this one sees alive, itself included.
+func (c *Cluster) Alive() int { return len(c.list.Alive()) }
+
+// Sent returns how many bytes have been sent by UDP.
+func (c *Cluster) Sent() uint64 {
+	sent, _, _ := c.port.Traffic()
+	return sent
+}
+
+// Waiting returns how many words wait to be gossiped.
+func (c *Cluster) Waiting() int { return c.list.Waiting() }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,6 +49,8 @@
 	held      func([]Holding)    // is told what each worker holds; nil for nobody
 	wanted    func() bool        // whether it wants to know now
 	witness   Witness            // nil for none
+	fates     Fates              // nil for none
+	asking    map[*Job]bool      // jobs whose fate is asked for, their clients still there
 }
 
 // New makes the core. Seed is for the module's random numbers.
@@ -62,7 +64,7 @@
 		start: time.Now(), requests: map[decision.RequestID]*request{}, byID: map[string]*request{},
 		workers: map[string]*worker{}, byNumber: map[decision.WorkerID]*worker{},
 		excluded: map[string]bool{}, putBack: map[string]time.Duration{}, releasing: map[*request]func(*Moved){},
-		inform: func(Exclusion) {}, members: members, processes: 1}, nil
+		inform: func(Exclusion) {}, members: members, processes: 1, asking: map[*Job]bool{}}, nil
 }
 
 // Run works until the context ends.
--- /dev/null
+++ b/internal/core/fates.go
@@ -0,0 +1,134 @@
+package core
+
+import (
+	"time"
+
+	"frosttide/decision"
+)
+
+// Fate is where another dispatcher has sent a job with the same key.
+type Fate struct {
+	Zone string // of the group that drops its repeats; empty for all runners
+	Cell int
+	At   time.Duration // since 1970
+}
+
+// Fates remembers, together with other dispatchers, where jobs with keys were sent. None of
+// its methods blocks.
+type Fates interface {
+	// Ask tells where others have sent a job. Told is called once, from any goroutine, soon:
+	// where others don't answer in time by what is known here.
+	Ask(job *Job, told func([]Fate))
+	// Sending makes known that a job is about to go to a runner of a group whose window ends
+	// at a time. Send is called once, from any goroutine, when another dispatcher knows it,
+	// or soon where none answers.
+	Sending(job *Job, group Fate, until time.Duration, send func())
+	// Done makes known that it was done there.
+	Done(job *Job, group Fate, until time.Duration, result []byte)
+}
+
+// Remember names who remembers the fates of jobs; nil for nobody. It is called before Run.
+func (c *Core) Remember(f Fates) { c.fates = f }
+
+// remembers tells whether others have to know of a job.
+func (c *Core) remembers(job *Job) bool {
+	return c.fates != nil && job.Key != "" && c.cfg.Classes[job.Class].Effect != decision.Safe
+}
+
+// ask has the fate of a job found out before it is taken in. Guards against a client that
+// leaves meanwhile: its job is not taken in any more.
+func (c *Core) ask(job *Job, ingress Ingress) {
+	c.asking[job] = true
+	c.fates.Ask(job, func(f []Fate) {
+		c.box.Put(func(c *Core) {
+			if !c.asking[job] {
+				return
+			}
+			delete(c.asking, job)
+			if len(f) == 0 || c.byID[job.ID] != nil {
+				c.arrived(job, ingress)
+				return
+			}
+			c.again(job, ingress, f)
+		})
+	})
+}
+
+// again takes in a job that another dispatcher has sent: for the module it is one whose
+// attempts may have run. What must not run twice fails, and what only runners of a group
+// drop that is not listed here is refused, to be tried again.
+func (c *Core) again(job *Job, ingress Ingress, fates []Fate) {
+	r := c.take(job, ingress)
+	ev := c.arrival(r)
+	if c.cfg.Classes[job.Class].Effect == decision.Unsafe {
+		c.answer(r.ref, Answer{Verdict: Failed}, whySent)
+		c.forget(r)
+		return
+	}
+	for _, f := range fates {
+		w := c.like(job, f)
+		if w == nil {
+			c.answer(r.ref, Answer{Verdict: Shed, RetryAfter: c.cfg.Limits.MaxRetryAfter}, whyGroup)
+			c.forget(r)
+			return
+		}
+		ev.Past = append(ev.Past, decision.Past{Worker: w.number, SentAt: f.At, Ended: true, Outcome: decision.TimedOut})
+		r.hops = append(r.hops, hop{number: w.number, to: w, deadline: r.deadline, taken: true, ended: true})
+	}
+	c.event(ev)
+}
+
+// Why a job that another dispatcher has sent is not sent here.
+const (
+	whySent  = "another dispatcher has sent it, and it must not run twice"
+	whyGroup = "another dispatcher has sent it to runners that are not listed here"
+)
+
+// like returns a runner of a group.
+func (c *Core) like(job *Job, f Fate) *worker {
+	for _, w := range c.workers {
+		if c.group(job, w) == (Fate{Zone: f.Zone, Cell: f.Cell}) {
+			return w
+		}
+	}
+	return nil
+}
+
+// group returns the group of a runner that drops the repeats of a job.
+func (c *Core) group(job *Job, w *worker) Fate {
+	switch c.cfg.Classes[job.Class].Group {
+	case decision.ScopeZone:
+		return Fate{Zone: w.zone}
+	case decision.ScopeCell:
+		return Fate{Zone: w.zone, Cell: w.member.Cell}
+	}
+	return Fate{}
+}
+
+// window returns when the window of a job ends whose first attempt was sent at a time. What
+// must not run twice is remembered for as long as its client may come again.
+func (c *Core) window(job *Job, sent time.Duration) time.Duration {
+	class := c.cfg.Classes[job.Class]
+	if class.Effect == decision.Unsafe {
+		return sent + class.GiveUp + c.cfg.Limits.MaxRetryAfter
+	}
+	return sent + class.Window
+}
+
+// sending sends a hop once others know of it.
+func (c *Core) sending(r *request, attempt int, w *worker) {
+	c.fates.Sending(r.job, c.group(r.job, w), c.window(r.job, c.now), func() {
+		c.box.Put(func(c *Core) {
+			if c.requests[r.ref] == r && !r.hops[attempt].ended {
+				w.target.Send(c.hop(r, attempt))
+			}
+		})
+	})
+}
+
+// done makes known that a job was done by a hop.
+func (c *Core) done(r *request, h *hop, result []byte) {
+	if c.remembers(r.job) && h.to != nil {
+		c.fates.Done(r.job, c.group(r.job, h.to), c.window(r.job, c.now), result)
+	}
+}
--- a/internal/core/hops.go
+++ b/internal/core/hops.go
@@ -82,6 +82,10 @@
 	if end < r.deadline {
 		c.remind(r, due{at: end, attempt: attempt})
 	}
+	if c.remembers(r.job) {
+		c.sending(r, attempt, w)
+		return
+	}
 	w.target.Send(c.hop(r, attempt))
 }
 
@@ -163,6 +167,7 @@
 			note.Type = decision.AttemptProgressed
 			c.event(note)
 		case JobDone:
+			c.done(r, h, ev.Result)
 			c.end(r, i, decision.Served, ev.Load)
 			c.answer(r.ref, Answer{Verdict: Served, Result: ev.Result, Last: ev.Last, Streamed: ev.Streamed}, whyDone)
 		case JobFailed:
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -25,12 +25,19 @@
 // Submit hands over a request; its answer goes to the ingress. The ingress names
 // the request in Leave.
 func (c *Core) Submit(job *Job, ingress Ingress) {
-	c.box.Put(func(c *Core) { c.arrived(job, ingress) })
+	c.box.Put(func(c *Core) {
+		if c.remembers(job) {
+			c.ask(job, ingress)
+			return
+		}
+		c.arrived(job, ingress)
+	})
 }
 
 // Leave tells that the client of a request has gone away.
 func (c *Core) Leave(job *Job) {
 	c.box.Put(func(c *Core) {
+		delete(c.asking, job)
 		if r := c.byID[job.ID]; r != nil && r.job == job && !r.answered {
 			c.settle(r)
 			if r.story != nil {
--- a/internal/lab/faults/await.go
+++ b/internal/lab/faults/await.go
@@ -65,6 +65,13 @@
 			return err
 		}
 		return r.sends(who, w[1], w[0] == "served")
+	case "sent":
+		return r.until(func() error {
+			if len(r.fleet.runners.zones(w[1])) == 0 {
+				return errors.New("no runner has it")
+			}
+			return nil
+		})
 	case "equal":
 		who, err := at(2)
 		if err != nil {
@@ -192,6 +199,13 @@
 	})
 }
 
+// zones returns in which zones a key has had its effect.
+func (s *runners) zones(key string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return sortedKeys(s.effects[key])
+}
+
 func (s *runners) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/lab/faults/fleet.go
+++ b/internal/lab/faults/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -26,7 +27,7 @@
 // member is one process of the program, and what it needs.
 type member struct {
 	i                      int
-	name, dir              string
+	name, alias, dir       string // alias is the name in its settings, empty for the same
 	clients, console, disc string
 	cmd                    *exec.Cmd
 	ended                  chan struct{} // closed when the process has ended
@@ -93,13 +94,15 @@
 	runners *runners
 	members []*member
 	voters  int
+	zones   int
+	alone   bool
 	servers []*http.Server
 	uids    []string
 	cold    *http.Client
 }
 
 func openFleet(s *Script, program Program, dir string) (f *fleet, err error) {
-	f = &fleet{program: program, dir: dir, catalog: newCatalog(), voters: s.Voters, cold: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}}
+	f = &fleet{program: program, dir: dir, catalog: newCatalog(), voters: s.Voters, zones: s.Zones, alone: s.Alone, cold: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}}
 	defer func() {
 		if err != nil {
 			f.close()
@@ -108,16 +111,16 @@
 	if f.net, err = openRelays(s.Members, s.Seed); err != nil {
 		return f, err
 	}
-	f.runners = &runners{work: 5 * time.Millisecond, runs: map[string]int{}, clients: f.clientsOf}
+	f.runners = &runners{work: 5 * time.Millisecond, effects: map[string]map[string]int{}, clients: f.clientsOf}
 	for i := range s.Runners {
 		uid := fmt.Sprintf("s-%d", i+1)
-		server, addr, err := serve("127.0.0.1:0", f.runners.handler(uid))
+		server, addr, err := serve("127.0.0.1:0", f.runners.handler(uid, f.zone(i)))
 		if err != nil {
 			return f, err
 		}
 		f.servers, f.uids = append(f.servers, server), append(f.uids, uid)
 		f.catalog.change(func(t []target) []target {
-			return append(t, target{UID: uid, Endpoint: addr, Zone: "a", Kind: "m", State: "SERVING", Weight: 1})
+			return append(t, target{UID: uid, Endpoint: addr, Zone: f.zone(i), Kind: "m", State: "SERVING", Weight: 1})
 		})
 	}
 	for i := range s.Members {
@@ -148,6 +151,9 @@
 	return "127.0.0.1:9" // nobody's
 }
 
+// zone is that of a runner or a member, in turn.
+func (f *fleet) zone(i int) string { return string(rune('a' + i%f.zones)) }
+
 func (f *fleet) settings(m *member) string {
 	var voters, join []string
 	for _, o := range f.members[:f.voters] {
@@ -156,6 +162,15 @@
 	for _, a := range f.net.public {
 		join = append(join, fmt.Sprintf("%q", a))
 	}
+	var zones []string
+	for i := range f.zones {
+		zones = append(zones, fmt.Sprintf("%q", f.zone(i)))
+	}
+	cluster := ""
+	if !f.alone {
+		cluster = fmt.Sprintf("[cluster]\nlisten = %q\nadvertise = %q\njoin = [%s]\nvoters = [%s]\ndir = %q\ndiscovery = \"one\"\n",
+			f.net.real[m.i], f.net.public[m.i], strings.Join(join, ", "), strings.Join(voters, ", "), filepath.Join(m.dir, "log"))
+	}
 	return fmt.Sprintf(`name = %q
 [listen]
 clients = %q
@@ -164,7 +179,9 @@
 address = %q
 ask_within = "1s"
 [fleet]
-zones = ["a"]
+zones = [%s]
+zone = %q
+far_price = 0.3
 kinds = ["m"]
 dispatchers = %d
 number = %d
@@ -172,19 +189,24 @@
 grace = "500ms"
 [limits]
 sockets = 1024
-[cluster]
-listen = %q
-advertise = %q
-join = [%s]
-voters = [%s]
-dir = %q
-discovery = "one"
+%s
 [[class]]
 name = "render"
 wanted_within = "1s"
 give_up = "2s"
-`, m.name, m.clients, m.console, m.disc, len(f.members), m.i, f.net.real[m.i], f.net.public[m.i], strings.Join(join, ", "), strings.Join(voters, ", "),
-		filepath.Join(m.dir, "log"))
+[[class]]
+name = "release"
+effect = "keyed"
+repeats_dropped_by = "zone"
+window = "40s"
+wanted_within = "1s"
+give_up = "2s"
+[[class]]
+name = "once"
+effect = "unsafe"
+wanted_within = "1s"
+give_up = "2s"
+`, cmp.Or(m.alias, m.name), m.clients, m.console, m.disc, strings.Join(zones, ", "), f.zone(m.i), len(f.members), m.i, cluster)
 }
 
 // start starts a member's process.
--- a/internal/lab/faults/run.go
+++ b/internal/lab/faults/run.go
@@ -1,6 +1,7 @@
 package faults
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,9 +14,12 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"frosttide/internal/cluster"
 	"frosttide/internal/members"
 )
@@ -40,6 +44,7 @@
 	defer f.close()
 	r := &runner{script: s, fleet: f, began: time.Now(), names: map[string][]*member{}, watch: newWatch(), rng: rand.New(rand.NewPCG(s.Seed, 3)),
 		result: &Result{Waits: map[string]time.Duration{}}}
+	f.runners.hold = true
 	for _, m := range f.members {
 		if err := f.start(m); err != nil {
 			return nil, fmt.Errorf("%s: %w", m.name, err)
@@ -47,6 +52,7 @@
 	}
 	err = r.steps()
 	r.load(false)
+	r.sending.Wait()
 	if err == nil {
 		err = r.final()
 	}
@@ -79,6 +85,9 @@
 	watch  *watch
 	rng    *rand.Rand
 	result *Result
+
+	jobs    int
+	sending sync.WaitGroup // clients of jobs that nobody waits for
 }
 
 func (r *runner) line(format string, args ...any) {
@@ -204,6 +213,8 @@
 	case "heal":
 		r.fleet.net.set(numbers(r.fleet.members), numbers(r.fleet.members), func(l *link) { *l = link{kept: l.kept} })
 		return nil
+	case "job", "retry":
+		return r.job(w)
 	case "load":
 		r.load(w[1] == "on")
 		return nil
@@ -300,6 +311,14 @@
 		r.fleet.end(m, syscall.SIGTERM)
 	case "start":
 		return r.fleet.start(m)
+	case "rename":
+		m.alias = w[2]
+	case "full":
+		return limitFiles(m.cmd.Process.Pid, 8<<10)
+	case "room":
+		return limitFiles(m.cmd.Process.Pid, unix.RLIM_INFINITY)
+	case "foreign":
+		return r.foreign(m)
 	case "wipe":
 		r.watch.forget(m.name)
 		return os.RemoveAll(logDir)
@@ -346,6 +365,38 @@
 	return nil
 }
 
+// limitFiles has no file of a process grow past a size, as if the disk were full.
+func limitFiles(pid int, most uint64) error {
+	l := unix.Rlimit{Cur: most, Max: unix.RLIM_INFINITY}
+	return unix.Prlimit(pid, unix.RLIMIT_FSIZE, &l, nil)
+}
+
+// foreign tells a member what a build of tomorrow might: a fact of an unknown kind and one
+// with an unknown field, of which the latter counts.
+func (r *runner) foreign(m *member) error {
+	c, err := net.Dial("tcp", r.fleet.net.real[m.i])
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	now := time.Now().UnixMilli()
+	body := fmt.Sprintf(`[{"k":99,"n":"x","t":%d},{"k":2,"n":"s-tomorrow","b":%d,"t":%d,"new":{"field":1}}]`, now, now, now)
+	if _, err := fmt.Fprintf(c, "cPOST /v1/facts HTTP/1.1\r\nHost: m\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(body), body); err != nil {
+		return err
+	}
+	answer, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil || !strings.Contains(answer, " 200 ") {
+		return fmt.Errorf("it answers %q, %w", answer, err)
+	}
+	return r.until(func() error {
+		got, err := r.fleet.report(m)
+		if err == nil && (got.Copies.Held["starts"] != 1 || got.Copies.Refused == 0) {
+			err = fmt.Errorf("it holds %v and has refused %d", got.Copies.Held, got.Copies.Refused)
+		}
+		return err
+	})
+}
+
 // garble sends a member what no other would.
 func (r *runner) garble(m *member) error {
 	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -409,6 +460,30 @@
 	return nil
 }
 
+// job has a client send a keyed job, or send it again.
+func (r *runner) job(w []string) error {
+	who, err := r.who(w[4])
+	if err != nil {
+		return err
+	}
+	r.jobs++
+	m, id := who[0], fmt.Sprintf("%s.%s-%d", who[0].name, w[1], r.jobs)
+	c := &client{member: m.name, addr: m.clients, http: &http.Client{Transport: &http.Transport{}}}
+	if w[0] == "job" {
+		r.sending.Go(func() { c.job(context.Background(), w[2], id, w[1]) })
+		return nil
+	}
+	defer c.http.CloseIdleConnections()
+	want, err := strconv.Atoi(w[5])
+	if err != nil {
+		return err
+	}
+	if got := c.job(context.Background(), w[2], id, w[1]); want != 0 && got != want {
+		return fmt.Errorf("it was answered %d", got)
+	}
+	return nil
+}
+
 // list has discovery change a runner.
 func (r *runner) list(verb, uid string) error {
 	state := map[string]string{"drain": "DRAINING", "serve": "SERVING", "remove": "DELETED"}[verb]
--- a/internal/lab/faults/script.go
+++ b/internal/lab/faults/script.go
@@ -10,7 +10,7 @@
 // Script is a run as data: how many of what, and steps in order.
 //
 // A line is a step, # begins a comment. The first lines say sizes: members N, voters N,
-// runners N, seed N, spread DURATION. WHO is a member's name, several separated by commas,
+// runners N, seed N, zones N (members and runners in turn). WHO is a member's name, several separated by commas,
 // all, leader, follower (the first voter that does not lead), or a name that an earlier
 // step has given with "as NAME".
 //
@@ -31,20 +31,27 @@
 //	heal                                all links are whole
 //	stall|wake WHO                      SIGSTOP, SIGCONT
 //	kill|term|start WHO [as NAME]
+//	rename WHO NAME                     it has another's name from its next start on
+//	full|room WHO                       its files may not grow, or may again
+//	foreign WHO                         facts and entries of a build of tomorrow
 //	wipe WHO                            its part of the log is gone from the disk
 //	tear WHO log|disk|snapshot          the file is cut in the middle
 //	keep|restore WHO                    its folder is copied, and later put back as it was
 //	snapshot WHO
 //	leave NAME at WHO done|refused
 //	recover WHO
+//	job KEY CLASS at WHO                a client sends a job; runners don't say that it is done
+//	await sent KEY                      a runner has it
+//	retry KEY CLASS at WHO STATUS       its client sends it again; the answer's status, 0 for any
 //	load on|off                         each member's client sends jobs all the time
 //	flood N                             N changes of the list at once
 //	garble WHO                          packets and connections that make no sense
 type Script struct {
-	Name                             string
-	Members, Voters, Runners, Spread int // Spread in ms
-	Seed                             uint64
-	Steps                            []Step
+	Name                            string
+	Members, Voters, Runners, Zones int
+	Seed                            uint64
+	Alone                           bool // the members' settings name no others, for comparison
+	Steps                           []Step
 }
 
 // Step is one line.
@@ -65,11 +72,11 @@
 // verbs are the steps there are, and the least words of each.
 var verbs = map[string]int{"await": 2, "exclude": 5, "include": 5, "drain": 2, "serve": 2, "remove": 2, "hold": 2, "release": 2, "cut": 4,
 	"lossy": 7, "slow": 5, "reset": 4, "heal": 1, "stall": 2, "wake": 2, "kill": 2, "term": 2, "start": 2, "wipe": 2, "tear": 3, "keep": 2,
-	"restore": 2, "snapshot": 2, "leave": 5, "recover": 2, "load": 2, "flood": 2, "garble": 2}
+	"restore": 2, "snapshot": 2, "leave": 5, "recover": 2, "job": 5, "retry": 6, "rename": 3, "full": 2, "room": 2, "foreign": 2, "load": 2, "flood": 2, "garble": 2}
 
 // Parse reads a script. Its error names file, line and reason.
 func Parse(name, text string) (*Script, error) {
-	s := &Script{Name: name, Members: 3, Voters: 3, Runners: 3, Spread: 2000, Seed: 1}
+	s := &Script{Name: name, Members: 3, Voters: 3, Runners: 3, Zones: 1, Seed: 1}
 	for i, line := range strings.Split(text, "\n") {
 		line, _, _ = strings.Cut(line, "#")
 		w := strings.Fields(line)
@@ -77,7 +84,7 @@
 			continue
 		}
 		wrong := func(why string) error { return fmt.Errorf("%s:%d: %s: %s", name, i+1, w[0], why) }
-		if slices.Contains([]string{"members", "voters", "runners", "seed", "spread"}, w[0]) {
+		if slices.Contains([]string{"members", "voters", "runners", "seed", "zones"}, w[0]) {
 			if len(w) != 2 {
 				return nil, wrong("one number is wanted")
 			}
@@ -94,8 +101,8 @@
 				s.Runners = n
 			case "seed":
 				s.Seed = uint64(n)
-			case "spread":
-				s.Spread = n
+			case "zones":
+				s.Zones = n
 			}
 			continue
 		}
@@ -111,6 +118,8 @@
 	switch {
 	case s.Members > mostMembers || s.Runners > mostRunners || len(s.Steps) > mostSteps:
 		return nil, fmt.Errorf("%s: at most %d members, %d runners and %d steps", name, mostMembers, mostRunners, mostSteps)
+	case s.Zones > 8:
+		return nil, fmt.Errorf("%s: at most 8 zones", name)
 	case s.Voters > s.Members:
 		return nil, fmt.Errorf("%s: voters: %d of %d members", name, s.Voters, s.Members)
 	case len(s.Steps) == 0:
--- a/internal/lab/faults/standins.go
+++ b/internal/lab/faults/standins.go
@@ -112,13 +112,15 @@
 	work    time.Duration
 	clients func(member string) string // where call-backs go
 
-	mu   sync.Mutex
-	sent []sending
-	runs map[string]int
-	http http.Client
+	hold bool // keyed jobs are not said to be done the first time
+
+	mu      sync.Mutex
+	sent    []sending
+	effects map[string]map[string]int // by key: how often in which zone, repeats dropped
+	http    http.Client
 }
 
-func (s *runners) handler(uid string) http.Handler {
+func (s *runners) handler(uid, zone string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method != http.MethodPost {
 			return // a probe, or a recall of what is done in a moment
@@ -130,9 +132,21 @@
 		}
 		s.mu.Lock()
 		s.sent = append(s.sent, sending{uid, member, time.Now()})
-		s.runs[id]++
+		key, held := r.Header.Get("Idempotency-Key"), false
+		if key != "" {
+			if s.effects[key] == nil {
+				s.effects[key] = map[string]int{}
+			}
+			held = s.hold && len(s.effects[key]) == 0 // the first says nothing more; a repeat is answered at once
+			if s.effects[key][zone] == 0 {
+				s.effects[key][zone] = 1
+			}
+		}
 		s.mu.Unlock()
 		w.WriteHeader(http.StatusAccepted)
+		if held {
+			return
+		}
 		time.AfterFunc(s.work, func() {
 			s.report(member, map[string]any{"id": id, "from": uid, "state": "started"})
 			s.report(member, map[string]any{"id": id, "from": uid, "state": "done", "result": "done by " + uid})
@@ -191,28 +205,36 @@
 }
 
 func (c *client) send(ctx context.Context, id string) {
+	began := time.Now()
+	c.answers[c.job(ctx, "render", id, "")]++
+	if took := time.Since(began); took > jobPatience+jobSlack {
+		c.late = append(c.late, fmt.Sprintf("%s took %s", id, took.Round(time.Millisecond)))
+	}
+}
+
+// job sends a job and returns the status of its answer, 0 for none.
+func (c *client) job(ctx context.Context, class, id, key string) int {
 	began := time.Now()
 	// The call goes on past the run's end, so that every job has its answer or is late.
 	call, cancel := context.WithDeadline(context.WithoutCancel(ctx), began.Add(jobPatience+2*jobSlack))
 	defer cancel()
-	req, err := http.NewRequestWithContext(call, http.MethodPost, "http://"+c.addr+"/render/"+id, strings.NewReader("frames"))
+	req, err := http.NewRequestWithContext(call, http.MethodPost, "http://"+c.addr+"/"+class+"/"+id, strings.NewReader("frames"))
 	if err != nil {
-		return
+		return 0
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
 	}
-	for k, v := range map[string]string{"X-Qos": "render", "X-Trace-Id": id, "X-Expires-In-Ms": fmt.Sprint(jobPatience.Milliseconds())} {
+	for k, v := range map[string]string{"X-Qos": class, "X-Trace-Id": id, "X-Expires-In-Ms": fmt.Sprint(jobPatience.Milliseconds())} {
 		req.Header.Set(k, v)
 	}
 	resp, err := c.http.Do(req)
-	status := 0
-	if err == nil {
-		status = resp.StatusCode
-		_, _ = io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
-	}
-	c.answers[status]++
-	if took := time.Since(began); took > jobPatience+jobSlack {
-		c.late = append(c.late, fmt.Sprintf("%s took %s", id, took.Round(time.Millisecond)))
+	if err != nil {
+		return 0
 	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
 }
 
 // serve opens a stand-in.
--- a/internal/lab/faults/watch.go
+++ b/internal/lab/faults/watch.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -178,6 +179,11 @@
 		}
 		r.line("%s answered %v", m.name, m.client.answers)
 	}
+	for _, key := range r.fleet.runners.keys() {
+		if zones := r.fleet.runners.zones(key); len(zones) > 1 {
+			r.broken("rule 2: key %s has had its effect in zones %s", key, strings.Join(zones, " "))
+		}
+	}
 	sent := r.fleet.runners.since(0)
 	for _, c := range r.watch.calls {
 		if c.said != done || !c.out || c.lost {
@@ -198,3 +204,9 @@
 		}
 	}
 }
+
+func (s *runners) keys() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return sortedKeys(s.effects)
+}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -26,7 +26,9 @@
 	Warm    time.Duration // before that, not counted
 	Patient time.Duration // of each client
 	Seed    uint64
-	Most    int // jobs under way; a further one counts as not sent
+	Most    int    // jobs under way; a further one counts as not sent
+	Name    string // ids begin with it and a dot; empty for none
+	Keyed   bool   // each job has a key of its own
 }
 
 // Result is what became of a load.
@@ -77,6 +79,9 @@
 			continue
 		}
 		id := fmt.Sprintf("l%d-%d", l.Seed, i)
+		if l.Name != "" {
+			id = l.Name + "." + id
+		}
 		jobs.Go(func() {
 			defer under.Add(-1)
 			sent := time.Now()
@@ -120,6 +125,9 @@
 	}
 	req.Header.Set("X-Qos", l.Class)
 	req.Header.Set("X-Trace-Id", id)
+	if l.Keyed {
+		req.Header.Set("Idempotency-Key", id)
+	}
 	req.Header.Set("X-Expires-In-Ms", fmt.Sprint(l.Patient.Milliseconds()))
 	resp, err := client.Do(req)
 	if err != nil {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -62,8 +62,11 @@
 // CPU returns the processor time so far, of the threads that there are: the runtime ends
 // none. Source: the kernel's sched-stats, the first figure of schedstat in nanoseconds;
 // the hundredths of a second of proc(5) are too rough for a run of seconds.
-func (p *Process) CPU() (total time.Duration, err error) {
-	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
+func (p *Process) CPU() (total time.Duration, err error) { return CPU(p.cmd.Process.Pid) }
+
+// CPU is that of any process.
+func CPU(pid int) (total time.Duration, err error) {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
 	if err != nil || len(threads) == 0 {
 		return 0, errors.Join(err, errors.New("no threads"))
 	}
--- /dev/null
+++ b/internal/lab/spread/spread.go
@@ -0,0 +1,201 @@
+// Package spread measures how members of a cluster come to know things: many members in one
+// process, each with sockets of its own on loopback and a dispatcher that only listens.
+package spread
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"frosttide/internal/cluster"
+	"frosttide/internal/replica"
+)
+
+// Figures are of one run.
+type Figures struct {
+	Joined  time.Duration   // until all members saw all
+	Known   []time.Duration // of each drain, until all members had it
+	Idle    float64         // bytes a second that a member sends by UDP with nothing going on
+	CatchUp time.Duration   // until one that is new had all runners
+}
+
+// listener is a dispatcher that notes what it hears.
+type listener struct {
+	mu    sync.Mutex
+	heard map[uint64]bool // versions
+	news  chan struct{}
+}
+
+// Exclude is not used here.
+func (l *listener) Exclude(string, bool, time.Time) {}
+
+// Hear notes a version.
+func (l *listener) Hear(rev uint64, _ [][]byte) {
+	l.mu.Lock()
+	l.heard[rev] = true
+	l.mu.Unlock()
+	select {
+	case l.news <- struct{}{}:
+	default:
+	}
+}
+
+func (l *listener) has(rev uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heard[rev]
+}
+
+// patience bounds each wait.
+const patience = 2 * time.Minute
+
+// Run starts so many members, tells the list of so many runners to the first, then drains,
+// one after the other, and starts one more member at the end.
+func Run(n, runners, drains int, dir string) (*Figures, error) {
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	var all []*cluster.Cluster
+	var ears []*listener
+	defer func() {
+		for _, c := range all {
+			c.Close(false)
+		}
+	}()
+	addr := func(i int) string { return fmt.Sprintf("127.90.%d.%d:7946", i/200, i%200+1) }
+	open := func(i int) error {
+		l := &listener{heard: map[uint64]bool{}, news: make(chan struct{}, 1)}
+		cfg := cluster.Config{Name: fmt.Sprintf("m%03d", i), Site: "a", Listen: addr(i), Voters: []string{"m000"}, Source: "one"}
+		if i == 0 {
+			cfg.Dir = dir
+		} else {
+			cfg.Join = []string{addr(0), addr(max(i/2, 1) - 1)}
+		}
+		c, err := cluster.Open(cfg, l, logrus.NewEntry(quiet))
+		if err != nil {
+			return err
+		}
+		all, ears = append(all, c), append(ears, l)
+		return nil
+	}
+	began := time.Now()
+	for i := range n {
+		if err := open(i); err != nil {
+			return nil, err
+		}
+	}
+	f := &Figures{}
+	if err := until(func() error {
+		for i, c := range all {
+			if got := c.Alive(); got < n {
+				return fmt.Errorf("member %d sees %d of %d", i, got, n)
+			}
+		}
+		return nil
+	}); err != nil {
+		return nil, err
+	}
+	f.Joined = time.Since(began)
+	entries := make([]cluster.Entry, runners)
+	for i := range entries {
+		uid := fmt.Sprintf("s-%04d", i)
+		entries[i] = cluster.Entry{UID: uid, State: replica.Serving, Text: entry(uid, "SERVING")}
+	}
+	all[0].Told(1, true, false, entries)
+	if err := until(func() error { return equal(all) }); err != nil {
+		return nil, err
+	}
+	if err := until(func() error { // what was said at the beginning has been said
+		for _, c := range all {
+			if c.Waiting() > 0 {
+				return errors.New("words wait")
+			}
+		}
+		return nil
+	}); err != nil {
+		return nil, err
+	}
+	var before uint64
+	for _, c := range all {
+		before += c.Sent()
+	}
+	at := time.Now()
+	<-time.After(3 * time.Second) // what is measured is this time's traffic
+	var after uint64
+	for _, c := range all {
+		after += c.Sent()
+	}
+	f.Idle = float64(after-before) / time.Since(at).Seconds() / float64(n)
+	for i := range drains {
+		rev, uid := uint64(2+i), entries[i%runners].UID
+		state, word := replica.Draining, "DRAINING"
+		if i/runners%2 == 1 {
+			state, word = replica.Serving, "SERVING"
+		}
+		at := time.Now()
+		teller := i % n
+		all[teller].Told(rev, false, false, []cluster.Entry{{UID: uid, State: state, Text: entry(uid, word)}})
+		for j, l := range ears {
+			if j == teller {
+				continue
+			}
+			by := time.After(patience)
+			for !l.has(rev) {
+				select {
+				case <-l.news:
+				case <-by:
+					return nil, fmt.Errorf("member %d did not hear of version %d", j, rev)
+				}
+			}
+		}
+		f.Known = append(f.Known, time.Since(at))
+	}
+	at = time.Now()
+	if err := open(n); err != nil {
+		return nil, err
+	}
+	if err := until(func() error { return equal([]*cluster.Cluster{all[0], all[n]}) }); err != nil {
+		return nil, err
+	}
+	f.CatchUp = time.Since(at)
+	slices.Sort(f.Known)
+	return f, nil
+}
+
+func entry(uid, state string) []byte {
+	return fmt.Appendf(nil, `{"uid":%q,"endpoint":"127.0.0.1:9000","az":"a","model":"m","pod_group":1,"state":%q,"capacity_hint":1,"boot_ms":0}`, uid, state)
+}
+
+func equal(all []*cluster.Cluster) error {
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(time.Second))
+	defer cancel()
+	first := ""
+	for i, c := range all {
+		r, ok := c.Report(ctx)
+		switch {
+		case !ok:
+			return errors.New("no answer")
+		case i == 0:
+			first = r.Copies.Digest
+		case r.Copies.Digest != first:
+			return fmt.Errorf("member %d differs", i)
+		}
+	}
+	return nil
+}
+
+func until(ok func() error) error {
+	by := time.Now().Add(patience)
+	for {
+		err := ok()
+		if err == nil || time.Now().After(by) {
+			return err
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+}
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -31,7 +31,7 @@
 	// not hear from a majority for lease steps down by itself, before another can be chosen.
 	heartbeat = 500 * time.Millisecond
 	lease     = 400 * time.Millisecond
-	commit    = 20 * time.Millisecond
+	commit    = 100 * time.Millisecond
 	// A snapshot is taken after so many entries, and as many are kept behind it for
 	// followers that are a little late.
 	compactAfter = 1024
@@ -39,7 +39,7 @@
 	compactEvery = 5 * time.Second
 	rpcTime      = time.Second
 	// lookEvery is how often the leader looks after who is in the log's configuration.
-	lookEvery = 250 * time.Millisecond
+	lookEvery = 500 * time.Millisecond
 	// forgetAfter is how long a follower without a vote may be away before it is taken out;
 	// it comes in again when it is back.
 	forgetAfter = time.Minute
@@ -74,6 +74,7 @@
 	log     *logrus.Entry
 	sink    Sink
 	disk    *disk // nil without a folder
+	stable  *patient
 	id      raft.ServerID
 	addr    raft.ServerAddress // where others reach it
 	raft    *raft.Raft
@@ -120,7 +121,8 @@
 	q.addr = addressOf(id, port.Advertised())
 	q.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: streams{port.Listener(clusterport.Log), port, id},
 		MaxPool: 2, Timeout: rpcTime, Logger: logger})
-	r, err := raft.NewRaft(engineConfig(q.id, logger), q.machine, logs, stable, snaps, advertised{q.trans, q.addr})
+	q.stable = newPatient(stable, log)
+	r, err := raft.NewRaft(engineConfig(q.id, logger), q.machine, logs, q.stable, snaps, advertised{q.trans, q.addr})
 	if err != nil {
 		q.trans.Close()
 		if q.disk != nil {
@@ -416,15 +418,33 @@
 	return nil
 }
 
+// closeTime is how long the engine may take to end. Guards the process's end against one that
+// stands still.
+const closeTime = time.Second
+
 // Close ends the member's part; a leader hands on the lead first where it can.
 func (q *Quorum) Close() {
-	if q.Leads() {
-		if err := q.raft.LeadershipTransfer().Error(); err != nil {
-			q.log.WithError(err).Debug("the lead was not handed on")
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if q.Leads() {
+			if err := q.raft.LeadershipTransfer().Error(); err != nil {
+				q.log.WithError(err).Debug("the lead was not handed on")
+			}
 		}
-	}
-	if err := q.raft.Shutdown().Error(); err != nil {
-		q.log.WithError(err).Warn("the log did not end cleanly")
+		q.stable.close()
+		if err := q.raft.Shutdown().Error(); err != nil {
+			q.log.WithError(err).Warn("the log did not end cleanly")
+		}
+	}()
+	late := time.NewTimer(closeTime)
+	defer late.Stop()
+	select {
+	case <-ended:
+	case <-late.C:
+		q.stable.close()
+		q.log.Warn("the log stands still and is left as it is; its file is whole")
+		return
 	}
 	q.trans.Close()
 	if q.disk != nil {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -147,10 +147,13 @@
 	gone := Fact{Key: Key{Runner, "s-1", "d"}, State: Deleted, Rev: 4, At: now}
 	job := Fact{Key: Key{Fate, "render/k", "zone-a"}, State: Sent, At: now, Until: now + 500}
 	s := storeOf([]Fact{gone, job})
+	if got := s.Fates("render/k", now); len(got) != 1 || len(s.Fates("render/k", now+500)) > 0 {
+		t.Errorf("of the key is known %v, and after its window %v", got, s.Fates("render/k", now+500))
+	}
 	if s.Expire(now + 499); len(contents(s)) != 2 {
 		t.Errorf("left %v, want both", contents(s))
 	}
-	if s.Expire(now + 500); len(contents(s)) != 1 {
+	if s.Expire(now + 500); len(contents(s)) != 1 || len(s.fates) > 0 {
 		t.Errorf("left %v, want the window ended", contents(s))
 	}
 	if s.Expire(now + tombstones); len(contents(s)) != 0 || s.Digest() != New(DefaultBounds()).Digest() {
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -35,6 +35,7 @@
 	sums    [Buckets]uint64
 	floors  [Kinds]int64 // facts up to this age have been dropped
 	dropped [Kinds]uint64
+	fates   map[string][]string // the scopes of each key that has a fate
 }
 
 type held struct {
@@ -44,7 +45,7 @@
 
 // New makes an empty store.
 func New(b Bounds) *Store {
-	s := &Store{bounds: b, facts: map[Key]held{}}
+	s := &Store{bounds: b, facts: map[Key]held{}, fates: map[string][]string{}}
 	for i := range s.buckets {
 		s.buckets[i] = map[Key]struct{}{}
 	}
@@ -117,6 +118,9 @@
 	s.counts[f.Kind]++
 	s.buckets[b][f.Key] = struct{}{}
 	s.sums[b] += h.sum // sums, as they don't depend on the order
+	if f.Kind == Fate {
+		s.fates[f.Name] = append(s.fates[f.Name], f.Scope)
+	}
 }
 
 func (s *Store) remove(k Key) {
@@ -129,6 +133,14 @@
 	delete(s.buckets[b], k)
 	s.counts[k.Kind]--
 	s.sums[b] -= h.sum
+	if k.Kind != Fate {
+		return
+	}
+	if left := slices.DeleteFunc(s.fates[k.Name], func(scope string) bool { return scope == k.Scope }); len(left) > 0 {
+		s.fates[k.Name] = left
+	} else {
+		delete(s.fates, k.Name)
+	}
 }
 
 // shrink drops the oldest facts of a kind that has passed its bound, and a sixteenth of the
@@ -179,6 +191,16 @@
 	return h.Fact, ok
 }
 
+// Fates returns what is known of a key, in every group, that has not ended.
+func (s *Store) Fates(name string, now int64) (out []Fact) {
+	for _, scope := range s.fates[name] {
+		if f, ok := s.Get(Key{Fate, name, scope}); ok && !ended(&f, now) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // Len returns how many facts of a kind there are, and how many were dropped for want of room.
 func (s *Store) Len(kind Kind) (held int, dropped uint64) { return s.counts[kind], s.dropped[kind] }
 
