Mend what reading the cluster part again found

- A keyed job that another dispatcher had sent, retried here with telemetry on, ended the process: its story had no place for the first attempt (index out of range in core.hop). core.again adds it.
TestSentElsewhere panics without; it also guards a deadline past the process's end for a job whose fate was being asked for.
- A call to a keeper that failed counted as its answer, so a job could go out with nobody knowing (gather; TestGather).
- The lock that the core and the table take was held while the log's folder was opened.
- A key that came again within a second after its window kept the old fate (Store.Merge).
- A comparison pushed everything that the other lacked, past the stated 256 KiB; now one part.
- Facts of another count of discovery's versions were heard, and old versions told under the new count; after SIGHUP moved discovery the old one's versions counted on (Telling.From).
- Bounds: words waiting for the actor 4,096, actors of members that are gone end, the end waits 1 s for a log that stands still; a successor waits for the log's file as for the address.
- Gone as nobody used them: kinds Start and Member, View, Taken, Formed's voter, Waits.

--- a/cmd/frosttide/clustercmd.go
+++ b/cmd/frosttide/clustercmd.go
@@ -141,7 +141,7 @@
 	}
 	c := r.Copies
 	fmt.Fprintf(w, "copies\t%s\tdigest\n", c.Digest)
-	for _, kind := range []string{"runners", "starts", "health", "members", "fates"} {
+	for _, kind := range []string{"runners", "health", "fates"} {
 		fmt.Fprintf(w, "%s\t%d\t%d dropped for want of room\n", kind, c.Held[kind], c.Dropped[kind])
 	}
 	synced := "never yet"
--- a/cmd/frosttide/others.go
+++ b/cmd/frosttide/others.go
@@ -21,6 +21,7 @@
 	"frosttide/internal/console"
 	"frosttide/internal/core"
 	"frosttide/internal/handover"
+	"frosttide/internal/quorum"
 	"frosttide/internal/replica"
 	"frosttide/internal/roster"
 	"frosttide/internal/routetable"
@@ -29,8 +30,9 @@
 // others are the dispatchers that this one knows. All methods may be called on nil, the
 // others of a dispatcher on its own.
 type others struct {
-	cfg cluster.Config
-	log *logrus.Entry
+	cfg   cluster.Config
+	alias string // the discovery's name among members; empty for its address
+	log   *logrus.Entry
 
 	classes atomic.Pointer[[]string]
 
@@ -55,7 +57,7 @@
 	if z := cfg.Module.Zone; z < len(cfg.Names.Zones) {
 		site = cfg.Names.Zones[z]
 	}
-	o := &others{log: log, cfg: cluster.Config{Name: cfg.Name, Site: site, Build: version(), Listen: s.Listen, Advertise: s.Advertise,
+	o := &others{log: log, alias: s.Discovery, cfg: cluster.Config{Name: cfg.Name, Site: site, Build: version(), Listen: s.Listen, Advertise: s.Advertise,
 		Join: s.Join, Voters: s.Voters, Dir: s.Dir, Source: cmp.Or(s.Discovery, cfg.Discovery)}}
 	o.classes.Store(&cfg.Names.Classes)
 	return o
@@ -73,7 +75,7 @@
 		o.cfg.Out = held.loaded.Excluded
 	}
 	err := o.open()
-	if !errors.Is(err, syscall.EADDRINUSE) {
+	if !taken(err) {
 		return err
 	}
 	o.log.WithError(err).Warn("another process is this member; it is waited for")
@@ -84,7 +86,7 @@
 			if err == nil {
 				return
 			}
-			if !errors.Is(err, syscall.EADDRINUSE) {
+			if !taken(err) {
 				o.log.WithError(err).Error("the member could not begin; this dispatcher is on its own")
 				return
 			}
@@ -93,19 +95,33 @@
 	return nil
 }
 
+// taken tells whether an older process has what the member needs.
+func taken(err error) bool {
+	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, quorum.ErrInUse)
+}
+
 func (o *others) open() error {
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.ended {
+	ended := o.ended
+	o.mu.Unlock()
+	if ended {
 		return nil
 	}
+	// Without the lock: the core and the table take it, and must not wait for the disk.
 	m, err := cluster.Open(o.cfg, o, o.log)
 	if err != nil {
 		return err
 	}
+	o.mu.Lock()
+	if o.ended {
+		o.mu.Unlock()
+		m.Close(false)
+		return nil
+	}
+	defer o.mu.Unlock()
 	o.member = m
 	for _, t := range o.tellers {
-		tellMember(m, t)
+		o.tellMember(m, t)
 	}
 	o.tellers = nil
 	return nil
@@ -150,7 +166,7 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		if o.member != nil {
-			tellMember(o.member, t)
+			o.tellMember(o.member, t)
 			return
 		}
 		if t.Whole { // what came before counts no more
@@ -166,7 +182,7 @@
 // with the next whole list.
 const mostTellings = 1000
 
-func tellMember(m *cluster.Cluster, t routetable.Telling) {
+func (o *others) tellMember(m *cluster.Cluster, t routetable.Telling) {
 	entries := make([]cluster.Entry, len(t.Entries))
 	for i, e := range t.Entries {
 		state := replica.Serving
@@ -178,7 +194,7 @@
 		}
 		entries[i] = cluster.Entry{UID: e.UID, State: state, Boot: e.Boot.Milliseconds(), Text: e.Text}
 	}
-	m.Told(t.Rev, t.Whole, t.Back, entries)
+	m.Told(cmp.Or(o.alias, t.From), t.Rev, t.Whole, t.Back, entries)
 }
 
 // Exclude carries out what operators have said at any member.
@@ -231,7 +247,12 @@
 }
 
 // Hear brings what another's discovery has told.
-func (o *others) Hear(rev uint64, entries [][]byte) { o.table.Hear(rev, entries) }
+func (o *others) Hear(source string, rev uint64, entries [][]byte) {
+	if o.alias != "" { // by the operators' word all of that name count alike
+		source = ""
+	}
+	o.table.Hear(source, rev, entries)
+}
 
 // handler answers operators about the others.
 func (o *others) handler() http.Handler {
--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -29,7 +29,7 @@
 )
 
 // comparison is the answer to a digest: what the asked member has in the buckets that differ,
-// from bucket From on and round, until maxExchange.
+// until maxExchange.
 type comparison struct {
 	Digest replica.Digest `json:"digest"`
 	Differ []int          `json:"differ"`
@@ -172,8 +172,11 @@
 	reply(w, got)
 }
 
-// parts returns the facts of as many buckets as go in an exchange, from a random one on:
-// guards against a bucket that is always cut off.
+// weight is about how many bytes a fact takes.
+func weight(f *replica.Fact) int { return 160 + len(f.Name) + len(f.Scope) + len(f.Entry) }
+
+// parts returns the facts of as many buckets as go in an exchange, from another one on each
+// time: guards against a bucket that is always cut off.
 func (c *Cluster) parts(buckets []int) (sent []int, out []replica.Fact) {
 	size := 0
 	for i := range buckets {
@@ -183,7 +186,7 @@
 		}
 		facts := c.store.Bucket(b)
 		for k := range facts {
-			size += 160 + len(facts[k].Name) + len(facts[k].Scope) + len(facts[k].Entry)
+			size += weight(&facts[k])
 		}
 		if size > maxExchange && len(sent) > 0 {
 			break
@@ -247,19 +250,16 @@
 	if !ok {
 		return false, ctx.Err()
 	}
-	more = len(a.Sent) < len(a.Differ)
-	for len(back) > 0 {
-		n, size := 0, 0
-		for n < len(back) && size < maxExchange {
-			size += 160 + len(back[n].Name) + len(back[n].Scope) + len(back[n].Entry)
-			n++
-		}
-		if err := c.call(ctx, with.Addr, "/v1/facts", back[:n], nil); err != nil {
-			return more, err
-		}
-		back = back[n:]
+	n, size := 0, 0
+	for n < len(back) && size < maxExchange {
+		size += weight(&back[n])
+		n++
+	}
+	more = len(a.Sent) < len(a.Differ) || n < len(back)
+	if n == 0 {
+		return more, nil
 	}
-	return more, nil
+	return more, c.call(ctx, with.Addr, "/v1/facts", back[:n], nil)
 }
 
 // farBehind is how many buckets have to differ for the member to say that it is behind.
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -51,7 +51,7 @@
 	Join      []string // addresses of others
 	Voters    []string // names
 	Dir       string   // of the log; empty for none
-	Source    string   // names whose versions the dispatcher's list counts by
+	Source    string   // names whose versions the dispatcher's list counts by, until it tells
 	Out       []string // runners that the dispatcher leaves out at its start, by what it kept
 }
 
@@ -60,7 +60,7 @@
 	// Exclude carries out what operators have said, at whichever member.
 	Exclude(uid string, out bool, at time.Time)
 	// Hear takes entries of the list that another's discovery told, in its form.
-	Hear(rev uint64, entries [][]byte)
+	Hear(source string, rev uint64, entries [][]byte)
 	// Hint brings what another has found of a runner, in the dispatcher's own form.
 	Hint(uid string, found []byte)
 }
@@ -81,9 +81,13 @@
 	done   sync.WaitGroup
 	peers  map[string]*peer // by address
 	second atomic.Bool      // another member had this one's name first
+	words  atomic.Int64     // that wait for the actor
+	lost   atomic.Uint64    // that were dropped
 
 	store   *replica.Store
-	gen     uint64         // of the source's versions
+	source  string         // names whose versions the list counts by now
+	gen     uint64         // how often the source's versions have begun anew, as seen here
+	latest  uint64         // and as anybody has seen it
 	mine    map[string]own // the list as told here, by uid
 	outs    map[string]bool
 	fresh   []replica.Fact  // taken in since the dispatcher was told
@@ -117,7 +121,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Cluster{cfg: cfg, log: log, to: to, port: port, box: mailbox.New[func(*Cluster)](), ctx: ctx, end: cancel, peers: map[string]*peer{},
+	c := &Cluster{cfg: cfg, log: log, to: to, port: port, box: mailbox.New[func(*Cluster)](), ctx: ctx, end: cancel, source: cfg.Source, peers: map[string]*peer{},
 		store: replica.New(replica.DefaultBounds()), mine: map[string]own{}, found: map[string]told{}, outs: map[string]bool{}, started: time.Now()}
 	meta := members.Meta{Site: cfg.Site, Build: cfg.Build, Epoch: uint64(c.started.UnixMilli())}
 	c.remember()
@@ -157,9 +161,23 @@
 	_ = c.calls.Close()
 	c.http.CloseIdleConnections()
 	c.port.Close()
-	c.done.Wait()
+	ended := make(chan struct{})
+	go func() {
+		c.done.Wait()
+		close(ended)
+	}()
+	late := time.NewTimer(closeTime)
+	defer late.Stop()
+	select {
+	case <-ended:
+	case <-late.C:
+		c.log.Warn("a part of the member stands still and is left")
+	}
 }
 
+// closeTime bounds the end. Guards the process's own against a log that waits for its disk.
+const closeTime = time.Second
+
 // Drains tells the others that the dispatcher is about to end.
 func (c *Cluster) Drains() { c.list.Update(func(m *members.Meta) { m.Drain = true }) }
 
@@ -210,6 +228,7 @@
 
 // Gone tells of one that is gone.
 func (g *gossip) Gone(i members.Info) {
+	g.box.Put(func(c *Cluster) { c.drop(i.Addr) })
 	l := g.line(i)
 	if i.Life == members.Left {
 		l.Info("member left")
@@ -234,7 +253,20 @@
 var errSecond = errors.New("another member had this name first; give this one a name of its own")
 
 // Heard brings a word.
-func (g *gossip) Heard(word []byte) { g.box.Put(func(c *Cluster) { c.word(word) }) }
+func (g *gossip) Heard(word []byte) {
+	if g.words.Add(1) > mostWords { // it comes when copies are compared
+		g.words.Add(-1)
+		g.lost.Add(1)
+		return
+	}
+	g.box.Put(func(c *Cluster) {
+		c.words.Add(-1)
+		c.word(word)
+	})
+}
+
+// mostWords is how many words may wait for the actor; more are dropped and counted.
+const mostWords = 4096
 
 // agreement is what the log tells; it comes from the engine's goroutine.
 type agreement Cluster
@@ -269,7 +301,7 @@
 }
 
 // Formed tells what this member's part is.
-func (a *agreement) Formed(disk string, begun, _ bool) {
+func (a *agreement) Formed(disk string, begun bool) {
 	a.list.Update(func(m *members.Meta) { m.Disk, m.Log = disk, begun })
 }
 
--- a/internal/cluster/facts.go
+++ b/internal/cluster/facts.go
@@ -21,13 +21,25 @@
 
 // Told takes in what the dispatcher's own discovery said: entries that changed, or the whole
 // list; back is set where its versions have begun anew. It does not block.
-func (c *Cluster) Told(rev uint64, whole, back bool, entries []Entry) {
-	c.box.Put(func(c *Cluster) { c.listed(rev, whole, back, entries) })
+// Source names whose versions they are; where that changes, what the one before told is its own.
+func (c *Cluster) Told(source string, rev uint64, whole, back bool, entries []Entry) {
+	c.box.Put(func(c *Cluster) {
+		if source != c.source {
+			c.source, c.gen, c.latest, back = source, 0, 0, false
+			clear(c.mine)
+			for _, f := range c.store.All(replica.Runner) {
+				if f.Scope == source {
+					c.fresh = append(c.fresh, f)
+				}
+			}
+		}
+		c.listed(rev, whole, back, entries)
+	})
 }
 
 func (c *Cluster) listed(rev uint64, whole, back bool, entries []Entry) {
 	if back {
-		c.gen++
+		c.gen = max(c.gen+1, c.latest) // as others count it who have seen it begin anew
 		c.log.WithFields(logrus.Fields{"rev": rev, "count": c.gen}).Warn("discovery counts its versions anew")
 		for uid, e := range c.mine { // what it said before counts no more
 			e.rev = rev
@@ -63,7 +75,7 @@
 }
 
 func (c *Cluster) fact(e own) replica.Fact {
-	return replica.Fact{Key: replica.Key{Kind: replica.Runner, Name: e.UID, Scope: c.cfg.Source}, State: e.State, Gen: c.gen,
+	return replica.Fact{Key: replica.Key{Kind: replica.Runner, Name: e.UID, Scope: c.source}, State: e.State, Gen: c.gen,
 		Rev: e.rev, Boot: e.Boot, Entry: e.Text, At: now(), By: c.cfg.Name}
 }
 
@@ -128,7 +140,7 @@
 	c.told.Took++
 	switch f.Kind {
 	case replica.Runner:
-		if f.Scope == c.cfg.Source {
+		if f.Scope == c.source {
 			c.fresh = append(c.fresh, f)
 		}
 	case replica.Health:
@@ -194,11 +206,12 @@
 	var alive []members.Info
 	byRev := map[uint64][][]byte{}
 	for _, f := range c.fresh {
-		if f.Gen > c.gen {
-			c.gen = f.Gen
-			for _, e := range c.mine { // counts under the new count too, until discovery tells anew
-				c.say(c.fact(e))
-			}
+		c.latest = max(c.latest, f.Gen)
+		if len(c.mine) == 0 {
+			c.gen = c.latest
+		}
+		if f.Gen != c.gen { // versions of another count say nothing of those here
+			continue
 		}
 		text := []byte(f.Entry)
 		switch f.State {
@@ -218,6 +231,6 @@
 	}
 	c.fresh = c.fresh[:0]
 	for rev, entries := range byRev {
-		c.to.Hear(rev, entries)
+		c.to.Hear(c.source, rev, entries)
 	}
 }
--- a/internal/cluster/fates.go
+++ b/internal/cluster/fates.go
@@ -61,7 +61,7 @@
 		finish := func() {
 			c.box.Put(func(c *Cluster) {
 				told(slices.DeleteFunc(c.store.Fates(name, now()), func(f replica.Fact) bool {
-					return f.State < replica.Sent || f.By == c.cfg.Name && f.Epoch == c.epoch()
+					return f.By == c.cfg.Name && f.Epoch == c.epoch()
 				}))
 			})
 		}
@@ -75,7 +75,7 @@
 						}
 					})
 				}
-				g.one()
+				g.one(nil) // one that does not answer has nothing to say
 			}})
 		}
 	})
@@ -104,23 +104,25 @@
 		}
 		g := newGather(len(of), 1, then)
 		for _, m := range of {
-			c.peer(m.Addr).put(item{tell: &fact, lazy: lazy, done: func([]replica.Fact, error) { g.one() }})
+			c.peer(m.Addr).put(item{tell: &fact, lazy: lazy, done: func(_ []replica.Fact, err error) { g.one(err) }})
 		}
 	})
 }
 
 func (c *Cluster) epoch() uint64 { return uint64(c.started.UnixMilli()) }
 
-// gather calls a function once: when enough answers have come, or after keeperTime.
+// gather calls a function once: when enough answers have come, when no more can, or after
+// keeperTime. A call that failed is no answer: who was not reached knows nothing.
 type gather struct {
 	mu    sync.Mutex
-	left  int
+	left  int // answers that are wanted still
+	open  int // calls that are out
 	then  func()
 	timer *time.Timer
 }
 
 func newGather(of, enough int, then func()) *gather {
-	g := &gather{left: min(of, enough), then: then}
+	g := &gather{left: min(of, enough), open: of, then: then}
 	if g.left == 0 {
 		then()
 		return g
@@ -131,10 +133,13 @@
 	return g
 }
 
-func (g *gather) one() {
+func (g *gather) one(err error) {
 	g.mu.Lock()
-	g.left--
-	last := g.left == 0
+	g.open--
+	if err == nil {
+		g.left--
+	}
+	last := g.left == 0 || g.open == 0
 	g.mu.Unlock()
 	if last {
 		g.timer.Stop()
@@ -173,6 +178,7 @@
 	c    *Cluster
 	addr string
 	box  *mailbox.Box[item]
+	end  context.CancelFunc
 	mu   sync.Mutex
 	held int
 }
@@ -184,16 +190,25 @@
 	if p := c.peers[addr]; p != nil {
 		return p
 	}
-	p := &peer{c: c, addr: addr, box: mailbox.New[item]()}
+	ctx, end := context.WithCancel(c.ctx)
+	p := &peer{c: c, addr: addr, box: mailbox.New[item](), end: end}
 	c.peers[addr] = p
 	c.done.Add(1)
 	go func() {
 		defer c.done.Done()
-		p.run(c.ctx)
+		p.run(ctx)
 	}()
 	return p
 }
 
+// drop ends the actor of a member that is gone. What waited for it is told of by keeperTime.
+func (c *Cluster) drop(addr string) {
+	if p := c.peers[addr]; p != nil {
+		p.end()
+		delete(c.peers, addr)
+	}
+}
+
 func (p *peer) put(i item) {
 	p.mu.Lock()
 	full := p.held >= mostQueue
--- /dev/null
+++ b/internal/cluster/fates_test.go
@@ -0,0 +1,40 @@
+package cluster
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+// TestGather guards keyed jobs from being sent as if others knew of them: a call that failed
+// is no answer, unless none can come any more.
+func TestGather(t *testing.T) {
+	failed := errors.New("not reached")
+	for name, tc := range map[string]struct {
+		of, enough int
+		answers    []error
+		after      int // how many of them until the function is called
+	}{
+		"one of two":            {2, 1, []error{nil, nil}, 1},
+		"the first fails":       {2, 1, []error{failed, nil}, 2},
+		"both fail":             {2, 1, []error{failed, failed}, 2},
+		"both are wanted":       {2, 2, []error{nil, nil}, 2},
+		"nobody to be asked":    {0, 1, nil, 0},
+		"fewer than are wanted": {1, 2, []error{nil}, 1},
+	} {
+		called := make(chan bool, 2)
+		g := newGather(tc.of, tc.enough, func() { called <- true })
+		if g.timer != nil {
+			g.timer.Reset(time.Hour) // what is tested is not the time
+		}
+		for i, err := range tc.answers {
+			if done := len(called) > 0; done != (i >= tc.after) {
+				t.Errorf("%s: after %d answers it was called: %t", name, i, done)
+			}
+			g.one(err)
+		}
+		if len(called) != 1 {
+			t.Errorf("%s: it was called %d times", name, len(called))
+		}
+	}
+}
--- a/internal/cluster/operators.go
+++ b/internal/cluster/operators.go
@@ -25,8 +25,9 @@
 	Took    uint64            `json:"took"`
 	Refused uint64            `json:"refused"`
 	Clashes uint64            `json:"conflicts"`
-	Sent    uint64            `json:"sent_bytes"` // by UDP
-	Lost    uint64            `json:"lost_packets"`
+	Failed  uint64            `json:"not_compared"` // comparisons that failed
+	Sent    uint64            `json:"sent_bytes"`   // by UDP
+	Lost    uint64            `json:"lost_packets"` // and words, as nobody had time for them
 }
 
 // Report is all that the console tells.
@@ -38,8 +39,7 @@
 	State   ledger.State   `json:"state"`
 }
 
-var kindNames = [replica.Kinds]string{replica.Runner: "runners", replica.Start: "starts", replica.Health: "health",
-	replica.Member: "members", replica.Fate: "fates"}
+var kindNames = [replica.Kinds]string{replica.Runner: "runners", replica.Health: "health", replica.Fate: "fates"}
 
 // Report gathers it; false where the context ends before.
 func (c *Cluster) Report(ctx context.Context) (Report, bool) {
@@ -47,7 +47,7 @@
 	var ok bool
 	r.Copies, ok = ask(ctx, c, func(c *Cluster) Copies {
 		k := Copies{Digest: digestText(c.store.Digest()), Held: map[string]int{}, Dropped: map[string]uint64{}, Behind: c.behind, Synced: -1,
-			Waiting: c.list.Waiting(), Heard: c.told.Heard, Took: c.told.Took, Refused: c.told.Refused, Clashes: c.told.Conflicts}
+			Waiting: c.list.Waiting(), Heard: c.told.Heard, Took: c.told.Took, Refused: c.told.Refused, Clashes: c.told.Conflicts, Failed: c.told.Unreached}
 		for kind, name := range kindNames {
 			if name != "" {
 				k.Held[name], k.Dropped[name] = c.store.Len(replica.Kind(kind))
@@ -57,6 +57,7 @@
 			k.Synced = time.Since(c.synced).Seconds()
 		}
 		k.Sent, _, k.Lost = c.port.Traffic()
+		k.Lost += c.lost.Load()
 		return k
 	})
 	return r, ok
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,6 +51,7 @@
 	witness   Witness            // nil for none
 	fates     Fates              // nil for none
 	asking    map[*Job]bool      // jobs whose fate is asked for, their clients still there
+	ends      time.Duration      // when the process may be ended; 0 for not yet
 }
 
 // New makes the core. Seed is for the module's random numbers.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -143,3 +143,58 @@
 		t.Errorf("health of %d runners is told, want of the one that was met", found)
 	}
 }
+
+// remembering is a memory of fates that the test answers.
+type remembering struct{ told func([]Fate) }
+
+func (r *remembering) Ask(_ *Job, told func([]Fate))                      { r.told = told }
+func (*remembering) Sending(_ *Job, _ Fate, _ time.Duration, send func()) { send() }
+func (*remembering) Done(_ *Job, _ Fate, _ time.Duration, _ []byte)       {}
+
+// TestSentElsewhere guards a job that another dispatcher has sent: its hop here is told in its
+// story at its own place, and one that was asked for while the process began to end has its
+// answer before that end.
+func TestSentElsewhere(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	cfg := decision.Config{Classes: []decision.Class{{Effect: decision.Keyed, Group: decision.ScopeAll, Window: time.Hour,
+		Objective: time.Second, GiveUp: time.Hour, WorkerKind: -1}}}
+	c, err := New(cfg, 1, opened{}, noList{}, func(int, int) {}, logrus.NewEntry(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fates := &remembering{}
+	c.Remember(fates)
+	c.Record(func(*trace.Story) {})
+	c.now = c.clock(time.Now())
+	drains := Route{UID: "s-3", Addr: "z"}
+	drains.State = decision.Draining
+	c.listed(decision.MembersChanged, []Route{{UID: "s-1", Addr: "x"}, drains, {UID: "s-2", Addr: "y"}})
+	c.step()
+	work := func() {
+		for range 3 {
+			for _, message := range c.box.Drain(nil) {
+				message(c)
+			}
+			c.step()
+		}
+	}
+	job := &Job{ID: "x", Key: "k", Slots: 1, Deadline: time.Now().Add(time.Hour), Story: &trace.Story{}}
+	c.Submit(job, make(answers, 1))
+	work()
+	by := time.Now().Add(time.Minute)
+	c.EndBy(by)
+	work()
+	fates.told([]Fate{{At: c.now}})
+	work()
+	r := c.byID["x"]
+	if r == nil || len(r.hops) != 2 || len(r.story.Hops) != 2 || r.story.Hops[1].Ended != 0 || r.story.Hops[0].Ended == 0 {
+		t.Fatalf("request %+v", r)
+	}
+	if got := r.story.Hops[0].Target; got != "s-3" {
+		t.Errorf("%s stands for the group, so that the job can't go there, and another gets none", got)
+	}
+	if r.deadline > c.clock(by) {
+		t.Errorf("its deadline is %s after the process's end", r.deadline-c.clock(by))
+	}
+}
--- a/internal/core/fates.go
+++ b/internal/core/fates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"frosttide/decision"
+	"frosttide/internal/trace"
 )
 
 // Fate is where another dispatcher has sent a job with the same key.
@@ -74,6 +75,9 @@
 		}
 		ev.Past = append(ev.Past, decision.Past{Worker: w.number, SentAt: f.At, Ended: true, Outcome: decision.TimedOut})
 		r.hops = append(r.hops, hop{number: w.number, to: w, deadline: r.deadline, taken: true, ended: true})
+		if r.story != nil { // a story has a place for each hop
+			r.story.Next(trace.Hop{Target: w.uid, Began: f.At, Ended: c.now, Outcome: outcomes[decision.TimedOut]})
+		}
 	}
 	c.event(ev)
 }
@@ -84,14 +88,21 @@
 	whyGroup = "another dispatcher has sent it to runners that are not listed here"
 )
 
-// like returns a runner of a group.
-func (c *Core) like(job *Job, f Fate) *worker {
+// like returns a runner that stands for a group: one that gets no work if there is one, as the
+// module sends no job again to where it was, and the first listed of those.
+func (c *Core) like(job *Job, f Fate) (found *worker) {
+	better := func(a, b *worker) bool {
+		if x, y := a.member.State == decision.Ready, b.member.State == decision.Ready; x != y {
+			return y
+		}
+		return a.number < b.number
+	}
 	for _, w := range c.workers {
-		if c.group(job, w) == (Fate{Zone: f.Zone, Cell: f.Cell}) {
-			return w
+		if c.group(job, w) == (Fate{Zone: f.Zone, Cell: f.Cell}) && (found == nil || better(w, found)) {
+			found = w
 		}
 	}
-	return nil
+	return found
 }
 
 // group returns the group of a runner that drops the repeats of a job.
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -54,6 +54,7 @@
 // again.
 func (c *Core) EndBy(by time.Time) {
 	c.box.Put(func(c *Core) {
+		c.ends = c.clock(by) // for those whose fate is asked for yet
 		for _, r := range c.requests {
 			if at := c.clock(by); at < r.deadline {
 				r.deadline = at
@@ -82,6 +83,9 @@
 		// Guards tokens and memory against a client that claims to wait for days.
 		r.deadline = min(r.deadline, c.now+most)
 	}
+	if c.ends > 0 {
+		r.deadline = min(r.deadline, c.ends)
+	}
 	if r.story != nil {
 		r.story.Deadline = r.deadline
 	}
--- a/internal/lab/faults/measure.go
+++ b/internal/lab/faults/measure.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{script: s, fleet: f, began: time.Now(), names: map[string][]*member{}, watch: newWatch(), result: &Result{Waits: map[string]time.Duration{}}}
+	r := &runner{script: s, fleet: f, began: time.Now(), names: map[string][]*member{}, watch: newWatch(), result: &Result{}}
 	for _, m := range f.members {
 		if err := f.start(m); err != nil {
 			f.close()
--- a/internal/lab/spread/spread.go
+++ b/internal/lab/spread/spread.go
@@ -39,7 +39,7 @@
 func (l *listener) Hint(string, []byte) {}
 
 // Hear notes a version.
-func (l *listener) Hear(rev uint64, _ [][]byte) {
+func (l *listener) Hear(_ string, rev uint64, _ [][]byte) {
 	l.mu.Lock()
 	l.heard[rev] = true
 	l.mu.Unlock()
@@ -109,7 +109,7 @@
 		uid := fmt.Sprintf("s-%04d", i)
 		entries[i] = cluster.Entry{UID: uid, State: replica.Serving, Text: entry(uid, "SERVING")}
 	}
-	all[0].Told(1, true, false, entries)
+	all[0].Told("one", 1, true, false, entries)
 	if err := until(func() error { return equal(all) }); err != nil {
 		return nil, err
 	}
@@ -142,7 +142,7 @@
 		}
 		at := time.Now()
 		teller := i % n
-		all[teller].Told(rev, false, false, []cluster.Entry{{UID: uid, State: state, Text: entry(uid, word)}})
+		all[teller].Told("one", rev, false, false, []cluster.Entry{{UID: uid, State: state, Text: entry(uid, word)}})
 		for j, l := range ears {
 			if j == teller {
 				continue
@@ -190,7 +190,7 @@
 		uid := fmt.Sprintf("s-%04d", i)
 		entries[i] = cluster.Entry{UID: uid, State: replica.Serving, Text: entry(uid, "SERVING")}
 	}
-	first.Told(1, true, false, entries)
+	first.Told("one", 1, true, false, entries)
 	now := time.Duration(time.Now().UnixNano())
 	var told sync.WaitGroup
 	for i := range keys {
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -53,10 +53,10 @@
 
 // Sink is told what the log leads to, from one goroutine. It must not block.
 type Sink interface {
-	Agreed(ledger.Done)                    // an entry was applied
-	Restored(was, is ledger.State)         // a snapshot took the state's place
-	Led(leader string, term uint64)        // who leads; empty for nobody
-	Formed(disk string, begun, voter bool) // what the member says of its log
+	Agreed(ledger.Done)             // an entry was applied
+	Restored(was, is ledger.State)  // a snapshot took the state's place
+	Led(leader string, term uint64) // who leads; empty for nobody
+	Formed(disk string, begun bool) // what the member says of its log
 }
 
 // Config says what a member's part in the log is.
@@ -193,7 +193,7 @@
 	if q.disk != nil {
 		id = q.disk.id
 	}
-	q.sink.Formed(id, begun, voter)
+	q.sink.Formed(id, begun)
 	if begun || !voter || q.cfg.Voters[0] != q.cfg.Name {
 		return
 	}
--- a/internal/replica/fact.go
+++ b/internal/replica/fact.go
@@ -17,12 +17,10 @@
 // The kinds of facts. Their numbers are part of the wire's form; those of a newer build are
 // passed over.
 const (
-	Runner Kind = iota + 1 // a runner as a discovery told of it; Scope names the discovery
-	Start                  // a runner's last start
-	Health                 // how a runner does, by who met it
-	Member                 // a dispatcher, by its own word
-	Fate                   // a job with a key; Scope names the group that drops its repeats
-	kindEnd
+	Runner  Kind = 1 // a runner as a discovery told of it; Scope names the discovery
+	Health  Kind = 3 // how a runner does, by who met it
+	Fate    Kind = 5 // a job with a key; Scope names the group that drops its repeats
+	kindEnd Kind = 6 // 2 and 4 are not in use
 )
 
 // Kinds is how many kinds there are, 0 among them, for tables by kind.
@@ -37,9 +35,8 @@
 	Draining State = 2
 	Deleted  State = 3
 
-	Taken State = 1 // a dispatcher has it and has sent it nowhere
-	Sent  State = 2 // it may have run
-	Done  State = 3 // it has run
+	Sent State = 2 // it may have run
+	Done State = 3 // it has run
 )
 
 // The bounds of a fact's texts, in bytes.
@@ -54,7 +51,7 @@
 // Key names a fact: there is one for each in a store.
 type Key struct {
 	Kind  Kind   `json:"k"`
-	Name  string `json:"n"`           // a runner's uid, a member's name, a job's class and key
+	Name  string `json:"n"`           // a runner's uid, a job's class and key
 	Scope string `json:"s,omitempty"` // see Kind
 }
 
@@ -64,13 +61,12 @@
 	State State           `json:"st,omitempty"` // Runner, Fate
 	Gen   uint64          `json:"g,omitempty"`  // Runner: how often the discovery has begun its versions anew
 	Rev   uint64          `json:"r,omitempty"`  // Runner: the discovery's version
-	Boot  int64           `json:"b,omitempty"`  // Start: ms since 1970
-	Entry json.RawMessage `json:"e,omitempty"`  // Runner: the discovery's words; Member, Health: the teller's
+	Boot  int64           `json:"b,omitempty"`  // Runner: its last start, ms since 1970
+	Entry json.RawMessage `json:"e,omitempty"`  // Runner: the discovery's words; Health: the teller's
 	At    int64           `json:"t,omitempty"`  // ms since 1970: told, measured, or first sent
 	Until int64           `json:"u,omitempty"`  // Fate: when the window ends
 	By    string          `json:"by,omitempty"` // the member who tells
-	Epoch uint64          `json:"ep,omitempty"` // Member: drawn anew at each start, rising
-	Seq   uint64          `json:"q,omitempty"`  // Member: counts what it has said since
+	Epoch uint64          `json:"ep,omitempty"` // Fate: drawn at the teller's start
 	Sum   string          `json:"d,omitempty"`  // Fate: digest of the result
 }
 
@@ -78,7 +74,7 @@
 // that are broken or speak another form.
 func (f *Fact) Valid(now int64) error {
 	switch {
-	case f.Kind == 0 || f.Kind >= kindEnd:
+	case f.Kind != Runner && f.Kind != Health && f.Kind != Fate:
 		return fmt.Errorf("kind %d is not known", f.Kind)
 	case f.Name == "" || len(f.Name) > maxName || len(f.Scope) > maxName || len(f.By) > maxName || len(f.Sum) > maxName:
 		return errors.New("a name is empty or too long")
@@ -88,7 +84,7 @@
 		return errors.New("its entry is no JSON")
 	case f.At > now+ahead:
 		return fmt.Errorf("it is %d s ahead of the clock here", (f.At-now)/1000)
-	case (f.Kind == Runner || f.Kind == Fate) && (f.State < Serving || f.State > Deleted):
+	case f.Kind == Runner && (f.State < Serving || f.State > Deleted) || f.Kind == Fate && f.State != Sent && f.State != Done:
 		return fmt.Errorf("state %d is not known", f.State)
 	case f.Kind == Fate && (f.Until <= f.At || f.Until > f.At+maxWindow):
 		return errors.New("its window can't be meant")
@@ -105,38 +101,25 @@
 //
 //   - a runner as a discovery told of it: the later count of its versions, the higher
 //     version, and of equal versions the state that takes work away;
-//   - a start: the later one;
 //   - health: the one measured later;
-//   - a member: its own later word;
 //   - a job's fate: the further one, and of equal ones the first, as windows begin with it.
 func Newer(a, b *Fact) int {
 	first := 0
 	switch a.Kind {
 	case Runner:
 		first = cmp.Or(cmp.Compare(a.Gen, b.Gen), cmp.Compare(a.Rev, b.Rev), cmp.Compare(a.State, b.State), cmp.Compare(a.Boot, b.Boot))
-	case Start:
-		first = cmp.Compare(a.Boot, b.Boot)
 	case Health:
 		first = cmp.Compare(a.At, b.At)
-	case Member:
-		first = cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Seq, b.Seq))
 	case Fate:
 		first = cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(b.At, a.At))
 	}
 	return cmp.Or(first, cmp.Compare(b.At, a.At), cmp.Compare(a.By, b.By), cmp.Compare(a.Sum, b.Sum),
 		cmp.Compare(a.Until, b.Until), cmp.Compare(string(a.Entry), string(b.Entry)), cmp.Compare(a.State, b.State),
-		cmp.Compare(a.Gen, b.Gen), cmp.Compare(a.Rev, b.Rev), cmp.Compare(a.Boot, b.Boot), cmp.Compare(a.Epoch, b.Epoch),
-		cmp.Compare(a.Seq, b.Seq))
+		cmp.Compare(a.Gen, b.Gen), cmp.Compare(a.Rev, b.Rev), cmp.Compare(a.Boot, b.Boot), cmp.Compare(a.Epoch, b.Epoch))
 }
 
-// Differ tells whether two copies contradict each other, so that people should hear of it:
-// a job that was done twice with different results, a member's name that two use.
+// Differ tells whether two copies contradict each other, so that people should hear of it: a
+// job that was done twice with different results.
 func Differ(a, b *Fact) bool {
-	switch a.Kind {
-	case Fate:
-		return a.State == Done && b.State == Done && a.Sum != b.Sum
-	case Member:
-		return a.Epoch == b.Epoch && a.Seq == b.Seq && string(a.Entry) != string(b.Entry)
-	}
-	return false
+	return a.Kind == Fate && a.State == Done && b.State == Done && a.Sum != b.Sum
 }
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -18,7 +18,7 @@
 
 // DefaultBounds fits 20,000 runners and 100,000 keys.
 func DefaultBounds() Bounds {
-	return Bounds{Runner: 20_000, Start: 20_000, Health: 20_000, Member: 1_000, Fate: 100_000}
+	return Bounds{Runner: 20_000, Health: 20_000, Fate: 100_000}
 }
 
 // tombstones is how long a runner that is gone is remembered, in ms. A copy of it that is
@@ -73,6 +73,10 @@
 		return TooOld, false, nil
 	}
 	was, ok := s.facts[f.Key]
+	if ok && ended(&was.Fact, now) { // a key that comes again after its window begins another
+		s.remove(f.Key)
+		ok = false
+	}
 	if !ok {
 		s.put(f)
 		s.shrink(f.Kind)
@@ -262,33 +266,3 @@
 	}
 	return out
 }
-
-// View is what all discoveries together say of a runner.
-type View struct {
-	State State  // Deleted only where all say so
-	Fact  Fact   // the one that says it, the newest
-	Boot  int64  // its last start by anybody's word
-	Told  []Fact // by each discovery
-}
-
-// Runner returns what is known of a runner. A drain that any discovery tells counts: their
-// versions can't be compared, and work sent to a runner that drains is lost.
-func (s *Store) Runner(uid string, scopes []string) (View, bool) {
-	var v View
-	for _, scope := range scopes {
-		f, ok := s.Get(Key{Runner, uid, scope})
-		if !ok {
-			continue
-		}
-		v.Told = append(v.Told, f)
-		v.Boot = max(v.Boot, f.Boot)
-		switch {
-		case v.State == 0, f.State == Draining, v.State == Deleted:
-			v.State, v.Fact = f.State, f
-		}
-	}
-	if f, ok := s.Get(Key{Start, uid, ""}); ok {
-		v.Boot = max(v.Boot, f.Boot)
-	}
-	return v, v.State != 0
-}
--- a/internal/routetable/hearsay.go
+++ b/internal/routetable/hearsay.go
@@ -10,6 +10,7 @@
 
 // Telling is what this dispatcher's discovery has told.
 type Telling struct {
+	From    string // its address
 	Rev     uint64
 	Whole   bool
 	Back    bool // the versions have begun anew
@@ -35,11 +36,16 @@
 // maxHearsay bounds them; past it the next is passed over, and comes by discovery.
 const maxHearsay = 20_000
 
-// Hear takes in entries that another dispatcher's discovery has told in a version, where
-// versions there and here count alike. What ours has told as late or later is passed over;
+// Hear takes in entries that another dispatcher's discovery has told in a version. From names
+// the discovery whose versions those are, empty where they count like any of ours; what is
+// from one that is not ours any more is passed over. What ours has told as late or later is passed over;
 // the rest holds until ours has come as far. It does not block.
-func (t *Table) Hear(rev uint64, entries [][]byte) {
-	t.box.Put(func(t *Table) { t.hear(rev, entries) })
+func (t *Table) Hear(from string, rev uint64, entries [][]byte) {
+	t.box.Put(func(t *Table) {
+		if from == "" || from == t.addr {
+			t.hear(rev, entries)
+		}
+	})
 }
 
 func (t *Table) hear(rev uint64, entries [][]byte) {
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -76,6 +76,7 @@
 	grace    time.Duration      // what the agent has counts as told, and binds after this
 	failed   int                // calls to the agent in a row that have brought nothing
 	told     func(Telling)      // nil for nobody
+	moved    bool               // the address has told nothing yet
 	heard    map[string]hearsay // what others' discoveries told that ours has yet to tell, by uid
 }
 
@@ -158,7 +159,8 @@
 		t.drop()
 		t.client.CloseIdleConnections()
 		t.calls, t.drop = context.WithCancel(context.Background())
-		t.addr, t.revGiven, t.watching, t.failed = addr, false, false, 0
+		t.addr, t.revGiven, t.watching, t.failed, t.moved = addr, false, false, 0, true
+		clear(t.heard) // its versions may count otherwise
 		if t.asked {
 			t.watch()
 		}
@@ -373,7 +375,8 @@
 		t.log.WithError(err).Warn("list line skipped")
 		return false
 	}
-	back := l.All && l.Rev < t.rev
+	back := l.All && !t.moved && l.Rev < t.rev
+	t.moved = false
 	if back { // what others heard counts by versions that are no more
 		clear(t.heard)
 	}
@@ -412,7 +415,7 @@
 		t.sink.ListChanged(routes)
 	}
 	if t.told != nil {
-		t.told(Telling{Rev: l.Rev, Whole: l.All, Back: back, Entries: told})
+		t.told(Telling{From: t.addr, Rev: l.Rev, Whole: l.All, Back: back, Entries: told})
 	}
 	return true
 }
