--- a/cmd/frosttide/clustercmd.go
+++ b/cmd/frosttide/clustercmd.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -139,6 +140,10 @@
 	for _, d := range r.State.Out {
 		fmt.Fprintf(w, "left out\t%s\tby %s since %s\t%s\n", d.UID, d.By, time.UnixMilli(d.At).UTC().Format(time.RFC3339), d.Why)
 	}
+	if b := r.Back; b != nil {
+		fmt.Fprintf(w, "come back\t%s for %.1f s\t%s\n", b.Stage, b.Since, b.Waits)
+		fmt.Fprintf(w, "sharers\t%d\tof cold runners; the process stood still %d times\n", b.Sharers, b.Stood)
+	}
 	c := r.Copies
 	fmt.Fprintf(w, "copies\t%s\tdigest\n", c.Digest)
 	for _, kind := range []string{"runners", "health", "fates"} {
@@ -162,6 +167,9 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "role\t%s (%s)\nleader\t%s\nterm\t%d\nlast entry\t%d\napplied\t%d\nvoters\t%s\nfollowers\t%s\n", l.Role, l.ID, leader, l.Term,
 		l.Last, l.Applied, strings.Join(l.Voters, " "), strings.Join(l.Followed, " "))
+	if l.Lost != "" {
+		fmt.Fprintf(w, "lost\t%s\n", l.Lost)
+	}
 	w.Flush()
 	w = tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	for _, d := range r.State.Last {
@@ -177,6 +185,27 @@
 	w.Flush()
 }
 
+// beginAnew makes a member without a log the only voter of a new one.
+func beginAnew(out io.Writer, cfg config.Config, sure bool) error {
+	if err := os.MkdirAll(cfg.Cluster.Dir, 0o700); err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	kept, err := cluster.BeginAnew(cluster.Config{Name: cfg.Name, Listen: cfg.Cluster.Listen, Advertise: cfg.Cluster.Advertise,
+		Dir: cfg.Cluster.Dir, Keep: cfg.Cluster.Keep}, sure)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "the folder here holds no log; what was kept apart from it says that it went to entry %d\n", kept.Index)
+	fmt.Fprintf(out, "left out by it: %d runners: %s\n", len(kept.Out), strings.Join(kept.Out, " "))
+	fmt.Fprintln(out, "entries after that one, if there were any, are unknown")
+	if !sure {
+		fmt.Fprintln(out, "nothing was changed; say --yes to begin a new log with these runners left out")
+		return nil
+	}
+	fmt.Fprintf(out, "%s is the only voter of a new log now; start it, then the others with empty folders\n", cfg.Name)
+	return nil
+}
+
 func recoverCommand() *cobra.Command {
 	var sure bool
 	cmd := &cobra.Command{
@@ -185,7 +214,8 @@
 		Long: `recover makes this member the only voter of the log in its folder. It is for the one case in
 which a majority of the voters will never come back. What only the lost ones had is lost:
 entries that were acknowledged and had not reached this member. Entries that this member has
-and that were never acknowledged come to be. Run it on the member whose log goes furthest
+and that were never acknowledged come to be. Where no voter has a log any more, a member that kept
+how far it had gone apart from it (recovery.keep) begins a new one with what was kept. Run it on the member whose log goes furthest
 ("frosttide cluster log" on each), start that one, then the others with empty folders.`,
 		Example: `  frosttide cluster recover --config /etc/frosttide.toml --yes`,
 		Args:    noArgs,
@@ -206,6 +236,9 @@
 			addr = cfg.Cluster.Listen
 		}
 		found, err := quorum.Recover(cfg.Cluster.Dir, cfg.Name, addr, sure)
+		if errors.Is(err, quorum.ErrEmpty) || errors.Is(err, os.ErrNotExist) {
+			return beginAnew(cmd.OutOrStdout(), cfg, sure)
+		}
 		if err != nil {
 			return err
 		}
--- a/cmd/frosttide/fates.go
+++ b/cmd/frosttide/fates.go
@@ -46,11 +46,11 @@
 		told(nil)
 		return
 	}
-	m.Ask(f.name(job), func(facts []replica.Fact) {
+	m.Ask(f.name(job), job.Owed, func(facts []replica.Fact) {
 		var out []core.Fate
 		for _, fact := range facts {
 			g := parseGroup(fact.Scope)
-			g.At = time.Duration(fact.At) * time.Millisecond
+			g.Age = max(m.Now()-time.Duration(fact.At)*time.Millisecond, 0)
 			out = append(out, g)
 		}
 		told(out)
@@ -58,16 +58,16 @@
 }
 
 // Sending makes known that a job is about to go to a runner of a group.
-func (f fates) Sending(job *core.Job, group core.Fate, until time.Duration, send func()) {
-	f.say(job, group, replica.Sent, until, "", send)
+func (f fates) Sending(job *core.Job, group core.Fate, left time.Duration, send func()) {
+	f.say(job, group, replica.Sent, left, "", send)
 }
 
 // Done makes known that it was done there.
-func (f fates) Done(job *core.Job, group core.Fate, until time.Duration, result []byte) {
-	f.say(job, group, replica.Done, until, fmt.Sprintf("%016x", xxhash.Sum64(result)), nil)
+func (f fates) Done(job *core.Job, group core.Fate, left time.Duration, result []byte) {
+	f.say(job, group, replica.Done, left, fmt.Sprintf("%016x", xxhash.Sum64(result)), nil)
 }
 
-func (f fates) say(job *core.Job, group core.Fate, state replica.State, until time.Duration, sum string, then func()) {
+func (f fates) say(job *core.Job, group core.Fate, state replica.State, left time.Duration, sum string, then func()) {
 	m := f.now()
 	if m == nil {
 		if then != nil {
@@ -75,5 +75,5 @@
 		}
 		return
 	}
-	m.Tell(cluster.Fate{Name: f.name(job), Group: groupText(group)}, state, time.Duration(time.Now().UnixNano()), until, sum, then)
+	m.Tell(cluster.Fate{Name: f.name(job), Group: groupText(group)}, state, left, sum, then)
 }
--- /dev/null
+++ b/cmd/frosttide/gangs.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"frosttide/internal/config"
+	"frosttide/internal/core"
+	gangdesk "frosttide/internal/gang/desk"
+)
+
+// watchGangs has the parts of gangs watched, by this dispatcher alone or with the others; nil
+// where the settings don't say so. It is called before the core runs.
+func watchGangs(cfg config.Config, c *core.Core, o *others, log *logrus.Entry) *gangdesk.Desk {
+	if !cfg.Gang.Enabled {
+		return nil
+	}
+	look := cfg.Gang.Every / 2
+	if look <= 0 {
+		look = time.Second
+	}
+	d := gangdesk.New(gangdesk.Config{Every: cfg.Gang.Every, Look: look, Copies: cfg.Gang.Copies, Now: o.membersNow, Tell: o.tellGang}, c, log)
+	c.Watch(d)
+	if o != nil {
+		o.gangs = d
+	}
+	return d
+}
+
+// gangHandler answers operators about gangs.
+func gangHandler(d *gangdesk.Desk) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d == nil {
+			http.Error(w, "gangs are watched where [gang] has enabled = true", http.StatusServiceUnavailable)
+			return
+		}
+		ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(statusWithin))
+		defer cancel()
+		s, ok := d.Status(ctx)
+		if !ok {
+			http.Error(w, "not done, try again", http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s) // a caller that has left hears nothing
+	})
+}
+
+// statusWithin bounds a question to the watcher: whoever makes a call waits for a second.
+const statusWithin = 800 * time.Millisecond
+
+// tellGang makes known to the other members how a part does.
+func (o *others) tellGang(name string, fact []byte) {
+	if o == nil {
+		return
+	}
+	if m := o.now(); m != nil {
+		m.TellGang(name, fact)
+	}
+}
+
+// HearGang brings what another member tells of a part.
+func (o *others) HearGang(told []byte) {
+	if o.gangs != nil {
+		o.gangs.Hear(told)
+	}
+}
+
+// runGangs has them watched until the context ends.
+func runGangs(ctx context.Context, d *gangdesk.Desk) {
+	if d != nil {
+		go d.Run(ctx)
+	}
+}
--- a/cmd/frosttide/serve.go
+++ b/cmd/frosttide/serve.go
@@ -27,6 +27,7 @@
 	"frosttide/internal/routetable"
 	"frosttide/internal/settings"
 	"frosttide/internal/telemetry"
+	flowfront "frosttide/internal/workflow/front"
 )
 
 const (
@@ -98,7 +99,8 @@
 	counts.Classes(cfg.Names.Classes)
 	others := openOthers(cfg, entry.WithField("part", "cluster")) // nil for a dispatcher on its own
 	table := routetable.New(routetable.Config{Addr: cfg.Discovery, Zones: cfg.Names.Zones, Kinds: cfg.Names.Kinds,
-		Whole: cfg.State.Dir != "", Pushed: cfg.Names.Pushed, Grace: cfg.Module.Rules.DrainGrace, Told: others.told()},
+		Whole: cfg.State.Dir != "", Pushed: cfg.Names.Pushed, Number: cfg.Module.Instance, Count: cfg.Module.Instances,
+		AskWithin: cfg.Module.Rules.AskWithin, Grace: cfg.Module.Rules.DrainGrace, Told: others.told()},
 		entry.WithField("part", "routetable"))
 	fleet := egress.NewFleet(egress.Config{ConnectTimeout: cfg.Module.Limits.ConnectTimeout,
 		Keepalive: cfg.Names.Keepalive, Sockets: whole.runners, Columns: cfg.Names.Columns,
@@ -125,8 +127,10 @@
 	c.TellHeld(stories.On, func(held []core.Holding) { stories.Loads(loads(held)) })
 	if others != nil {
 		c.Remember(fates{others})
+		others.guard(c, table)
 	}
-	var keeper *roster.Roster // nil where nothing is kept
+	gangs := watchGangs(cfg, c, others, entry.WithField("part", "gang")) // nil for nobody
+	var keeper *roster.Roster                                            // nil where nothing is kept
 	if held != nil {
 		keeper = held.roster(cfg, c, table, counts)
 	}
@@ -140,7 +144,7 @@
 	var ready atomic.Bool
 	if operators != nil {
 		note := func() (bool, string) { return ready.Load(), storedNote(keeper) }
-		go console.New(others.operators(c), note, counts.Handler(), others.handler(), entry.WithField("part", "console")).Serve(operators)
+		go console.New(others.operators(c), note, counts.Handler(), others.handler(), fleetHandler(flowfront.Handler(others.deskNow, others.membersNow), gangHandler(gangs)), entry.WithField("part", "console")).Serve(operators)
 	}
 	var front *ingress.Front
 	share := func(processes int) {
@@ -161,7 +165,7 @@
 	})
 	front = ingress.New(ingress.Config{Classes: classes(cfg), Tenants: cfg.Names.Tenants, Columns: cfg.Names.Columns,
 		Slots: decision.MostSlots, Clients: whole.jobs, Sockets: whole.ingress,
-		Stories: stories}, c, link, counts, entry.WithField("part", "ingress"))
+		Stories: stories, Steps: flowfront.Steps{Of: others.deskNow}}, c, link, counts, entry.WithField("part", "ingress"))
 	listener, err := listen(cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -187,6 +191,7 @@
 		go farmers.Run(ctx)
 	}
 	go table.Run(ctx)
+	runGangs(ctx, gangs)
 	go c.Run(ctx)
 	if others != nil {
 		if err := others.begin(c, table, link, keeper, held); err != nil {
@@ -195,6 +200,12 @@
 		defer others.end()
 		go others.run(ctx)
 	}
+	if cfg.Names.Pushed { // what the agent has binds from the first moment
+		select {
+		case <-table.Answered():
+		case <-time.After(time.Until(time.Now().Add(cfg.Module.Rules.DrainGrace))): // it says nothing during an outage
+		}
+	}
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
 	var grace atomic.Int64
@@ -204,7 +215,7 @@
 			held.classes.Store(&cfg.Names.Classes)
 		} // the core first: what the ingress lets in it must know
 		if others != nil {
-			others.classes.Store(&cfg.Names.Classes)
+			others.take(cfg)
 		}
 		c.Settings(cfg.Module)
 		counts.Classes(cfg.Names.Classes)
@@ -214,7 +225,7 @@
 			farmers.take(cfg)
 		}
 		grace.Store(int64(graceOf(cfg)))
-		table.Within(cfg.Module.Rules.DrainGrace)
+		table.Within(cfg.Module.Rules.AskWithin, cfg.Module.Rules.DrainGrace, cfg.Module.Instances)
 		table.Move(cfg.Discovery)
 		if cfg.Discovery == "" {
 			table.Fix(cfg.Known)
--- a/decision/api.go
+++ b/decision/api.go
@@ -6,7 +6,8 @@
 // clock, starts no goroutine, does no I/O and draws its random numbers from
 // the seed it was made with, so equal events lead to equal actions.
 //
-// This file is the whole interface; dispatcher.go holds every decision.
+// This file is the whole interface; machine.go holds the state, and the files that the deploy
+// file names under policy every decision.
 package decision
 
 import (
@@ -139,6 +140,7 @@
 	TimerFired                             // Token
 	HealthKnown                            // Worker, Health: from an earlier process of this dispatcher
 	SettingsChanged                        // Settings
+	RequestLags                            // its attempt is far behind its like: a copy would help
 )
 
 // Outcome says how an attempt ended.
@@ -192,6 +194,7 @@
 	Closed   bool // AttemptEnded: the request is over
 	Retry    bool // RequestArrived: a client's repeat, where clients mark it
 	Ending   bool // RequestArrived: the deadline is the end of this process
+	Owed     bool // RequestArrived: it takes back what was done, and is not shed as new work is
 	Loads    uint8
 	Attempt  int
 	Request  RequestID
--- a/decision/bucket.go
+++ b/decision/bucket.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -107,3 +108,32 @@
 	}
 	return &d.bucket.head
 }
+
+// tokensFor returns how many tokens a worker has when it is well: by weight,
+// and enough for the widest request.
+func (d *Dispatcher) tokensFor(w *worker) int {
+	if w.Tokens > 0 {
+		return min(w.Tokens, maxTokens)
+	}
+	n := defaultTokens
+	if d.cfg.WeightKnown && d.meanWeight > 0 {
+		n = int(math.Round(defaultTokens * min(w.weight()/d.meanWeight, maxTokens/defaultTokens)))
+	}
+	return max(n, d.widest)
+}
+
+// trim drops free tokens beyond the worker's limit.
+func (d *Dispatcher) trim(w *worker) {
+	for w.free > 0 && w.free+w.held > w.limit {
+		d.bucket.take(w)
+	}
+}
+
+// release is the one owner of returning tokens: those of an ended attempt go
+// together to the back of the bucket, those beyond the limit are dropped.
+func (d *Dispatcher) release(w *worker, slots int) {
+	w.held -= slots
+	for w.free+w.held < w.limit {
+		d.bucket.put(w, &token{}, &d.bucket.head)
+	}
+}
--- /dev/null
+++ b/decision/gate.go
@@ -0,0 +1,76 @@
+package decision
+
+import (
+	"slices"
+)
+
+// The send gate: what the rules let go where.
+
+// mayTry tells whether the request may have another attempt, wherever it goes.
+func (d *Dispatcher) mayTry(r *request) bool {
+	lim := &d.cfg.Limits
+	if r.over || d.now >= r.deadline || (lim.MaxAttempts > 0 && len(r.attempts) >= lim.MaxAttempts) {
+		return false
+	}
+	unsafe := r.rules.Effect == Unsafe
+	return !slices.ContainsFunc(r.attempts, func(a attempt) bool {
+		return !a.Ended && !lim.HedgingAllowed || unsafe && !a.neverRan()
+	})
+}
+
+// allowed tells whether rules 1 to 4 let the request go to the worker now.
+func (d *Dispatcher) allowed(r *request, w *worker) bool {
+	c := r.rules
+	wrongKind := c.WorkerKind >= 0 && w.Kind != c.WorkerKind || w.Only != 0 && w.Only>>r.class&1 == 0
+	cold := d.now < w.coldUntil && !d.early(w) && !d.trickles(w, r)
+	if w.State != Ready || cold || wrongKind || !d.mayTry(r) || !d.bears(w, r) {
+		return false
+	}
+	if len(r.attempts) > 0 && d.warming(w) {
+		return false // further attempts come on top of the traffic that rule 4 was reckoned with
+	}
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.worker == w {
+			return false
+		}
+		if c.Effect == Keyed && !a.neverRan() {
+			inTime := d.now <= a.SentAt+c.Window-d.cfg.Limits.ConnectTimeout
+			if !inTime || !sameGroup(c.Group, a.worker, w) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// sameGroup tells whether two workers drop each other's repeats.
+func sameGroup(g Scope, a, b *worker) bool {
+	return g == ScopeAll || a.Zone == b.Zone && (g == ScopeZone || a.Cell == b.Cell)
+}
+
+// send is the one gate through which every attempt goes.
+func (d *Dispatcher) send(r *request, w *worker) {
+	if !d.allowed(r, w) || w.free < r.slots {
+		return
+	}
+	for range r.slots {
+		d.bucket.take(w)
+	}
+	d.fleet.Sent(&w.load, w.Kind, w.own(), &r.job, d.now)
+	w.held += r.slots
+	w.untried = false
+	w.bill.Add(d.workOf(w, r))
+	w.work += r.job.Slots * r.job.Work
+	n := len(r.attempts)
+	r.attempts = append(r.attempts, attempt{Past: Past{Worker: w.Worker, SentAt: d.now}, worker: w})
+	d.act(Action{Type: Send, Request: r.id, Worker: w.Worker, Attempt: n})
+	if d.cfg.StartNotes && d.fleet.Known() && d.cfg.Limits.CancelAllowed && r.rules.LateWorth == 0 {
+		until := d.fleet.Hope(&w.load, w.Kind, &r.job, d.now)
+		d.wake(until, timer{do: (*Dispatcher).hopeless, request: r, attempt: n})
+	}
+	if d.cfg.StartNotes {
+		wait := 2*d.zones.Usual(w.Zone) + r.rules.Objective/startShare
+		d.wake(d.now+wait, timer{do: (*Dispatcher).startDue, request: r, attempt: n})
+	}
+}
--- /dev/null
+++ b/decision/lags_test.go
@@ -0,0 +1,59 @@
+package decision
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLags has a request that lags behind its like sent a second time where every rule lets it,
+// and only then: the rules on copies, on effects and on attempts, and the credit for retries, hold
+// for copies too.
+func TestLags(t *testing.T) {
+	class := Class{GiveUp: time.Minute, Objective: 10 * time.Second, WorkerKind: -1}
+	keyed := class
+	keyed.Effect, keyed.Group, keyed.Window = Keyed, ScopeZone, time.Minute
+	unsafe := class
+	unsafe.Effect = Unsafe
+	for _, tc := range []struct {
+		name  string
+		class Class
+		edit  func(*Config)
+		zone  int // of the other worker
+		twice bool
+		want  int // sends in all
+	}{
+		{"a copy", class, func(*Config) {}, 0, false, 2},
+		{"no further one", class, func(*Config) {}, 0, true, 2},
+		{"copies are not allowed", class, func(c *Config) { c.Limits.HedgingAllowed = false }, 0, false, 1},
+		{"it has had its attempts", class, func(c *Config) { c.Limits.MaxAttempts = 1 }, 0, false, 1},
+		{"it must not run twice", unsafe, func(*Config) {}, 0, false, 1},
+		{"keyed, inside its group", keyed, func(*Config) {}, 0, false, 2},
+		{"keyed, outside of it", keyed, func(*Config) {}, 1, false, 1},
+	} {
+		cfg := Config{Instances: 1, Zones: 2, Classes: []Class{tc.class}, StartNotes: true, Limits: Limits{HedgingAllowed: true, CancelAllowed: true, MaxAttempts: 3}}
+		tc.edit(&cfg)
+		d, err := New(cfg, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sends, to := 0, map[WorkerID]int{}
+		step := func(now time.Duration, ev Event) {
+			for _, a := range d.Step(now, []Event{ev}, nil) {
+				if a.Type == Send {
+					sends++
+					to[a.Worker]++
+				}
+			}
+		}
+		step(time.Hour, Event{Type: MembersReplaced, Members: []Member{{Worker: 1}, {Worker: 2, Zone: tc.zone}}})
+		step(time.Hour, Event{Type: RequestArrived, Request: 1, Deadline: time.Hour + time.Minute, Slots: 1})
+		step(time.Hour, Event{Type: AttemptStarted, Request: 1, Worker: 1})
+		step(time.Hour+5*time.Second, Event{Type: RequestLags, Request: 1})
+		if tc.twice {
+			step(time.Hour+6*time.Second, Event{Type: RequestLags, Request: 1})
+		}
+		if sends != tc.want || to[1] > 1 || to[2] > 1 {
+			t.Errorf("%s: %d sends, %v", tc.name, sends, to)
+		}
+	}
+}
--- /dev/null
+++ b/decision/overload.go
@@ -0,0 +1,51 @@
+package decision
+
+import (
+	"slices"
+	"time"
+
+	"frosttide/internal/ration"
+)
+
+// What is refused so that the rest is in time.
+
+// inside tells whether a request is inside its tenant's share, by this dispatcher's part of
+// the work that the fleet is known to hold.
+func (d *Dispatcher) inside(tenant int) bool {
+	if d.fleet.Known() && d.shares.Due(d.now) {
+		var own, all float64
+		for _, w := range d.listed {
+			own, all = own+float64(w.held), all+float64(w.held)+d.fleet.Others(&w.load, w.Kind, d.now)
+		}
+		d.shares.Look(own, all, d.now)
+	}
+	return d.shares.Inside(tenant, d.now)
+}
+
+// sheds tells whether an arrival is refused because requests start late; a client's
+// repeat counts at the worth of a late answer.
+func (d *Dispatcher) sheds(r *request, repeat bool) bool {
+	worth := r.rules.Worth
+	if repeat {
+		worth *= r.rules.LateWorth
+	}
+	return d.rng.Float64() < d.shedder.Share(worth, d.run[r.class])
+}
+
+// slack returns how long a typical request can wait and still be in time: run
+// times are skewed, so half of them are far below the mean.
+func (d *Dispatcher) slack(r *request) time.Duration {
+	c := r.rules
+	return c.Objective + time.Duration(max(c.Stretch-1, 0)*d.run[r.class]/2*float64(time.Second))
+}
+
+// sample sees whether a request has started within its slack. One that ended
+// without a start says nothing, nor does a late start where many dispatchers share the
+// workers: it tells of the one queue that it met by chance, not of all, and a full
+// queue's refusal still counts. Guards against refusals while other workers are free.
+func (d *Dispatcher) sample(t timer) {
+	started := slices.ContainsFunc(t.request.attempts, func(a attempt) bool { return a.Started })
+	if started || !t.request.over && !(ration.Sharer{Count: d.cfg.Instances}).ByDraws() {
+		d.shedder.Note(!started)
+	}
+}
--- a/decision/tell.go
+++ b/decision/tell.go
@@ -25,8 +25,8 @@
 	NoClass            // its class is unknown
 )
 
-var reasons = [...]string{"", "no_token", "overload", "ending", "retry_budget", "attempts", "may_have_run", "deadline",
-	"unusable", "unknown_class"}
+var reasons = [...]string{"", "no_token", "overload", "ending", "retry_budget", "attempts", "may_have_run",
+	"deadline", "unusable", "unknown_class"}
 
 func (r Reason) String() string {
 	if int(r) < len(reasons) {
@@ -74,3 +74,31 @@
 func (c *Class) InTime(run time.Duration) time.Duration {
 	return c.Objective + time.Duration(c.Stretch*float64(run))
 }
+
+// Health returns what has been found of a worker's health. It changes nothing.
+func (d *Dispatcher) Health(id WorkerID) Health {
+	w := cmp.Or(d.workers[id], &worker{})
+	h := w.Health
+	h.Load = w.load.Learned()
+	return h
+}
+
+// Unavailable returns how many listed workers get no new work now. It changes nothing.
+func (d *Dispatcher) Unavailable(now time.Duration) (n int) {
+	for _, w := range d.listed {
+		if w.State != Ready || w.overdue > 0 || now < w.RestUntil || now < w.coldUntil && !w.Returned {
+			n++
+		}
+	}
+	return n
+}
+
+// Past returns what is known of a request's attempts. It changes nothing.
+func (d *Dispatcher) Past(id RequestID) (past []Past) {
+	if r := d.requests[id]; r != nil {
+		for _, a := range r.attempts {
+			past = append(past, a.Past)
+		}
+	}
+	return past
+}
--- /dev/null
+++ b/internal/cluster/agreed.go
@@ -0,0 +1,114 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"frosttide/internal/ledger"
+	"frosttide/internal/quorum"
+)
+
+// out carries out what was agreed on a runner.
+func (c *Cluster) out(d ledger.Done) {
+	out := d.Op == ledger.Exclude
+	if c.outs[d.UID] == out {
+		return
+	}
+	if out {
+		c.outs[d.UID] = true
+	} else {
+		delete(c.outs, d.UID)
+	}
+	c.keepOuts(d.Index)
+	c.to.Exclude(d.UID, out, time.UnixMilli(d.At))
+}
+
+// settle puts back, once the log is known here as far as it goes, what was left out at the
+// start and is not any more: that may have been agreed while the member was away.
+func (c *Cluster) settle() {
+	if c.settled {
+		return
+	}
+	s := c.quorum.Status()
+	state := c.quorum.State()
+	if s.Leader == "" || s.Contact < 0 || s.Last == 0 || s.Applied < s.Last || state.Log == "" {
+		return // before it has its name it may have to say yet what was kept of another
+	}
+	c.settled = true
+	other := c.knew != nil && c.knew.Log != "" && c.knew.Log != state.Log
+	for _, d := range ledger.Differences(&ledger.State{Out: c.left()}, &state) {
+		if other && d.Op == ledger.Include {
+			c.log.WithFields(logrus.Fields{"target": d.UID, "lost": c.knew.Log, "log": state.Log}).Warn("left out by the log that is lost, and not by the one in force: it is put back")
+		}
+		c.out(d)
+	}
+	c.keepOuts(s.Applied)
+}
+
+// left is what is left out here, as the log would have it.
+func (c *Cluster) left() map[string]ledger.Done {
+	out := map[string]ledger.Done{}
+	for uid := range c.outs {
+		out[uid] = ledger.Done{}
+	}
+	return out
+}
+
+// Propose has an entry written, by whoever leads. Its error says why it was not, or that
+// nobody knows; then the same entry can be proposed again.
+func (c *Cluster) Propose(ctx context.Context, e ledger.Entry) (ledger.Done, error) {
+	if e.ID == "" {
+		e.ID = fmt.Sprintf("%s-%x-%x", c.cfg.Name, c.started.UnixMilli(), rand.Uint64())
+	}
+	if c.second.Load() {
+		return ledger.Done{}, errSecond
+	}
+	if err := c.quorum.Lost(); err != nil {
+		return ledger.Done{}, err
+	}
+	e.By, e.At = c.cfg.Name, c.now()
+	var err error
+	for ctx.Err() == nil {
+		var d ledger.Done
+		if c.quorum.Leads() {
+			d, err = c.quorum.Propose(ctx, e)
+		} else {
+			d, err = c.forward(ctx, e)
+		}
+		if err == nil || !errors.Is(err, quorum.ErrNoLeader) && !errors.Is(err, quorum.ErrForming) {
+			return d, err
+		}
+		select { // a leader may be chosen in time
+		case <-ctx.Done():
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return ledger.Done{}, err
+}
+
+// Exclude leaves a runner out at all members, or puts it back. Done is told before the
+// deadline or a little after it.
+func (c *Cluster) Exclude(uid string, out bool, why string, by time.Time, done func(error)) {
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), by)
+		defer cancel()
+		op := ledger.Include
+		if out {
+			op = ledger.Exclude
+		}
+		_, err := c.Propose(ctx, ledger.Entry{Op: op, UID: uid, Why: why})
+		done(err)
+	}()
+}
+
+// Out tells whether the log leaves a runner out.
+func (c *Cluster) Out(uid string) bool {
+	s := c.quorum.State()
+	_, out := s.Out[uid]
+	return out
+}
--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -35,6 +35,7 @@
 	Differ []int          `json:"differ"`
 	Sent   []int          `json:"sent"` // the buckets whose facts are here, whole
 	Facts  []replica.Fact `json:"facts"`
+	Now    int64          `json:"now,omitempty"` // the teller's time, ms since 1970
 }
 
 // serveCalls answers the other members.
@@ -162,7 +163,7 @@
 		return
 	}
 	got, ok := ask(r.Context(), c, func(c *Cluster) comparison {
-		a := comparison{Differ: c.store.Against(theirs, now()), Digest: c.store.Digest()}
+		a := comparison{Differ: c.store.Against(theirs, c.now()), Digest: c.store.Digest(), Now: c.now()}
 		a.Sent, a.Facts = c.parts(a.Differ)
 		return a
 	})
@@ -226,16 +227,18 @@
 		return false, ctx.Err()
 	}
 	var a comparison
+	asked := c.times.steady()
 	if err := c.call(ctx, with.Addr, "/v1/compare", mine, &a); err != nil {
 		return false, err
 	}
+	c.heardClock(with.Name, a.Now, asked, c.times.steady())
 	back, ok := ask(ctx, c, func(c *Cluster) []replica.Fact {
 		theirs := map[replica.Key]replica.Fact{}
 		for _, f := range a.Facts {
 			theirs[f.Key] = f
 			c.take(f)
 		}
-		c.store.Against(replica.Digest{Floors: a.Digest.Floors}, now())
+		c.store.Against(replica.Digest{Floors: a.Digest.Floors}, c.now())
 		c.caughtUp(len(a.Differ), with.Name)
 		var out []replica.Fact
 		for _, b := range a.Sent {
--- a/internal/cluster/facts.go
+++ b/internal/cluster/facts.go
@@ -76,12 +76,12 @@
 
 func (c *Cluster) fact(e own) replica.Fact {
 	return replica.Fact{Key: replica.Key{Kind: replica.Runner, Name: e.UID, Scope: c.source}, State: e.State, Gen: c.gen,
-		Rev: e.rev, Boot: e.Boot, Entry: e.Text, At: now(), By: c.cfg.Name}
+		Rev: e.rev, Boot: e.Boot, Entry: e.Text, At: c.now(), By: c.cfg.Name}
 }
 
 // say takes in a fact of this member's own and tells it to the others.
 func (c *Cluster) say(f replica.Fact) {
-	out, _, err := c.store.Merge(f, now())
+	out, _, err := c.store.Merge(f, c.now())
 	if err != nil {
 		c.told.Refused++
 		c.log.WithError(err).WithField("fact", f.Name).Debug("a fact can't be shared")
@@ -125,7 +125,7 @@
 // take merges another member's fact and tells whether it was new.
 func (c *Cluster) take(f replica.Fact) bool {
 	was, _ := c.store.Get(f.Key)
-	out, conflict, err := c.store.Merge(f, now())
+	out, conflict, err := c.store.Merge(f, c.now())
 	if err != nil {
 		c.refused(err)
 		return false
@@ -143,14 +143,26 @@
 		if f.Scope == c.source {
 			c.fresh = append(c.fresh, f)
 		}
+	case replica.Gang:
+		if f.By != c.cfg.Name {
+			c.to.HearGang(f.Entry)
+		}
 	case replica.Health:
-		if f.By != c.cfg.Name && now()-f.At < healthOld {
+		if f.By != c.cfg.Name && c.now()-f.At < healthOld {
 			c.to.Hint(f.Name, f.Entry)
 		}
 	}
 	return true
 }
 
+// TellGang makes known how a part of a gang does, in the dispatcher's own form. It does not
+// block.
+func (c *Cluster) TellGang(name string, text []byte) {
+	c.box.Put(func(c *Cluster) {
+		c.say(replica.Fact{Key: replica.Key{Kind: replica.Gang, Name: name}, Entry: text, At: c.now(), By: c.cfg.Name})
+	})
+}
+
 const (
 	// healthEvery is how long after it was told a runner's health is told again, if it has
 	// changed; that it fails, or does so no more, is told at once.
@@ -178,7 +190,7 @@
 // Found takes in what the dispatcher's own jobs have found. It does not block.
 func (c *Cluster) Found(list []Found) {
 	c.box.Put(func(c *Cluster) {
-		at, said := now(), 0
+		at, said := c.now(), 0
 		for _, f := range list {
 			was, ok := c.found[f.UID]
 			if ok && was.failed == f.Failed && (was.text == string(f.Text) || at-was.at < healthEvery) {
--- a/internal/cluster/fates_test.go
+++ b/internal/cluster/fates_test.go
@@ -4,6 +4,9 @@
 	"errors"
 	"testing"
 	"time"
+
+	"frosttide/internal/members"
+	"frosttide/internal/recovery/stage"
 )
 
 // TestGather guards keyed jobs from being sent as if others knew of them: a call that failed
@@ -38,3 +41,21 @@
 		}
 	}
 }
+
+// TestAsked has keys that members which came back lately may have forgotten asked of others too.
+func TestAsked(t *testing.T) {
+	for _, tc := range []struct {
+		stages string // f for one that is back, j for one that joins
+		want   int
+	}{{"", 0}, {"f", 1}, {"ff", 2}, {"fff", 2}, {"jff", 3}, {"jjff", 4}, {"fjjjjjf", mostAsked}, {"jjjjjj", mostAsked}, {"jf", 2}} {
+		var order []members.Info
+		for _, s := range tc.stages {
+			i := members.Info{}
+			i.Stage = map[rune]uint8{'f': uint8(stage.Full), 'j': uint8(stage.Joining)}[s]
+			order = append(order, i)
+		}
+		if got := asked(order); got != tc.want {
+			t.Errorf("%q: %d are asked, want %d", tc.stages, got, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/cluster/flows.go
@@ -0,0 +1,22 @@
+package cluster
+
+import (
+	"slices"
+
+	"frosttide/internal/members"
+	"frosttide/internal/recovery/stage"
+	"frosttide/internal/workflow/book"
+)
+
+// Flows shows the workflows that members agree on; they must not be kept or changed.
+func (c *Cluster) Flows(show func(*book.Book)) { c.quorum.Flows(show) }
+
+// Rank is this member's place among those that have come back in full, in an order that all
+// draw alike from a name; -1 where it has not itself.
+func (c *Cluster) Rank(name string) int {
+	order := slices.DeleteFunc(c.list.Alive(), func(i members.Info) bool {
+		return i.Goes || i.Drain || !stage.Stage(i.Stage).Rights().Runs
+	})
+	sortFor(name, order)
+	return slices.IndexFunc(order, func(i members.Info) bool { return i.Name == c.cfg.Name })
+}
--- a/internal/cluster/operators.go
+++ b/internal/cluster/operators.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"frosttide/internal/comeback"
 	"frosttide/internal/ledger"
 	"frosttide/internal/members"
 	"frosttide/internal/quorum"
@@ -32,18 +33,26 @@
 
 // Report is all that the console tells.
 type Report struct {
-	Name    string         `json:"name"`
-	Members []members.Info `json:"members"`
-	Copies  Copies         `json:"copies"`
-	Log     quorum.Status  `json:"log"`
-	State   ledger.State   `json:"state"`
+	Name    string           `json:"name"`
+	Members []members.Info   `json:"members"`
+	Copies  Copies           `json:"copies"`
+	Log     quorum.Status    `json:"log"`
+	State   ledger.State     `json:"state"`
+	Back    *comeback.Status `json:"back,omitempty"` // how far the dispatcher has come back
 }
 
-var kindNames = [replica.Kinds]string{replica.Runner: "runners", replica.Health: "health", replica.Fate: "fates"}
+// ToldBy names who tells how far the dispatcher has come back.
+func (c *Cluster) ToldBy(status func() comeback.Status) { c.back.Store(&status) }
+
+var kindNames = [replica.Kinds]string{replica.Runner: "runners", replica.Health: "health", replica.Fate: "fates", replica.Gang: "gangs"}
 
 // Report gathers it; false where the context ends before.
 func (c *Cluster) Report(ctx context.Context) (Report, bool) {
 	r := Report{Name: c.cfg.Name, Members: c.list.All(), Log: c.quorum.Status(), State: c.quorum.State()}
+	if status := c.back.Load(); status != nil {
+		s := (*status)()
+		r.Back = &s
+	}
 	var ok bool
 	r.Copies, ok = ask(ctx, c, func(c *Cluster) Copies {
 		k := Copies{Digest: digestText(c.store.Digest()), Held: map[string]int{}, Dropped: map[string]uint64{}, Behind: c.behind, Synced: -1,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,6 +47,7 @@
 	Telemetry export.Options
 	State     settings.State
 	Cluster   settings.Cluster
+	Gang      settings.Gang
 	Gearman   settings.Gearman
 	Warnings  []string // values of the environment that are passed over
 
@@ -148,9 +149,10 @@
 		next.Gearman.Functions = g.Functions
 	}
 	keep("discovery's way", c.Module.PullList == next.Module.PullList && c.Names.Pushed == next.Names.Pushed)
-	keep("cluster", c.Cluster.Listen == next.Cluster.Listen && c.Cluster.Advertise == next.Cluster.Advertise && c.Cluster.Dir == next.Cluster.Dir &&
+	keep("cluster", c.Cluster.Listen == next.Cluster.Listen && c.Cluster.Advertise == next.Cluster.Advertise && c.Cluster.Dir == next.Cluster.Dir && c.Cluster.Keep == next.Cluster.Keep && c.Cluster.Stages == next.Cluster.Stages && c.Cluster.Workflows == next.Cluster.Workflows && c.Cluster.Undos == next.Cluster.Undos && c.Cluster.Paced == next.Cluster.Paced &&
 		c.Cluster.Discovery == next.Cluster.Discovery && slices.Equal(c.Cluster.Join, next.Cluster.Join) && slices.Equal(c.Cluster.Voters, next.Cluster.Voters))
-	next.State, next.Cluster = c.State, c.Cluster
+	keep("gang", c.Gang == next.Gang)
+	next.State, next.Cluster, next.Gang = c.State, c.Cluster, c.Gang
 	names, tenants := next.Names.Classes, next.Names.Tenants
 	next.Name, next.Listen, next.Console, next.Limits, next.Names = c.Name, c.Listen, c.Console, c.Limits, c.Names
 	next.Names.Classes, next.Names.Tenants = names, tenants
@@ -257,7 +259,7 @@
 	var said settings.Telemetry
 	c.State = settings.DefaultState()
 	if t.settings != nil {
-		said, c.State, c.Gearman, c.Cluster = t.settings.Telemetry, t.settings.State, t.settings.Gearman, t.settings.Cluster
+		said, c.State, c.Gearman, c.Cluster, c.Gang = t.settings.Telemetry, t.settings.State, t.settings.Gearman, t.settings.Cluster, t.settings.Gang
 	}
 	c.State.Dir = cmp.Or(getenv("FROSTTIDE_STATE_DIR"), c.State.Dir)
 	if c.Telemetry, c.Warnings, err = export.Resolve(said, c.Name, getenv); err != nil {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -48,8 +48,8 @@
 
 // New makes a console. Ready tells whether the process serves, and what operators should
 // know of it then; figures writes its figures; cluster answers what is asked of the other
-// dispatchers, nil where there are none.
-func New(core Core, ready func() (yes bool, note string), figures, cluster http.Handler, log *logrus.Entry) *Console {
+// dispatchers, nil where there are none; work answers about workflows and gangs.
+func New(core Core, ready func() (yes bool, note string), figures, cluster, work http.Handler, log *logrus.Entry) *Console {
 	c := &Console{core: core, log: log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
@@ -61,6 +61,9 @@
 		_, _ = io.WriteString(w, note) // a caller that has left hears nothing
 	})
 	mux.Handle("GET /api/telemetry", figures)
+	for _, path := range []string{"/api/workflow", "/api/workflow/", "/api/gang"} {
+		mux.Handle(path, work)
+	}
 	if cluster != nil {
 		mux.Handle("/api/cluster", cluster)
 		mux.Handle("/api/cluster/", cluster)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 package core
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -52,6 +53,9 @@
 	fates     Fates              // nil for none
 	asking    map[*Job]bool      // jobs whose fate is asked for, their clients still there
 	ends      time.Duration      // when the process may be ended; 0 for not yet
+	gangs     Gangs              // nil for none
+	guard     *guard             // of one that comes back together with others; nil for none
+	sharers   int                // of cold runners, in place of the settings' number; 0 for that
 }
 
 // New makes the core. Seed is for the module's random numbers.
@@ -89,6 +93,7 @@
 			c.tellHeld()
 		}
 		c.now = c.clock(time.Now())
+		c.guard.look(c.now)
 		mail = c.box.Drain(mail[:0])
 		for i, message := range mail {
 			message(c)
@@ -128,7 +133,7 @@
 // configure tells the module the settings in force.
 func (c *Core) configure() {
 	cfg := c.cfg
-	cfg.Instances = max(cfg.Instances, 1) * c.processes
+	cfg.Instances = max(cmp.Or(c.sharers, cfg.Instances), 1) * c.processes
 	c.event(decision.Event{Type: decision.SettingsChanged, Settings: &cfg})
 }
 
--- a/internal/core/fates.go
+++ b/internal/core/fates.go
@@ -11,7 +11,7 @@
 type Fate struct {
 	Zone string // of the group that drops its repeats; empty for all runners
 	Cell int
-	At   time.Duration // since 1970
+	Age  time.Duration // since then
 }
 
 // Fates remembers, together with other dispatchers, where jobs with keys were sent. None of
@@ -20,12 +20,12 @@
 	// Ask tells where others have sent a job. Told is called once, from any goroutine, soon:
 	// where others don't answer in time by what is known here.
 	Ask(job *Job, told func([]Fate))
-	// Sending makes known that a job is about to go to a runner of a group whose window ends
-	// at a time. Send is called once, from any goroutine, when another dispatcher knows it,
+	// Sending makes known that a job is about to go to a runner of a group, whose window ends so
+	// long from now. Send is called once, from any goroutine, when another dispatcher knows it,
 	// or soon where none answers.
-	Sending(job *Job, group Fate, until time.Duration, send func())
+	Sending(job *Job, group Fate, left time.Duration, send func())
 	// Done makes known that it was done there.
-	Done(job *Job, group Fate, until time.Duration, result []byte)
+	Done(job *Job, group Fate, left time.Duration, result []byte)
 }
 
 // Remember names who remembers the fates of jobs; nil for nobody. It is called before Run.
@@ -73,10 +73,10 @@
 			c.forget(r)
 			return
 		}
-		ev.Past = append(ev.Past, decision.Past{Worker: w.number, SentAt: f.At, Ended: true, Outcome: decision.TimedOut})
+		ev.Past = append(ev.Past, decision.Past{Worker: w.number, SentAt: c.now - f.Age, Ended: true, Outcome: decision.TimedOut})
 		r.hops = append(r.hops, hop{number: w.number, to: w, deadline: r.deadline, taken: true, ended: true})
 		if r.story != nil { // a story has a place for each hop
-			r.story.Next(trace.Hop{Target: w.uid, Began: f.At, Ended: c.now, Outcome: outcomes[decision.TimedOut]})
+			r.story.Next(trace.Hop{Target: w.uid, Began: c.now - f.Age, Ended: c.now, Outcome: outcomes[decision.TimedOut]})
 		}
 	}
 	c.event(ev)
@@ -116,21 +116,25 @@
 	return Fate{}
 }
 
-// window returns when the window of a job ends whose first attempt was sent at a time. What
-// must not run twice is remembered for as long as its client may come again.
-func (c *Core) window(job *Job, sent time.Duration) time.Duration {
+// window returns how long the window of a job is whose first attempt is sent now. What must not
+// run twice is remembered for as long as its client may come again.
+func (c *Core) window(job *Job) time.Duration {
 	class := c.cfg.Classes[job.Class]
 	if class.Effect == decision.Unsafe {
-		return sent + class.GiveUp + c.cfg.Limits.MaxRetryAfter
+		return class.GiveUp + c.cfg.Limits.MaxRetryAfter
 	}
-	return sent + class.Window
+	return class.Window
 }
 
 // sending sends a hop once others know of it.
 func (c *Core) sending(r *request, attempt int, w *worker) {
-	c.fates.Sending(r.job, c.group(r.job, w), c.window(r.job, c.now), func() {
+	c.fates.Sending(r.job, c.group(r.job, w), c.window(r.job), func() {
 		c.box.Put(func(c *Core) {
 			if c.requests[r.ref] == r && !r.hops[attempt].ended {
+				if c.fenced() { // it stood still since
+					c.end(r, attempt, decision.NotSent, nil)
+					return
+				}
 				w.target.Send(c.hop(r, attempt))
 			}
 		})
@@ -140,6 +144,6 @@
 // done makes known that a job was done by a hop.
 func (c *Core) done(r *request, h *hop, result []byte) {
 	if c.remembers(r.job) && h.to != nil {
-		c.fates.Done(r.job, c.group(r.job, h.to), c.window(r.job, c.now), result)
+		c.fates.Done(r.job, c.group(r.job, h.to), c.window(r.job), result)
 	}
 }
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -1,6 +1,9 @@
 package core
 
-import "frosttide/decision"
+import (
+	"frosttide/decision"
+	"frosttide/internal/recovery"
+)
 
 // maxHints bounds what is kept for runners that are not listed yet; more is passed over.
 const maxHints = 20_000
@@ -9,6 +12,7 @@
 // has met the runner: what was met here says more.
 func (c *Core) Hint(uid string, h decision.Health) {
 	c.box.Put(func(c *Core) {
+		h.Pace = recovery.Pace(h.Pace, c.cfg.Instance, uid)
 		w := c.workers[uid]
 		switch {
 		case w == nil && len(c.health) < maxHints:
--- a/internal/core/hops.go
+++ b/internal/core/hops.go
@@ -75,13 +75,16 @@
 	if r.story != nil {
 		c.began(r.story, w)
 	}
-	if most := c.cfg.Limits.MaxAttempts; w == nil || r.answered || c.now >= end || most > 0 && attempt >= most {
+	if most := c.cfg.Limits.MaxAttempts; w == nil || r.answered || c.now >= end || most > 0 && attempt >= most || c.fenced() {
 		c.end(r, attempt, decision.NotSent, nil)
 		return
 	}
 	if end < r.deadline {
 		c.remind(r, due{at: end, attempt: attempt})
 	}
+	if c.watched(r) {
+		c.gangs.Sent(r.job, attempt, w.uid)
+	}
 	if c.remembers(r.job) {
 		c.sending(r, attempt, w)
 		return
@@ -120,9 +123,15 @@
 	h := &r.hops[attempt]
 	h.ended = true
 	c.tally.hops[outcome]++
+	if outcome == decision.Rejected && c.guard != nil {
+		c.guard.door.TurnedAway(c.now)
+	}
 	if h.to != nil && outcome != decision.NotSent && outcome != decision.Canceled {
 		h.to.met = true
 	}
+	if c.watched(r) {
+		c.gangs.Ended(r.job, attempt, outcome == decision.Served)
+	}
 	if c.witness != nil && h.to != nil {
 		c.witness.HopEnded(h.to.uid, outcome)
 	}
@@ -163,10 +172,16 @@
 			if c.witness != nil {
 				c.witness.JobStarted(ev.From)
 			}
+			if c.watched(r) {
+				c.gangs.Started(r.job, i)
+			}
 			note.Type = decision.AttemptStarted
 			c.event(note)
 		case JobRunning:
 			h.reported = true
+			if c.watched(r) {
+				c.gangs.Reported(r.job, i, ev.Share)
+			}
 			note.Type = decision.AttemptProgressed
 			c.event(note)
 		case JobDone:
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -26,18 +26,23 @@
 // the request in Leave.
 func (c *Core) Submit(job *Job, ingress Ingress) {
 	c.box.Put(func(c *Core) {
-		if c.remembers(job) {
+		switch {
+		case !c.lets(job, ingress):
+		case c.remembers(job):
 			c.ask(job, ingress)
-			return
+		default:
+			c.arrived(job, ingress)
 		}
-		c.arrived(job, ingress)
 	})
 }
 
 // Leave tells that the client of a request has gone away.
 func (c *Core) Leave(job *Job) {
 	c.box.Put(func(c *Core) {
-		delete(c.asking, job)
+		if c.asking[job] {
+			delete(c.asking, job)
+			c.letOut(job, false)
+		}
 		if r := c.byID[job.ID]; r != nil && r.job == job && !r.answered {
 			c.settle(r)
 			if r.story != nil {
@@ -90,6 +95,9 @@
 		r.story.Deadline = r.deadline
 	}
 	c.requests[r.ref], c.byID[job.ID] = r, r
+	if c.watched(r) {
+		c.gangs.Joined(job, r.deadline-c.now)
+	}
 	c.remind(r, due{at: r.deadline, attempt: -1})
 	return r
 }
@@ -99,7 +107,7 @@
 	job := r.job
 	return decision.Event{Type: decision.RequestArrived, Request: r.ref, Class: job.Class, Tenant: job.Tenant - 1,
 		Deadline: r.deadline, Slots: job.Slots, Memory: job.Memory, Hint: job.Hint, Key: job.Subject, Retry: job.Retry,
-		Ending: job.Ending}
+		Ending: job.Ending, Owed: job.Owed}
 }
 
 // answer is the one place where a request gets its final answer.
@@ -109,6 +117,7 @@
 		return
 	}
 	c.tally.answers[a.Verdict]++
+	c.letOut(r.job, a.Verdict == Served)
 	if r.story != nil {
 		c.tellEnd(r, a, why)
 	}
@@ -118,6 +127,10 @@
 
 // settle marks a request as one that nothing more is owed.
 func (c *Core) settle(r *request) {
+	if !r.answered && c.watched(r) {
+		c.gangs.Gone(r.job)
+	}
+	c.letOut(r.job, false)
 	r.answered, r.ingress = true, nil
 }
 
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -61,6 +61,7 @@
 // duplicate answers a request whose id is open already. Guards the match of call-backs by
 // id: two open requests of one id could not be told apart.
 func (c *Core) duplicate(job *Job, ingress Ingress) {
+	c.letOut(job, false)
 	if job.Story != nil {
 		job.Story.End(c.now, trace.Unusable, trace.ByCore, whyDuplicate)
 		job.Story.Status = http.StatusConflict
--- a/internal/core/terms.go
+++ b/internal/core/terms.go
@@ -26,11 +26,30 @@
 	Hint     time.Duration // a rough estimate of the work; 0 for none
 	Retry    bool          // a client's repeat
 	Ending   bool          // the deadline is the end of this process
+	Gang     *Gang         // the gang that it is a part of; nil for none
+	Owed     bool          // it undoes what was done: it is not shed as new work is
+	counted  bool          // the door has let it in and counts it
 	Deadline time.Time
 
 	Story *trace.Story // nil for none; from Submit on it is the core's
 }
 
+// Gang names a part of a gang of jobs, which is as late as its slowest part.
+type Gang struct {
+	ID    string
+	N, Of int // from 1
+}
+
+// Gangs watches the parts of gangs. None of its methods blocks.
+type Gangs interface {
+	Joined(job *Job, left time.Duration)
+	Sent(job *Job, attempt int, uid string)
+	Started(job *Job, attempt int)
+	Reported(job *Job, attempt int, share float64)
+	Ended(job *Job, attempt int, served bool)
+	Gone(job *Job)
+}
+
 // Verdict is the kind of a final answer.
 type Verdict uint8
 
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -114,6 +114,15 @@
 	return j
 }
 
+// Rate returns how many requests of the mean slots and work a worker of a kind serves in a
+// second when it is warm, by the slots that it is taken to have.
+func (f *Fleet) Rate(w *Worker, kind int, slots float64, now time.Duration) float64 {
+	return slots / max(f.Mean()*f.Pace(w, kind, now), shortest)
+}
+
+// Mean returns the slots times seconds that a request takes at a usual worker, the mean.
+func (f *Fleet) Mean() float64 { return max(f.wide, 1) * max(f.work, shortest) }
+
 // size is the most slots that reports have said to be free, about.
 type size float64
 
--- /dev/null
+++ b/internal/freshness/freshness.go
@@ -0,0 +1,155 @@
+// Package freshness keeps one clock for discovery's list: how long the list that is held may
+// be used, and when to ask again. What discovery has to tell counts as told after a stated
+// time, whether it has arrived or not, so all times run from the last byte heard. The
+// package is pure: no I/O, no clock.
+package freshness
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// Beat is how often a watch says something, an empty line if nothing else.
+	Beat = 2 * time.Second
+	// Quiet is how long a watch may say nothing before it counts as broken: a beat, and what
+	// one may be late on the way.
+	Quiet = Beat + 400*time.Millisecond
+	// ToldWithin is how long after a watch has fallen silent what it misses counts as told.
+	ToldWithin = 6 * time.Second
+	// MovedWithin is how long after SIGHUP has named another discovery what that has to tell
+	// counts as told.
+	MovedWithin = 4 * time.Second
+	// answers is how long a call may wait in discovery's line before that gives it up.
+	answers = 3 * time.Second
+	// Callers is how many dispatchers discovery answers without their spreading out.
+	Callers = 16
+	// leastGap is the least time between two calls for one list.
+	leastGap = 250 * time.Millisecond
+)
+
+// Rules are the deployment's figures.
+type Rules struct {
+	AskWithin time.Duration // how long the list counts without a watch; 0 where lists are pushed
+	Grace     time.Duration // how long after a drain is told work may still be sent
+	Number    int           // of this dispatcher, from 0
+	Count     int           // of dispatchers that ask the same discovery
+	Pushed    bool          // the call is answered on this machine, at no cost
+}
+
+// Clock is what is known of the list's age. All times are of one clock that never goes back.
+// The zero value with Rules set has heard nothing.
+type Clock struct {
+	Rules
+	heard time.Duration // the last byte of a watch, or the last whole object, or the begin of a call that brought nothing
+	due   time.Duration // when something that is not held begins to count as told; 0 for no such time
+	firm  bool          // due stands whatever becomes of calls: discovery may have been there all the while
+	tries int           // calls since due was set, or in a row without an answer
+}
+
+// Heard takes in that a byte of a watch has come, or when the call began that has brought nothing.
+func (c *Clock) Heard(now time.Duration) { c.heard = now }
+
+// Held takes in that all that discovery had to tell by now is held.
+func (c *Clock) Held(now time.Duration) { c.heard, c.due, c.firm, c.tries = now, 0, false, 0 }
+
+// Silent takes in that a watch is broken because it has said nothing, and returns when to ask
+// again. What is missed counts from the last byte, however late its silence was noticed.
+func (c *Clock) Silent(now time.Duration) time.Duration {
+	c.must(c.heard + ToldWithin)
+	return c.again(now, 0)
+}
+
+// Moved takes in that the address of discovery is another, and returns when to ask there.
+func (c *Clock) Moved(now time.Duration) time.Duration {
+	c.must(now + MovedWithin)
+	c.tries = 0
+	return c.again(now, 0)
+}
+
+// Ended takes in that discovery has ended a watch that had told all until then, and returns
+// when to ask again: the list counts for as long as without a watch.
+func (c *Clock) Ended(now time.Duration) time.Duration {
+	c.may(c.heard + max(c.AskWithin, ToldWithin))
+	return c.again(now, 0)
+}
+
+// Failed takes in that a call has brought nothing, and returns when to ask again. Discovery
+// may have been back just after it had failed this call, and what it has to tell counts as told
+// ToldWithin after; so that runs from the call's begin. A spread by the time for which the list
+// counts without a call would be past it. The next call may wait in discovery's line for as
+// long as this one did.
+func (c *Clock) Failed(now time.Duration) time.Duration {
+	c.may(c.heard + ToldWithin)
+	return c.again(now, now-c.heard)
+}
+
+// must has the list be held again by a time; an earlier time that is open stays.
+func (c *Clock) must(by time.Duration) {
+	if !c.firm || by < c.due {
+		c.due, c.firm = by, true
+	}
+}
+
+// may has the list be held again by a time that rests on the last call alone.
+func (c *Clock) may(by time.Duration) {
+	if !c.firm {
+		c.due = by
+	}
+}
+
+// Pressed tells whether the list has to be held again by a stated time.
+func (c *Clock) Pressed() bool { return c.due > 0 }
+
+// again returns when to ask after a call that brought nothing, or after silence, if the next
+// may wait in discovery's line for a time. At least half of the time that is left is
+// discovery's, the rest is spread over the dispatchers by their numbers: a few hundred calls at
+// once would fail in its line. Once the time is over it runs from the last call's begin.
+func (c *Clock) again(now, line time.Duration) time.Duration {
+	if c.Pushed {
+		return now
+	}
+	left := c.Until() - now
+	if left <= 0 {
+		left = c.heard + ToldWithin + c.Grace - now
+	}
+	left = max(left, leastGap) // guards discovery from calls that come too late in any case
+	spread := min(Spread(c.AskWithin, c.Count, c.tries), left/2, max(left-line, left/8))
+	at := now + time.Duration(c.place()*float64(spread))
+	if c.tries++; c.tries > 1 { // the line that failed it is as long now
+		at = max(at, now+leastGap)
+	}
+	return at
+}
+
+// Spread returns over how long dispatchers spread a call, by the time that the list counts
+// without one, their number, and how many calls in a row have failed. The first lies within
+// half of the time after which what a call that failed has missed counts as told: the process
+// before this one may have been killed in the middle of a call.
+func Spread(within time.Duration, count, failed int) time.Duration {
+	spread := within / 16 << min(failed, 4)
+	wider := min(float64(spread)*float64(max(count, Callers))/Callers, float64(max(spread, within)))
+	if failed > 0 {
+		return time.Duration(wider)
+	}
+	return min(time.Duration(wider), max(min(within-answers, ToldWithin/2), spread))
+}
+
+// place returns where in a spread this dispatcher's next call is, from 0 to 1: the numbers
+// lie evenly, and another try of the same is elsewhere.
+func (c *Clock) place() float64 {
+	_, f := math.Modf(float64(c.Number)*math.Phi + float64(c.tries)*math.Sqrt2)
+	return f
+}
+
+// Until returns how long the list that is held may be used: until what it may lack binds.
+// Without a silent watch or a move that is without end, as the watch tells all.
+func (c *Clock) Until() time.Duration {
+	if c.due == 0 {
+		return math.MaxInt64
+	}
+	return c.due + c.Grace
+}
+
+// Stale tells whether the list may lack what binds by now.
+func (c *Clock) Stale(now time.Duration) bool { return now >= c.Until() }
--- /dev/null
+++ b/internal/gang/verdict/verdict_test.go
@@ -0,0 +1,54 @@
+package verdict
+
+import (
+	"testing"
+	"time"
+
+	"frosttide/internal/gang/peers"
+)
+
+// TestLook has verdicts come to by more than one look, with enough peers, and taken back slowly.
+func TestLook(t *testing.T) {
+	at := func(ratio float64, others ...float64) Evidence {
+		if others == nil {
+			others = []float64{0.9, 1, 1.1, 1}
+		}
+		st, known := peers.Compare(ratio, others)
+		return Evidence{Standing: st, Known: known}
+	}
+	slow, fine, between := at(0.3), at(1), at(0.6)
+	heavy, silent := slow, fine
+	heavy.Heavy, silent.Silent = true, true
+	for _, tc := range []struct {
+		name  string
+		looks []Evidence
+		want  State
+	}{
+		{"nothing is known", []Evidence{{}}, Unknown},
+		{"two peers are too few", []Evidence{at(0.1, 1, 1), at(0.1, 1, 1), at(0.1, 1, 1)}, Unknown},
+		{"in step", []Evidence{fine}, InStep},
+		{"slow once", []Evidence{fine, slow}, Behind},
+		{"slow twice", []Evidence{fine, slow, slow}, Straggler},
+		{"with a look between", []Evidence{slow, fine, slow}, Behind},
+		{"all parts are slow", []Evidence{at(0.3, 0.3, 0.31, 0.29), at(0.3, 0.3, 0.31, 0.29)}, InStep},
+		{"peers differ as much", []Evidence{at(0.3, 0.2, 0.5, 1, 2, 4), at(0.3, 0.2, 0.5, 1, 2, 4)}, Behind},
+		{"heavy, not slow", []Evidence{heavy, heavy, heavy}, Behind},
+		{"a little slow", []Evidence{between, between, between}, Behind},
+		{"it catches up for a moment", []Evidence{slow, slow, fine}, Straggler},
+		{"it catches up", []Evidence{slow, slow, fine, fine}, InStep},
+		{"and hangs about", []Evidence{slow, slow, between, between, between}, Straggler},
+		{"nobody is left to compare with", []Evidence{slow, slow, {}}, Straggler},
+		{"silent", []Evidence{fine, silent}, Silent},
+		{"it speaks again", []Evidence{silent, fine}, InStep},
+	} {
+		var v Verdict
+		for i, e := range tc.looks {
+			e.At = time.Duration(i+1) * time.Second
+			v.Look(e, time.Second)
+			v.Look(Evidence{At: e.At + time.Millisecond, Silent: true}, time.Second) // too soon: not looked at
+		}
+		if v.State != tc.want {
+			t.Errorf("%s: %s, want %s", tc.name, v.State, tc.want)
+		}
+	}
+}
--- a/internal/handover/listener.go
+++ b/internal/handover/listener.go
@@ -7,12 +7,20 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"syscall"
+	"time"
 )
 
-// mostWait bounds, in microseconds, how long accept(2) may block should another holder
-// set the socket blocking between our setting and our call.
-const mostWait = 100_000
+const (
+	// mostWait bounds, in microseconds, how long accept(2) may block should another holder
+	// set the socket blocking between our setting and our call. Multipath TCP, which Go's
+	// listeners speak where the kernel does, does not heed it.
+	mostWait = 100_000
+	// wakeEvery and mostWakes bound how a blocked accept is woken at the end.
+	wakeEvery = 2 * time.Millisecond
+	mostWakes = 250
+)
 
 // Listen serves a listening socket that the platform holds for all processes of the
 // dispatcher. Closing the listener ends this process's copy alone: shutdown(2) would
@@ -37,7 +45,7 @@
 		f.Close()
 		return nil, fmt.Errorf("$BALANCER_FD: %w", err)
 	}
-	return &listener{file: f, raw: raw, addr: first.Addr()}, nil
+	return &listener{file: f, raw: raw, addr: first.Addr(), closed: make(chan struct{})}, nil
 }
 
 // listener accepts from the shared socket. Guards against another holder that sets it
@@ -47,6 +55,10 @@
 	file *os.File
 	raw  syscall.RawConn
 	addr net.Addr
+
+	once   sync.Once
+	closed chan struct{} // closed once no accept is under way any more
+	err    error
 }
 
 func (l *listener) Accept() (net.Conn, error) {
@@ -78,5 +90,37 @@
 	}
 }
 
-func (l *listener) Close() error   { return l.file.Close() }
+// Close ends this process's copy. Guards the process's end against an accept that blocks, which
+// the file's own Close waits for: it is woken by connections of our own, which whoever takes
+// them drops as they say nothing.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		go func() {
+			l.err = l.file.Close()
+			close(l.closed)
+		}()
+		tick := time.NewTicker(wakeEvery)
+		defer tick.Stop()
+		for range mostWakes {
+			select {
+			case <-l.closed:
+				return
+			case <-tick.C:
+			}
+			if c, err := (&net.Dialer{Deadline: time.Now().Add(wakeEvery)}).Dial("tcp", l.addr.String()); err == nil {
+				c.Close()
+			}
+		}
+	})
+	select {
+	case <-l.closed:
+		return l.err
+	default:
+		return errBlocked
+	}
+}
+
+var errBlocked = errors.New("an accept on the shared socket blocks and can't be woken")
+
+// Addr is the socket's.
 func (l *listener) Addr() net.Addr { return l.addr }
--- a/internal/lab/faults/fleet.go
+++ b/internal/lab/faults/fleet.go
@@ -32,13 +32,21 @@
 	cmd                    *exec.Cmd
 	ended                  chan struct{} // closed when the process has ended
 	stopped                bool
-	since                  int // jobs that had been sent by all when it started
+	stood                  []span // when its process stood still
+	since                  int    // jobs that had been sent by all when it started
 	log                    *tail
 	client                 *client
 	endClient              context.CancelFunc
 	clientOver             chan struct{}
 }
 
+// wakes notes that the process no longer stands still.
+func (m *member) wakes() {
+	if m.stopped {
+		m.stopped, m.stood[len(m.stood)-1].till = false, time.Now()
+	}
+}
+
 func (m *member) up() bool { return m.cmd != nil }
 
 // tail keeps the end of a process's log.
@@ -97,13 +105,16 @@
 	voters  int
 	zones   int
 	alone   bool
+	extra   string // of the settings
+	flows   bool
+	gangs   bool
 	servers []*http.Server
 	uids    []string
 	cold    *http.Client
 }
 
 func openFleet(s *Script, program Program, dir string) (f *fleet, err error) {
-	f = &fleet{program: program, dir: dir, catalog: newCatalog(), voters: s.Voters, zones: s.Zones, alone: s.Alone, cold: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}}
+	f = &fleet{program: program, dir: dir, catalog: newCatalog(), voters: s.Voters, zones: s.Zones, alone: s.Alone, extra: s.extra(), flows: s.Flows, gangs: s.Gangs, cold: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}}
 	defer func() {
 		if err != nil {
 			f.close()
@@ -112,7 +123,7 @@
 	if f.net, err = openRelays(s.Members, s.Seed); err != nil {
 		return f, err
 	}
-	f.runners = &runners{work: 5 * time.Millisecond, effects: map[string]map[string]int{}, broken: map[string]bool{}, clients: f.clientsOf}
+	f.runners = &runners{slots: s.Slots, queue: s.Queue, at: map[string]*busy{}, work: s.Work, effects: map[string]map[string]int{}, broken: map[string]bool{}, spoilt: map[string]bool{}, lags: map[string]float64{}, hung: map[string]bool{}, parts: map[string]chan struct{}{}, tries: map[string]int{}, clients: f.clientsOf}
 	for i := range s.Runners {
 		uid := fmt.Sprintf("s-%d", i+1)
 		server, addr, err := serve("127.0.0.1:0", f.runners.handler(uid, f.zone(i)))
@@ -169,8 +180,14 @@
 	}
 	cluster := ""
 	if !f.alone {
-		cluster = fmt.Sprintf("[cluster]\nlisten = %q\nadvertise = %q\njoin = [%s]\nvoters = [%s]\ndir = %q\ndiscovery = \"one\"\n",
-			f.net.real[m.i], f.net.public[m.i], strings.Join(join, ", "), strings.Join(voters, ", "), filepath.Join(m.dir, "log"))
+		cluster = fmt.Sprintf("[cluster]\nlisten = %q\nadvertise = %q\njoin = [%s]\nvoters = [%s]\ndir = %q\ndiscovery = \"one\"\n[recovery]\nkeep = %q\n%s",
+			f.net.real[m.i], f.net.public[m.i], strings.Join(join, ", "), strings.Join(voters, ", "), filepath.Join(m.dir, "log"), filepath.Join(m.dir, "apart"), f.extra)
+		if f.flows {
+			cluster += "[workflow]\nenabled = true\n"
+		}
+	}
+	if f.gangs {
+		cluster += "[gang]\nenabled = true\nreports_every = \"100ms\"\n[attempts]\nsecond_copies = true\n"
 	}
 	return fmt.Sprintf(`name = %q
 [listen]
@@ -196,6 +213,10 @@
 wanted_within = "1s"
 give_up = "2s"
 [[class]]
+name = "reel"
+wanted_within = "10s"
+give_up = "30s"
+[[class]]
 name = "release"
 effect = "keyed"
 repeats_dropped_by = "zone"
@@ -210,6 +231,9 @@
 `, cmp.Or(m.alias, m.name), m.clients, m.console, m.disc, strings.Join(zones, ", "), f.zone(m.i), len(f.members), m.i, cluster)
 }
 
+// clockFile holds by how many seconds a member's machine's clock is off.
+const clockFile = "clock"
+
 // start starts a member's process.
 func (f *fleet) start(m *member) error {
 	path := filepath.Join(m.dir, "frosttide.toml")
@@ -218,6 +242,7 @@
 	}
 	m.cmd, m.log, m.ended, m.stopped = f.program("serve", "--config", path), &tail{}, make(chan struct{}), false
 	m.cmd.Stderr = m.log
+	m.cmd.Env = append(m.cmd.Env, "FROSTTIDE_TEST_CLOCK="+filepath.Join(m.dir, clockFile)) // the tests' program reads it
 	m.since = f.runners.count()
 	if err := m.cmd.Start(); err != nil {
 		m.cmd = nil
@@ -237,6 +262,7 @@
 	}
 	if m.stopped {
 		_ = m.cmd.Process.Signal(syscall.SIGCONT)
+		m.wakes()
 	}
 	_ = m.cmd.Process.Signal(sig) // it may have ended
 	<-m.ended
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,11 +4,14 @@
 package ledger
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
 	"slices"
+
+	"frosttide/internal/workflow/book"
 )
 
 // Op says what an entry does.
@@ -18,6 +21,8 @@
 const (
 	Exclude Op = "exclude" // an operator leaves a runner out
 	Include Op = "include" // and puts it back
+	Begin   Op = "begin"   // gives the log its name, in UID; the first counts
+	Flow    Op = "flow"    // a word on workflows, in Flow
 )
 
 const (
@@ -37,6 +42,8 @@
 	At  int64  `json:"at"`            // ms since 1970, by the clock of who proposes it
 	By  string `json:"by,omitempty"`  // the member at which an operator said it
 	Why string `json:"why,omitempty"` // what the operator said to it
+
+	Flow *book.Command `json:"flow,omitempty"`
 }
 
 // Valid returns why an entry can't be meant, nil where it can.
@@ -49,7 +56,10 @@
 			return fmt.Errorf("a text of %d bytes, %d is the most", len(s), maxText)
 		}
 	}
-	if (e.Op == Exclude || e.Op == Include) && e.UID == "" {
+	if e.Op == Flow && e.Flow == nil {
+		return errors.New("flow is missing")
+	}
+	if (e.Op == Exclude || e.Op == Include || e.Op == Begin) && e.UID == "" {
 		return errors.New("uid is missing")
 	}
 	return nil
@@ -61,14 +71,17 @@
 	Index   uint64 `json:"index"`
 	Changed bool   `json:"changed"`
 	Refused string `json:"refused,omitempty"` // why it changed nothing, where it should have
+	Kind    string `json:"kind,omitempty"`    // of the refusal, of a word on workflows
 }
 
 // State is what the entries so far lead to. The zero value is that of an empty log.
 type State struct {
+	Log   string           `json:"log"`   // the log's name; empty until it has been given one
 	Index uint64           `json:"index"` // of the last entry
 	Out   map[string]Done  `json:"out"`   // runners that are left out, by uid, and by which entry
 	Last  []Done           `json:"last"`  // the last entries, the oldest first
 	Odd   uint64           `json:"odd"`   // entries that this build did not understand
+	Flows *book.Book       `json:"flows,omitempty"`
 	known map[string]*Done // Last by id
 }
 
@@ -92,6 +105,7 @@
 	} else {
 		s.do(&d)
 	}
+	d.Flow = nil // bodies are the book's
 	s.Last = append(s.Last, d)
 	if len(s.Last) > History {
 		delete(s.known, s.Last[0].ID)
@@ -112,6 +126,16 @@
 func (s *State) do(d *Done) {
 	_, out := s.Out[d.UID]
 	switch d.Op {
+	case Flow:
+		if s.Flows == nil {
+			s.Flows = &book.Book{}
+		}
+		changed, no := s.Flows.Apply(d.Index, d.At, d.Flow)
+		if d.Changed = changed; no != nil {
+			d.Refused, d.Kind = no.Text, no.Kind
+		}
+	case Begin: // nothing changes for any dispatcher
+		s.Log = cmp.Or(s.Log, d.UID)
 	case Exclude:
 		if !out && len(s.Out) >= Most {
 			d.Refused = fmt.Sprintf("%d runners are left out already", Most)
@@ -130,9 +154,9 @@
 	}
 }
 
-// Clone returns a copy.
+// Clone returns a copy, without the workflows.
 func (s *State) Clone() State {
-	return State{Index: s.Index, Out: maps.Clone(s.Out), Last: slices.Clone(s.Last), Odd: s.Odd}
+	return State{Log: s.Log, Index: s.Index, Out: maps.Clone(s.Out), Last: slices.Clone(s.Last), Odd: s.Odd}
 }
 
 // Bytes is the state as a snapshot holds it.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -50,8 +50,10 @@
 	Epoch uint64 `json:"epoch"`          // drawn at its start, higher than before
 	Disk  string `json:"disk,omitempty"` // names the log on its disk; empty for none
 	Log   bool   `json:"log,omitempty"`  // it has a log that has begun
+	Knew  uint64 `json:"knew,omitempty"` // how far it knew at its start that the log had gone
 	Drain bool   `json:"drain,omitempty"`
-	Goes  bool   `json:"goes,omitempty"` // it has said farewell: memberlist does not tell
+	Stage uint8  `json:"stage,omitempty"` // how far it has come back (recovery/stage)
+	Goes  bool   `json:"goes,omitempty"`  // it has said farewell: memberlist does not tell
 }
 
 // Life is how a member does.
@@ -96,6 +98,8 @@
 	list  *memberlist.Memberlist
 	words *memberlist.TransmitLimitedQueue
 
+	telling sync.Mutex // held by the one that tells the others
+
 	mu   sync.Mutex
 	meta Meta
 	here map[string]Info // who is alive, by name: memberlist's own list may change while it is read
@@ -211,8 +215,11 @@
 	}
 }
 
-// retell has the others hear what the member says of itself, and waits for that so long.
+// retell has the others hear what the member says of itself, and waits for that so long. Guards
+// memberlist, which reads the member's own entry beside its lock, from two that tell at once.
 func (m *Members) retell(wait time.Duration) {
+	m.telling.Lock()
+	defer m.telling.Unlock()
 	if err := m.list.UpdateNode(wait); err != nil {
 		m.log.WithError(err).Debug("the others hear of it later")
 	}
--- a/internal/quorum/disk.go
+++ b/internal/quorum/disk.go
@@ -15,6 +15,8 @@
 	"github.com/hashicorp/raft"
 	boltdb "github.com/hashicorp/raft-boltdb/v2"
 	"go.etcd.io/bbolt"
+
+	"frosttide/internal/recovery"
 )
 
 // Names in the folder of a member.
@@ -36,13 +38,20 @@
 	snaps raft.SnapshotStore
 }
 
-// openDisk opens a folder. What can't be read is set aside under another name and an empty
-// one begun in its place; aside names it.
-func openDisk(dir string, log hclog.Logger) (d *disk, aside string, err error) {
+// openDisk opens a folder. What can't be read, or is from before what the member has
+// acknowledged, is set aside under another name and an empty one begun in its place; aside
+// names it. Guards what was acknowledged against a disk of last week that votes as it did then.
+func openDisk(dir string, kept uint64, log hclog.Logger) (d *disk, aside string, err error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, "", fmt.Errorf("cluster: %w", err)
 	}
 	d, err = tryDisk(dir, log)
+	if err == nil {
+		err = d.current(kept)
+		if err != nil {
+			d.logs.Close()
+		}
+	}
 	var torn tornError
 	if !errors.As(err, &torn) {
 		return d, "", err
@@ -186,4 +195,28 @@
 	return nil
 }
 
+// current returns an error where the log is shorter than what the member kept elsewhere.
+func (d *disk) current(kept uint64) error {
+	last, err := d.last()
+	if err != nil {
+		return err
+	}
+	if recovery.Older(kept, last) {
+		return tornError{fmt.Errorf("the log ends at entry %d, and this member had acknowledged entry %d", last, kept)}
+	}
+	return nil
+}
+
+// last returns how far the log goes, its snapshots included.
+func (d *disk) last() (uint64, error) {
+	last, err := d.logs.LastIndex()
+	if err != nil {
+		return 0, fmt.Errorf("cluster: %w", err)
+	}
+	if list, err := d.snaps.List(); err == nil && len(list) > 0 {
+		last = max(last, list[0].Index)
+	}
+	return last, nil
+}
+
 func (d *disk) close() error { return d.logs.Close() }
--- /dev/null
+++ b/internal/quorum/engine.go
@@ -0,0 +1,41 @@
+package quorum
+
+import (
+	"strings"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	"github.com/sirupsen/logrus"
+)
+
+// engineConfig is the engine's for a member.
+func engineConfig(id raft.ServerID, logger hclog.Logger) *raft.Config {
+	c := raft.DefaultConfig()
+	c.LocalID, c.Logger = id, logger
+	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = heartbeat, heartbeat, lease, commit
+	c.SnapshotThreshold, c.TrailingLogs, c.SnapshotInterval = compactAfter, trailing, compactEvery
+	c.ShutdownOnRemove = false // it may be taken in again
+	return c
+}
+
+// advertised has the engine name the address that others reach rather than the one listened on.
+type advertised struct {
+	*raft.NetworkTransport
+	addr raft.ServerAddress
+}
+
+// LocalAddr is where others reach the member.
+func (a advertised) LocalAddr() raft.ServerAddress { return a.addr }
+
+// engineLog has the engine's lines go to the log at debug level: while a member is away it
+// says so several times a second. What matters is said by this package.
+func engineLog(log *logrus.Entry) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Debug, DisableTime: true, Output: lines{log}})
+}
+
+type lines struct{ log *logrus.Entry }
+
+func (l lines) Write(b []byte) (int, error) {
+	l.log.Debug(strings.TrimSpace(string(b)))
+	return len(b), nil
+}
--- a/internal/quorum/machine.go
+++ b/internal/quorum/machine.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/raft"
 
 	"frosttide/internal/ledger"
+	"frosttide/internal/workflow/book"
 )
 
 // machine applies the log to the ledger. Raft calls it from one goroutine; State may be read
@@ -35,6 +36,16 @@
 	return d
 }
 
+// flows shows the workflows.
+func (m *machine) flows(show func(*book.Book)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.state.Flows == nil {
+		m.state.Flows = &book.Book{}
+	}
+	show(m.state.Flows)
+}
+
 func (m *machine) read() ledger.State {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -43,7 +54,12 @@
 
 // Snapshot takes the state as it is.
 func (m *machine) Snapshot() (raft.FSMSnapshot, error) {
-	s := m.read()
+	m.mu.Lock()
+	s := m.state.Clone()
+	if m.state.Flows != nil {
+		s.Flows = m.state.Flows.Clone()
+	}
+	m.mu.Unlock()
 	text, err := s.Bytes()
 	if err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
--- /dev/null
+++ b/internal/quorum/quorum_test.go
@@ -0,0 +1,63 @@
+package quorum
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"frosttide/internal/clusterport"
+	"frosttide/internal/ledger"
+	"frosttide/internal/members"
+)
+
+// told notes who was told to lead.
+type told struct{ led chan string }
+
+func (t told) Agreed(ledger.Done)                  {}
+func (t told) Restored(ledger.State, ledger.State) {}
+func (t told) Led(leader string, _ uint64)         { t.led <- leader }
+func (t told) Formed(string, bool)                 {}
+
+// TestLedBeforeAnybodyListens guards operators and what waits for a leader on a busy machine: an
+// engine that finds its log again may lead before Run has begun to listen.
+func TestLedBeforeAnybodyListens(t *testing.T) {
+	dir, log := t.TempDir(), logrus.New()
+	log.SetOutput(io.Discard)
+	for _, again := range []bool{false, true} {
+		port, err := clusterport.Open("127.78.0.1:0", "", logrus.NewEntry(log))
+		if err != nil {
+			t.Fatal(err)
+		}
+		sink := told{make(chan string, 64)}
+		alone := func() []members.Info {
+			return []members.Info{{Name: "m", Addr: port.Advertised(), Meta: members.Meta{Disk: "d"}}}
+		}
+		q, err := Open(Config{Name: "m", Dir: dir, Voters: []string{"m"}}, port, alone, sink, logrus.NewEntry(log))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for by := time.Now().Add(10 * time.Second); again && !q.Leads(); {
+			if time.Now().After(by) {
+				t.Fatal("a log of one voter has no leader")
+			}
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); q.Run(ctx) }()
+		select {
+		case leader := <-sink.led:
+			if leader != "m" {
+				t.Errorf("%q leads", leader)
+			}
+		case <-time.After(10 * time.Second):
+			t.Errorf("nobody was told of the leader; again: %t", again)
+		}
+		stop()
+		<-done
+		q.Close()
+		port.Close()
+	}
+}
--- a/internal/ration/ration.go
+++ b/internal/ration/ration.go
@@ -1,23 +1,14 @@
 // Package ration shares out what a worker that has just started bears. A cold worker
 // that is sent more than a multiple of its present capacity within a window falls over,
 // and dispatchers know nothing of what the others send. So each keeps to a part of its
-// own: few dispatchers by a bill that is paid off with time, many by turns, as a part of
-// theirs would not hold a single job. The package is pure: no I/O, no clock.
+// own: few dispatchers by a bill that is paid off with time, many by a draw for each request,
+// as a part of theirs would not hold a single job. The package is pure: no I/O, no clock.
 package ration
 
 import "time"
 
-const (
-	// Many is from how many sharers on a worker is shared by turns.
-	Many = 16
-	// turnFill is how much work a turn may hold, against what the worker can do by then
-	// at least. It is below every multiple that workers bear: hints are rough, clocks
-	// differ a little, and work beyond its capacity would only wait there.
-	turnFill = 1.25
-	// lightShare is the part of what a worker bears in a window that one job may take
-	// beside ordinary traffic.
-	lightShare = 1.0
-)
+// Many is from how many sharers on a worker is shared by draws.
+const Many = 16
 
 // Rules are the figures of the rule on cold workers.
 type Rules struct {
@@ -31,15 +22,14 @@
 // many there are.
 type Sharer struct{ Number, Count int }
 
-// ByTurns tells whether that many share by turns.
-func (s Sharer) ByTurns() bool { return s.Count > Many }
+// ByDraws tells whether that many share by draws.
+func (s Sharer) ByDraws() bool { return s.Count > Many }
 
 // Bill is the work that a dispatcher has sent to a worker and that still counts. The
 // zero value is empty.
 type Bill struct {
 	work float64 // seconds
 	at   time.Duration
-	turn int64
 }
 
 // Add puts seconds of work that have been sent on the bill.
@@ -61,20 +51,19 @@
 	return r.ColdShare + (1-r.ColdShare)*float64(age)/float64(r.WarmUp)
 }
 
+// Share returns the least share of its capacity that a worker has that started at a time; 1
+// once it is warm.
+func (r Rules) Share(startedAt, now time.Duration) float64 {
+	if startedAt <= 0 || r.WarmUp <= 0 {
+		return 1
+	}
+	return min(r.share(max(now-startedAt, 0)), 1)
+}
+
 // Bears tells whether a sharer may send some seconds of work, on top of its bill, to a
 // worker of that many slots that has started at the given time.
 func (r Rules) Bears(b *Bill, who Sharer, slots float64, startedAt, now time.Duration, work float64) bool {
 	rate := r.share(now-startedAt) * slots
-	if who.ByTurns() {
-		turn, length := r.Turn(startedAt, now), r.length()
-		if turn%int64(who.Count) != int64(who.Number) {
-			return false
-		}
-		if b.turn != turn {
-			*b = Bill{turn: turn}
-		}
-		return b.work+work <= rate*turnFill*length.Seconds()
-	}
 	rate *= r.FallMultiple / float64(max(who.Count, 1))
 	b.work, b.at = max(b.work-rate*(now-b.at).Seconds(), 0), now
 	return b.work+work <= rate*r.FallWindow.Seconds()
@@ -94,12 +83,11 @@
 // a warming worker standing. Guards against the few jobs that take many times their
 // class's mean: one alone can be more than a cold worker bears.
 func (r Rules) Light(slots float64, startedAt, now time.Duration, work float64) bool {
-	return work <= lightShare*r.share(now-startedAt)*slots*r.FallMultiple*r.FallWindow.Seconds()
+	return work <= r.share(now-startedAt)*slots*r.FallMultiple*r.FallWindow.Seconds()
 }
 
 // Turn numbers the turns of a worker, of half a window each. All dispatchers read the
-// same clock and are told the same start, so they count alike; where clocks differ, two
-// hold a turn for a moment, which turnFill allows for. Workers that start together are
+// same clock and are told the same start, so they count alike. Workers that start together are
 // a millisecond or more apart, and so is whose turn it is.
 func (r Rules) Turn(startedAt, now time.Duration) int64 {
 	return int64(max(now-startedAt, 0)/r.length()) + int64(startedAt/time.Millisecond)
--- /dev/null
+++ b/internal/recovery/sharers/sharers_test.go
@@ -0,0 +1,64 @@
+package sharers
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestCount shares by who may be at work.
+func TestCount(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		settings int
+		others   []Life
+		want     int
+	}{
+		{"alone", 1, nil, 1},
+		{"nobody is heard of yet", 5, nil, 5},
+		{"all are here", 5, []Life{Alive, Alive, Alive, Alive}, 5},
+		{"three are killed", 5, []Life{Alive, Refused, Refused, Refused}, 2},
+		{"one has left", 5, []Life{Alive, Alive, Alive, Left}, 4},
+		{"three are cut off", 5, []Life{Alive, Unseen, Unseen, Unseen}, 5},
+		{"more than the settings say", 2, []Life{Alive, Alive, Alive}, 4},
+		{"all are gone", 3, []Life{Refused, Left}, 1},
+	} {
+		if got := Count(tc.settings, tc.others); got != tc.want {
+			t.Errorf("%s: %d, want %d", tc.name, got, tc.want)
+		}
+	}
+}
+
+// TestNeverSpentTwice guards a runner that has just started: however a fleet is cut, killed
+// and seen, the shares of those that work come to no more than the whole.
+func TestNeverSpentTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 15).Draw(t, "members")
+		side := make([]int, n) // 0 for dead; members of one side see each other
+		for i := range side {
+			side[i] = rapid.IntRange(0, 3).Draw(t, "side")
+		}
+		sum := 0.0
+		for i := range side {
+			if side[i] == 0 {
+				continue
+			}
+			var others []Life
+			for j := range side {
+				switch {
+				case j == i:
+				case side[j] == side[i]:
+					others = append(others, Alive)
+				case side[j] > 0: // cut off: it may be seen as dead, but nothing refuses
+					others = append(others, Unseen)
+				default:
+					others = append(others, rapid.SampledFrom([]Life{Unseen, Refused, Left}).Draw(t, "dead"))
+				}
+			}
+			sum += 1 / float64(Count(n, others))
+		}
+		if sum > 1.0000001 {
+			t.Fatalf("shares come to %.3f with sides %v", sum, side)
+		}
+	})
+}
--- a/internal/replica/fact.go
+++ b/internal/replica/fact.go
@@ -20,7 +20,8 @@
 	Runner  Kind = 1 // a runner as a discovery told of it; Scope names the discovery
 	Health  Kind = 3 // how a runner does, by who met it
 	Fate    Kind = 5 // a job with a key; Scope names the group that drops its repeats
-	kindEnd Kind = 6 // 2 and 4 are not in use
+	Gang    Kind = 6 // how a part of a gang does, by whose part it is
+	kindEnd Kind = 7 // 2 and 4 are not in use
 )
 
 // Kinds is how many kinds there are, 0 among them, for tables by kind.
@@ -74,7 +75,7 @@
 // that are broken or speak another form.
 func (f *Fact) Valid(now int64) error {
 	switch {
-	case f.Kind != Runner && f.Kind != Health && f.Kind != Fate:
+	case f.Kind != Runner && f.Kind != Health && f.Kind != Fate && f.Kind != Gang:
 		return fmt.Errorf("kind %d is not known", f.Kind)
 	case f.Name == "" || len(f.Name) > maxName || len(f.Scope) > maxName || len(f.By) > maxName || len(f.Sum) > maxName:
 		return errors.New("a name is empty or too long")
@@ -101,14 +102,14 @@
 //
 //   - a runner as a discovery told of it: the later count of its versions, the higher
 //     version, and of equal versions the state that takes work away;
-//   - health: the one measured later;
+//   - health, and how a part of a gang does: the one measured later;
 //   - a job's fate: the further one, and of equal ones the first, as windows begin with it.
 func Newer(a, b *Fact) int {
 	first := 0
 	switch a.Kind {
 	case Runner:
 		first = cmp.Or(cmp.Compare(a.Gen, b.Gen), cmp.Compare(a.Rev, b.Rev), cmp.Compare(a.State, b.State), cmp.Compare(a.Boot, b.Boot))
-	case Health:
+	case Health, Gang:
 		first = cmp.Compare(a.At, b.At)
 	case Fate:
 		first = cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(b.At, a.At))
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -16,9 +16,9 @@
 // Bounds are how many facts of each kind a store holds at most; past them the oldest go.
 type Bounds [Kinds]int
 
-// DefaultBounds fits 20,000 runners and 100,000 keys.
+// DefaultBounds fits 20,000 runners, 100,000 keys and 20,000 parts of gangs.
 func DefaultBounds() Bounds {
-	return Bounds{Runner: 20_000, Health: 20_000, Fate: 100_000}
+	return Bounds{Runner: 20_000, Health: 20_000, Fate: 100_000, Gang: 20_000}
 }
 
 // tombstones is how long a runner that is gone is remembered, in ms. A copy of it that is
@@ -26,6 +26,9 @@
 // have to fetch everything anew (see Stale).
 const tombstones = 10 * 60_000
 
+// gangs is how long a word on a part of a gang counts, in ms.
+const gangs = 60_000
+
 // Store holds facts. It is not safe for use by several goroutines.
 type Store struct {
 	bounds  Bounds
@@ -102,6 +105,8 @@
 	switch f.Kind {
 	case Fate:
 		return f.Until <= now
+	case Gang:
+		return f.At+gangs <= now
 	case Runner:
 		return f.State == Deleted && f.At+tombstones <= now
 	}
--- a/internal/routetable/hearsay.go
+++ b/internal/routetable/hearsay.go
@@ -54,6 +54,7 @@
 	}
 	var routes []core.Route
 	for _, text := range entries {
+		text := compact(text)
 		route, err := t.route(text)
 		if err != nil {
 			t.log.WithError(err).Warn("another member's list entry skipped")
--- /dev/null
+++ b/internal/routetable/stream/stream_test.go
@@ -0,0 +1,73 @@
+package stream
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+type object struct {
+	Rev *int `json:"rev"`
+}
+
+// read returns the versions in an answer, and how it ended.
+func read(in io.Reader) (revs []int, beats int, err error) {
+	o := New(in, func(beat bool) {
+		if beat {
+			beats++
+		}
+	})
+	for {
+		var v object
+		if err = o.Next(&v); err != nil {
+			return revs, beats, err
+		}
+		if v.Rev != nil {
+			revs = append(revs, *v.Rev)
+		}
+	}
+}
+
+// TestLayouts has objects read whatever their layout, in pieces of any size, and what can't
+// be read cost what comes behind it and nothing that came before.
+func TestLayouts(t *testing.T) {
+	for _, tc := range []struct {
+		name, text string
+		revs       []int
+		end        string // part of the error; empty for the answer's end
+	}{
+		{"a line each", "{\"rev\":1}\n{\"rev\":2}\n", []int{1, 2}, ""},
+		{"indented", "{\n    \"rev\": 1,\n    \"targets\": [\n        {\n        }\n    ]\n}\n\n{\n\t\"rev\" :\t2\r\n}", []int{1, 2}, ""},
+		{"all in a row", `{"rev":1}{"rev":2}`, []int{1, 2}, ""},
+		{"empty lines", "\n\n{\"rev\":1}\n\n", []int{1}, ""},
+		{"cut", "{\"rev\":1}\n{\"rev\":2", []int{1}, "ends within"},
+		{"garbage behind", "{\"rev\":1} <html>", []int{1}, "reading an object"},
+		{"a wrong type", "{\"rev\":1}{\"rev\":\"2\"}{\"rev\":3}", []int{1}, "reading an object"},
+		{"nested past all measure", "{\"rev\":1}{\"x\":" + strings.Repeat("[", 20_000), []int{1}, "reading an object"},
+		{"too large", "{\"rev\":1}{\"x\":\"" + strings.Repeat("y", MaxObject+4096), []int{1}, ErrLarge.Error()},
+		{"white space without end", strings.Repeat(" ", MaxObject+4096), nil, ErrLarge.Error()},
+	} {
+		for _, in := range []io.Reader{strings.NewReader(tc.text), iotest.HalfReader(strings.NewReader(tc.text)), iotest.DataErrReader(strings.NewReader(tc.text))} {
+			revs, _, err := read(in)
+			if diff := cmp.Diff(tc.revs, revs); diff != "" {
+				t.Errorf("%s (-want +got):\n%s", tc.name, diff)
+			}
+			if tc.end == "" && !errors.Is(err, io.EOF) || !strings.Contains(err.Error(), tc.end) {
+				t.Errorf("%s: ended by %v", tc.name, err)
+			}
+		}
+	}
+}
+
+// TestBeats has an empty line told apart from white space within an object: it alone says
+// that nothing has changed.
+func TestBeats(t *testing.T) {
+	_, beats, _ := read(iotest.OneByteReader(strings.NewReader("\n{\n  \"rev\": 1\n}\n{  \"rev\" :2 }\n")))
+	if beats != 3 {
+		t.Errorf("%d beats, want those before, between and behind the objects", beats)
+	}
+}
--- a/internal/settings/cluster.go
+++ b/internal/settings/cluster.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net"
+	"path/filepath"
 	"slices"
+	"time"
 )
 
 // Cluster says which other dispatchers this one knows, and how it meets them.
@@ -14,12 +16,23 @@
 	Voters    []string // names of those who keep the log
 	Dir       string   // of this one's part of the log
 	Discovery string   // names whose versions the list counts by; empty for its address
+	Keep      string   // a folder apart from Dir that keeps how far the log had gone; empty for none
+	Stages    bool     // it comes back by stages (recovery/stage)
+	Workflows bool     // workflows are undone that end half way
+	Undos     int      // at once, here
+	Paced     bool     // and lets jobs in by a door that opens with what is served
 }
 
 func (r *reader) cluster() Cluster {
 	return Cluster{Listen: own[string](r, "cluster.listen"), Advertise: own[string](r, "cluster.advertise"),
 		Join: r.texts("cluster.join"), Voters: r.texts("cluster.voters"), Dir: own[string](r, "cluster.dir"),
-		Discovery: own[string](r, "cluster.discovery")}
+		Discovery: own[string](r, "cluster.discovery"), Keep: own[string](r, "recovery.keep"),
+		Stages: own[bool](r, "recovery.stages"), Paced: own[bool](r, "recovery.paced"),
+		Workflows: own[bool](r, "workflow.enabled"), Undos: int(own[int64](r, "workflow.undos_at_once"))}
+}
+
+func (r *reader) gang() Gang {
+	return Gang{Enabled: own[bool](r, "gang.enabled"), Every: own[time.Duration](r, "gang.reports_every"), Copies: own[bool](r, "gang.copies")}
 }
 
 func (r *reader) texts(key string) (out []string) {
@@ -36,6 +49,18 @@
 // clusterMistakes finds what does not go together.
 func (r *reader) clusterMistakes() {
 	c := r.cluster()
+	if c.Keep != "" && c.Listen == "" {
+		r.wrong("recovery.keep", "it keeps what a cluster's log had led to, and there is no [cluster]")
+	}
+	if c.Workflows && c.Listen == "" {
+		r.wrong("workflow.enabled", "members agree on workflows, and there is no [cluster]")
+	}
+	if c.Workflows && !c.Stages {
+		r.wrong("workflow.enabled", "who may undo is told by the stages, and recovery.stages is false")
+	}
+	if c.Keep != "" && filepath.Clean(c.Keep) == filepath.Clean(c.Dir) {
+		r.wrong("recovery.keep", "it is cluster.dir itself, and would be lost with it")
+	}
 	if c.Listen == "" {
 		for _, key := range []string{"advertise", "join", "voters", "dir", "discovery"} {
 			if r.own["cluster."+key] != nil {
--- /dev/null
+++ b/internal/settings/strangers.go
@@ -0,0 +1,86 @@
+package settings
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// strangers finds the keys that nobody has read.
+func (r *reader) strangers(prefix string, tree map[string]any) {
+	for _, name := range slices.Sorted(maps.Keys(tree)) {
+		key := prefix + name
+		if r.seen[key] {
+			continue
+		}
+		switch v := tree[name].(type) {
+		case map[string]any:
+			if r.parent(key) {
+				r.strangers(key+".", v)
+				continue
+			}
+		case []any:
+			if prefix == "" && (name == "class" || name == "runner" || name == "tenant") {
+				for i, item := range v {
+					if t, ok := item.(map[string]any); ok {
+						r.strangers(fmt.Sprintf("%s[%d].", name, i), t)
+					}
+				}
+				continue
+			}
+		}
+		if r.parent(key) {
+			r.wrong(key, "it is written as a table, ["+key+"]")
+			continue
+		}
+		r.wrong(key, "there is no such key"+r.like(key))
+	}
+}
+
+// parent tells whether a key is a table that holds known keys.
+func (r *reader) parent(key string) bool {
+	for known := range r.seen {
+		if strings.HasPrefix(known, key+".") {
+			return true
+		}
+	}
+	return false
+}
+
+// like proposes a key that a stranger may have been meant as: one of the same table
+// that differs in at most two letters.
+func (r *reader) like(key string) string {
+	best, least := "", 3
+	for _, known := range slices.Sorted(maps.Keys(r.seen)) {
+		if d := distance(key, known); d < least {
+			best, least = known, d
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return "; did you mean " + best + "?"
+}
+
+// distance returns how many letters have to be put in, taken out or changed to get from
+// one word to the other (Levenshtein).
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		last := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := last
+			if a[i] != b[j] {
+				cost++
+			}
+			last = row[j+1]
+			row[j+1] = min(cost, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/internal/settings/values.go
@@ -0,0 +1,222 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"frosttide/internal/wire"
+)
+
+func wrongType(want string, v any) error { return fmt.Errorf("%s is wanted, not %s", want, kindOf(v)) }
+
+func kindOf(v any) string {
+	switch v := v.(type) {
+	case string:
+		return strconv.Quote(v)
+	case []any:
+		return "a list"
+	case map[string]any:
+		return "a table"
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+func text(v any) (any, error) {
+	s, ok := v.(string)
+	if !ok {
+		return nil, wrongType("a text in quotes", v)
+	}
+	if strings.TrimSpace(s) == "" {
+		return nil, fmt.Errorf("it is empty")
+	}
+	return s, nil
+}
+
+func flag(v any) (any, error) {
+	b, ok := v.(bool)
+	if !ok {
+		return nil, wrongType("true or false", v)
+	}
+	return b, nil
+}
+
+func words(v any) (any, error) {
+	list, ok := v.([]any)
+	if !ok {
+		return nil, wrongType(`a list such as ["a", "b"]`, v)
+	}
+	for i, w := range list {
+		if s, ok := w.(string); !ok || s == "" {
+			return nil, fmt.Errorf("its item %d is no text", i+1)
+		} else if slices.Index(list, w) < i {
+			return nil, fmt.Errorf("%q is there twice", s)
+		}
+	}
+	return list, nil
+}
+
+// table holds names with a text each.
+func table(v any) (any, error) {
+	m, ok := v.(map[string]any)
+	if !ok {
+		return nil, wrongType(`a table such as {key = "value"}`, v)
+	}
+	out := map[string]string{}
+	for k, v := range m {
+		s, ok := v.(string)
+		if !ok {
+			return nil, fmt.Errorf("its value of %q is no text", k)
+		}
+		out[k] = s
+	}
+	return out, nil
+}
+
+func address(v any) (any, error) {
+	s, ok := v.(string)
+	if !ok {
+		return nil, wrongType(`an address such as "127.0.0.1:8081"`, v)
+	}
+	_, port, err := net.SplitHostPort(s)
+	if err != nil {
+		return nil, fmt.Errorf("%q is no address such as 127.0.0.1:8081", s)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return nil, fmt.Errorf("%q is not a port", port)
+	}
+	return s, nil
+}
+
+func oneOf(words ...string) func(any) (any, error) {
+	return func(v any) (any, error) {
+		if s, ok := v.(string); ok && slices.Contains(words, s) {
+			return s, nil
+		}
+		return nil, fmt.Errorf("%s is none of %s", kindOf(v), strings.Join(words, ", "))
+	}
+}
+
+func whole(least, most int64) func(any) (any, error) {
+	return func(v any) (any, error) {
+		n, ok := v.(int64)
+		if !ok {
+			return nil, wrongType("a whole number", v)
+		}
+		if n < least || n > most {
+			return nil, fmt.Errorf("%d is not from %d to %d", n, least, most)
+		}
+		return n, nil
+	}
+}
+
+func number(least, most float64) func(any) (any, error) {
+	return func(v any) (any, error) {
+		x, ok := v.(float64)
+		if n, isWhole := v.(int64); isWhole {
+			x, ok = float64(n), true
+		}
+		if !ok {
+			return nil, wrongType("a number", v)
+		}
+		if math.IsNaN(x) || x < least || x > most {
+			return nil, fmt.Errorf("%g is not from %g to %g", x, least, most)
+		}
+		return x, nil
+	}
+}
+
+// span reads a time such as "250ms".
+func span(least time.Duration) func(any) (any, error) {
+	return func(v any) (any, error) {
+		s, ok := v.(string)
+		if !ok {
+			return nil, wrongType(`a time such as "10s" or "250ms"`, v)
+		}
+		d, err := time.ParseDuration(s)
+		if err != nil {
+			return nil, fmt.Errorf(`%q is no time such as "10s" or "250ms"`, s)
+		}
+		if d < least || d > longest {
+			return nil, fmt.Errorf("%s is not from %s to %s", d, least, longest)
+		}
+		return d, nil
+	}
+}
+
+// micros reads a time for the platform's form.
+func micros(least time.Duration) func(any) (any, error) {
+	read := span(least)
+	return func(v any) (any, error) {
+		d, err := read(v)
+		if err != nil {
+			return nil, err
+		}
+		return int64(d.(time.Duration) / microsecond), nil
+	}
+}
+
+var units = []struct {
+	name  string
+	bytes int64
+}{{"KB", 1 << 10}, {"MB", 1 << 20}, {"GB", 1 << 30}, {"B", 1}}
+
+// size reads a number of bytes such as "4MB", in powers of 1,024.
+func size(least, most int64) func(any) (any, error) {
+	return func(v any) (any, error) {
+		s, ok := v.(string)
+		if !ok {
+			return nil, wrongType(`a size such as "4MB"`, v)
+		}
+		for _, u := range units {
+			digits, found := strings.CutSuffix(s, u.name)
+			if !found {
+				continue
+			}
+			n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 32)
+			if err != nil {
+				break
+			}
+			if n*u.bytes < least || n*u.bytes > most {
+				return nil, fmt.Errorf("%s is not from %s to %s", s, bytesText(least), bytesText(most))
+			}
+			return n * u.bytes, nil
+		}
+		return nil, fmt.Errorf(`%q is no size such as "4MB"`, s)
+	}
+}
+
+func bytesText(n int64) string {
+	for _, u := range []int{2, 1, 0} {
+		if n >= units[u].bytes {
+			return fmt.Sprintf("%d%s", n/units[u].bytes, units[u].name)
+		}
+	}
+	return fmt.Sprintf("%dB", n)
+}
+
+func megabytes(least, most int64) func(any) (any, error) {
+	read := size(least<<20, most<<20)
+	return func(v any) (any, error) {
+		n, err := read(v)
+		if err != nil {
+			return nil, err
+		}
+		return n.(int64) >> 20, nil
+	}
+}
+
+// knownColumns are the words that load reports may use for what they hold.
+func knownColumns(list []any) error {
+	for _, name := range list {
+		if !wire.KnownColumn(name.(string)) {
+			return fmt.Errorf("%q is no figure of a load report", name)
+		}
+	}
+	return nil
+}
