Exclusions in force where they were told; keyed jobs bound at their own dispatcher too

Cause: a member that does not lead forwards the word and answers once the leader has it agreed on, but acts only when the log brings the entry (cluster.Exclude). The client came to d5, d3 and d5 again: what a process had sent itself did not count (cluster.Ask). It waits for the way there too, as gossip's own probes find it, 200 ms at most and not past its deadline (keyed-far.txt, TestPatience, TestTrip). That what was sent binds its key at its own dispatcher would have bound refused jobs as well, whose clients are told that trying again is harmless: an attempt that surely never ran is taken back (keyed-refused.txt, TestFreed). For that each process has a fact of its own (replica/fate.go, TestOneWriter); with one fact for all, taking back one's word would take back another's.

--- a/cmd/frosttide/fates.go
+++ b/cmd/frosttide/fates.go
@@ -39,14 +39,14 @@
 	return core.Fate{Zone: zone, Cell: n}
 }
 
-// Ask tells where others have sent a job.
+// Ask tells where a job has been sent.
 func (f fates) Ask(job *core.Job, told func([]core.Fate)) {
 	m := f.now()
 	if m == nil {
 		told(nil)
 		return
 	}
-	m.Ask(f.name(job), job.Owed, func(facts []replica.Fact) {
+	m.Ask(f.name(job), job.Deadline, func(facts []replica.Fact) {
 		var out []core.Fate
 		for _, fact := range facts {
 			g := parseGroup(fact.Scope)
@@ -62,6 +62,11 @@
 	f.say(job, group, replica.Sent, left, "", send)
 }
 
+// Free makes known that it surely never ran there.
+func (f fates) Free(job *core.Job, group core.Fate) {
+	f.say(job, group, replica.Free, 0, "", nil)
+}
+
 // Done makes known that it was done there.
 func (f fates) Done(job *core.Job, group core.Fate, left time.Duration, result []byte) {
 	f.say(job, group, replica.Done, left, fmt.Sprintf("%016x", xxhash.Sum64(result)), nil)
@@ -75,5 +80,5 @@
 		}
 		return
 	}
-	m.Tell(cluster.Fate{Name: f.name(job), Group: groupText(group)}, state, left, sum, then)
+	m.Tell(cluster.Fate{Name: f.name(job), Group: groupText(group)}, state, left, sum, job.Deadline, then)
 }
--- a/internal/cluster/agreed.go
+++ b/internal/cluster/agreed.go
@@ -13,8 +13,28 @@
 	"frosttide/internal/quorum"
 )
 
-// out carries out what was agreed on a runner.
+// out carries out what was agreed on a runner, as it comes by the log.
 func (c *Cluster) out(d ledger.Done) {
+	c.seen = max(c.seen, d.Index)
+	if c.ahead[d.UID] > d.Index {
+		return // a later word is in force already
+	}
+	delete(c.ahead, d.UID)
+	c.carry(d, d.Index)
+}
+
+// sooner carries out at once what an operator was told here to be agreed on. Guards rule 3: the
+// leader may stand still, or be cut off, before the log has brought it here, which goes so far.
+func (c *Cluster) sooner(d ledger.Done, applied uint64) {
+	if d.Index <= max(c.seen, c.ahead[d.UID]) {
+		return
+	}
+	c.ahead[d.UID] = d.Index
+	c.carry(d, applied) // a mark past its own log would have its disk set aside
+}
+
+// carry has the dispatcher act, and keeps that the log had gone so far.
+func (c *Cluster) carry(d ledger.Done, index uint64) {
 	out := d.Op == ledger.Exclude
 	if c.outs[d.UID] == out {
 		return
@@ -24,7 +44,7 @@
 	} else {
 		delete(c.outs, d.UID)
 	}
-	c.keepOuts(d.Index)
+	c.keepOuts(index)
 	c.to.Exclude(d.UID, out, time.UnixMilli(d.At))
 }
 
@@ -42,6 +62,9 @@
 	c.settled = true
 	other := c.knew != nil && c.knew.Log != "" && c.knew.Log != state.Log
 	for _, d := range ledger.Differences(&ledger.State{Out: c.left()}, &state) {
+		if c.ahead[d.UID] > s.Applied {
+			continue
+		}
 		if other && d.Op == ledger.Include {
 			c.log.WithFields(logrus.Fields{"target": d.UID, "lost": c.knew.Log, "log": state.Log}).Warn("left out by the log that is lost, and not by the one in force: it is put back")
 		}
@@ -91,6 +114,9 @@
 	return ledger.Done{}, err
 }
 
+// errLate is told where nobody knows whether it is in force here yet.
+var errLate = errors.New("it is agreed on, and not known to be in force here yet")
+
 // Exclude leaves a runner out at all members, or puts it back. Done is told before the
 // deadline or a little after it.
 func (c *Cluster) Exclude(uid string, out bool, why string, by time.Time, done func(error)) {
@@ -101,7 +127,12 @@
 		if out {
 			op = ledger.Exclude
 		}
-		_, err := c.Propose(ctx, ledger.Entry{Op: op, UID: uid, Why: why})
+		d, err := c.Propose(ctx, ledger.Entry{Op: op, UID: uid, Why: why})
+		if err == nil {
+			if _, ok := ask(ctx, c, func(c *Cluster) bool { c.sooner(d, c.quorum.State().Index); return true }); !ok {
+				err = errLate
+			}
+		}
 		done(err)
 	}()
 }
--- /dev/null
+++ b/internal/cluster/agreed_test.go
@@ -0,0 +1,62 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"frosttide/internal/ledger"
+)
+
+// acting is a dispatcher that does as it is told.
+type acting struct {
+	Dispatcher
+	out map[string]bool
+}
+
+func (a *acting) Exclude(uid string, out bool, _ time.Time) { a.out[uid] = out }
+
+// TestSooner guards rule 3 at a member whose operator was told that a runner is left out: it is
+// from then on, though the log brings that later, and older words after it; and words that came
+// since count before it.
+func TestSooner(t *testing.T) {
+	// A word is where it comes from, its index, and what it says: log 7 out.
+	for name, tc := range map[string]struct {
+		words string
+		want  []bool // whether it is left out, after each
+	}{
+		"by the log alone":          {"log 3 out log 4 in", []bool{true, false}},
+		"told before the log":       {"told 7 out log 5 in log 6 out log 7 out log 8 in", []bool{true, true, true, true, false}},
+		"told after the log":        {"log 7 out log 8 in told 7 out", []bool{true, false, false}},
+		"two are told, late":        {"told 8 in told 7 out log 7 out log 8 in", []bool{false, false, false, false}},
+		"put back before the log":   {"log 3 out told 6 in log 5 out log 6 in log 7 out", []bool{true, false, false, false, true}},
+		"the log restored to it":    {"told 7 out log 9 in", []bool{true, false}},
+		"the log restored before":   {"told 7 out log 4 in", []bool{true, true}},
+		"told again, nothing since": {"told 7 out told 7 out", []bool{true, true}},
+	} {
+		to := &acting{out: map[string]bool{}}
+		c := &Cluster{to: to, outs: map[string]bool{}, ahead: map[string]uint64{}}
+		var from, word string
+		var index uint64
+		rest := tc.words
+		for i, want := range tc.want {
+			if _, err := fmt.Sscan(rest, &from, &index, &word); err != nil {
+				t.Fatal(err)
+			}
+			rest = rest[min(len(from)+len(word)+len(fmt.Sprint(index))+3, len(rest)):]
+			op := ledger.Include
+			if word == "out" {
+				op = ledger.Exclude
+			}
+			d := ledger.Done{Entry: ledger.Entry{Op: op, UID: "s-1"}, Index: index, Changed: true}
+			if from == "told" {
+				c.sooner(d, 0)
+			} else {
+				c.out(d)
+			}
+			if got := to.out["s-1"]; got != want {
+				t.Errorf("%s: after word %d, %s %d %s, it is left out: %t", name, i+1, from, index, word, got)
+			}
+		}
+	}
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -96,10 +96,12 @@
 	latest  uint64         // and as anybody has seen it
 	mine    map[string]own // the list as told here, by uid
 	outs    map[string]bool
-	knew    *mark.Mark      // what was kept apart from the log at the start; nil for nothing
-	fresh   []replica.Fact  // taken in since the dispatcher was told
-	found   map[string]told // what this member has said of runners' health last
-	settled bool            // what was left out at the start has been held against the log
+	seen    uint64            // the last entry on a runner that came by the log
+	ahead   map[string]uint64 // entries that are agreed on and had not come by the log, by runner
+	knew    *mark.Mark        // what was kept apart from the log at the start; nil for nothing
+	fresh   []replica.Fact    // taken in since the dispatcher was told
+	found   map[string]told   // what this member has said of runners' health last
+	settled bool              // what was left out at the start has been held against the log
 	told    counts
 	behind  int // buckets that differed at the last comparison
 	synced  time.Time
@@ -126,7 +128,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Cluster{cfg: cfg, log: log, to: to, port: port, box: mailbox.New[func(*Cluster)](), ctx: ctx, end: cancel, source: cfg.Source, peers: map[string]*peer{},
-		store: replica.New(replica.DefaultBounds()), mine: map[string]own{}, found: map[string]told{}, outs: map[string]bool{}, started: time.Now(), times: newTimes(),
+		store: replica.New(replica.DefaultBounds()), mine: map[string]own{}, found: map[string]told{}, outs: map[string]bool{}, ahead: map[string]uint64{}, started: time.Now(), times: newTimes(),
 		around: around{refused: map[string]bool{}}, hurry: make(chan struct{}, 1)}
 	meta := members.Meta{Site: cfg.Site, Build: cfg.Build, Epoch: uint64(c.started.UnixMilli())}
 	restate, err := c.remember()
--- a/internal/cluster/fates.go
+++ b/internal/cluster/fates.go
@@ -17,9 +17,11 @@
 	// before a job with it is taken in. Those told and those asked have one in common where
 	// members agree on who is alive: whoever tells is passed over in the same order.
 	keepers = 2
-	// keeperTime is how long a job waits for them. Guards clients against a member that
-	// stands still; what that one alone knew is missing then.
+	// keeperTime is how long a job waits for them beside the way there. Guards clients against a
+	// member that stands still; what that one alone knew is missing then.
 	keeperTime = 20 * time.Millisecond
+	// trips is how often a call goes there and back at most: to open a connection, and for itself.
+	trips = 2
 	// lazyFor is how long a word may wait for others to go with that nobody waits for.
 	lazyFor = 50 * time.Millisecond
 	// callTime bounds a call to one, and mostItems what goes in it and waits for it.
@@ -83,20 +85,18 @@
 }
 
 // Ask finds out where other members, or earlier processes of this one, have sent jobs with a
-// key. Told is called once, from any goroutine: when the keepers have answered, or after
-// keeperTime by what is known. Own has what this process itself has sent count too: a job that
-// it sends again by itself.
-func (c *Cluster) Ask(name string, own bool, told func([]replica.Fact)) {
+// key. Told is called once, from any goroutine: when the keepers have answered, or once they
+// could have, and at the job's deadline at the latest, by what is known: the groups that it is
+// bound to, each in its fact's scope.
+func (c *Cluster) Ask(name string, by time.Time, told func([]replica.Fact)) {
 	c.box.Put(func(c *Cluster) {
 		of := c.askedOf(name)
 		finish := func() {
 			c.box.Put(func(c *Cluster) {
-				told(slices.DeleteFunc(c.store.Fates(name, c.now()), func(f replica.Fact) bool {
-					return !own && f.By == c.cfg.Name && f.Epoch == c.epoch()
-				}))
+				told(replica.Bound(c.store.Fates(name, c.now())))
 			})
 		}
-		g := newGather(len(of), len(of), finish)
+		g := newGather(len(of), len(of), patience(of, time.Until(by)), finish)
 		for _, m := range of {
 			c.peer(m.Addr).put(item{ask: name, done: func(facts []replica.Fact, _ error) {
 				if len(facts) > 0 {
@@ -113,28 +113,39 @@
 }
 
 // Tell makes a key's fate known. Then is called once, from any goroutine: when a keeper knows
-// it, or after keeperTime; nil for nobody who waits.
-func (c *Cluster) Tell(f Fate, state replica.State, left time.Duration, sum string, then func()) {
+// it, or once one could, and at the job's deadline at the latest; nil for nobody who waits.
+func (c *Cluster) Tell(f Fate, state replica.State, left time.Duration, sum string, by time.Time, then func()) {
 	c.box.Put(func(c *Cluster) {
-		at := c.now()
-		fact := replica.Fact{Key: replica.Key{Kind: replica.Fate, Name: f.Name, Scope: f.Group}, State: state, At: at,
-			Until: at + left.Milliseconds(), By: c.cfg.Name, Epoch: c.epoch(), Sum: sum}
-		if was, ok := c.store.Get(fact.Key); ok && was.Until > fact.At {
-			fact.At, fact.Until = min(fact.At, was.At), min(fact.Until, was.Until) // the window is the first one's
+		key := replica.FateKey(f.Name, f.Group, c.cfg.Name, c.epoch())
+		var was *replica.Fact
+		if old, ok := c.store.Get(key); ok {
+			was = &old
 		}
-		out, _, err := c.store.Merge(fact, c.now())
-		if err != nil {
-			c.refused(err)
+		fact, told := replica.Fact{}, true
+		switch state {
+		case replica.Free:
+			fact, told = replica.Freed(was)
+		case replica.Done:
+			fact = replica.Finished(was, key, c.cfg.Name, c.epoch(), c.now(), left.Milliseconds(), sum)
+		default:
+			fact = replica.Sending(was, key, c.cfg.Name, c.epoch(), c.now(), left.Milliseconds())
 		}
-		of, lazy := c.keepersOf(f.Name), then == nil
-		if lazy {
+		out := replica.Kept
+		if told {
+			var err error
+			if out, _, err = c.store.Merge(fact, c.now()); err != nil {
+				c.refused(err)
+			}
+		}
+		of, lazy := c.keepersOf(f.Name), then == nil && state != replica.Free // who is refused may come again at once
+		if then == nil {
 			then = func() {}
 		}
 		if out != replica.Took || len(of) == 0 {
 			then()
 			return
 		}
-		g := newGather(len(of), 1, then)
+		g := newGather(len(of), 1, patience(of, time.Until(by)), then)
 		for _, m := range of {
 			c.peer(m.Addr).put(item{tell: &fact, lazy: lazy, done: func(_ []replica.Fact, err error) { g.one(err) }})
 		}
@@ -143,8 +154,19 @@
 
 func (c *Cluster) epoch() uint64 { return uint64(c.started.UnixMilli()) }
 
+// patience is how long a job with so much time left waits for some members: the way to the
+// farthest counts beside keeperTime, up to what a call may take. Guards jobs of dispatchers whose
+// sites lie further apart than keeperTime: others would hear of each only after it is sent.
+func patience(of []members.Info, left time.Duration) time.Duration {
+	far := time.Duration(0)
+	for _, m := range of {
+		far = max(far, m.Trip)
+	}
+	return min(keeperTime+trips*far, callTime, max(left, 0))
+}
+
 // gather calls a function once: when enough answers have come, when no more can, or after
-// keeperTime. A call that failed is no answer: who was not reached knows nothing.
+// its time. A call that failed is no answer: who was not reached knows nothing.
 type gather struct {
 	mu    sync.Mutex
 	left  int // answers that are wanted still
@@ -153,7 +175,7 @@
 	timer *time.Timer
 }
 
-func newGather(of, enough int, then func()) *gather {
+func newGather(of, enough int, wait time.Duration, then func()) *gather {
 	g := &gather{left: min(of, enough), open: of, then: then}
 	if g.left == 0 {
 		then()
@@ -161,7 +183,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.timer = time.AfterFunc(keeperTime, g.over)
+	g.timer = time.AfterFunc(wait, g.over)
 	return g
 }
 
--- a/internal/cluster/fates_test.go
+++ b/internal/cluster/fates_test.go
@@ -26,10 +26,7 @@
 		"fewer than are wanted": {1, 2, []error{nil}, 1},
 	} {
 		called := make(chan bool, 2)
-		g := newGather(tc.of, tc.enough, func() { called <- true })
-		if g.timer != nil {
-			g.timer.Reset(time.Hour) // what is tested is not the time
-		}
+		g := newGather(tc.of, tc.enough, time.Hour, func() { called <- true })
 		for i, err := range tc.answers {
 			if done := len(called) > 0; done != (i >= tc.after) {
 				t.Errorf("%s: after %d answers it was called: %t", name, i, done)
@@ -42,6 +39,31 @@
 	}
 }
 
+// TestPatience has a job wait as long as the farthest of the members that it needs can take, and
+// no longer than a call may or its own time.
+func TestPatience(t *testing.T) {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for _, tc := range []struct {
+		trips      []time.Duration
+		left, want time.Duration
+	}{
+		{nil, time.Second, keeperTime},
+		{[]time.Duration{0, ms(1)}, time.Second, keeperTime + ms(2)},
+		{[]time.Duration{ms(40), ms(1)}, time.Second, ms(100)},
+		{[]time.Duration{ms(90)}, time.Second, callTime},
+		{[]time.Duration{ms(40)}, ms(7), ms(7)},
+		{[]time.Duration{ms(40)}, -ms(7), 0},
+	} {
+		var of []members.Info
+		for _, d := range tc.trips {
+			of = append(of, members.Info{Trip: d})
+		}
+		if got := patience(of, tc.left); got != tc.want {
+			t.Errorf("trips %v, %s left: it waits %s, want %s", tc.trips, tc.left, got, tc.want)
+		}
+	}
+}
+
 // TestAsked has keys that members which came back lately may have forgotten asked of others too.
 func TestAsked(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -145,9 +145,13 @@
 }
 
 // remembering is a memory of fates that the test answers.
-type remembering struct{ told func([]Fate) }
+type remembering struct {
+	told func([]Fate)
+	free int
+}
 
 func (r *remembering) Ask(_ *Job, told func([]Fate))                      { r.told = told }
+func (r *remembering) Free(*Job, Fate)                                    { r.free++ }
 func (*remembering) Sending(_ *Job, _ Fate, _ time.Duration, send func()) { send() }
 func (*remembering) Done(_ *Job, _ Fate, _ time.Duration, _ []byte)       {}
 
@@ -198,3 +202,31 @@
 		t.Errorf("its deadline is %s after the process's end", r.deadline-c.clock(by))
 	}
 }
+
+// TestFreed has others forget an attempt that surely never ran, and remember one that may have,
+// also where another of the same request never did.
+func TestFreed(t *testing.T) {
+	for name, tc := range map[string]struct {
+		ends []decision.Outcome
+		want int
+	}{
+		"never ran":            {[]decision.Outcome{decision.ConnectFailed}, 1},
+		"may have":             {[]decision.Outcome{decision.ConnReset}, 0},
+		"both never":           {[]decision.Outcome{decision.Rejected, decision.ConnectFailed}, 2},
+		"the first may have":   {[]decision.Outcome{decision.ConnReset, decision.ConnectFailed}, 0},
+		"the second may have":  {[]decision.Outcome{decision.Rejected, decision.ConnReset}, 1},
+		"it was given up here": {[]decision.Outcome{decision.Canceled}, 0},
+	} {
+		fates := &remembering{}
+		c := &Core{cfg: decision.Config{Classes: []decision.Class{{Effect: decision.Keyed, Group: decision.ScopeAll}}}, fates: fates}
+		r := &request{job: &Job{Key: "k"}}
+		for i, o := range tc.ends {
+			r.hops = append(r.hops, hop{to: &worker{}, told: true})
+			r.hops[i].never = o.NeverRan()
+			c.freed(r, i)
+		}
+		if fates.free != tc.want {
+			t.Errorf("%s: %d words, want %d", name, fates.free, tc.want)
+		}
+	}
+}
--- a/internal/core/fates.go
+++ b/internal/core/fates.go
@@ -17,13 +17,15 @@
 // Fates remembers, together with other dispatchers, where jobs with keys were sent. None of
 // its methods blocks.
 type Fates interface {
-	// Ask tells where others have sent a job. Told is called once, from any goroutine, soon:
-	// where others don't answer in time by what is known here.
+	// Ask tells where a job was sent, by this process too, and may have run. Told is called once,
+	// from any goroutine, soon: where others don't answer in time by what is known here.
 	Ask(job *Job, told func([]Fate))
 	// Sending makes known that a job is about to go to a runner of a group, whose window ends so
 	// long from now. Send is called once, from any goroutine, when another dispatcher knows it,
 	// or soon where none answers.
 	Sending(job *Job, group Fate, left time.Duration, send func())
+	// Free makes known that what was said to go there surely never ran.
+	Free(job *Job, group Fate)
 	// Done makes known that it was done there.
 	Done(job *Job, group Fate, left time.Duration, result []byte)
 }
@@ -55,7 +57,7 @@
 	})
 }
 
-// again takes in a job that another dispatcher has sent: for the module it is one whose
+// again takes in a job that was sent before, here or by another dispatcher: for the module it is one whose
 // attempts may have run. What must not run twice fails, and what only runners of a group
 // drop that is not listed here is refused, to be tried again.
 func (c *Core) again(job *Job, ingress Ingress, fates []Fate) {
@@ -82,10 +84,10 @@
 	c.event(ev)
 }
 
-// Why a job that another dispatcher has sent is not sent here.
+// Why a job that was sent before is not sent again.
 const (
-	whySent  = "another dispatcher has sent it, and it must not run twice"
-	whyGroup = "another dispatcher has sent it to runners that are not listed here"
+	whySent  = "it was sent before, and it must not run twice"
+	whyGroup = "it was sent before to runners that are not listed here"
 )
 
 // like returns a runner that stands for a group: one that gets no work if there is one, as the
@@ -128,6 +130,7 @@
 
 // sending sends a hop once others know of it.
 func (c *Core) sending(r *request, attempt int, w *worker) {
+	r.hops[attempt].told = true
 	c.fates.Sending(r.job, c.group(r.job, w), c.window(r.job), func() {
 		c.box.Put(func(c *Core) {
 			if c.requests[r.ref] == r && !r.hops[attempt].ended {
@@ -141,6 +144,23 @@
 	})
 }
 
+// freed has others forget a hop that surely never ran, unless another of the request may have
+// run in its group. Guards a client that was refused, as trying again is harmless, from being
+// bound for a whole window to runners that nobody reaches.
+func (c *Core) freed(r *request, attempt int) {
+	h := &r.hops[attempt]
+	if !h.told || !h.never {
+		return
+	}
+	group := c.group(r.job, h.to)
+	for i := range r.hops {
+		if o := &r.hops[i]; o.told && !o.never && c.group(r.job, o.to) == group {
+			return
+		}
+	}
+	c.fates.Free(r.job, group)
+}
+
 // done makes known that a job was done by a hop.
 func (c *Core) done(r *request, h *hop, result []byte) {
 	if c.remembers(r.job) && h.to != nil {
--- a/internal/core/hops.go
+++ b/internal/core/hops.go
@@ -15,6 +15,8 @@
 	reported bool // the runner has said that the job started or runs
 	taken    bool // it has said that it has the job
 	ended    bool
+	never    bool // it ended, and surely never ran
+	told     bool // others know of it
 }
 
 // Report takes a runner's report on a job and tells whether the job is held here. One
@@ -121,7 +123,8 @@
 		return false
 	}
 	h := &r.hops[attempt]
-	h.ended = true
+	h.ended, h.never = true, outcome.NeverRan()
+	c.freed(r, attempt)
 	c.tally.hops[outcome]++
 	if outcome == decision.Rejected && c.guard != nil {
 		c.guard.door.TurnedAway(c.now)
--- a/internal/lab/faults/await.go
+++ b/internal/lab/faults/await.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"frosttide/internal/cluster"
+	"frosttide/internal/members"
 	"frosttide/internal/recovery/stage"
 )
 
@@ -60,6 +61,23 @@
 			}
 			return nil
 		})
+	case "trip":
+		ms, err := strconv.Atoi(w[1])
+		if err != nil {
+			return err
+		}
+		who, err := at(3)
+		if err != nil {
+			return err
+		}
+		return r.each(who, func(m *member, got cluster.Report) error {
+			for _, i := range got.Members {
+				if i.Life == members.Alive && i.Name != m.name && i.Trip < time.Duration(ms)*time.Millisecond {
+					return fmt.Errorf("from %s to %s it is %s", m.name, i.Name, i.Trip)
+				}
+			}
+			return nil
+		})
 	case "out", "in":
 		who, err := at(3)
 		if err != nil {
--- a/internal/lab/faults/fleet.go
+++ b/internal/lab/faults/fleet.go
@@ -106,6 +106,7 @@
 	zones   int
 	alone   bool
 	extra   string // of the settings
+	coldOf  string // the settings of cold runners
 	flows   bool
 	gangs   bool
 	servers []*http.Server
@@ -114,7 +115,7 @@
 }
 
 func openFleet(s *Script, program Program, dir string) (f *fleet, err error) {
-	f = &fleet{program: program, dir: dir, catalog: newCatalog(), voters: s.Voters, zones: s.Zones, alone: s.Alone, extra: s.extra(), flows: s.Flows, gangs: s.Gangs, cold: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}}
+	f = &fleet{program: program, dir: dir, catalog: newCatalog(), voters: s.Voters, zones: s.Zones, alone: s.Alone, extra: s.extra(), coldOf: s.Cold.settings(), flows: s.Flows, gangs: s.Gangs, cold: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}}
 	defer func() {
 		if err != nil {
 			f.close()
@@ -123,7 +124,7 @@
 	if f.net, err = openRelays(s.Members, s.Seed); err != nil {
 		return f, err
 	}
-	f.runners = &runners{slots: s.Slots, queue: s.Queue, at: map[string]*busy{}, work: s.Work, effects: map[string]map[string]int{}, broken: map[string]bool{}, spoilt: map[string]bool{}, lags: map[string]float64{}, hung: map[string]bool{}, parts: map[string]chan struct{}{}, tries: map[string]int{}, clients: f.clientsOf}
+	f.runners = &runners{slots: s.Slots, queue: s.Queue, at: map[string]*busy{}, work: s.Work, effects: map[string]map[string]int{}, broken: map[string]bool{}, spoilt: map[string]bool{}, turns: map[string]bool{}, cold: s.Cold, warming: map[string]*warming{}, lags: map[string]float64{}, hung: map[string]bool{}, parts: map[string]chan struct{}{}, tries: map[string]int{}, clients: f.clientsOf}
 	for i := range s.Runners {
 		uid := fmt.Sprintf("s-%d", i+1)
 		server, addr, err := serve("127.0.0.1:0", f.runners.handler(uid, f.zone(i)))
@@ -207,7 +208,7 @@
 grace = "500ms"
 [limits]
 sockets = 1024
-%s
+%s%s
 [[class]]
 name = "render"
 wanted_within = "1s"
@@ -228,7 +229,7 @@
 effect = "unsafe"
 wanted_within = "1s"
 give_up = "2s"
-`, cmp.Or(m.alias, m.name), m.clients, m.console, m.disc, strings.Join(zones, ", "), f.zone(m.i), len(f.members), m.i, cluster)
+`, cmp.Or(m.alias, m.name), m.clients, m.console, m.disc, strings.Join(zones, ", "), f.zone(m.i), len(f.members), m.i, f.coldOf, cluster)
 }
 
 // clockFile holds by how many seconds a member's machine's clock is off.
--- a/internal/lab/faults/flows.go
+++ b/internal/lab/faults/flows.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/anishathalye/porcupine"
+
 	"frosttide/internal/workflow/flow"
 	"frosttide/internal/workflow/front"
 )
@@ -29,9 +31,10 @@
 
 // begun is a workflow that a script has begun, and what its client was told.
 type begun struct {
-	id                string
-	steps             int
-	committed, undone bool // it was acknowledged
+	id    string
+	sure  bool // its begin was acknowledged; else it may be there or not
+	steps int
+	said  []porcupine.Operation // what its client has said, and what that came to
 }
 
 // flowStep does a step of a script that is about workflows.
@@ -57,6 +60,7 @@
 		}
 		send := func() (int, string) { return r.flowJob(m, id, n, w[1] == "hang") }
 		if w[1] == "hang" {
+			r.says(id, "step", n, time.Now(), false) // nobody waits for its answer
 			r.sending.Go(func() { send() })
 			return r.until(func() error {
 				if len(r.fleet.runners.zones(stepKey(id, n))) == 0 {
@@ -65,9 +69,13 @@
 				return nil
 			})
 		}
-		if got, text := send(); want != "any" && !slices.Contains(strings.Split(want, ","), strconv.Itoa(got)) {
+		from := time.Now()
+		got, text := send()
+		r.says(id, "step", n, from, got == http.StatusOK)
+		if want != "any" && !slices.Contains(strings.Split(want, ","), strconv.Itoa(got)) {
 			return fmt.Errorf("it was answered %d %s", got, text)
-		} else if f := r.flows[id]; f != nil && got == http.StatusOK {
+		}
+		if f := r.flows[id]; f != nil && got == http.StatusOK {
 			f.steps = max(f.steps, n)
 		}
 		return nil
@@ -96,21 +104,17 @@
 		call["step"] = n
 	}
 	text, _ := json.Marshal(call) // plain values
+	if w[1] == "begin" {
+		r.flows[id] = &begun{id: id}
+	}
+	from := time.Now()
 	_, err = r.post(m, "/api/workflow/"+w[1], string(text))
+	r.says(id, w[1], 0, from, err == nil)
 	if (err == nil) != (want == "done") && want != "any" {
 		return fmt.Errorf("it came to %v", err)
 	}
 	if err != nil {
 		r.line("%s says: %s", m.name, err)
-		return nil
-	}
-	switch w[1] {
-	case "begin":
-		r.flows[id] = &begun{id: id}
-	case "commit":
-		r.flows[id].committed = true
-	case "undo":
-		r.flows[id].undone = true
 	}
 	return nil
 }
@@ -186,6 +190,9 @@
 			if err != nil {
 				return err
 			}
+			if f == nil && !r.flows[id].sure {
+				return nil
+			}
 			if f == nil || !f.Phase.Ended() && f.Phase != flow.Stuck {
 				return fmt.Errorf("workflow %s is %+v", id, f)
 			}
@@ -217,13 +224,12 @@
 	for _, id := range sortedKeys(r.flows) {
 		f := r.flows[id]
 		agreed, _ := r.findFlow(r.running()[0], id) // nil is broken below
+		if !f.ledTo(agreed) {
+			r.broken("workflow %s is %+v, and its client was told otherwise: %+v", id, agreed, f.said)
+		}
 		if agreed == nil {
-			r.broken("workflow %s is forgotten", id)
 			continue
 		}
-		if f.undone && agreed.Phase == flow.Committed || f.committed && agreed.Phase != flow.Committed {
-			r.broken("workflow %s is %s, and its client was told otherwise", id, agreed.Phase)
-		}
 		for n := 1; n <= len(agreed.Steps); n++ {
 			u, s := undoKey(id, n), stepKey(id, n)
 			switch done := !first[u].IsZero(); {
--- a/internal/lab/faults/run.go
+++ b/internal/lab/faults/run.go
@@ -52,6 +52,7 @@
 		r.checkFlows()
 	}
 	r.check(err == nil)
+	r.checkCold()
 	r.result.Broken = append(r.result.Broken, f.races()...)
 	if len(r.result.Broken) > 0 {
 		for _, m := range r.running() {
@@ -152,6 +153,15 @@
 			r.fleet.runners.broken[uid] = w[0] == "break"
 		}
 		return nil
+	case "restart":
+		return r.restart(r.uids(w[1]))
+	case "refuse", "accept":
+		r.fleet.runners.mu.Lock()
+		defer r.fleet.runners.mu.Unlock()
+		for _, uid := range strings.Split(w[1], ",") {
+			r.fleet.runners.turns[uid] = w[0] == "refuse"
+		}
+		return nil
 	case "many":
 		return r.many(w)
 	case "gang":
--- a/internal/lab/faults/script.go
+++ b/internal/lab/faults/script.go
@@ -18,6 +18,8 @@
 //
 //	slots N QUEUE TIME                  a runner works on N jobs at once, so long each, and more wait; one too
 //	                                    many is turned away unseen
+//	cold SHARE WARM TIMES WITHIN        runners that start again have that share of their capacity, all of it
+//	                                    after WARM, and fall at TIMES what they can do WITHIN a time
 //	settings LINE                       a further line of [recovery] in the members' settings
 //	await leader [among WHO]            one of them leads by its own word and a majority's
 //	await members N at WHO              those see N members alive
@@ -31,10 +33,13 @@
 //	await log TEXT at WHO               their process has logged a text
 //	await begun                         the log has all its voters
 //	await sharers N at WHO              those share cold runners by N
+//	await trip MS at WHO                their way to each other that is alive takes so long, by probes
 //	await stage NAME at WHO             those have come back so far, or further
 //	exclude|include RUNNER at WHO done|refused|any
 //	drain|serve|remove RUNNER           by discovery, to those that are not held
+//	restart RUNNER,...|all              they start again, cold
 //	break|mend RUNNER,...               they hang up on every job, or take them again
+//	refuse|accept RUNNER,...            they turn every job away before it runs, or take them again
 //	await few RUNNER,... at WHO N       of 300 jobs since its start it sent them N at most
 //	hold|release WHO                    their discoveries tell nothing newer, or again all
 //	mute|speak WHO                      their discoveries answer no call, or do again
@@ -89,6 +94,7 @@
 	Seed                            uint64
 	Alone                           bool          // the members' settings name no others, for comparison
 	Slots, Queue                    int           // of each runner; 0 slots for any number
+	Cold                            coldness      // how runners do after a start
 	Work                            time.Duration // of a job
 	Gangs                           bool          // members watch gangs, and may send second copies
 	Flows                           bool          // members carry workflows out
@@ -117,7 +123,7 @@
 // verbs are the steps there are, and the least words of each.
 var verbs = map[string]int{"await": 2, "exclude": 5, "include": 5, "drain": 2, "serve": 2, "remove": 2, "hold": 2, "release": 2, "cut": 4,
 	"lossy": 7, "slow": 5, "reset": 4, "heal": 1, "stall": 2, "wake": 2, "kill": 2, "term": 2, "start": 2, "wipe": 2, "lose": 2, "tear": 3, "keep": 2,
-	"restore": 2, "snapshot": 2, "leave": 5, "recover": 2, "job": 5, "retry": 6, "rename": 3, "mute": 2, "cli": 4, "break": 2, "mend": 2, "speak": 2, "full": 2, "room": 2, "clock": 3, "foreign": 2, "many": 5, "gang": 6, "lag": 3, "hang": 2, "unhang": 2, "flow": 6, "spoil": 2, "unspoil": 2, "load": 2, "flood": 2, "garble": 2}
+	"restore": 2, "snapshot": 2, "leave": 5, "recover": 2, "job": 5, "retry": 6, "rename": 3, "mute": 2, "cli": 4, "break": 2, "mend": 2, "restart": 2, "refuse": 2, "accept": 2, "speak": 2, "full": 2, "room": 2, "clock": 3, "foreign": 2, "many": 5, "gang": 6, "lag": 3, "hang": 2, "unhang": 2, "flow": 6, "spoil": 2, "unspoil": 2, "load": 2, "flood": 2, "garble": 2}
 
 // Parse reads a script. Its error names file, line and reason.
 func Parse(name, text string) (*Script, error) {
@@ -164,6 +170,13 @@
 			}
 			continue
 		}
+		if w[0] == "cold" {
+			var err error
+			if s.Cold, err = parseCold(w); err != nil {
+				return nil, wrong(err.Error())
+			}
+			continue
+		}
 		if w[0] == "gangs" {
 			s.Gangs = true
 			continue
@@ -188,6 +201,8 @@
 	switch {
 	case s.Members > mostMembers || s.Runners > mostRunners || len(s.Steps) > mostSteps:
 		return nil, fmt.Errorf("%s: at most %d members, %d runners and %d steps", name, mostMembers, mostRunners, mostSteps)
+	case s.Cold.share > 0 && s.Slots == 0:
+		return nil, fmt.Errorf("%s: cold runners need slots", name)
 	case s.Zones > 8:
 		return nil, fmt.Errorf("%s: at most 8 zones", name)
 	case s.Voters > s.Members:
--- a/internal/lab/faults/standins.go
+++ b/internal/lab/faults/standins.go
@@ -160,14 +160,19 @@
 	full    int                        // jobs that were turned away
 	clients func(member string) string // where call-backs go
 
-	hold   bool                     // keyed jobs are not said to be done the first time
-	broken map[string]bool          // runners that hang up on every job
-	lags   map[string]float64       // how many times slower runners do parts of gangs
-	hung   map[string]bool          // runners that stand still
-	parts  map[string]chan struct{} // parts under way; closed when they are recalled
-	tries  map[string]int           // sendings of each part
-	spoilt map[string]bool          // keys of jobs that fail without an effect
-	order  []effect                 // in the order in which they were had
+	hold    bool                     // keyed jobs are not said to be done the first time
+	broken  map[string]bool          // runners that hang up on every job
+	lags    map[string]float64       // how many times slower runners do parts of gangs
+	hung    map[string]bool          // runners that stand still
+	parts   map[string]chan struct{} // parts under way; closed when they are recalled
+	tries   map[string]int           // sendings of each part
+	cold    coldness
+	warming map[string]*warming // runners that have started again
+	fallen  []string            // those that got too much meanwhile
+
+	turns  map[string]bool // runners that turn every job away unseen
+	spoilt map[string]bool // keys of jobs that fail without an effect
+	order  []effect        // in the order in which they were had
 
 	mu      sync.Mutex
 	sent    []sending
@@ -195,7 +200,8 @@
 			s.mu.Unlock()
 			panic(http.ErrAbortHandler) // net/http hangs up
 		}
-		if !s.room(uid) {
+		s.came(uid)
+		if s.turns[uid] || !s.room(uid) {
 			s.mu.Unlock()
 			w.Header().Set("X-Never-Ran", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -229,7 +235,10 @@
 			return
 		}
 		s.begin(uid, func() {
-			time.AfterFunc(s.work, func() {
+			s.mu.Lock()
+			takes := time.Duration(float64(s.work) / s.share(uid))
+			s.mu.Unlock()
+			time.AfterFunc(takes, func() {
 				s.over(uid)
 				s.report(member, map[string]any{"id": id, "from": uid, "state": "started"})
 				s.report(member, map[string]any{"id": id, "from": uid, "state": "done", "result": "done by " + uid})
--- a/internal/lab/spread/spread.go
+++ b/internal/lab/spread/spread.go
@@ -195,7 +195,7 @@
 	var told sync.WaitGroup
 	for i := range keys {
 		told.Add(1)
-		first.Tell(cluster.Fate{Name: fmt.Sprintf("release/key-%06d", i), Group: "a#0"}, replica.Sent, time.Hour, "", told.Done)
+		first.Tell(cluster.Fate{Name: fmt.Sprintf("release/key-%06d", i), Group: "a#0"}, replica.Sent, time.Hour, "", time.Now().Add(time.Hour), told.Done)
 	}
 	told.Wait()
 	began := time.Now()
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -71,6 +71,9 @@
 	Name string `json:"name"`
 	Addr string `json:"address"`
 	Life Life   `json:"life"`
+	// Trip is what nearly every packet there and back takes at most, by probes from here; 0 where
+	// none is known.
+	Trip time.Duration `json:"trip,omitempty"`
 	Meta
 }
 
@@ -104,6 +107,8 @@
 	meta Meta
 	here map[string]Info // who is alive, by name: memberlist's own list may change while it is read
 	gone map[string]Info // the last ones, by name, bounded by remembered
+	// trips are the ways to those who are alive, by name.
+	trips map[string]*trip
 }
 
 // remembered is how many members that are gone are still listed.
@@ -111,7 +116,7 @@
 
 // New starts the gossip on a port.
 func New(cfg Config, port *clusterport.Port, sink Sink, log *logrus.Entry) (*Members, error) {
-	m := &Members{log: log, cfg: cfg, sink: sink, meta: cfg.Meta, here: map[string]Info{}, gone: map[string]Info{}}
+	m := &Members{log: log, cfg: cfg, sink: sink, meta: cfg.Meta, here: map[string]Info{}, gone: map[string]Info{}, trips: map[string]*trip{}}
 	ip, n, err := port.Host()
 	if err != nil {
 		return nil, err
@@ -123,6 +128,7 @@
 	c.PushPullInterval, c.TCPTimeout = 10*time.Second, streamTime
 	c.UDPBufferSize, c.EnableCompression = Packet, true
 	c.Delegate, c.Events, c.Conflict = (*delegate)(m), (*events)(m), (*conflicts)(m)
+	c.Ping = (*pings)(m)
 	c.Logger = stdlog.New(said{log}, "", 0)
 	c.DNSConfigPath = ""
 	m.words = &memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: m.count}
@@ -183,7 +189,7 @@
 	defer m.mu.Unlock()
 	out := make([]Info, 0, len(m.here))
 	for _, i := range m.here {
-		out = append(out, i)
+		out = append(out, m.far(i))
 	}
 	slices.SortFunc(out, func(a, b Info) int { return strings.Compare(a.Name, b.Name) })
 	return out
@@ -342,6 +348,7 @@
 		}
 	}
 	delete(e.here, n.Name)
+	delete(e.trips, n.Name)
 	e.gone[n.Name] = i
 	e.mu.Unlock()
 	e.sink.Gone(i)
--- /dev/null
+++ b/internal/members/trip_test.go
@@ -0,0 +1,32 @@
+package members
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestTrip has the way to a member be known by its first probe, and one that has become longer
+// by the next: a keyed job that is sent meanwhile waits for it.
+func TestTrip(t *testing.T) {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for name, tc := range map[string]struct {
+		probes      []int
+		least, most time.Duration
+	}{
+		"none":            {nil, 0, 0},
+		"the first":       {[]int{10}, ms(10), ms(30)},
+		"steady":          {[]int{10, 10, 10, 10, 10, 10, 10, 10, 10, 10, 10, 10}, ms(10), ms(12)},
+		"longer at once":  {[]int{1, 1, 1, 1, 1, 1, 80}, ms(80), ms(110)},
+		"shorter in time": {append([]int{80}, slices.Repeat([]int{1}, 40)...), ms(1), ms(10)},
+		"no time at all":  {[]int{0, 0}, 1, ms(1)},
+	} {
+		var x trip
+		for _, p := range tc.probes {
+			x.took(ms(p))
+		}
+		if got := x.within(); got < tc.least || got > tc.most {
+			t.Errorf("%s: within %s, want %s to %s", name, got, tc.least, tc.most)
+		}
+	}
+}
--- a/internal/replica/fact.go
+++ b/internal/replica/fact.go
@@ -19,7 +19,7 @@
 const (
 	Runner  Kind = 1 // a runner as a discovery told of it; Scope names the discovery
 	Health  Kind = 3 // how a runner does, by who met it
-	Fate    Kind = 5 // a job with a key; Scope names the group that drops its repeats
+	Fate    Kind = 5 // a job with a key; Scope names the group that drops its repeats, and who sent it
 	Gang    Kind = 6 // how a part of a gang does, by whose part it is
 	kindEnd Kind = 7 // 2 and 4 are not in use
 )
@@ -36,6 +36,7 @@
 	Draining State = 2
 	Deleted  State = 3
 
+	Free State = 1 // what was sent surely never ran
 	Sent State = 2 // it may have run
 	Done State = 3 // it has run
 )
@@ -61,7 +62,7 @@
 	Key
 	State State           `json:"st,omitempty"` // Runner, Fate
 	Gen   uint64          `json:"g,omitempty"`  // Runner: how often the discovery has begun its versions anew
-	Rev   uint64          `json:"r,omitempty"`  // Runner: the discovery's version
+	Rev   uint64          `json:"r,omitempty"`  // Runner: the discovery's version; Fate: how many rest on the word
 	Boot  int64           `json:"b,omitempty"`  // Runner: its last start, ms since 1970
 	Entry json.RawMessage `json:"e,omitempty"`  // Runner: the discovery's words; Health: the teller's
 	At    int64           `json:"t,omitempty"`  // ms since 1970: told, measured, or first sent
@@ -85,7 +86,7 @@
 		return errors.New("its entry is no JSON")
 	case f.At > now+ahead:
 		return fmt.Errorf("it is %d s ahead of the clock here", (f.At-now)/1000)
-	case f.Kind == Runner && (f.State < Serving || f.State > Deleted) || f.Kind == Fate && f.State != Sent && f.State != Done:
+	case f.Kind == Runner && (f.State < Serving || f.State > Deleted) || f.Kind == Fate && (f.State < Free || f.State > Done):
 		return fmt.Errorf("state %d is not known", f.State)
 	case f.Kind == Fate && (f.Until <= f.At || f.Until > f.At+maxWindow):
 		return errors.New("its window can't be meant")
@@ -103,7 +104,7 @@
 //   - a runner as a discovery told of it: the later count of its versions, the higher
 //     version, and of equal versions the state that takes work away;
 //   - health, and how a part of a gang does: the one measured later;
-//   - a job's fate: the further one, and of equal ones the first, as windows begin with it.
+//   - a job's fate: done before all, else what its one writer has said later.
 func Newer(a, b *Fact) int {
 	first := 0
 	switch a.Kind {
@@ -112,7 +113,8 @@
 	case Health, Gang:
 		first = cmp.Compare(a.At, b.At)
 	case Fate:
-		first = cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(b.At, a.At))
+		done := func(f *Fact) int { return max(int(f.State)-int(Sent), 0) }
+		first = cmp.Or(cmp.Compare(done(a), done(b)), cmp.Compare(a.At, b.At), cmp.Compare(a.Rev, b.Rev), cmp.Compare(b.State, a.State))
 	}
 	return cmp.Or(first, cmp.Compare(b.At, a.At), cmp.Compare(a.By, b.By), cmp.Compare(a.Sum, b.Sum),
 		cmp.Compare(a.Until, b.Until), cmp.Compare(string(a.Entry), string(b.Entry)), cmp.Compare(a.State, b.State),
@@ -122,5 +124,5 @@
 // Differ tells whether two copies contradict each other, so that people should hear of it: a
 // job that was done twice with different results.
 func Differ(a, b *Fact) bool {
-	return a.Kind == Fate && a.State == Done && b.State == Done && a.Sum != b.Sum
+	return a.Kind == Fate && a.State == Done && b.State == Done && a.Sum != b.Sum && a.Group() == b.Group()
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -27,7 +27,7 @@
 		case Health:
 			f.Entry = json.RawMessage(fmt.Sprint(small("entry")))
 		case Fate:
-			f.State, f.Until, f.Sum = State(2+small("state")%2), now+1+int64(small("until")), fmt.Sprint(small("sum"))
+			f.State, f.Rev, f.Until, f.Sum = State(1+small("state")%3), small("rev"), now+1+int64(small("until")), fmt.Sprint(small("sum"))
 		}
 		return f
 	})
@@ -166,7 +166,7 @@
 
 // TestConflicts has people hear of what can't both be true.
 func TestConflicts(t *testing.T) {
-	job := Fact{Key: Key{Fate, "render/k", "zone-a"}, State: Done, At: now, Until: now + 500, Sum: "1"}
+	job := Fact{Key: FateKey("render/k", "zone-a", "d1", 7), By: "d1", Epoch: 7, State: Done, At: now, Until: now + 500, Sum: "1"}
 	s := storeOf([]Fact{job})
 	other := job
 	other.Sum = "2"
@@ -176,6 +176,15 @@
 	if _, conflict, _ := s.Merge(other, now); conflict {
 		t.Error("the same told again is one")
 	}
+	other = job
+	other.Key, other.By, other.Sum = FateKey("render/k", "zone-a", "d2", 7), "d2", "3"
+	if _, conflict, _ := s.Merge(other, now); !conflict {
+		t.Error("two dispatchers' results of one key are no conflict")
+	}
+	other.Key, other.By = FateKey("render/k", "zone-b", "d3", 7), "d3"
+	if _, conflict, _ := s.Merge(other, now); conflict {
+		t.Error("another group's result is one")
+	}
 }
 
 // TestInvalid guards a store from what can't be meant.
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -83,7 +83,7 @@
 	if !ok {
 		s.put(f)
 		s.shrink(f.Kind)
-		return Took, false, nil
+		return Took, s.differs(&f), nil
 	}
 	order := Newer(&f, &was.Fact)
 	if order == 0 {
@@ -95,7 +95,15 @@
 	}
 	s.remove(f.Key)
 	s.put(f)
-	return Took, conflict, nil
+	return Took, conflict || s.differs(&f), nil
+}
+
+// differs tells whether another process has told of the same job otherwise.
+func (s *Store) differs(f *Fact) bool {
+	return f.Kind == Fate && f.State == Done && slices.ContainsFunc(s.fates[f.Name], func(scope string) bool {
+		o, ok := s.facts[Key{Fate, f.Name, scope}]
+		return ok && Differ(f, &o.Fact)
+	})
 }
 
 // old tells whether a fact has ended or fell under what has been dropped.
