--- a/internal/workflow/book/book_test.go
+++ b/internal/workflow/book/book_test.go
@@ -56,6 +56,8 @@
 		{"commit of fewer steps", []say{begin, step(1), step(2), refused(say{1000, Command{Kind: Commit, ID: "w", N: 1}, ""}, flow.Order)}, flow.Active, "done open"},
 		{"a step failed for good", []say{begin, step(1), step(2), settle(2, flow.Never, true)}, flow.Undoing, "done never"},
 		{"nothing to undo", []say{begin, step(1), settle(1, flow.Never, true)}, flow.Undone, "never"},
+		{"settled once it is undone", []say{begin, step(1), {1050, Command{Kind: Undo, ID: "w"}, ""}, settle(1, flow.Never, true)}, flow.Undone, "never"},
+		{"stuck, and settled", []say{begin, step(1), step(2), {2000, Command{Kind: Undo, ID: "w"}, ""}, take(5000, "a"), took(5000, 2, 5, flow.Useless), settle(2, flow.Never, false)}, flow.Undoing, "done never"},
 		{"undone in reverse", []say{begin, step(1), step(2), settle(2, flow.Done, false), {2000, Command{Kind: Undo, ID: "w"}, ""}, take(2000, "a"),
 			took(2100, 1, 6, flow.OK), took(2100, 2, 6, flow.OK), took(2100, 1, 6, flow.OK)}, flow.Undone, "undone undone"},
 		{"not before its step has settled", []say{begin, step(1), {2000, Command{Kind: Undo, ID: "w"}, ""}, take(2000, "a"), took(2100, 1, 4, flow.OK)}, flow.Undoing, "open"},
@@ -135,6 +137,9 @@
 			if before != nil && before.Phase.Ended() && before.Phase != after.Phase {
 				t.Fatalf("%s became %s", before.Phase, after.Phase)
 			}
+			if after != nil && (after.Phase == flow.Undoing || after.Phase == flow.Stuck) && after.Next() == 0 {
+				t.Fatalf("nothing is next, and it has not ended: %+v", after)
+			}
 			if before != nil {
 				for k := range before.Steps {
 					if before.Steps[k].State != flow.Taken && after.Steps[k].State == flow.Taken {
--- a/internal/workflow/desk/desk.go
+++ b/internal/workflow/desk/desk.go
@@ -252,27 +252,31 @@
 			return
 		case first = <-d.words:
 		}
-		by, tries := map[book.Kind][]book.Word{first.kind: {first.Word}}, map[string]int{first.ID: first.tries}
+		by := map[book.Kind][]word{first.kind: {first}}
 		wait := time.NewTimer(wordsWait)
 	gather:
 		for n := 1; n < batch; n++ {
 			select {
 			case w := <-d.words:
-				by[w.kind], tries[w.ID] = append(by[w.kind], w.Word), w.tries
+				by[w.kind] = append(by[w.kind], w)
 			case <-wait.C:
 				break gather
 			}
 		}
 		wait.Stop()
 		for kind, list := range by {
-			agreed := d.write(ctx, &book.Command{Kind: kind, Words: list})
+			c := &book.Command{Kind: kind}
+			for _, w := range list {
+				c.Words = append(c.Words, w.Word)
+			}
+			agreed := d.write(ctx, c)
 			if kind != book.Took {
 				continue
 			}
-			for i := range list {
-				e := ended{id: list[i].ID, tries: tries[list[i].ID]}
+			for _, w := range list {
+				e := ended{id: w.ID, tries: w.tries}
 				if agreed { // the log may have it before it is applied here
-					e.wrote = &list[i]
+					e.wrote = &w.Word
 				}
 				d.ended <- e // there is room for as many as are under way
 			}
--- /dev/null
+++ b/internal/workflow/desk/desk_test.go
@@ -0,0 +1,49 @@
+package desk
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"frosttide/internal/ledger"
+	"frosttide/internal/workflow/book"
+	"frosttide/internal/workflow/flow"
+)
+
+// agreeing is a log that agrees to everything.
+type agreeing struct{ wrote chan *book.Command }
+
+func (a agreeing) Propose(_ context.Context, e ledger.Entry) (ledger.Done, error) {
+	a.wrote <- e.Flow
+	return ledger.Done{Changed: true}, nil
+}
+func (agreeing) Flows(func(*book.Book)) {}
+func (agreeing) Now() time.Duration     { return time.Hour }
+func (agreeing) Rank(string) int        { return 0 }
+
+// TestWordsOfOneFlow guards an undo from being run again: what became of it is marked by its own
+// tries, though a word on another step of its workflow is written beside it.
+func TestWordsOfOneFlow(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	a := agreeing{make(chan *book.Command, 2)}
+	d := New(Config{Name: "d1", AtOnce: 4}, a, nil, logrus.NewEntry(log))
+	took := word{book.Took, 3, book.Word{ID: "w", N: 2, Fence: 7, Outcome: flow.OK}}
+	if !d.put(took) || !d.put(word{kind: book.Settle, Word: book.Word{ID: "w", N: 1, State: flow.Never}}) {
+		t.Fatal("there is no room")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.storeWords(ctx)
+	for range 2 {
+		if c := <-a.wrote; len(c.Words) != 1 {
+			t.Errorf("%s with %d words", c.Kind, len(c.Words))
+		}
+	}
+	if e := <-d.ended; e.tries != 3 || e.wrote == nil || *e.wrote != took.Word {
+		t.Errorf("it ended as %+v", e)
+	}
+}
--- a/internal/workflow/duty/duty.go
+++ b/internal/workflow/duty/duty.go
@@ -50,7 +50,7 @@
 			if len(p.Expire) < most && now >= overdueAt(f)+int64(rank(f.ID))*headStart {
 				p.Expire = append(p.Expire, f.ID)
 			}
-		case f.Phase != flow.Undoing || now < f.Ready():
+		case f.Phase != flow.Undoing || f.Next() == 0 || now < f.Ready(): // none is next in books of earlier builds
 		case f.Holder == me && now < f.Held:
 			if now >= f.Held-Renew && len(p.Take) < most {
 				p.Take = append(p.Take, f.ID)
--- a/internal/workflow/flow/flow.go
+++ b/internal/workflow/flow/flow.go
@@ -215,8 +215,11 @@
 		return No(Bad, "a step does not settle as %s", s)
 	}
 	x.State = s
-	if f.Phase == Active && failed {
+	switch {
+	case f.Phase == Active && failed:
 		f.enter(Undoing, fmt.Sprintf("step %d failed", n), at)
+	case f.Phase == Undoing && f.Next() == 0, f.Phase == Stuck && f.Next() < n: // what was to be undone next surely never was
+		f.enter(Undoing, f.Why, at)
 	}
 	return nil
 }
