--- /dev/null
+++ b/cmd/frosttide/clients_test.go
@@ -0,0 +1,368 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestRefused guards that what no runner can take is refused at once, with a
+// time to come back.
+func TestRefused(t *testing.T) {
+	t.Parallel()
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	for name, known := range map[string][]string{
+		"no runner": nil,
+		"draining":  {entry("s-1", "127.0.0.1:1", "DRAINING")},
+		"dead":      {entry("s-1", dead.Addr().String(), "SERVING")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := start(t, newDiscovery(t).URL, 1024, known...)
+			a := await(t, submit(d.job("once", "x1")), "answer")
+			after, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+			if a.Status != 503 || err != nil || after <= 0 || after > 2 {
+				t.Errorf("answer %+v, want a refusal with a time to come back", a)
+			}
+		})
+	}
+}
+
+// TestBadRequests guards that what is malformed gets a plain answer and reaches
+// no runner, and that odd but sound requests do.
+func TestBadRequests(t *testing.T) {
+	t.Parallel()
+	d, r := one(t)
+	set := func(name, value string) func(*http.Request) {
+		return func(req *http.Request) { req.Header.Set(name, value) }
+	}
+	for _, tc := range []struct {
+		name   string
+		edit   func(*http.Request)
+		status int
+	}{
+		{"no id", func(req *http.Request) { req.Header.Del("X-Trace-Id") }, 400},
+		{"long id", set("X-Trace-Id", strings.Repeat("a", 129)), 400},
+		{"id with a slash", set("X-Trace-Id", "a/b"), 400},
+		{"unknown class", set("X-Qos", "karaoke"), 400},
+		{"class against path", set("X-Qos", "once"), 400},
+		{"no deadline", func(req *http.Request) { req.Header.Del("X-Expires-In-Ms") }, 400},
+		{"deadline in words", set("X-Expires-In-Ms", "soon"), 400},
+		{"deadline past", set("X-Expires-In-Ms", "-5"), 400},
+		{"slots in words", set("X-Props", "slots=two"), 400},
+		{"slots below nothing", set("X-Props", "slots=-1"), 400},
+		{"slots not a number", set("X-Props", "slots=NaN"), 400},
+		{"slots that no runner has", set("X-Props", "slots=9"), 400},
+		{"two ids", func(req *http.Request) { req.Header["X-Trace-Id"] = []string{"a", "b"} }, 400},
+		{"no key where one is due", func(req *http.Request) {
+			*req = *d.job("release", "keyless")
+			req.Header.Del("Idempotency-Key")
+		}, 400},
+		{"body too large", func(req *http.Request) {
+			big := strings.Repeat("x", 64<<10+1)
+			req.Body, req.ContentLength = http.MaxBytesReader(nil, http.NoBody, 0), 0
+			*req = *d.job("render", "big")
+			req.Body, req.ContentLength = readCloser{strings.NewReader(big)}, int64(len(big))
+		}, 413},
+		{"headers too large", set("X-Other", strings.Repeat("x", 64<<10)), 431},
+		{"a GET", func(req *http.Request) { req.Method, req.Body, req.ContentLength = "GET", nil, 0 }, 405},
+		{"deadline in weeks", set("X-Expires-In-Ms", "2000000000"), 200},
+		{"unknown figures and headers", func(req *http.Request) {
+			req.Header.Set("X-Props", "slots=2, colour=7")
+			req.Header.Set("X-Other", "1")
+		}, 200},
+		{"path that a router would clean", func(req *http.Request) { req.URL.Opaque = "/render//a/../b" }, 200},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			req := d.job("render", "x-"+strings.ReplaceAll(tc.name, " ", "-"), tc.edit)
+			got := submit(req)
+			if tc.status == 200 {
+				h := await(t, r.hops, "hop")
+				h.reply(202, "")
+				if left, err := strconv.Atoi(h.Header.Get("X-Expires-In-Ms")); err != nil || left > 20000 {
+					t.Errorf("the runner is told to take %d ms, more than the class gives", left)
+				}
+				if want := req.URL.RequestURI(); h.RequestURI != want {
+					t.Errorf("the runner was asked for %s, want %s", h.RequestURI, want)
+				}
+				d.report(event(h.id(), r.uid, "done"))
+			}
+			if a := await(t, got, "answer"); a.Status != tc.status {
+				t.Errorf("answer %+v, want status %d", a, tc.status)
+			}
+			if len(r.hops) > 0 {
+				t.Errorf("a runner got %s", (<-r.hops).RequestURI)
+			}
+		})
+	}
+}
+
+type readCloser struct{ *strings.Reader }
+
+func (readCloser) Close() error { return nil }
+
+// TestClientLeaves guards that the work of a client that has gone is given up:
+// before the 202 by closing the connection, after it by recalling the job.
+func TestClientLeaves(t *testing.T) {
+	t.Parallel()
+	d, r := one(t)
+	for _, taken := range []bool{false, true} {
+		t.Run(fmt.Sprintf("taken %t", taken), func(t *testing.T) {
+			c, err := net.Dial("tcp", d.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			id := fmt.Sprintf("left-%t", taken)
+			if err := d.job("render", id).Write(c); err != nil {
+				t.Fatal(err)
+			}
+			h := await(t, r.hops, "hop")
+			if !taken {
+				c.Close()
+				await(t, h.ended, "end of the hop's connection")
+				return
+			}
+			h.reply(202, "")
+			other := submit(d.job("render", "other-"+id)) // takes the same connection: the 202 has been read
+			o := await(t, r.hops, "other hop")
+			o.reply(202, "")
+			c.Close()
+			del := await(t, r.hops, "recall")
+			if diff := cmp.Diff([]string{"DELETE", "/jobs/" + id}, []string{del.Method, del.RequestURI}); diff != "" {
+				t.Errorf("recall (-want +got):\n%s", diff)
+			}
+			del.reply(204, "")
+			d.report(event(o.id(), r.uid, "done"))
+			await(t, other, "answer")
+		})
+	}
+}
+
+// TestDeadline guards rule 1: a job whose runner says nothing more is answered
+// at the client's deadline. The upper bound leaves room for a busy machine.
+func TestDeadline(t *testing.T) {
+	t.Parallel()
+	d, r := one(t)
+	for _, tc := range []struct {
+		class  string
+		taken  bool
+		status int
+	}{{"render", true, 503}, {"render", false, 503}, {"once", true, 502}, {"once", false, 502}} {
+		id := fmt.Sprintf("%s-%t", tc.class, tc.taken)
+		sent := time.Now()
+		got := submit(d.job(tc.class, id, func(req *http.Request) { req.Header.Set("X-Expires-In-Ms", "400") }))
+		h := await(t, r.hops, "hop")
+		for h.id() != id {
+			h = await(t, r.hops, "hop") // recalls of the one before
+		}
+		if tc.taken {
+			h.reply(202, "")
+		}
+		a := await(t, got, "answer")
+		took := time.Since(sent)
+		if a.Status != tc.status || took < 350*time.Millisecond || took > 1400*time.Millisecond {
+			t.Errorf("%s: answer %+v after %v, want %d at 400 ms", id, a, took, tc.status)
+		}
+	}
+}
+
+// TestSockets guards the budget of descriptors: jobs past their share are refused
+// cleanly, and hundreds of connections that say nothing, or never come to an end,
+// keep neither call-backs nor the health check nor kept connections outside; they
+// are closed in time themselves.
+func TestSockets(t *testing.T) {
+	t.Parallel()
+	a, b, c := newRunner(t, "s-1"), newRunner(t, "s-2"), newRunner(t, "s-3")
+	d := start(t, newDiscovery(t).URL, 72, a.entry(), b.entry(), c.entry())
+	kept := &http.Client{Transport: &http.Transport{}}
+	if a := do(kept, d.job("render", "health", func(r *http.Request) { r.URL.Path = "/_health"; r.Method = "GET" })); a.Status != 200 {
+		t.Fatalf("health check %+v", a)
+	}
+	const jobs = 20 // half of what is not reserved
+	var got []<-chan answer
+	var hops []*hop
+	var uids []string
+	for i := range jobs {
+		got = append(got, submit(d.job("render", fmt.Sprintf("x%d", i))))
+		var h *hop
+		uid := ""
+		select {
+		case h = <-a.hops:
+			uid = a.uid
+		case h = <-b.hops:
+			uid = b.uid
+		case h = <-c.hops:
+			uid = c.uid
+		case <-time.After(patience):
+			t.Fatalf("no hop for job %d", i)
+		}
+		h.reply(202, "")
+		hops, uids = append(hops, h), append(uids, uid)
+	}
+	if a := await(t, submit(d.job("render", "one-more")), "answer"); a.Status != 503 || !a.Close {
+		t.Errorf("answer %+v past the share of jobs, want a refusal and a close", a)
+	}
+	var ends []<-chan answer
+	for i := range 200 {
+		c := d.raw([]string{"", "POST /render HTTP/1.1\r\nHost: x\r\nX-Never", "POST /render HTTP/1.1\r\nHost: x\r\nX-Qos: render\r\n" +
+			"X-Trace-Id: y\r\nX-Expires-In-Ms: 900\r\nContent-Length: 9\r\n\r\nhalf"}[i%3])
+		ends = append(ends, read(c))
+	}
+	for i, h := range hops {
+		if code := d.report(event(h.id(), uids[i], "done")); code != 204 {
+			t.Errorf("call-back got %d", code)
+		}
+		if a := await(t, got[i], "answer"); a.Status != 200 {
+			t.Errorf("job %d: answer %+v", i, a)
+		}
+	}
+	if fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.cmd.Process.Pid)); err != nil || len(fds) > 72 {
+		t.Errorf("%d descriptors are open, %v", len(fds), err)
+	}
+	for i, end := range ends {
+		if a := await(t, end, "end of a connection that never finishes"); a.Err == nil && a.Status/100 != 4 {
+			t.Errorf("connection %d got %+v", i, a)
+		}
+	}
+	if took := time.Since(*d.lastRaw.Load()); took > 3*time.Second {
+		t.Errorf("a connection that never finishes lasted %v", took)
+	}
+	if len(a.hops)+len(b.hops)+len(c.hops) > 0 {
+		t.Errorf("half a request was dispatched")
+	}
+}
+
+// TestLengths guards against a request whose end two readers would see at
+// different places: it is refused, ends its connection, and neither it nor what
+// its body holds reaches a runner.
+func TestLengths(t *testing.T) {
+	t.Parallel()
+	d, r := one(t)
+	head := func(id string) string {
+		return "POST /render HTTP/1.1\r\nHost: x\r\nX-Trace-Id: " + id + "\r\nX-Qos: render\r\nX-Expires-In-Ms: 9000\r\n"
+	}
+	hidden := head("hidden") + "Content-Length: 0\r\n\r\n"
+	for _, tc := range []struct {
+		name, tail string
+		status     int // 0: a close is enough
+	}{
+		{"both", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, 400},
+		{"both, the other way round", "transfer-encoding: chunked\r\nCONTENT-LENGTH:4\r\n\r\n0\r\n\r\n" + hidden, 400},
+		{"doubled", "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody" + hidden, 400},
+		{"doubled and different", "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody" + hidden, 400},
+		{"negative", "Content-Length: -4\r\n\r\nbody", 400},
+		{"in words", "Content-Length: four\r\n\r\nbody", 400},
+		{"huge", "Content-Length: 60000000\r\n\r\nbody", 413},
+		{"beyond numbers", "Content-Length: 99999999999999999999\r\n\r\nbody", 400},
+		{"too short", "Content-Length: 4\r\n\r\nbody that goes on", 400},
+		{"too long", "Content-Length: 40\r\n\r\nbody", 408},
+		{"endless chunk", "Transfer-Encoding: chunked\r\n\r\n9\r\nbody", 408},
+		{"unknown encoding", "Transfer-Encoding: gzip\r\n\r\nbody", 501},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := d.raw(head("bad") + tc.tail)
+			in := bufio.NewReader(c)
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil || resp.StatusCode != tc.status || !resp.Close {
+				t.Fatalf("answer %+v, %v, want %d and a close", resp, err, tc.status)
+			}
+			io.Copy(io.Discard, resp.Body)
+			if _, err := http.ReadResponse(in, nil); err == nil {
+				t.Error("there was a second answer")
+			}
+		})
+	}
+	t.Run("sound", func(t *testing.T) {
+		for id, tail := range map[string]string{
+			"chunked":   "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" + hidden, // the end is the last
+			"pipelined": "Content-Length: 4\r\n\r\nbody" + head("next") + "Content-Length: 0\r\n\r\n",
+		} {
+			c := d.raw(head(id) + tail)
+			in := bufio.NewReader(c)
+			want := []string{id}
+			if id == "pipelined" {
+				want = append(want, "next")
+			}
+			for _, id := range want {
+				h := await(t, r.hops, "hop")
+				if h.id() != id {
+					t.Fatalf("the runner got %q, want %q", h.id(), id)
+				}
+				h.reply(202, "")
+				d.report(event(id, r.uid, "done"))
+				if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 200 {
+					t.Errorf("%s: answer %+v, %v", id, resp, err)
+				} else {
+					io.Copy(io.Discard, resp.Body)
+				}
+			}
+			if len(r.hops) > 0 {
+				t.Errorf("%s: a runner got %q", id, (<-r.hops).id())
+			}
+		}
+	})
+}
+
+// TestUnusable guards a runner's good name and everybody's retries: a job that it
+// can't use is the client's fault, so nobody else is tried, the client is told,
+// and the runner goes on getting jobs.
+func TestUnusable(t *testing.T) {
+	t.Parallel()
+	first, second := newRunner(t, "s-1"), newRunner(t, "s-2")
+	disc := newDiscovery(t)
+	d := start(t, disc.URL, 1024, first.entry())
+	w := await(t, disc.watches, "watch")
+	for _, status := range []int{400, 404} {
+		for n := range 10 {
+			id := fmt.Sprintf("bad-%d-%d", status, n)
+			got := submit(d.job([]string{"render", "once"}[n%2], id))
+			h := await(t, first.hops, "hop")
+			if n == 0 && status == 400 { // somebody else could be tried from here on
+				w.lines <- list(42, false, entry("s-2", second.addr, "SERVING"))
+				d.awaitLog("target=s-2")
+				w.lines <- list(43, false, entry("s-2", second.addr, "DRAINING"))
+				d.awaitLog("target=s-2")
+			}
+			h.reply(status, "")
+			if a := await(t, got, "answer"); a.Status != 400 {
+				t.Errorf("answer %+v to what the runner gave %d", a, status)
+			}
+		}
+	}
+	good := submit(d.job("render", "good"))
+	await(t, first.hops, "hop of a good job").reply(202, "")
+	d.report(event("good", "s-1", "done"))
+	if a := await(t, good, "answer"); a.Status != 200 {
+		t.Errorf("answer %+v to a good job", a)
+	}
+	if len(first.hops)+len(second.hops) > 0 {
+		t.Error("a runner got more than its jobs")
+	}
+}
+
+func read(c net.Conn) <-chan answer {
+	got := make(chan answer, 1)
+	go func() {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			got <- answer{Err: err}
+			return
+		}
+		got <- answer{Status: resp.StatusCode, Header: resp.Header}
+	}()
+	return got
+}
--- /dev/null
+++ b/cmd/frosttide/jobs_test.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// one starts a dispatcher with one runner.
+func one(t *testing.T) (*dispatcher, *runner) {
+	t.Helper()
+	r := newRunner(t, "s-1")
+	return start(t, newDiscovery(t).URL, 1024, r.entry()), r
+}
+
+// TestServed guards the way of a job: what a runner gets is what the client
+// sent, and the result reaches the client once whatever the order and number of
+// the call-backs.
+func TestServed(t *testing.T) {
+	t.Parallel()
+	d, r := one(t)
+	for _, tc := range []struct {
+		name   string
+		report []string // states; "202" is the answer to the hop; "!" marks one from a stranger
+	}{
+		{"done after the 202", []string{"202", "started", "running", "done"}},
+		{"done before the 202", []string{"started", "done", "202"}},
+		{"done twice", []string{"202", "done", "done"}},
+		{"a stranger's word first", []string{"202", "!done", "!failed", "done"}},
+		{"failure after the end", []string{"202", "done", "failed"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			id := strings.ReplaceAll(tc.name, " ", "-")
+			got := submit(d.job("release", id))
+			h := await(t, r.hops, "hop")
+			left, err := strconv.Atoi(h.Header.Get("X-Expires-In-Ms"))
+			if err != nil || left > 15000 || left < 10000 {
+				t.Errorf("X-Expires-In-Ms is %q", h.Header.Get("X-Expires-In-Ms"))
+			}
+			h.Header.Del("X-Expires-In-Ms")
+			h.Header.Del("Content-Length")
+			want := []any{"POST", "/release/clip%2F7?q=a+b", "frames of " + id,
+				http.Header{"X-Trace-Id": {id}, "Idempotency-Key": {"key-" + id}}}
+			if diff := cmp.Diff(want, []any{h.Method, h.RequestURI, h.body, h.Header}); diff != "" {
+				t.Errorf("the hop differs (-want +got):\n%s", diff)
+			}
+			for _, state := range tc.report {
+				if state == "202" {
+					h.reply(202, "")
+					continue
+				}
+				from := r.uid
+				if strings.HasPrefix(state, "!") {
+					from = "s-stranger"
+				}
+				if code := d.report(event(id, from, strings.TrimPrefix(state, "!"))); code != 204 {
+					t.Errorf("call-back %s got %d", state, code)
+				}
+			}
+			a := await(t, got, "answer")
+			if diff := cmp.Diff(answer{Status: 200, Body: "clip of " + id + " by s-1"}, answer{a.Status, a.Body, nil, a.Err, false}); diff != "" {
+				t.Errorf("the answer differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestOutcomes guards rule 2: what a hop's end tells of its having run decides
+// what the client is told and whether another runner gets the job.
+func TestOutcomes(t *testing.T) {
+	t.Parallel()
+	const unrun = "X-Never-Ran: 1\r\n"
+	reply := func(status int, headers string) func(*dispatcher, *hop) {
+		return func(_ *dispatcher, h *hop) { h.reply(status, headers) }
+	}
+	report := func(state string) func(*dispatcher, *hop) {
+		return func(d *dispatcher, h *hop) {
+			h.reply(202, "")
+			d.report(event(h.id(), "s-1", state))
+		}
+	}
+	for _, tc := range []struct {
+		name, class string
+		end         func(*dispatcher, *hop)
+		again       bool // the second runner gets it
+		status      int  // otherwise
+	}{
+		{"500, safe", "render", reply(500, ""), true, 0},
+		{"500, unsafe", "once", reply(500, ""), false, 502},
+		{"503 unrun, unsafe", "once", reply(503, unrun), true, 0},
+		{"504 unrun, keyed", "release", reply(504, unrun), true, 0},
+		{"503 that may have run", "once", reply(503, ""), false, 502},
+		{"reset, unsafe", "once", func(_ *dispatcher, h *hop) { h.conn.Close() }, false, 502},
+		{"reset, safe", "render", func(_ *dispatcher, h *hop) { h.conn.Close() }, true, 0},
+		{"failed, unsafe", "once", report("failed"), false, 502},
+		{"returned, unsafe", "once", report("returned"), true, 0},
+		{"lost, unsafe", "once", report("lost"), false, 502},
+		{"lost, safe", "render", report("lost"), true, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			first, second := newRunner(t, "s-1"), newRunner(t, "s-2")
+			disc := newDiscovery(t)
+			d := start(t, disc.URL, 1024, first.entry())
+			w := await(t, disc.watches, "watch")
+			got := submit(d.job(tc.class, "x1"))
+			h := await(t, first.hops, "hop")
+			w.lines <- list(42, false, second.entry())
+			d.awaitLog("target=s-2")
+			tc.end(d, h)
+			if tc.again {
+				if h := await(t, second.hops, "second hop"); h.id() != "x1" {
+					t.Errorf("the second hop is of %q", h.id())
+				}
+				d.report(event("x1", "s-2", "done"))
+				tc.status = 200
+			}
+			if a := await(t, got, "answer"); a.Status != tc.status {
+				t.Errorf("answer %+v, want status %d", a, tc.status)
+			}
+			if len(second.hops) > 0 {
+				t.Errorf("the second runner got another hop")
+			}
+		})
+	}
+}
+
+// TestSentOnce guards rule 2 against http.Transport, which sends a request again
+// by itself when a reused connection turns out dead and a key makes it look
+// harmless.
+func TestSentOnce(t *testing.T) {
+	t.Parallel()
+	for _, body := range []string{"", "frames"} {
+		t.Run("body "+strconv.Quote(body), func(t *testing.T) {
+			t.Parallel()
+			d, r := one(t)
+			warm := submit(d.job("release", "warm"))
+			h := await(t, r.hops, "hop")
+			h.reply(202, "")
+			d.report(event("warm", r.uid, "done"))
+			await(t, warm, "answer")
+			got := submit(d.job("release", "x1", func(req *http.Request) {
+				req.Body, req.ContentLength, req.GetBody = http.NoBody, int64(len(body)), nil
+				if body != "" {
+					req.Body = d.job("render", "-").Body
+					req.ContentLength = int64(len("frames of -"))
+				}
+			}))
+			again := await(t, r.hops, "hop on the kept connection")
+			if again.conn != h.conn {
+				t.Fatal("the connection was not used again")
+			}
+			again.conn.Close()
+			if a := await(t, got, "answer"); a.Status != 502 {
+				t.Errorf("answer %+v, want a failure: it may have run", a)
+			}
+			if len(r.hops) > 0 {
+				t.Errorf("the hop was sent again: %q", (<-r.hops).id())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cmd/frosttide/list_test.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestRouteTable guards the list: what it says counts at once, in any layout, what can't be
+// read costs the call and no more, and a watch that ends is opened again where it left off.
+func TestRouteTable(t *testing.T) {
+	t.Parallel()
+	r, moved := newRunner(t, "s-1"), newRunner(t, "s-1")
+	disc := newDiscovery(t)
+	d := start(t, disc.URL, 1024, r.entry())
+	w := await(t, disc.watches, "watch")
+	if w.query != "watch=1&from=41" {
+		t.Errorf("the watch asks for %q", w.query)
+	}
+	serve := func(id string, r *runner) {
+		t.Helper()
+		got := submit(d.job("render", id))
+		await(t, r.hops, "hop").reply(202, "")
+		d.report(event(id, "s-1", "done"))
+		if a := await(t, got, "answer"); a.Status != 200 {
+			t.Errorf("%s: answer %+v", id, a)
+		}
+	}
+	refused := func(id string) {
+		t.Helper()
+		if a := await(t, submit(d.job("render", id)), "answer"); a.Status != 503 {
+			t.Errorf("%s: answer %+v, want a refusal", id, a)
+		}
+	}
+	for _, garbage := range []string{`{"rev":42,"all":true,"targets":[]} nonsense`, `{"rev":"42","all":true}`, `{"all":true}`, `{"rev":42,"all":tr!`} {
+		w.lines <- garbage
+		await(t, w.gone, "end of the call whose answer can't be read")
+		if w = await(t, disc.watches, "another watch"); strings.HasPrefix(garbage, `{"rev":42,"all":true`) {
+			d.awaitLog("egress target gone") // the object before the garbage counts
+			w.lines <- list(41, true, r.entry())
+			d.awaitLog("egress target listed")
+			serve("after-garbage", r)
+		} else if w.query != "watch=1&from=41" {
+			t.Errorf("after %s the watch asks for %q", garbage, w.query)
+		}
+	}
+	w.lines <- list(42, true, `{"uid":"s-1","endpoint":"nowhere","az":"a","model":"m","state":"SERVING"}`)
+	d.awaitLog("list entry skipped")
+	serve("after-bad-lines", r)
+	w.lines <- indented(list(43, false, entry("s-1", moved.addr, "SERVING")))
+	d.awaitLog("egress target moved")
+	serve("after-a-move", moved)
+	w.lines <- list(44, false, entry("s-1", moved.addr, "DRAINING"))
+	d.awaitLog("egress target drains")
+	refused("while-draining")
+	close(w.lines)
+	w = await(t, disc.watches, "second watch")
+	if w.query != "watch=1&from=44" {
+		t.Errorf("the second watch asks for %q", w.query)
+	}
+	w.lines <- list(45, true, entry("s-1", moved.addr, "SERVING"))
+	w.lines <- list(46, true)
+	d.awaitLog("egress target gone")
+	refused("when-gone")
+	// Guards against a watch whose machine has vanished: nobody ends it, and what it misses
+	// binds 6.5 s after its last byte.
+	disc.silent.Store(true)
+	last := time.Now()
+	d.awaitLog("discovery has fallen silent")
+	await(t, w.gone, "end of the silent watch")
+	w = await(t, disc.watches, "third watch")
+	if took := time.Since(last); took < time.Second || took > 5*time.Second {
+		t.Errorf("asked again %v after the last byte", took)
+	}
+	w.lines <- list(47, true, entry("s-1", moved.addr, "SERVING"))
+	d.awaitLog("egress target listed")
+}
+
+// indented lays a list out over many lines.
+func indented(list string) string {
+	var out bytes.Buffer
+	if err := json.Indent(&out, []byte(list), "  ", "    "); err != nil {
+		panic(err)
+	}
+	return out.String()
+}
--- /dev/null
+++ b/decision/bucket_test.go
@@ -0,0 +1,149 @@
+package decision
+
+import (
+	"testing"
+	"time"
+)
+
+func TestFirstTokensBeforeSecond(t *testing.T) {
+	h := newHost(t, plain(), oneZone(10))
+	for round := range 2 {
+		seen := map[WorkerID]bool{}
+		for range 10 {
+			a := h.arrive(0, 1)
+			if a.Type != Send || seen[a.Worker] {
+				t.Fatalf("round %d: %v after %v, want each worker once", round, a, seen)
+			}
+			seen[a.Worker] = true
+		}
+	}
+}
+
+func TestSeedsShuffleTheBucket(t *testing.T) {
+	orders := map[WorkerID]bool{}
+	for seed := range uint64(20) {
+		d, err := New(plain(), seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out := d.Step(time.Hour, []Event{{Type: MembersReplaced, Members: oneZone(10)},
+			{Type: RequestArrived, Request: 1, Deadline: 2 * time.Hour}}, nil)
+		orders[out[0].Worker] = true
+	}
+	if len(orders) < 4 {
+		t.Errorf("20 seeds start at %d of 10 workers: dispatchers would march in step", len(orders))
+	}
+}
+
+func TestLongestFreeTokenGoesFirst(t *testing.T) {
+	h := newHost(t, plain(), oneZone(3))
+	var sent []Action
+	for range 3 * defaultTokens {
+		sent = append(sent, h.arrive(0, 1))
+	}
+	h.end(sent[5], Served)
+	h.end(sent[1], Served)
+	if a := h.arrive(0, 1); a.Worker != sent[5].Worker {
+		t.Errorf("worker %d came first, want %d, whose token was back first", a.Worker, sent[5].Worker)
+	}
+	if a := h.arrive(0, 1); a.Worker != sent[1].Worker {
+		t.Errorf("worker %d came second, want %d", a.Worker, sent[1].Worker)
+	}
+}
+
+func TestNoTokenMeansPromptRefusal(t *testing.T) {
+	h := newHost(t, plain(), oneZone(1))
+	for range defaultTokens {
+		if a := h.arrive(4, 1); a.Type != Send {
+			t.Fatalf("got %v with tokens left", a)
+		}
+	}
+	a := h.arrive(4, 1)
+	if a.Type != Refuse || a.After <= 0 || a.After > h.d.cfg.Limits.MaxRetryAfter {
+		t.Errorf("got %+v, want a refusal with a retry-after", a)
+	}
+}
+
+func TestSlotsTakeTokensOfOneWorker(t *testing.T) {
+	h := newHost(t, plain(), oneZone(2))
+	first := h.arrive(0, 5)
+	second := h.arrive(0, 5)
+	if first.Worker == second.Worker {
+		t.Fatal("10 tokens of a worker that has 8 were used")
+	}
+	if a := h.arrive(0, 5); a.Type != Refuse {
+		t.Errorf("got %v, want a refusal: 3 tokens are left at each worker", a)
+	}
+	h.end(first, Served)
+	if a := h.arrive(0, 5); a.Worker != first.Worker {
+		t.Errorf("got %v, want the worker whose 5 tokens came back together", a)
+	}
+}
+
+// TestWideRequestAfterFailures guards against locking wide requests out: a
+// failure leaves a worker tokens for one job, however many slots that takes.
+func TestWideRequestAfterFailures(t *testing.T) {
+	h := newHost(t, plain(), oneZone(1))
+	h.end(h.arrive(4, 4), Errored)
+	h.pass(3 * time.Second)
+	if a := h.arrive(4, 4); a.Type != Send {
+		t.Errorf("got %v, want a send", a)
+	}
+	if a := h.arrive(4, 1); a.Type != Refuse {
+		t.Errorf("got %v, want a refusal: one job at a time after a failure", a)
+	}
+}
+
+func TestWeightsShareTheBucket(t *testing.T) {
+	cfg := plain()
+	cfg.WeightKnown = true
+	list := oneZone(20)
+	for i := range list {
+		list[i].Weight = float64(1 + 2*(i%2))
+	}
+	h := newHost(t, cfg, list)
+	heavy := 0
+	for range 40 {
+		if a := h.arrive(0, 1); list[a.Worker-100].Weight == 3 {
+			heavy++
+		}
+	}
+	if heavy < 26 || heavy > 34 {
+		t.Errorf("workers of three times the weight got %d of 40 jobs, want about 30", heavy)
+	}
+}
+
+// TestJoinIsNoHerd guards rule 4 after incident ie2a5c7: the bucket's front holds
+// unused tokens of a far zone, and a joining worker placed among them would be
+// next at every dispatcher.
+func TestJoinIsNoHerd(t *testing.T) {
+	cfg := testConfig()
+	cfg.PullList = false
+	got := 0
+	for seed := range uint64(30) {
+		list := members(40)
+		d, err := New(cfg, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := &host{t: t, d: d, now: time.Hour, timers: map[uint32]time.Duration{}}
+		h.step(Event{Type: MembersReplaced, Members: list})
+		d.zones.Started(0, time.Millisecond)
+		d.zones.Started(1, 100*time.Millisecond) // starts in zone 1 take long
+		for range 100 {
+			h.end(h.arrive(4, 1), Served)
+		}
+		h.step(Event{Type: MembersChanged, Members: []Member{{Worker: 100, StartedAt: h.now}}})
+		h.pass(8 * time.Second)
+		for range 4 {
+			a := h.arrive(4, 1)
+			if a.Worker == 100 {
+				got++
+			}
+			h.end(a, Served)
+		}
+	}
+	if got > 20 {
+		t.Errorf("the joining worker got %d of 120 first jobs over 30 dispatchers, want about 6", got)
+	}
+}
--- /dev/null
+++ b/decision/cold_test.go
@@ -0,0 +1,190 @@
+package decision
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestReturnedWorkerWaitsAndGetsItsShare guards rule 4 (nothing while the worker
+// could be pushed over, no run of jobs after it) and the rolling restart of
+// incident i968a36 (its share at once, not an eighth of it).
+func TestReturnedWorkerWaitsAndGetsItsShare(t *testing.T) {
+	h := newHost(t, plain(), oneZone(10))
+	back := Member{Worker: 100, StartedAt: h.now, Weight: 1}
+	h.step(Event{Type: MembersChanged, Members: []Member{back}})
+	for h.now < back.StartedAt+5*time.Second {
+		if a := h.arrive(0, 1); a.Worker == 100 {
+			t.Fatalf("a send to a worker %v after its start", h.now-back.StartedAt)
+		}
+		h.pass(100 * time.Millisecond)
+		h.end(Action{Request: h.next, Worker: h.d.requests[h.next].attempts[0].worker.Worker}, Served)
+	}
+	h.pass(3 * time.Second)
+	got, inRow, most := 0, 0, 0
+	for range 160 {
+		a := h.arrive(0, 1)
+		if inRow++; a.Worker != 100 {
+			inRow = 0
+		} else {
+			got++
+		}
+		most = max(most, inRow)
+		h.end(a, Served)
+	}
+	if got < 8 || got > 32 || most > 3 {
+		t.Errorf("the returned worker got %d of 160 jobs and %d in a row, want about 16 and few", got, most)
+	}
+}
+
+// TestColdWorkerIsRationed guards rule 4: a cold worker that is used already gets no
+// more work in any window than this dispatcher's part of what it bears, and one that
+// is heavier than that goes elsewhere.
+func TestColdWorkerIsRationed(t *testing.T) {
+	cfg := plain()
+	cfg.Instances = 2
+	h := newHost(t, cfg, append(oneZone(1), Member{Worker: 7, StartedAt: time.Hour - 3*time.Second, Weight: 1}))
+	h.d.run[0], h.d.run[4] = 0.05, 5
+	h.pass(time.Second)
+	const share = 0.2 + 0.8*0.58 // at the end of what follows
+	budget, heavy := share*cfg.Rules.FallMultiple/2, 0
+	var sent []time.Duration
+	for h.now < time.Hour+2800*time.Millisecond {
+		for range 4 {
+			for class, work := range map[int]float64{0: 0.05, 4: 5} {
+				a := h.arrive(class, 1)
+				if a.Type == Send && a.Worker == 7 {
+					sent = append(sent, h.now)
+					if work > 1 {
+						heavy++
+					}
+				}
+				h.end(a, Canceled)
+			}
+		}
+		h.pass(20 * time.Millisecond)
+	}
+	most := mostWithin(sent, cfg.Rules.FallWindow)
+	if heavy > 0 || len(sent) < 10 || float64(most)*0.05 > 2*budget {
+		t.Errorf("%d jobs, %d heavy, at most %.2f s of work in a window, want some light ones below %.2f s",
+			len(sent), heavy, float64(most)*0.05, 2*budget)
+	}
+}
+
+// TestPutBack guards a runner that operators put back: it is tried at once though it
+// is cold, with one light job at a time, and gets nothing heavy.
+func TestPutBack(t *testing.T) {
+	h := newHost(t, plain(), oneZone(3))
+	h.d.run[0], h.d.run[4] = 0.05, 5
+	back := oneZone(3)[2]
+	h.pass(time.Second)
+	for _, m := range []struct {
+		state    MemberState
+		returned bool
+		want     int
+	}{{Draining, false, 1}, {Ready, false, 1}, {Draining, false, 1}, {Ready, true, 0}} {
+		back.State, back.Returned, back.StartedAt = m.state, m.returned, h.now
+		h.step(Event{Type: MembersChanged, Members: []Member{back}})
+		if n := h.d.Unavailable(h.now); n != m.want {
+			t.Errorf("state %d, returned %t: %d workers are unavailable, want %d", m.state, m.returned, n, m.want)
+		}
+	}
+	for _, heavy := range []Event{{Class: 4}, {Class: 0, Slots: 2}, {Class: 0, Hint: time.Second}} {
+		h.next++
+		heavy.Type, heavy.Request, heavy.Deadline = RequestArrived, h.next, h.now+5*time.Second
+		if out := h.step(heavy); len(out) != 1 || out[0].Worker == back.Worker {
+			t.Errorf("%+v went to the cold worker: %v", heavy, out)
+		}
+	}
+	first := h.arrive(0, 1)
+	if first.Type != Send || first.Worker != back.Worker {
+		t.Fatalf("the first light job led to %v, want it at the worker put back", first)
+	}
+	if a := h.arrive(0, 1); a.Worker == back.Worker {
+		t.Errorf("a second job went to it beside the first")
+	}
+	h.end(first, Served)
+	h.pass(time.Second)
+	for range 12 { // the others hold more of their tokens by then
+		if a := h.arrive(0, 1); a.Worker == back.Worker {
+			return
+		}
+	}
+	t.Errorf("it got no job after the first had ended")
+}
+
+// TestColdWorkersAmongMany guards a fleet of many dispatchers whose workers have mostly
+// just started: together they keep to what a cold worker bears, and they use it. Without
+// turns the part of one dispatcher of eighty holds no job, and the worker stays idle.
+func TestColdWorkersAmongMany(t *testing.T) {
+	const many, work = 80, 0.05
+	cfg := plain()
+	cfg.Instances = many
+	hosts := make([]*host, many)
+	for i := range hosts {
+		cfg.Instance = i
+		hosts[i] = newHost(t, cfg, append(oneZone(2), Member{Worker: 7, StartedAt: time.Hour, Weight: 1}))
+		h := hosts[i]
+		h.d.run[0] = work
+		h.d.listed[0].Most = 4
+	}
+	var sent []time.Duration
+	for tick := 0; hosts[0].now < time.Hour+3*time.Second; tick++ { // 240 jobs a second, 12 s of work
+		for i, h := range hosts {
+			if (tick+i)%33 == 0 {
+				a := h.arrive(0, 1)
+				if a.Worker == 7 {
+					sent = append(sent, h.now)
+				}
+				h.step(Event{Type: AttemptStarted, Request: a.Request, Worker: a.Worker, Attempt: a.Attempt})
+				h.end(a, Canceled)
+			}
+			h.pass(10 * time.Millisecond)
+		}
+	}
+	most := mostWithin(sent, cfg.Rules.FallWindow)
+	budget := (0.2 + 0.8*0.3) * cfg.Rules.FallMultiple * 4 // at the end of these 3 s
+	if float64(most)*work > budget || len(sent) < 20 {
+		t.Errorf("%d jobs, at most %.2f s of work in a window; want 20 or more, and %.2f s at most",
+			len(sent), float64(most)*work, budget)
+	}
+}
+
+// TestHeavyJobsAndHalfWarmWorkers guards rule 4 after a day on which one job of many times
+// its class's mean pushed over a worker that had just joined, and after days on which a dozen
+// jobs within a second did: among many dispatchers a warming worker gets what fits in what
+// it bears from all of them together, and nothing heavy.
+func TestHeavyJobsAndHalfWarmWorkers(t *testing.T) {
+	cfg := plain()
+	cfg.Instances = 80
+	const over, every = 4 * time.Second, 100 * time.Millisecond
+	for _, age := range []time.Duration{over, 6 * time.Second, 14 * time.Second} { // at the end
+		var sent []time.Duration
+		heavy := false
+		for i := range cfg.Instances {
+			cfg.Instance = i
+			h := newHost(t, cfg, []Member{{Worker: 7, StartedAt: time.Hour + over - age, Weight: 1}})
+			h.d.listed[0].Most = 4
+			for h.now < time.Hour+over {
+				h.next++
+				for _, a := range h.step(Event{Type: RequestArrived, Request: h.next, Slots: 1, Hint: 100 * time.Millisecond, Deadline: h.now + 5*time.Second}) {
+					if a.Type == Send {
+						sent = append(sent, h.now)
+						h.end(a, Canceled)
+					}
+				}
+				h.pass(every)
+			}
+			h.next++
+			for _, a := range h.step(Event{Type: RequestArrived, Request: h.next, Slots: 1, Hint: 30 * time.Second, Deadline: h.now + 5*time.Second}) {
+				heavy = heavy || a.Type == Send
+			}
+		}
+		slices.Sort(sent)
+		warm := age > cfg.Rules.WarmUp
+		all := cfg.Instances * int(over/every)
+		if most := mostWithin(sent, cfg.Rules.FallWindow); warm != (len(sent) == all) || heavy != warm || !warm && (most > 150 || len(sent) < 20) {
+			t.Errorf("at the age of %v: %d of %d sent, at most %d in a window, heavy ones %t", age, len(sent), all, most, heavy)
+		}
+	}
+}
--- /dev/null
+++ b/decision/list_test.go
@@ -0,0 +1,89 @@
+package decision
+
+import (
+	"testing"
+	"time"
+)
+
+// nextCall returns how long a dispatcher waits with its call for the list after failures.
+func nextCall(t *testing.T, cfg Config, seed uint64, failures int) time.Duration {
+	t.Helper()
+	d, err := New(cfg, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &host{t: t, d: d, now: time.Hour, timers: map[uint32]time.Duration{}}
+	h.step()
+	for range failures {
+		h.pass(20 * time.Second)
+		h.step(Event{Type: MembersFailed})
+	}
+	for _, at := range h.timers {
+		return at - h.now
+	}
+	t.Fatal("no call is planned")
+	return 0
+}
+
+// TestListCallsAreSpreadAndBackOff guards discovery, which cannot answer every
+// dispatcher at once.
+func TestListCallsAreSpreadAndBackOff(t *testing.T) {
+	first := func(seed uint64, failures int) time.Duration { return nextCall(t, testConfig(), seed, failures) }
+	mean := func(failures int) (sum time.Duration) {
+		for seed := range uint64(50) {
+			sum += first(seed, failures) / 50
+		}
+		return sum
+	}
+	if first(1, 0) == first(2, 0) {
+		t.Error("two dispatchers call at the same moment")
+	}
+	calm, troubled := mean(0), mean(3)
+	if troubled < 3*calm || troubled > testConfig().Rules.AskWithin {
+		t.Errorf("mean wait %v at first and %v after three failures", calm, troubled)
+	}
+}
+
+// TestListAfterFailures guards the pace of calls for the list: a whole list, like
+// changes, ends the growing waits that failed calls led to.
+func TestListAfterFailures(t *testing.T) {
+	cfg := plain()
+	cfg.PullList, cfg.Rules.AskWithin = true, 16*time.Second
+	h := newHost(t, cfg, oneZone(1))
+	h.pass(time.Second)
+	for range 6 {
+		h.step(Event{Type: MembersFailed})
+		h.pass(16 * time.Second)
+	}
+	h.step(Event{Type: MembersReplaced, Members: oneZone(1)})
+	for range 8 {
+		h.step(Event{Type: MembersReplaced, Members: oneZone(1)})
+		h.step(Event{Type: MembersFailed})
+		if a := h.pass(2 * time.Second); len(a) != 1 || a[0].Type != Subscribe {
+			t.Fatalf("got %v within 2 s of the first failure, want a call", a)
+		}
+	}
+}
+
+// TestManyCallersSpread guards discovery, which answers about ten calls a second and fails
+// those that wait for two: 80 dispatchers that start at one moment, or lose it at one, ask
+// over seconds, and still within the time in which each has to ask.
+func TestManyCallersSpread(t *testing.T) {
+	cfg := testConfig()
+	cfg.Instances = 80
+	for _, failures := range []int{0, 1, 4} {
+		perSecond := map[time.Duration]int{}
+		for i := range cfg.Instances {
+			wait := nextCall(t, cfg, uint64(i), failures)
+			perSecond[wait/time.Second]++
+			if wait > cfg.Rules.AskWithin {
+				t.Errorf("after %d failures a call comes after %v", failures, wait)
+			}
+		}
+		for second, n := range perSecond {
+			if n > 40>>min(failures, 1) {
+				t.Errorf("after %d failures %d calls come in second %d", failures, n, second)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/decision/overload_test.go
@@ -0,0 +1,173 @@
+package decision
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRetryBudget guards against trouble that feeds itself: where everything
+// fails, further attempts stay a small share.
+func TestRetryBudget(t *testing.T) {
+	h := newHost(t, plain(), oneZone(30))
+	retries := 0
+	for range 200 {
+		a := h.arrive(0, 1)
+		for a.Type == Send {
+			out := h.end(a, Rejected)
+			a = out[0]
+			if a.Type == Send {
+				retries++
+			}
+		}
+	}
+	if most := creditMost + 200*retryCredit; retries == 0 || float64(retries) > most {
+		t.Errorf("%d further attempts for 200 requests, want at most %v", retries, most)
+	}
+}
+
+// TestShedding guards against full queues in which all is served and nothing in
+// time: arrivals are refused, the least worth a second first, and taken again
+// when starts are prompt.
+func TestShedding(t *testing.T) {
+	cfg := testConfig()
+	cfg.PullList = false
+	cfg.Classes = cfg.Classes[:2]
+	cfg.Classes[1].Worth = 10
+	h := newHost(t, cfg, oneZone(40))
+	refused := func() (lesser, worthier int) {
+		for range 20 {
+			for class := range 2 {
+				a := h.arrive(class, 1)
+				if a.Type == Send {
+					h.step(Event{Type: RequestGone, Request: a.Request})
+					h.end(a, Canceled)
+				} else if class == 0 {
+					lesser++
+				} else {
+					worthier++
+				}
+			}
+		}
+		return lesser, worthier
+	}
+	if lesser, worthier := refused(); lesser+worthier > 0 {
+		t.Fatalf("%d and %d of 20 refused before any was late", lesser, worthier)
+	}
+	for range 6 {
+		h.arrive(1, 1)
+		h.pass(800 * time.Millisecond)
+	}
+	if lesser, worthier := refused(); lesser < 10 || worthier > 5 {
+		t.Errorf("%d lesser and %d worthier of 20 refused while starts are late", lesser, worthier)
+	}
+	for range 60 {
+		if a := h.arrive(1, 1); a.Type == Send {
+			h.serve(a)
+		}
+		h.pass(800 * time.Millisecond)
+	}
+	if lesser, worthier := refused(); lesser+worthier > 0 {
+		t.Errorf("%d and %d of 20 still refused after starts were prompt again", lesser, worthier)
+	}
+}
+
+// TestFullQueuesShedSooner guards the seconds between the first full queues and
+// the first late starts in them, in which all queues of a slow fleet fill.
+func TestFullQueuesShedSooner(t *testing.T) {
+	for _, instances := range []int{10, 300} {
+		cfg := testConfig()
+		cfg.PullList, cfg.Instances = false, instances
+		h := newHost(t, cfg, oneZone(30))
+		for range 8 {
+			h.end(h.arrive(4, 1), Rejected)
+		}
+		refused := 0
+		for range 20 {
+			if h.arrive(4, 1).Type == Refuse {
+				refused++
+			}
+		}
+		if refused < 10 {
+			t.Errorf("of %d dispatchers: %d of 20 refused after 8 full queues within one moment", instances, refused)
+		}
+	}
+}
+
+// TestLateStartsAmongManyDoNotShed guards the calm days at size, on which a third of
+// the arrivals were refused while most workers had room: one of 300 dispatchers meets
+// a queue that is full by chance.
+func TestLateStartsAmongManyDoNotShed(t *testing.T) {
+	cfg := testConfig()
+	cfg.PullList, cfg.Instances = false, 300
+	h := newHost(t, cfg, oneZone(40))
+	for range 6 {
+		h.arrive(1, 1)
+		h.pass(800 * time.Millisecond)
+	}
+	refused := 0
+	for range 40 {
+		if a := h.arrive(0, 1); a.Type != Send {
+			refused++
+		} else {
+			h.step(Event{Type: RequestGone, Request: a.Request})
+			h.end(a, Canceled)
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of 40 refused after 6 late starts of one of 300 dispatchers", refused)
+	}
+}
+
+// TestSheddingEnds guards against a dispatcher that sheds everything, so sees no
+// start and sheds for good (incident i96cb58): a share is always let in.
+func TestSheddingEnds(t *testing.T) {
+	cfg := testConfig()
+	cfg.PullList = false
+	cfg.Classes = cfg.Classes[4:]
+	h := newHost(t, cfg, oneZone(80))
+	var waiting []Action
+	for range 40 {
+		waiting = append(waiting, h.arrive(0, 1))
+	}
+	h.pass(time.Second)
+	for _, a := range waiting {
+		h.end(a, Rejected)
+	}
+	refused := func(n int) (out int) {
+		for range n {
+			if a := h.arrive(0, 1); a.Type == Refuse {
+				out++
+			} else {
+				h.serve(a)
+				h.pass(time.Second)
+			}
+		}
+		return out
+	}
+	if early := refused(10); early == 0 {
+		t.Fatal("nothing is shed after 40 late starts")
+	}
+	refused(50)
+	if late := refused(50); late > 0 {
+		t.Errorf("%d of 50 are still refused though every start was prompt", late)
+	}
+}
+
+// TestEndingRefusesLongWork guards clients of a process that ends: a class whose
+// work would mostly be cut off is refused at once, the others are served, and a
+// client's own short deadline refuses nothing.
+func TestEndingRefusesLongWork(t *testing.T) {
+	h := newHost(t, plain(), oneZone(2))
+	h.d.run[0], h.d.run[4] = 0.3, 2.5
+	for _, tc := range []struct {
+		class  int
+		ending bool
+		want   ActionType
+	}{{0, true, Send}, {4, true, Refuse}, {4, false, Send}} {
+		h.next++
+		out := h.step(Event{Type: RequestArrived, Request: h.next, Class: tc.class, Ending: tc.ending, Deadline: h.now + 2*time.Second})
+		if len(out) != 1 || out[0].Type != tc.want {
+			t.Errorf("class %d, ending %t: got %v, want %v", tc.class, tc.ending, out, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/faults/settings.go
@@ -0,0 +1,73 @@
+package faults
+
+import (
+	"cmp"
+	"fmt"
+	"path/filepath"
+	"strings"
+)
+
+func (f *fleet) settings(m *member) string {
+	var voters, join []string
+	for _, o := range f.members[:f.voters] {
+		voters = append(voters, fmt.Sprintf("%q", o.name))
+	}
+	for _, a := range f.net.public {
+		join = append(join, fmt.Sprintf("%q", a))
+	}
+	var zones []string
+	for i := range f.zones {
+		zones = append(zones, fmt.Sprintf("%q", f.zone(i)))
+	}
+	cluster := ""
+	if !f.alone {
+		cluster = fmt.Sprintf("[cluster]\nlisten = %q\nadvertise = %q\njoin = [%s]\nvoters = [%s]\ndir = %q\ndiscovery = \"one\"\n[recovery]\nkeep = %q\n%s",
+			f.net.real[m.i], f.net.public[m.i], strings.Join(join, ", "), strings.Join(voters, ", "), filepath.Join(m.dir, "log"), filepath.Join(m.dir, "apart"), f.extra)
+		if f.flows {
+			cluster += "[workflow]\nenabled = true\n"
+		}
+	}
+	if f.gangs {
+		cluster += "[gang]\nenabled = true\nreports_every = \"100ms\"\n[attempts]\nsecond_copies = true\n"
+	}
+	return fmt.Sprintf(`name = %q
+[listen]
+clients = %q
+console = %q
+[discovery]
+address = %q
+ask_within = "1s"
+[fleet]
+zones = [%s]
+zone = %q
+far_price = 0.3
+kinds = ["m"]
+dispatchers = %d
+number = %d
+[drain]
+grace = "500ms"
+[limits]
+sockets = 1024
+%s%s
+[[class]]
+name = "render"
+wanted_within = "1s"
+give_up = "2s"
+[[class]]
+name = "reel"
+wanted_within = "10s"
+give_up = "30s"
+[[class]]
+name = "release"
+effect = "keyed"
+repeats_dropped_by = "zone"
+window = "40s"
+wanted_within = "1s"
+give_up = "2s"
+[[class]]
+name = "once"
+effect = "unsafe"
+wanted_within = "1s"
+give_up = "2s"
+`, cmp.Or(m.alias, m.name), m.clients, m.console, m.disc, strings.Join(zones, ", "), f.zone(m.i), len(f.members), m.i, f.coldOf, cluster)
+}
--- a/internal/workflow/desk/desk.go
+++ b/internal/workflow/desk/desk.go
@@ -13,14 +13,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/sirupsen/logrus"
-
 	"frosttide/internal/core"
 	"frosttide/internal/ledger"
 	"frosttide/internal/workflow/book"
 	"frosttide/internal/workflow/duty"
 	"frosttide/internal/workflow/flow"
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 )
 
 // Log is the agreed log.
@@ -206,96 +205,6 @@
 	maps.DeleteFunc(wrote, func(id string, _ mark) bool { return !there[id] })
 }
 
-// storePlans has what was chosen written.
-func (d *Desk) storePlans(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case p := <-d.plans:
-			d.say(ctx, book.Expire, p.Expire)
-			d.say(ctx, book.Take, p.Take)
-		}
-	}
-}
-
-func (d *Desk) say(ctx context.Context, kind book.Kind, ids []string) {
-	if len(ids) == 0 {
-		return
-	}
-	c := &book.Command{Kind: kind}
-	if kind == book.Take {
-		c.By, c.Until = d.cfg.Name, d.log.Now().Milliseconds()+duty.LeaseFor
-	}
-	for _, id := range ids {
-		c.Words = append(c.Words, book.Word{ID: id})
-	}
-	d.write(ctx, c)
-}
-
-func (d *Desk) write(ctx context.Context, c *book.Command) (agreed bool) {
-	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(writeTime))
-	defer cancel()
-	if _, err := d.log.Propose(ctx, ledger.Entry{Op: ledger.Flow, Flow: c}); err != nil {
-		d.line.WithError(err).WithField("kind", c.Kind).Debug("a word on workflows was not written")
-		return false
-	}
-	return true
-}
-
-// storeWords has what became of steps and undos written, several at a time.
-func (d *Desk) storeWords(ctx context.Context) {
-	for {
-		var first word
-		select {
-		case <-ctx.Done():
-			return
-		case first = <-d.words:
-		}
-		by := map[book.Kind][]word{first.kind: {first}}
-		wait := time.NewTimer(wordsWait)
-	gather:
-		for n := 1; n < batch; n++ {
-			select {
-			case w := <-d.words:
-				by[w.kind] = append(by[w.kind], w)
-			case <-wait.C:
-				break gather
-			}
-		}
-		wait.Stop()
-		for kind, list := range by {
-			c := &book.Command{Kind: kind}
-			for _, w := range list {
-				c.Words = append(c.Words, w.Word)
-			}
-			agreed := d.write(ctx, c)
-			if kind != book.Took {
-				continue
-			}
-			for _, w := range list {
-				e := ended{id: w.ID, tries: w.tries}
-				if agreed { // the log may have it before it is applied here
-					e.wrote = &w.Word
-				}
-				d.ended <- e // there is room for as many as are under way
-			}
-		}
-	}
-}
-
-func (d *Desk) put(w word) bool {
-	select {
-	case d.words <- w:
-		return true
-	default:
-		if n := d.lost.Add(1); n&(n-1) == 0 { // the 1st, 2nd, 4th, ...: guards the log
-			d.line.WithField("count", n).Warn("too much waits to be written about workflows; a word is lost")
-		}
-		return false
-	}
-}
-
 // send runs an undo as a job. Its key is the same over tries and members, so that its effect
 // comes once in its group and window whoever sends it.
 func (d *Desk) send(r duty.Run) {
