Wait for discovery's first word before a new process takes jobs

Ruled out: the watches, which all had told the change (37 gone at each of the others within 0.1 s); late calls, the breaks are all within 1.3 s of the starts. At fault: run() in serve.go waited for the first answer only where lists are pushed.

Now the front serves once the first call has brought something or failed, at most its spread and a second later: where discovery is away the list that was given counts as before. Connections wait in the open socket meanwhile.

TestOldListAtStart fails without.

--- a/cmd/frosttide/list_test.go
+++ b/cmd/frosttide/list_test.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
+	"net"
+	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -86,3 +90,65 @@
 	}
 	return out.String()
 }
+
+// TestOldListAtStart guards rule 3 at a process that begins with the list of one that died long
+// ago: what has changed since binds, so that discovery is heard before a job is taken; and a
+// discovery that says nothing is not waited for without end.
+func TestOldListAtStart(t *testing.T) {
+	t.Parallel()
+	for name, answers := range map[string]bool{"discovery answers": true, "discovery is mute": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gone, there := newRunner(t, "s-1"), newRunner(t, "s-2")
+			disc := newDiscovery(t)
+			sent := make(chan struct{}) // closed once a job waits at the open address
+			got := make(chan answer, 1)
+			if answers {
+				go func() {
+					w := <-disc.watches
+					<-sent
+					w.lines <- list(42, true, there.entry())
+				}()
+			}
+			d := startWith(t, disc.URL, 1024, []string{gone.entry()}, func(d *dispatcher) {
+				req := d.job("render", "first")
+				go func() {
+					var c net.Conn
+					var err error
+					for over := time.Now().Add(patience); c == nil && time.Now().Before(over); runtime.Gosched() {
+						c, err = net.Dial("tcp", d.addr)
+					}
+					if err == nil {
+						err = req.Write(c)
+					}
+					close(sent)
+					if err != nil {
+						got <- answer{Err: err}
+						return
+					}
+					defer c.Close()
+					resp, err := http.ReadResponse(bufio.NewReader(c), req)
+					if err != nil {
+						got <- answer{Err: err}
+						return
+					}
+					resp.Body.Close()
+					got <- answer{Status: resp.StatusCode}
+				}()
+			})
+			from := gone
+			if answers {
+				from = there
+			}
+			h := await(t, from.hops, "job at the runner that is listed")
+			h.reply(202, "")
+			d.report(event(h.id(), from.uid, "done"))
+			if a := await(t, got, "answer"); a.Status != 200 {
+				t.Errorf("answered %+v", a)
+			}
+			if answers && len(gone.hops) > 0 {
+				t.Error("the runner that is gone was sent the job")
+			}
+		})
+	}
+}
--- a/cmd/frosttide/serve.go
+++ b/cmd/frosttide/serve.go
@@ -20,6 +20,7 @@
 	"frosttide/internal/core"
 	"frosttide/internal/egress"
 	"frosttide/internal/export"
+	"frosttide/internal/freshness"
 	"frosttide/internal/handover"
 	"frosttide/internal/ingress"
 	"frosttide/internal/measures"
@@ -200,10 +201,10 @@
 		defer others.end()
 		go others.run(ctx)
 	}
-	if cfg.Names.Pushed { // what the agent has binds from the first moment
+	if heard := freshness.FirstWord(table.Rules()); cfg.Discovery != "" && keeper == nil && len(state.List) == 0 {
 		select {
 		case <-table.Answered():
-		case <-time.After(time.Until(time.Now().Add(cfg.Module.Rules.DrainGrace))): // it says nothing during an outage
+		case <-time.After(time.Until(time.Now().Add(heard))): // it says nothing during an outage
 		}
 	}
 	served := make(chan error, 1)
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -24,6 +24,8 @@
 	answers = 3 * time.Second
 	// Callers is how many dispatchers discovery answers without their spreading out.
 	Callers = 16
+	// firstLine is how long the first call of a process is waited for in discovery's line.
+	firstLine = time.Second
 	// leastGap is the least time between two calls for one list.
 	leastGap = 250 * time.Millisecond
 )
@@ -135,6 +137,16 @@
 	return min(time.Duration(wider), max(min(within-answers, ToldWithin/2), spread))
 }
 
+// FirstWord returns how long a process that has just begun waits at most for discovery's first
+// word before it goes by the list that it was given: that may be as old as the process before it,
+// and what has changed since may bind already. The first call comes within its spread.
+func FirstWord(r Rules) time.Duration {
+	if r.Pushed {
+		return r.Grace
+	}
+	return Spread(r.AskWithin, r.Count, 0) + firstLine
+}
+
 // place returns where in a spread this dispatcher's next call is, from 0 to 1: the numbers
 // lie evenly, and another try of the same is elsewhere.
 func (c *Clock) place() float64 {
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -42,6 +42,23 @@
 	})
 }
 
+// TestFirstWord has a new process wait for discovery's first word, wherever its call is in the
+// spread, and for an agent no longer than work may still be sent by an old list.
+func TestFirstWord(t *testing.T) {
+	for _, tc := range []struct {
+		rules       Rules
+		least, most time.Duration
+	}{
+		{Rules{AskWithin: 10 * time.Second, Count: 300, Grace: time.Second / 2}, 3 * time.Second, 5 * time.Second},
+		{Rules{AskWithin: 10 * time.Second, Count: 3, Grace: time.Second / 2}, time.Second, 2 * time.Second},
+		{Rules{AskWithin: 10 * time.Second, Count: 300, Grace: time.Second / 2, Pushed: true}, time.Second / 2, time.Second / 2},
+	} {
+		if got := FirstWord(tc.rules); got < tc.least || got > tc.most || !tc.rules.Pushed && got <= Spread(tc.rules.AskWithin, tc.rules.Count, 0) {
+			t.Errorf("%+v: it waits %s", tc.rules, got)
+		}
+	}
+}
+
 // TestThroughDiscoverysLine guards the fleet whose watches all fall silent, or whose
 // discovery moves, or is down for a while: discovery answers so many calls a second, one after
 // another, and fails what has waited for a time. Everybody has the list before it binds.
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -212,6 +212,9 @@
 // are pushed nothing may be sent before: what the agent has counts from the first moment.
 func (t *Table) Answered() <-chan struct{} { return t.first }
 
+// Rules are the clock's at the start. It may be called before Run only.
+func (t *Table) Rules() freshness.Rules { return t.clock.Rules }
+
 // Fix tells the whole list where it is fixed and there is no discovery.
 func (t *Table) Fix(known []byte) { t.box.Put(func(t *Table) { t.text(known) }) }
 
