--- a/cmd/frosttide-lab/faults.go
+++ b/cmd/frosttide-lab/faults.go
@@ -15,6 +15,7 @@
 func faultsCommand() *cobra.Command {
 	var binary string
 	var times int
+	var plotTo string
 	cmd := &cobra.Command{
 		Use:   "faults SCRIPT...",
 		Short: "Start several dispatchers, break links and processes as scripts say, and check what is seen",
@@ -28,7 +29,7 @@
 			if times < 1 || times > 1000 {
 				return errors.New("--times is not from 1 to 1000")
 			}
-			broken := 0
+			broken, curves := 0, map[string][][]float64{}
 			for _, path := range paths {
 				text, err := os.ReadFile(path)
 				if err != nil {
@@ -47,12 +48,20 @@
 					for _, line := range got.Timeline {
 						fmt.Fprintln(cmd.OutOrStdout(), line)
 					}
+					if got.Curve != nil {
+						curves[s.Name] = append(curves[s.Name], got.Curve)
+					}
 					if len(got.Broken) > 0 {
 						broken++
 						fmt.Fprintln(cmd.OutOrStdout(), got.Logs)
 					}
 				}
 			}
+			if plotTo != "" {
+				if err := drawCurves(plotTo, curves); err != nil {
+					return err
+				}
+			}
 			if broken > 0 {
 				return fmt.Errorf("%d plays broke something", broken)
 			}
@@ -60,6 +69,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&binary, "binary", "frosttide", "the program")
+	cmd.Flags().StringVar(&plotTo, "plot", "", "draws service around the fault of scripts that take its level, to a file (.svg, .png); several plays as their mean")
 	cmd.Flags().IntVar(&times, "times", 1, "plays of each script")
 	return cmd
 }
--- a/internal/lab/faults/full.go
+++ b/internal/lab/faults/full.go
@@ -146,6 +146,25 @@
 	return nil
 }
 
+// CurveFrom and curveTo are how many tenths of a second of service before and after a fault a
+// run's curve holds.
+const (
+	CurveFrom = 20
+	curveTo   = 120
+)
+
+// curve keeps how service went around the fault.
+func (r *runner) curve() {
+	if r.usual == 0 || r.faultAt.IsZero() {
+		return
+	}
+	at := int(r.faultAt.Sub(r.watch.began) / tenth)
+	for s := max(at-CurveFrom, 0); s < at+curveTo; s++ {
+		served, _ := r.servedIn(s, s+1)
+		r.result.Curve = append(r.result.Curve, float64(served)*10/r.usual)
+	}
+}
+
 // peak returns the most jobs that came to one runner within a second since a tenth.
 func (r *runner) peak(from int) (most int) {
 	since := r.watch.began.Add(time.Duration(from) * tenth)
--- a/internal/lab/faults/many.go
+++ b/internal/lab/faults/many.go
@@ -59,13 +59,21 @@
 		return err
 	}
 	for n := 1; n <= 2; n++ {
-		if status, text := r.flowJob(m, id, n, false); status != http.StatusOK {
+		status, text := r.flowJob(m, id, n, false)
+		for again := 0; status == http.StatusServiceUnavailable && again < mostAgainFlow; again++ { // its client comes again
+			<-time.After(100 * time.Millisecond)
+			status, text = r.flowJob(m, id, n, false)
+		}
+		if status != http.StatusOK {
 			return fmt.Errorf("step %d of %s was answered %d %s", n, id, status, text)
 		}
 	}
 	return nil
 }
 
+// mostAgainFlow is how often a refused step's client comes again.
+const mostAgainFlow = 30
+
 // awaitMany waits until all of them are undone, and says how long that took from the end of
 // their leases.
 func (r *runner) awaitMany(within time.Duration) error {
@@ -87,6 +95,12 @@
 		}
 		<-time.After(50 * time.Millisecond)
 	}
-	r.line("%d workflows are undone %.1f s after the end of their leases", r.manyOf, time.Since(r.manyAt).Seconds())
+	took := time.Since(r.manyAt)
+	r.line("%d workflows are undone %.1f s after the end of their leases", r.manyOf, took.Seconds())
+	if r.usual > 0 {
+		from, to := int(r.manyAt.Sub(r.watch.began)/tenth), int(time.Since(r.watch.began)/tenth)
+		served, other := r.servedIn(from, to)
+		r.line("clients had %.2f of their usual jobs meanwhile, %d of %d were not served", float64(served)/(r.usual*float64(max(to-from, 1))/10), other, served+other)
+	}
 	return nil
 }
--- a/internal/lab/faults/run.go
+++ b/internal/lab/faults/run.go
@@ -19,6 +19,9 @@
 	Timeline []string
 	Broken   []string // rules and invariants; empty for none
 	Logs     string   // the ends of the processes' logs, where something is broken
+	// Curve is what was served in each tenth of a second from CurveFrom before the fault on, as a
+	// share of the level that the script took; nil where it took none.
+	Curve []float64
 }
 
 // Run plays a script with a program, in a folder of its own that exists and is empty.
@@ -53,6 +56,7 @@
 	}
 	r.check(err == nil)
 	r.checkCold()
+	r.curve()
 	r.result.Broken = append(r.result.Broken, f.races()...)
 	if len(r.result.Broken) > 0 {
 		for _, m := range r.running() {
--- a/internal/lab/faults/soak/faults.go
+++ b/internal/lab/faults/soak/faults.go
@@ -7,7 +7,7 @@
 
 // breaks are the faults, each as likely as it stands here.
 var breaks = []func(*draw){(*draw).kill, (*draw).kill, (*draw).kill, (*draw).term, (*draw).stall, (*draw).stall, (*draw).cut, (*draw).cut,
-	(*draw).lossy, (*draw).reset, (*draw).discovery, (*draw).clock, (*draw).slowRunner, (*draw).drain, (*draw).hangUp, (*draw).noise}
+	(*draw).lossy, (*draw).reset, (*draw).discovery, (*draw).clock, (*draw).slowRunner, (*draw).drain, (*draw).hangUp, (*draw).refuse, (*draw).noise, (*draw).fullDisk}
 
 // kill takes one, some or all members away at once, sometimes with a disk of one.
 func (d *draw) kill() {
@@ -20,8 +20,15 @@
 	d.say("kill %s", names(who))
 	d.down = append(d.down, who...)
 	d.lost += len(who)
-	if d.rng.IntN(3) == 0 {
-		d.say("%s %s", []string{"wipe", "lose"}[d.rng.IntN(2)], names(who[:1]))
+	if !d.harmed && d.rng.IntN(2) == 0 {
+		d.harmed = true
+		m := who[d.rng.IntN(len(who))]
+		switch harm := d.rng.IntN(4); {
+		case m+1 == d.kept:
+			d.say("restore d%d", d.kept)
+		case harm < 3:
+			d.say("%s %s", []string{"wipe", "lose", "tear"}[harm], names([]int{m})+[]string{"", "", " log"}[harm])
+		}
 	}
 	if d.rng.IntN(2) == 0 { // they come back in any order, one after the other
 		for _, i := range who {
@@ -148,6 +155,24 @@
 	}
 }
 
+func (d *draw) refuse() {
+	if n := d.runner(); n > 0 {
+		d.say("refuse s-%d", n)
+		d.mends = append(d.mends, fmt.Sprintf("accept s-%d", n))
+	}
+}
+
+// fullDisk has one member write nothing more.
+func (d *draw) fullDisk() {
+	if len(d.steady()) == 0 || d.harmed {
+		return
+	}
+	d.harmed = true
+	m := d.one()
+	d.say("full %s", m)
+	d.mends = append(d.mends, "room "+m)
+}
+
 func (d *draw) noise() {
 	if d.rng.IntN(2) == 0 {
 		d.say("flood %d", 1+d.rng.IntN(60))
--- a/internal/lab/faults/soak/soak.go
+++ b/internal/lab/faults/soak/soak.go
@@ -28,6 +28,7 @@
 	rng   *rand.Rand
 	lines []string
 	n     int // of ids
+	kept  int // whose disk has a copy, from 1; 0 for nobody's
 	round
 }
 
@@ -40,6 +41,7 @@
 	busyRunners   []int    // drained, broken or left out
 	linked        bool     // links are broken
 	deaf          bool     // discovery is
+	harmed        bool     // a disk is, or full: one a round, so that a majority of voters has its log
 	told          bool     // an operator has spoken
 }
 
@@ -77,6 +79,10 @@
 // play writes one round: work, faults with work between them, and the return.
 func (d *draw) play() {
 	d.round = round{}
+	if d.rng.IntN(4) == 0 { // a backup, put back whenever
+		d.kept = 1 + d.rng.IntN(members)
+		d.say("keep d%d", d.kept)
+	}
 	d.work()
 	for range 1 + d.rng.IntN(3) {
 		breaks[d.rng.IntN(len(breaks))](d)
--- a/internal/lab/faults/soak/soak_test.go
+++ b/internal/lab/faults/soak/soak_test.go
@@ -28,7 +28,7 @@
 		for _, step := range s.Steps {
 			w := step.Words
 			if back, ok := map[string]string{"wake": "stall", "speak": "mute", "release": "hold", "unspoil": "spoil", "unhang": "hang",
-				"serve": "drain", "mend": "break", "include": "exclude"}[w[0]]; ok {
+				"accept": "refuse", "room": "full", "serve": "drain", "mend": "break", "include": "exclude"}[w[0]]; ok {
 				delete(open, back+" "+w[1])
 				continue
 			}
@@ -40,7 +40,7 @@
 					}
 					away[m] = w[0] != "start"
 				}
-			case "stall", "mute", "hold", "spoil", "hang", "drain", "break", "exclude":
+			case "stall", "mute", "hold", "spoil", "hang", "drain", "break", "refuse", "full", "exclude":
 				open[w[0]+" "+w[1]] = true
 			case "cut", "lossy", "slow", "heal":
 				open["links"] = w[0] != "heal"
--- a/internal/lab/faults/soak/work.go
+++ b/internal/lab/faults/soak/work.go
@@ -32,6 +32,7 @@
 		key := fmt.Sprintf("flow-undo/%s/%d", id, 1+d.rng.IntN(steps))
 		d.say("spoil %s", key)
 		d.mends = append(d.mends, "unspoil "+key)
+		d.lasts = append(d.lasts, fmt.Sprintf("flow %s %s at %s any", []string{"again", "give-up", "touch"}[d.rng.IntN(3)], id, names([]int{d.rng.IntN(members)})))
 	}
 	switch d.rng.IntN(4) {
 	case 0:
--- a/internal/lab/faults/steps.go
+++ b/internal/lab/faults/steps.go
@@ -39,10 +39,14 @@
 		return r.fleet.start(m)
 	case "rename":
 		m.alias = w[2]
-	case "full":
+	case "full", "room":
+		if !m.up() { // a process that is gone has taken its limit with it
+			return nil
+		}
+		if w[0] == "room" {
+			return limitFiles(m.cmd.Process.Pid, unix.RLIM_INFINITY)
+		}
 		return limitFiles(m.cmd.Process.Pid, 8<<10)
-	case "room":
-		return limitFiles(m.cmd.Process.Pid, unix.RLIM_INFINITY)
 	case "foreign":
 		return r.foreign(m)
 	case "wipe":
