--- a/decision/course.go
+++ b/decision/course.go
@@ -86,20 +86,28 @@
 	}
 }
 
-// lags sends a second copy of a request whose one attempt is far behind its like, out of the
-// credit for retries and by the same rules. What must not run twice has none.
+// lags sends a second copy of a request whose attempt is far behind its like, out of the credit
+// for retries and by the same rules. What must not run twice has none. Where a copy lags too the
+// first attempt gives way: its end is what another is sent at.
 func (d *Dispatcher) lags(r *request) {
-	out := 0
+	out, first := 0, 0
 	for i := range r.attempts {
 		if !r.attempts[i].Ended {
-			out++
+			if out++; out == 1 {
+				first = i
+			}
 		}
 	}
-	if out != 1 || r.rules.Effect == Unsafe || d.retries < 1 {
+	if out < 1 || out > 2 || r.rules.Effect == Unsafe || d.retries < 1 {
 		return
 	}
 	w := d.pick(r, false)
-	if w != nil && r.job.Work/d.rules.Share(w.StartedAt, d.now) < (r.deadline-d.now).Seconds() {
+	if w == nil || r.job.Work/d.rules.Share(w.StartedAt, d.now) >= (r.deadline-d.now).Seconds() {
+		return
+	}
+	if out == 2 {
+		d.cancel(r, first)
+	} else {
 		d.retries--
 		d.send(r, w)
 	}
--- a/decision/lags_test.go
+++ b/decision/lags_test.go
@@ -23,7 +23,9 @@
 		want  int // sends in all
 	}{
 		{"a copy", class, func(*Config) {}, 0, false, 2},
-		{"no further one", class, func(*Config) {}, 0, true, 2},
+		{"the first gives way to a third", class, func(*Config) {}, 0, true, 3},
+		{"no third past the attempts", class, func(c *Config) { c.Limits.MaxAttempts = 2 }, 0, true, 2},
+		{"no third without a recall", class, func(c *Config) { c.Limits.CancelAllowed = false }, 0, true, 2},
 		{"copies are not allowed", class, func(c *Config) { c.Limits.HedgingAllowed = false }, 0, false, 1},
 		{"it has had its attempts", class, func(c *Config) { c.Limits.MaxAttempts = 1 }, 0, false, 1},
 		{"it must not run twice", unsafe, func(*Config) {}, 0, false, 1},
@@ -36,23 +38,31 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		sends, to := 0, map[WorkerID]int{}
+		sends, to, at := 0, map[WorkerID]int{}, map[int]WorkerID{}
 		step := func(now time.Duration, ev Event) {
-			for _, a := range d.Step(now, []Event{ev}, nil) {
-				if a.Type == Send {
-					sends++
-					to[a.Worker]++
+			for events := []Event{ev}; len(events) > 0; {
+				acts := d.Step(now, events, nil)
+				events = nil
+				for _, a := range acts {
+					switch a.Type {
+					case Send:
+						sends++
+						at[a.Attempt] = a.Worker
+						to[a.Worker]++
+					case Cancel:
+						events = append(events, Event{Type: AttemptEnded, Request: 1, Attempt: a.Attempt, Worker: at[a.Attempt], Outcome: Canceled})
+					}
 				}
 			}
 		}
-		step(time.Hour, Event{Type: MembersReplaced, Members: []Member{{Worker: 1}, {Worker: 2, Zone: tc.zone}}})
+		step(time.Hour, Event{Type: MembersReplaced, Members: []Member{{Worker: 1}, {Worker: 2, Zone: tc.zone}, {Worker: 3, Zone: tc.zone}}})
 		step(time.Hour, Event{Type: RequestArrived, Request: 1, Deadline: time.Hour + time.Minute, Slots: 1})
-		step(time.Hour, Event{Type: AttemptStarted, Request: 1, Worker: 1})
+		step(time.Hour, Event{Type: AttemptStarted, Request: 1, Worker: at[0]})
 		step(time.Hour+5*time.Second, Event{Type: RequestLags, Request: 1})
 		if tc.twice {
 			step(time.Hour+6*time.Second, Event{Type: RequestLags, Request: 1})
 		}
-		if sends != tc.want || to[1] > 1 || to[2] > 1 {
+		if sends != tc.want || to[1] > 1 || to[2] > 1 || to[3] > 1 {
 			t.Errorf("%s: %d sends, %v", tc.name, sends, to)
 		}
 	}
--- a/internal/gang/board/board.go
+++ b/internal/gang/board/board.go
@@ -35,6 +35,9 @@
 	keeps = 0.67
 	// starts is how long a copy is taken to wait before it runs, in looks.
 	starts = 1
+	// mostCopies is how often a part is copied: a copy that straggles too is watched as the first
+	// was, and one more takes the first one's place.
+	mostCopies = 2
 )
 
 // Config says how a board judges.
@@ -75,7 +78,8 @@
 type own struct {
 	part.Part
 	Why     verdict.Verdict
-	copied  bool
+	copied  bool // a copy was asked for, and none that is watched has been sent since
+	copies  int  // that were sent
 	givenUp bool
 	keeps   bool // at the last look it went as fast as its peers
 	hinted  bool
@@ -157,13 +161,20 @@
 	return nil
 }
 
-// Sent takes in that an attempt of a part went to a worker. A copy beside another attempt is not
-// watched: the first is.
+// Sent takes in that an attempt of a part went to a worker. A copy is watched in place of the
+// attempt that it stands beside: what that one does is known.
 func (b *Board) Sent(id ID, worker string, attempt int, now time.Duration) {
-	if p := b.find(id); p != nil && !p.copied {
-		p.Send(worker, attempt, now)
+	p := b.find(id)
+	if p == nil {
+		return
+	}
+	if !p.copied {
 		b.budget.Sent()
+	} else if p.copies++; p.copies < mostCopies {
+		p.copied = false
 	}
+	p.Send(worker, attempt, now)
+	p.Why = verdict.Verdict{}
 }
 
 // Started, Reported and Ended take in what workers tell.
--- a/internal/gang/board/board_test.go
+++ b/internal/gang/board/board_test.go
@@ -232,3 +232,41 @@
 	}
 	t.Error("the part that hangs was not copied")
 }
+
+// TestCopyOfACopy has a copy that hangs too make room for another, once, and one that keeps step
+// be left alone.
+func TestCopyOfACopy(t *testing.T) {
+	for name, tc := range map[string]struct {
+		speed float64 // of the first copy
+		want  int
+	}{"the copy hangs too": {0, 2}, "the copy keeps step": {1, 1}} {
+		b := New(Config{Every: 2 * s, Look: s, Copies: true})
+		const of = 12
+		id := func(n int) ID { return ID{"g", n} }
+		for n := 1; n <= of; n++ {
+			b.Join(id(n), of, 60, 999*s)
+			b.Sent(id(n), fmt.Sprint("s-", n), 0, s)
+			b.Started(id(n), 0, s)
+		}
+		copies, began := 0, s
+		for now := s; now <= 60*s; now += s {
+			for n := 2; n <= of && now%(2*s) == s; n++ {
+				b.Reported(id(n), 0, (now-s).Seconds()/60, now)
+			}
+			if copies == 1 && tc.speed > 0 && now%(2*s) == s {
+				b.Reported(id(1), 1, tc.speed*(now-began).Seconds()/60, now)
+			}
+			acts, _ := b.Look(now)
+			for _, a := range acts {
+				if a.Kind == Copy && a.Part == id(1) {
+					copies, began = copies+1, now
+					b.Sent(id(1), fmt.Sprint("t-", copies), copies, now)
+					b.Started(id(1), copies, now)
+				}
+			}
+		}
+		if copies != tc.want {
+			t.Errorf("%s: %d copies, want %d", name, copies, tc.want)
+		}
+	}
+}
--- a/internal/gang/board/judge.go
+++ b/internal/gang/board/judge.go
@@ -46,7 +46,7 @@
 	}
 	out := 0
 	for _, p := range g.own {
-		if over, _ := p.Over(); p.copied && !over {
+		if over, _ := p.Over(); (p.copied || p.copies > 0) && !over {
 			out++
 		}
 	}
--- a/internal/lab/gangs/sim.go
+++ b/internal/lab/gangs/sim.go
@@ -216,22 +216,25 @@
 		id := board.ID{Gang: g.id, N: n}
 		x.parts[id] = p
 		x.boards[p.by].Join(id, x.Size, p.hint, g.at+patience)
-		x.send(p, nil)
+		x.send(p)
 	}
 	x.open = append(x.open, g)
 }
 
-// send puts an attempt at the emptier of two runners drawn, not where another is.
-func (x *sim) send(p *piece, not *runner) {
+// send puts an attempt at the emptier of two runners drawn, not where another was.
+func (x *sim) send(p *piece) {
+	met := func(r *runner) bool {
+		return slices.ContainsFunc(p.attempts, func(a *attempt) bool { return a.runner == r })
+	}
 	var to *runner
 	for range 4 {
 		r := x.runners[x.rng.IntN(len(x.runners))]
-		if r != not && x.now >= x.slow[p.by][fmt.Sprint("s-", r.id)] && (to == nil || len(r.runs)+len(r.wait) < len(to.runs)+len(to.wait)) {
+		if !met(r) && x.now >= x.slow[p.by][fmt.Sprint("s-", r.id)] && (to == nil || len(r.runs)+len(r.wait) < len(to.runs)+len(to.wait)) {
 			to = r
 		}
 	}
 	for to == nil { // all drawn are known to be slow
-		if r := x.runners[x.rng.IntN(len(x.runners))]; r != not {
+		if r := x.runners[x.rng.IntN(len(x.runners))]; !met(r) {
 			to = r
 		}
 	}
@@ -312,7 +315,9 @@
 			if a.Kind == board.Copy && x.Way == Board {
 				p := x.parts[a.Part]
 				x.result.Copies++
-				x.send(p, p.attempts[0].runner)
+				x.found(p)
+				x.giveWay(p)
+				x.send(p)
 			}
 		}
 	}
@@ -323,16 +328,8 @@
 			}
 			a := p.attempts[0]
 			v := x.boards[p.by].State(board.ID{Gang: g.id, N: p.n})
-			if !p.verdict && (v.State == verdict.Straggler || v.State == verdict.Silent) {
-				p.verdict = true
-				if a.runner.speed < 0.6 {
-					x.result.Found++
-					if a.begun > 0 {
-						x.after = append(x.after, (x.now-a.begun).Seconds()/every.Seconds())
-					}
-				} else {
-					x.result.Wrong++
-				}
+			if len(p.attempts) == 1 && (v.State == verdict.Straggler || v.State == verdict.Silent) {
+				x.found(p)
 			}
 			if len(p.attempts) > 1 || a.begun == 0 {
 				continue
@@ -345,12 +342,46 @@
 			}
 			if wants {
 				x.result.Copies++
-				x.send(p, a.runner)
+				x.send(p)
 			}
 		}
 	}
 }
 
+// found counts the verdict on a part's first attempt.
+func (x *sim) found(p *piece) {
+	if p.verdict {
+		return
+	}
+	p.verdict = true
+	switch a := p.attempts[0]; {
+	case a.runner.speed >= 0.6:
+		x.result.Wrong++
+	case a.begun > 0:
+		x.after = append(x.after, (x.now-a.begun).Seconds()/every.Seconds())
+		fallthrough
+	default:
+		x.result.Found++
+	}
+}
+
+// giveWay ends the first of two attempts that are out, as the module does for a third.
+func (x *sim) giveWay(p *piece) {
+	var out []*attempt
+	for _, a := range p.attempts {
+		if !a.over {
+			out = append(out, a)
+		}
+	}
+	if len(out) < 2 {
+		return
+	}
+	a := out[0]
+	a.over = true
+	x.wasted += a.done
+	a.runner.wait = slices.DeleteFunc(a.runner.wait, func(w *attempt) bool { return w == a })
+}
+
 // close tells whether a gang is over: done, or its client has had enough.
 func (x *sim) close(g *gang) bool {
 	if g.left > 0 && x.now < g.at+patience {
