--- a/internal/lab/faults/steps.go
+++ b/internal/lab/faults/steps.go
@@ -56,7 +56,8 @@
 		r.watch.forget(m.name)
 		return errors.Join(os.RemoveAll(logDir), os.RemoveAll(filepath.Join(m.dir, "apart")))
 	case "keep":
-		return os.CopyFS(filepath.Join(m.dir, "kept"), os.DirFS(logDir))
+		to := filepath.Join(m.dir, "kept")
+		return errors.Join(os.RemoveAll(to), os.CopyFS(to, os.DirFS(logDir))) // in an earlier copy's place
 	case "restore":
 		if err := os.RemoveAll(logDir); err != nil {
 			return err
