Bound what is told of exclusions before the log brings it

Seen on reading the change again: an exclusion that changes nothing (said twice) never comes by the log to cluster.out, so that its entry in ahead stayed for as long as the process, one for each name that operators give. What the log has passed is forgotten at its next word. TestAheadIsBounded holds 100 without it.

--- a/internal/cluster/agreed.go
+++ b/internal/cluster/agreed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -19,7 +20,9 @@
 	if c.ahead[d.UID] > d.Index {
 		return // a later word is in force already
 	}
-	delete(c.ahead, d.UID)
+	// What the log has passed binds nothing more, also a word that changed nothing, which does not
+	// come here: so these are no more than were told since the log's last word.
+	maps.DeleteFunc(c.ahead, func(_ string, index uint64) bool { return index <= c.seen })
 	c.carry(d, d.Index)
 }
 
--- a/internal/cluster/agreed_test.go
+++ b/internal/cluster/agreed_test.go
@@ -60,3 +60,16 @@
 		}
 	}
 }
+
+// TestAheadIsBounded has words that were told sooner be forgotten once the log has passed them,
+// though one that changed nothing never comes by it.
+func TestAheadIsBounded(t *testing.T) {
+	c := &Cluster{to: &acting{out: map[string]bool{}}, outs: map[string]bool{}, ahead: map[string]uint64{}}
+	for i := range uint64(100) {
+		c.sooner(ledger.Done{Entry: ledger.Entry{Op: ledger.Exclude, UID: fmt.Sprint(i)}, Index: 10 + i}, 0)
+	}
+	c.out(ledger.Done{Entry: ledger.Entry{Op: ledger.Exclude, UID: "x"}, Index: 200, Changed: true})
+	if len(c.ahead) > 0 {
+		t.Errorf("%d are kept", len(c.ahead))
+	}
+}
