--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -120,6 +120,7 @@
 	adopted *adopted
 	bad     atomic.Int64              // requests refused as malformed, since the last summary
 	crowded atomic.Int64              // jobs refused for want of room, since then
+	giveBy  atomic.Pointer[time.Time] // until when jobs go to a newer process; nil before
 	leaveBy atomic.Pointer[time.Time] // when all that comes now has to be answered; nil before the planned end
 }
 
@@ -185,6 +186,7 @@
 // left, when the newer process has ended, or at the deadline. Guards requests that cross
 // a close: kept connections go with their next use, not before.
 func (f *Front) GiveWay(by time.Time) {
+	f.giveBy.Store(&by)
 	close(f.moving)
 	tick := time.NewTicker(quiet / 25)
 	defer tick.Stop()
--- a/internal/ingress/jobs.go
+++ b/internal/ingress/jobs.go
@@ -160,7 +160,7 @@
 	text.Write(body)
 	more, _ := buffered.Reader.Peek(buffered.Reader.Buffered())
 	text.Write(more)
-	if !f.other.Hand(c, text.Bytes(), m, time.Now().Add(passTime)) {
+	if !f.other.Hand(c, text.Bytes(), m, f.handBy(m)) {
 		// Guards rule 1 against a newer process that has ended: it may have run, unless
 		// it was never sent.
 		status, answer := http.StatusBadGateway, trace.Failed
@@ -174,6 +174,20 @@
 	return true
 }
 
+// handBy is when a job has to be at the newer process: by its own time, and while this one goes on.
+// Guards clients on a busy machine: of 200 handed over at once some took over 500 ms, the time that
+// call-backs have, and failed while the newer process went on with them. One that stands still ends the link.
+func (f *Front) handBy(m *core.Moved) time.Time {
+	by := time.Now().Add(passTime)
+	if until := f.giveBy.Load(); until != nil && until.After(by) {
+		by = *until
+	}
+	if at := time.Unix(0, int64(m.Deadline)); at.Before(by) {
+		return at
+	}
+	return by
+}
+
 // Adopt serves a client's connection that the older process hands over, beginning with
 // the request that was read from it there.
 func (f *Front) Adopt(c net.Conn, request []byte, m *core.Moved) bool {
--- a/internal/ingress/parse_test.go
+++ b/internal/ingress/parse_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"frosttide/internal/core"
 )
 
 // TestTenant guards the shares: a job is its tenant's by name, as the settings in force have
@@ -35,3 +37,20 @@
 		t.Errorf("after new settings it is tenant %d, want 1", got)
 	}
 }
+
+// TestHandBy guards clients that are handed over to a newer process at once with many others: how
+// long that may take ends with the job's own time or with this process, not before.
+func TestHandBy(t *testing.T) {
+	f := New(Config{}, nil, nil, nil, logrus.NewEntry(logrus.New()))
+	now := time.Now()
+	end := now.Add(3 * time.Second)
+	f.giveBy.Store(&end)
+	for _, c := range []struct{ deadline, want time.Time }{
+		{now.Add(time.Minute), end},
+		{now.Add(time.Second), now.Add(time.Second)},
+	} {
+		if by := f.handBy(&core.Moved{Deadline: time.Duration(c.deadline.UnixNano())}); !by.Equal(c.want.Round(0)) {
+			t.Errorf("a job with %v left has to be there %v from now, want %v", c.deadline.Sub(now), by.Sub(now), c.want.Sub(now))
+		}
+	}
+}
--- a/internal/quorum/found.go
+++ b/internal/quorum/found.go
@@ -21,12 +21,12 @@
 		}
 	}
 	v := recovery.Judge(q.cfg.Voters, alive)
-	was := q.lost.Load()
+	was, lost := q.lost.Load(), v.Standing == recovery.Lost && !q.inForce()
 	switch {
-	case v.Standing != recovery.Lost && was != nil:
+	case !lost && was != nil:
 		q.lost.Store(nil)
 		q.log.Info("the agreed log is found again")
-	case v.Standing == recovery.Lost && (was == nil || *was != v.Why):
+	case lost && (was == nil || *was != v.Why):
 		q.lost.Store(&v.Why)
 		q.log.WithField("known", v.Why).Error("the agreed log is lost; nothing is written until an operator says what counts")
 	}
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -242,12 +242,21 @@
 
 // Lost returns what is known of a log that is lost; nil where it is not.
 func (q *Quorum) Lost() error {
-	if why := q.lost.Load(); why != nil {
+	if why := q.lost.Load(); why != nil && !q.inForce() {
 		return fmt.Errorf("%w: %s", ErrLost, *why)
 	}
 	return nil
 }
 
+// inForce tells whether the log here has its name and somebody leads it. Guards a member that has
+// just joined a log begun anew against what gossip says yet of its voters, which is from before: by
+// that it would refuse what operators say for up to lookEvery. A follower that alone has a log
+// whose voters have lost it hears no leader.
+func (q *Quorum) inForce() bool {
+	leader, _ := q.Leader()
+	return leader != "" && q.machine.name() != ""
+}
+
 // LogName returns the log's name, empty where it has none yet.
 func (q *Quorum) LogName() string { return q.machine.name() }
 
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -22,7 +22,8 @@
 func (t told) Formed(string, bool)                 {}
 
 // TestLedBeforeAnybodyListens guards operators and what waits for a leader on a busy machine: an
-// engine that finds its log again may lead before Run has begun to listen.
+// engine that finds its log again may lead before Run has begun to listen. And operators from a
+// verdict of before the log in force began: it does not outlive that.
 func TestLedBeforeAnybodyListens(t *testing.T) {
 	dir, log := t.TempDir(), logrus.New()
 	log.SetOutput(io.Discard)
@@ -55,6 +56,16 @@
 		case <-time.After(10 * time.Second):
 			t.Errorf("nobody was told of the leader; again: %t", again)
 		}
+		for by := time.Now().Add(10 * time.Second); q.LogName() == ""; {
+			if time.Now().After(by) {
+				t.Fatal("the log has no name")
+			}
+		}
+		before := "no voter has it" // what was judged of voters that had not told of their logs yet
+		q.lost.Store(&before)
+		if err := q.Lost(); err != nil {
+			t.Errorf("a log that is led and has its name is taken for lost: %v", err)
+		}
 		stop()
 		<-done
 		q.Close()
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -26,7 +26,7 @@
 	s := Status{ID: string(q.id), Role: strings.ToLower(q.raft.State().String()), Term: q.raft.CurrentTerm(),
 		Last: q.raft.LastIndex(), Applied: q.raft.AppliedIndex(), Contact: -1}
 	s.Leader, _ = q.Leader()
-	if why := q.lost.Load(); why != nil {
+	if why := q.lost.Load(); why != nil && !q.inForce() {
 		s.Lost = *why
 	}
 	if at := q.raft.LastContact(); q.Leads() {
--- a/internal/roster/lists.go
+++ b/internal/roster/lists.go
@@ -14,12 +14,16 @@
 // ---- What discovery says ----
 
 // Start tells the core the list to begin with: the platform's, and of the stored one what
-// may be used. What the table tells from here on is discovery's word.
+// may be used. What the table tells from here on is discovery's word. It comes before Run, and
+// the core has the list when it returns. Guards the first jobs of a process, which were refused
+// where they came to the core before a list that was on its way.
 func (r *Roster) Start() {
-	r.box.Put(func(r *Roster) {
-		r.began = true
-		r.core.ListReplaced(r.all())
-	})
+	r.now = r.clock()
+	for _, message := range r.box.Drain(nil) {
+		message(r)
+	}
+	r.began = true
+	r.core.ListReplaced(r.all())
 }
 
 // all returns the whole list as the core is to see it.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"frosttide/decision"
 	"frosttide/internal/core"
 	"frosttide/internal/rosterstore"
@@ -51,3 +54,31 @@
 		b.ReportMetric(float64(size)/1024, "KiB")
 	})
 }
+
+// listed notes the lists that the core is told; nothing else of it is asked for.
+type listed struct {
+	Core
+	lists [][]core.Route
+}
+
+func (l *listed) ListReplaced(routes []core.Route) { l.lists = append(l.lists, routes) }
+func (l *listed) Restore(core.Snapshot)            {}
+
+// TestStartTellsTheList guards the first jobs of a process that starts from a stored list: the core
+// has it before anybody is served, whenever the actor comes to run.
+func TestStartTellsTheList(t *testing.T) {
+	var l listed
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	parse := func([]byte) (core.Route, error) {
+		return core.Route{UID: "s-1", Addr: "a", Member: decision.Member{State: decision.Ready}}, nil
+	}
+	r := New(Config{Trust: trust.Config{Fresh: time.Hour, Old: time.Hour, Max: time.Hour}}, &l, nil, nil, nil, parse, logrus.NewEntry(log))
+	now := r.clock()
+	r.Begin(&rosterstore.Snapshot{Saved: now, Answered: now, Nodes: []rosterstore.Node{{UID: "s-1", Entry: json.RawMessage(`{}`), Confirmed: now, By: rosterstore.ByList}}}, 1)
+	r.ListReplaced([]core.Route{{UID: "s-2", Addr: "b", Member: decision.Member{State: decision.Ready}}}) // the platform's
+	r.Start()
+	if len(l.lists) != 1 || len(l.lists[0]) != 2 {
+		t.Errorf("before the actor runs the core was told %v", l.lists)
+	}
+}
