Keep room for every client that a newer process is handed

Cause: ingress.Adopt put connections into a queue of 64 and turned down what found none free, though the older process may have as many as it has sockets. TestAdoptAll fails with 64.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -128,7 +128,9 @@
 func New(cfg Config, c Core, other Other, counts Counts, log *logrus.Entry) *Front {
 	f := &Front{cfg: cfg, core: c, other: other, counts: counts, log: log, door: &door{most: cfg.Sockets},
 		moving: make(chan struct{})}
-	f.adopted = &adopted{conns: make(chan net.Conn, 64), over: make(chan struct{}), door: f.door}
+	// Room for all that an older process may have: on a busy machine 200 handed on at once overran 64,
+	// and those that found no room failed.
+	f.adopted = &adopted{conns: make(chan net.Conn, max(cfg.Sockets, 1)), over: make(chan struct{}), door: f.door}
 	f.clients.Store(int64(cfg.Clients))
 	f.classes.Store(&cfg.Classes)
 	f.tenants.Store(&cfg.Tenants)
--- a/internal/ingress/parse_test.go
+++ b/internal/ingress/parse_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"net"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -54,3 +55,15 @@
 		}
 	}
 }
+
+// TestAdoptAll guards clients that are handed over faster than they are served: there is room for as
+// many as a process may have, and one more is told so.
+func TestAdoptAll(t *testing.T) {
+	f := New(Config{Sockets: 200}, nil, nil, nil, logrus.NewEntry(logrus.New()))
+	for i := range 201 {
+		c, _ := net.Pipe()
+		if took := f.Adopt(c, nil, nil); took != (i < 200) {
+			t.Fatalf("connection %d: taken %t", i, took)
+		}
+	}
+}
