Agree on where an undo goes before it is sent; a follower refused is not left behind for good

At fault: where it went stood in soft facts alone (cluster.Tell, two keepers).

Checked: the engine's own lines (a probe into a file) show one rejection for a full disk at 03.05, two sends after it and no 'aborting pipeline' for 30 s; heartbeats, disk and links were whole. At fault is the engine's pipeline (raft 1.7.3): decodeResponses waits for a reader of doneCh that pipelineDecode has left, and AppendEntries for it, before Close can end either.

--- a/internal/cluster/flows.go
+++ b/internal/cluster/flows.go
@@ -11,6 +11,9 @@
 // Flows shows the workflows that members agree on; they must not be kept or changed.
 func (c *Cluster) Flows(show func(*book.Book)) { c.quorum.Flows(show) }
 
+// Seen is how far they go, as the index of an entry.
+func (c *Cluster) Seen() uint64 { return c.quorum.Seen() }
+
 // Rank is this member's place among those that have come back in full, in an order that all
 // draw alike from a name; -1 where it has not itself.
 func (c *Cluster) Rank(name string) int {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 
 	"frosttide/decision"
@@ -230,3 +231,82 @@
 		}
 	}
 }
+
+// agreeing is what members agree on of one job: whether it may go, and where it went before.
+type agreeing struct {
+	before []Fate
+	may    bool
+	asked  []Fate
+	never  int
+}
+
+func (a *agreeing) Before() []Fate { return a.before }
+func (a *agreeing) Never(Fate)     { a.never++ }
+func (a *agreeing) Going(group Fate, _ time.Duration, send func(bool)) {
+	a.asked = append(a.asked, group)
+	send(a.may)
+}
+
+// notes counts what runners are sent.
+type notes struct{ sent map[string]int }
+
+func (n notes) Open(_ decision.WorkerID, uid, _ string) Target {
+	return noted{target{opened{}, uid}, n.sent}
+}
+
+type noted struct {
+	target
+	sent map[string]int
+}
+
+func (n noted) Send(Hop) { n.sent[n.uid]++ }
+
+// TestPlaces guards the effect of a job whose places are agreed on: it is sent nowhere before its
+// group is, and to no other group than it went to, however few of those told of it are left.
+func TestPlaces(t *testing.T) {
+	for name, tc := range map[string]struct {
+		may    bool
+		before []Fate
+		want   map[string]int
+	}{
+		"agreed":           {true, nil, map[string]int{"s-a": 1}},
+		"not agreed":       {false, nil, map[string]int{}},
+		"sent to the far":  {true, []Fate{{Zone: "b"}}, map[string]int{"s-b2": 1}},
+		"its group is out": {true, []Fate{{Zone: "c"}}, map[string]int{}},
+	} {
+		cfg := decision.Config{Zones: 2, Limits: decision.Limits{MaxAttempts: 3}, Classes: []decision.Class{{Effect: decision.Keyed, Group: decision.ScopeZone, Window: time.Hour, Objective: time.Second, GiveUp: time.Hour, WorkerKind: -1}}}
+		to := notes{map[string]int{}}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		c, err := New(cfg, 1, to, noList{}, func(int, int) {}, logrus.NewEntry(log))
+		if err != nil {
+			t.Fatal(err)
+		}
+		fates := &remembering{}
+		c.Remember(fates)
+		c.now = c.clock(time.Now())
+		far := func(uid string, state decision.MemberState) Route {
+			return Route{UID: uid, Addr: uid, ZoneName: "b", Member: decision.Member{Zone: 1, State: state}}
+		}
+		c.listed(decision.MembersChanged, []Route{{UID: "s-a", Addr: "x", ZoneName: "a"}, far("s-b1", decision.Draining), far("s-b2", decision.Ready)})
+		c.step()
+		a, got := &agreeing{before: tc.before, may: tc.may}, make(answers, 1)
+		c.Submit(&Job{ID: "x", Key: "k", Slots: 1, Deadline: time.Now().Add(time.Hour), Places: a}, got)
+		for range 6 {
+			for _, message := range c.box.Drain(nil) {
+				message(c)
+			}
+			if told := fates.told; told != nil {
+				fates.told = nil
+				told(nil)
+			}
+			c.step()
+		}
+		if diff := cmp.Diff(tc.want, to.sent); diff != "" {
+			t.Errorf("%s: sent\n%s", name, diff)
+		}
+		if len(tc.want) == 0 && len(got) == 0 {
+			t.Errorf("%s: it has no answer", name)
+		}
+	}
+}
--- a/internal/core/fates.go
+++ b/internal/core/fates.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"frosttide/decision"
@@ -30,6 +31,18 @@
 	Done(job *Job, group Fate, left time.Duration, result []byte)
 }
 
+// Places remembers for one job where it was sent, in what all members agree on. None of its methods
+// blocks.
+type Places interface {
+	// Before tells where it may have run.
+	Before() []Fate
+	// Going has agreed on that the job goes to a group, whose window ends so long from now. Send is
+	// called once, from any goroutine: with true once it is, else it is not sent.
+	Going(group Fate, left time.Duration, send func(agreed bool))
+	// Never takes back what was agreed on: it surely never ran there.
+	Never(group Fate)
+}
+
 // Remember names who remembers the fates of jobs; nil for nobody. It is called before Run.
 func (c *Core) Remember(f Fates) { c.fates = f }
 
@@ -48,6 +61,9 @@
 				return
 			}
 			delete(c.asking, job)
+			if job.Places != nil {
+				f = merged(f, job.Places.Before())
+			}
 			if len(f) == 0 || c.byID[job.ID] != nil {
 				c.arrived(job, ingress)
 				return
@@ -57,6 +73,19 @@
 	})
 }
 
+// merged adds fates to others; of two of a group the older counts, as its window ends first.
+func merged(f, more []Fate) []Fate {
+	for _, m := range more {
+		i := slices.IndexFunc(f, func(o Fate) bool { return o.Zone == m.Zone && o.Cell == m.Cell })
+		if i < 0 {
+			f = append(f, m)
+		} else {
+			f[i].Age = max(f[i].Age, m.Age)
+		}
+	}
+	return f
+}
+
 // again takes in a job that was sent before, here or by another dispatcher: for the module it is one whose
 // attempts may have run. What must not run twice fails, and what only runners of a group
 // drop that is not listed here is refused, to be tried again.
@@ -131,14 +160,32 @@
 // sending sends a hop once others know of it.
 func (c *Core) sending(r *request, attempt int, w *worker) {
 	r.hops[attempt].told = true
-	c.fates.Sending(r.job, c.group(r.job, w), c.window(r.job), func() {
-		c.box.Put(func(c *Core) {
-			if c.requests[r.ref] == r && !r.hops[attempt].ended {
-				if c.fenced() { // it stood still since
-					c.end(r, attempt, decision.NotSent, nil)
-					return
+	group, left := c.group(r.job, w), c.window(r.job)
+	tell := func() {
+		c.fates.Sending(r.job, group, left, func() {
+			c.box.Put(func(c *Core) {
+				if c.requests[r.ref] == r && !r.hops[attempt].ended {
+					if c.fenced() { // it stood still since
+						c.end(r, attempt, decision.NotSent, nil)
+						return
+					}
+					w.target.Send(c.hop(r, attempt))
 				}
-				w.target.Send(c.hop(r, attempt))
+			})
+		})
+	}
+	if r.job.Places == nil {
+		tell()
+		return
+	}
+	r.job.Places.Going(group, left, func(agreed bool) {
+		if agreed {
+			tell()
+			return
+		}
+		c.box.Put(func(c *Core) {
+			if c.requests[r.ref] == r {
+				c.end(r, attempt, decision.NotSent, nil)
 			}
 		})
 	})
@@ -159,6 +206,9 @@
 		}
 	}
 	c.fates.Free(r.job, group)
+	if r.job.Places != nil {
+		r.job.Places.Never(group)
+	}
 }
 
 // done makes known that a job was done by a hop.
--- a/internal/core/terms.go
+++ b/internal/core/terms.go
@@ -28,6 +28,7 @@
 	Ending   bool          // the deadline is the end of this process
 	Gang     *Gang         // the gang that it is a part of; nil for none
 	Owed     bool          // it undoes what was done: it is not shed as new work is
+	Places   Places        // agrees on where it goes; nil for nobody
 	counted  bool          // the door has let it in and counts it
 	Deadline time.Time
 
--- a/internal/lab/faults/fleet.go
+++ b/internal/lab/faults/fleet.go
@@ -70,7 +70,7 @@
 	if f.net, err = openRelays(s.Members, s.Seed); err != nil {
 		return f, err
 	}
-	f.runners = &runners{slots: s.Slots, queue: s.Queue, at: map[string]*busy{}, work: s.Work, effects: map[string]map[string]int{}, broken: map[string]bool{}, spoilt: map[string]bool{}, turns: map[string]bool{}, cold: s.Cold, warming: map[string]*warming{}, lags: map[string]float64{}, hung: map[string]bool{}, parts: map[string]chan struct{}{}, tries: map[string]int{}, clients: f.clientsOf}
+	f.runners = &runners{slots: s.Slots, queue: s.Queue, at: map[string]*busy{}, work: s.Work, effects: map[string]map[string]int{}, broken: map[string]bool{}, spoilt: map[string]bool{}, unsaid: map[string]bool{}, turns: map[string]bool{}, cold: s.Cold, warming: map[string]*warming{}, lags: map[string]float64{}, hung: map[string]bool{}, parts: map[string]chan struct{}{}, tries: map[string]int{}, clients: f.clientsOf}
 	for i := range s.Runners {
 		uid := fmt.Sprintf("s-%d", i+1)
 		server, addr, err := serve("127.0.0.1:0", f.runners.handler(uid, f.zone(i)))
--- a/internal/lab/faults/run.go
+++ b/internal/lab/faults/run.go
@@ -179,6 +179,11 @@
 		defer r.fleet.runners.mu.Unlock()
 		r.fleet.runners.spoilt[w[1]] = w[0] == "spoil"
 		return nil
+	case "withhold", "tell":
+		r.fleet.runners.mu.Lock()
+		defer r.fleet.runners.mu.Unlock()
+		r.fleet.runners.unsaid[w[1]] = w[0] == "withhold"
+		return nil
 	case "job", "retry":
 		return r.job(w)
 	case "load":
--- a/internal/lab/faults/script.go
+++ b/internal/lab/faults/script.go
@@ -84,6 +84,7 @@
 //	await jobs N                        so many more have come to runners
 //	retry KEY CLASS at WHO STATUS       its client sends it again; the answer's status, 0 for any, or some with commas
 //	clock WHO SECONDS                   the machine's clock is off by so much from now on
+//	withhold|tell KEY                   jobs of a key have their effect and are not said to be done, or are again
 //	load on|off|retrying SHARE          each member's client sends jobs all the time; retrying: so much of what
 //	                                    all runners can do comes at times of its own, and who is refused comes again
 //	flood N                             N changes of the list at once
@@ -123,7 +124,7 @@
 // verbs are the steps there are, and the least words of each.
 var verbs = map[string]int{"await": 2, "exclude": 5, "include": 5, "drain": 2, "serve": 2, "remove": 2, "hold": 2, "release": 2, "cut": 4,
 	"lossy": 7, "slow": 5, "reset": 4, "heal": 1, "stall": 2, "wake": 2, "kill": 2, "term": 2, "start": 2, "wipe": 2, "lose": 2, "tear": 3, "keep": 2,
-	"restore": 2, "snapshot": 2, "leave": 5, "recover": 2, "job": 5, "retry": 6, "rename": 3, "mute": 2, "cli": 4, "break": 2, "mend": 2, "restart": 2, "refuse": 2, "accept": 2, "speak": 2, "full": 2, "room": 2, "clock": 3, "foreign": 2, "many": 5, "gang": 6, "lag": 3, "hang": 2, "unhang": 2, "flow": 6, "spoil": 2, "unspoil": 2, "load": 2, "flood": 2, "garble": 2}
+	"restore": 2, "snapshot": 2, "leave": 5, "recover": 2, "job": 5, "retry": 6, "rename": 3, "mute": 2, "cli": 4, "break": 2, "mend": 2, "restart": 2, "refuse": 2, "accept": 2, "speak": 2, "full": 2, "room": 2, "clock": 3, "foreign": 2, "many": 5, "gang": 6, "lag": 3, "hang": 2, "unhang": 2, "flow": 6, "spoil": 2, "unspoil": 2, "withhold": 2, "tell": 2, "load": 2, "flood": 2, "garble": 2}
 
 // Parse reads a script. Its error names file, line and reason.
 func Parse(name, text string) (*Script, error) {
--- a/internal/lab/faults/standins.go
+++ b/internal/lab/faults/standins.go
@@ -172,6 +172,7 @@
 
 	turns  map[string]bool // runners that turn every job away unseen
 	spoilt map[string]bool // keys of jobs that fail without an effect
+	unsaid map[string]bool // keys of jobs that have their effect and are not said to be done
 	order  []effect        // in the order in which they were had
 
 	mu      sync.Mutex
@@ -218,7 +219,7 @@
 				w.WriteHeader(http.StatusInternalServerError)
 				return
 			}
-			held = s.hold && len(s.effects[key]) == 0 && (!ofFlow || strings.HasSuffix(r.URL.Path, "/hang")) // the first says nothing more; a repeat is answered at once
+			held = s.hold && len(s.effects[key]) == 0 && (!ofFlow || strings.HasSuffix(r.URL.Path, "/hang")) || s.unsaid[key] // the first says nothing more; a repeat is answered at once
 			if s.effects[key][zone] == 0 {
 				s.effects[key][zone] = 1
 				s.order = append(s.order, effect{key, zone, time.Now()})
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -37,6 +37,11 @@
 	trailing     = 512
 	compactEvery = 5 * time.Second
 	rpcTime      = time.Second
+	// oneByOne has the engine send a follower nothing before it has answered the last: several entries
+	// go in one call all the same. Guards followers from a sender that stands still for good: where the
+	// engine sends ahead and a follower refuses one call (a full disk), its sender waits for room behind
+	// the next, which nobody reads any more (raft 1.7.3, netPipeline.AppendEntries and decodeResponses).
+	oneByOne = 1
 	// lookEvery is how often the leader looks after who is in the log's configuration.
 	lookEvery = 500 * time.Millisecond
 	// forgetAfter is how long a follower without a vote may be away before it is taken out;
@@ -118,7 +123,7 @@
 	}
 	q.addr = addressOf(id, port.Advertised())
 	q.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: streams{port.Listener(clusterport.Log), port, id},
-		MaxPool: 2, Timeout: rpcTime, Logger: logger})
+		MaxPool: 2, MaxRPCsInFlight: oneByOne, Timeout: rpcTime, Logger: logger})
 	q.stable = newPatient(stable, log)
 	r, err := raft.NewRaft(engineConfig(q.id, logger), q.machine, logs, q.stable, snaps, advertised{q.trans, q.addr})
 	if err != nil {
@@ -266,6 +271,13 @@
 // Flows shows the workflows that the log has led to here; they must not be kept or changed.
 func (q *Quorum) Flows(show func(*book.Book)) { q.machine.flows(show) }
 
+// Seen returns the last entry that State and Flows rest on.
+func (q *Quorum) Seen() uint64 {
+	q.machine.mu.Lock()
+	defer q.machine.mu.Unlock()
+	return q.machine.state.Index
+}
+
 // Last returns how far the log goes here, 0 for one that has not begun.
 func (q *Quorum) Last() uint64 { return q.raft.LastIndex() }
 
--- a/internal/workflow/book/book.go
+++ b/internal/workflow/book/book.go
@@ -31,8 +31,10 @@
 	Undo   Kind = "undo"   // by its client's or an operator's word
 	Expire Kind = "expire" // Words name workflows whose deadline or lease is over by the entry's time
 	Touch  Kind = "touch"
-	Take   Kind = "take" // Words name workflows that By takes until Until
-	Took   Kind = "took" // Words say what became of undos
+	Take   Kind = "take"  // Words name workflows that By takes until Until
+	Took   Kind = "took"  // Words say what became of undos
+	Goes   Kind = "goes"  // the undo of step N is about to be sent to Place, under Fence
+	Stays  Kind = "stays" // Words say which entries' undos surely never ran
 	Skip   Kind = "skip"
 	Again  Kind = "again"
 	GiveUp Kind = "give-up"
@@ -47,6 +49,7 @@
 	Fence   uint64       `json:"fence,omitempty"`
 	Outcome flow.Outcome `json:"outcome,omitempty"`
 	Why     string       `json:"why,omitempty"`
+	Entry   uint64       `json:"entry,omitempty"` // that is taken back
 }
 
 // Command is an entry of the log.
@@ -62,6 +65,8 @@
 	By       string     `json:"by,omitempty"`
 	Why      string     `json:"why,omitempty"`
 	Words    []Word     `json:"words,omitempty"`
+	Fence    uint64     `json:"fence,omitempty"`
+	Place    flow.Place `json:"place,omitzero"`
 }
 
 // Book is the state. The zero value is empty.
@@ -84,7 +89,7 @@
 	switch c.Kind {
 	case Begin:
 		return b.begin(at, c)
-	case Settle, Expire, Take, Took:
+	case Settle, Expire, Take, Took, Stays:
 		for i := range c.Words {
 			changed = b.word(index, at, c, &c.Words[i]) == nil || changed
 		}
@@ -101,6 +106,8 @@
 				return flow.No(flow.Many, "all undos together take %d bytes, %d is the most", b.Bytes, MostBytes)
 			}
 			return f.Register(c.N, c.Undo, c.Until, at)
+		case Goes:
+			return f.Goes(c.N, c.Fence, index, c.Place, at)
 		case Commit:
 			return f.Commit(c.N, at)
 		case Undo:
@@ -151,6 +158,8 @@
 			return flow.No(flow.Order, "it is not over")
 		case Take:
 			return f.Take(c.By, index, c.Until, at)
+		case Stays:
+			return f.Stays(w.N, w.Fence, w.Entry, at)
 		}
 		return f.TookBack(w.N, w.Fence, w.Outcome, w.Why, at)
 	})
--- a/internal/workflow/book/book_test.go
+++ b/internal/workflow/book/book_test.go
@@ -116,13 +116,14 @@
 		fences := []uint64{0}
 		for i := range rapid.IntRange(1, 120).Draw(t, "words") {
 			now += int64(rapid.IntRange(0, 1500).Draw(t, "ms"))
-			c := Command{Kind: rapid.SampledFrom([]Kind{Begin, Step, Step, Step, Settle, Commit, Undo, Expire, Touch, Take, Take, Took, Took, Took, Took, Skip, Again, GiveUp}).Draw(t, "kind"),
+			c := Command{Kind: rapid.SampledFrom([]Kind{Begin, Step, Step, Step, Settle, Commit, Undo, Expire, Touch, Take, Take, Goes, Goes, Stays, Took, Took, Took, Took, Skip, Again, GiveUp}).Draw(t, "kind"),
 				ID: id.Draw(t, "id"), N: small.Draw(t, "n"), Deadline: now + 20_000, LeaseFor: 8000, Until: now + int64(rapid.IntRange(0, 3000).Draw(t, "until")), By: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "by")}
+			c.Fence, c.Place = rapid.SampledFrom(fences).Draw(t, "by fence"), flow.Place{Zone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), Until: c.Until}
 			if rapid.Bool().Draw(t, "undo") {
 				c.Undo = undoOf(c.N)
 			}
 			w := Word{ID: c.ID, N: c.N, State: rapid.SampledFrom([]flow.State{flow.Done, flow.Never, flow.Doubt}).Draw(t, "state"), Failed: rapid.Bool().Draw(t, "failed"),
-				Fence: rapid.SampledFrom(fences).Draw(t, "fence"), Outcome: rapid.SampledFrom([]flow.Outcome{flow.OK, flow.OK, flow.NotDone, flow.Maybe, flow.Useless}).Draw(t, "outcome")}
+				Fence: rapid.SampledFrom(fences).Draw(t, "fence"), Outcome: rapid.SampledFrom([]flow.Outcome{flow.OK, flow.OK, flow.NotDone, flow.Maybe, flow.Useless}).Draw(t, "outcome"), Entry: uint64(rapid.IntRange(0, i+1).Draw(t, "entry"))}
 			c.Words = []Word{w}
 			before := b.Find(c.ID)
 			if before != nil {
@@ -178,6 +179,71 @@
 	})
 }
 
+// TestGoes guards where an undo went: the word outlives who said it, and only who has the workflow
+// says it or takes back its own.
+func TestGoes(t *testing.T) {
+	var b Book
+	index := uint64(0)
+	say := func(at int64, c Command) string {
+		index++
+		if _, no := b.Apply(index, at, &c); no != nil {
+			return no.Kind
+		}
+		return ""
+	}
+	went := func() (out []string) {
+		for _, p := range b.Find("w").Steps[0].Went {
+			out = append(out, fmt.Sprintf("%s %d-%d by %d", p.Zone, p.At, p.Until, p.Entry))
+		}
+		return out
+	}
+	goes := func(fence uint64, zone string, until int64) Command {
+		return Command{Kind: Goes, ID: "w", N: 1, Fence: fence, Place: flow.Place{Zone: zone, Until: until}}
+	}
+	stays := func(fence, entry uint64) Command {
+		return Command{Kind: Stays, Words: []Word{{ID: "w", N: 1, Fence: fence, Entry: entry}}}
+	}
+	take := func(by string, until int64) Command {
+		return Command{Kind: Take, By: by, Until: until, Words: []Word{{ID: "w"}}}
+	}
+	say(1000, Command{Kind: Begin, ID: "w", Deadline: 60_000, LeaseFor: 10_000})
+	say(1000, Command{Kind: Step, ID: "w", N: 1, Undo: undoOf(1), Until: 1500})
+	for i, step := range []struct {
+		at   int64
+		c    Command
+		kind string
+		want []string
+	}{
+		{1900, goes(0, "a", 9000), flow.Order, nil}, // nothing is undone yet
+		{2000, Command{Kind: Undo, ID: "w"}, "", nil},
+		{2000, take("d1", 5000), "", nil}, // entry 5
+		{2100, goes(5, "a", 9000), "", []string{"a 2100-9000 by 6"}},
+		{2200, goes(5, "a", 9100), "", []string{"a 2100-9000 by 7"}}, // its window begins with the first
+		{2300, stays(5, 6), "", []string{"a 2100-9000 by 7"}},        // of a word that has been said again since
+		{5000, take("d2", 8000), "", []string{"a 2100-9000 by 7"}},   // entry 9
+		{5100, stays(5, 7), "", []string{"a 2100-9000 by 7"}},        // d1 has lost it
+		{5100, goes(5, "b", 9000), flow.Fenced, []string{"a 2100-9000 by 7"}},
+		{5200, goes(9, "b", 9200), "", []string{"a 2100-9000 by 7", "b 5200-9200 by 12"}},
+		{5300, goes(9, "b", 5300), "", []string{"a 2100-9000 by 7", "b 5200-9200 by 13"}},
+		{5400, stays(9, 13), "", []string{"a 2100-9000 by 7"}},
+		{9000, goes(9, "c", 9000), flow.Bad, nil}, // the windows are over
+		{9000, goes(9, "c", 1<<60), "", []string{"c 9000-86409000 by 16"}},
+	} {
+		if kind := say(step.at, step.c); kind != step.kind {
+			t.Errorf("word %d: refused as %q, want %q", i, kind, step.kind)
+		}
+		if diff := cmp.Diff(step.want, went(), cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("word %d:\n%s", i, diff)
+		}
+	}
+	for i := range flow.MostPlaces {
+		kind := say(9000, goes(9, fmt.Sprint("z", i), 20_000))
+		if (kind == flow.Large) != (i+1 == flow.MostPlaces) {
+			t.Errorf("place %d: %q", i+2, kind)
+		}
+	}
+}
+
 // TestBounds has what is past a bound refused, and nothing half taken in.
 func TestBounds(t *testing.T) {
 	var b Book
--- a/internal/workflow/desk/desk.go
+++ b/internal/workflow/desk/desk.go
@@ -27,6 +27,8 @@
 	Propose(context.Context, ledger.Entry) (ledger.Done, error)
 	// Flows shows the book as far as it is known here; it must not be kept or changed.
 	Flows(func(*book.Book))
+	// Seen is how far the book that is shown goes, as the index of an entry.
+	Seen() uint64
 	// Now is the members' time since 1970.
 	Now() time.Duration
 	// Rank is this member's place among those that may work, in an order that all draw alike
@@ -84,9 +86,21 @@
 	lost  atomic.Uint64  // words that found no room
 	done  sync.WaitGroup
 	ran   atomic.Uint64
+	said  atomic.Pointer[said] // what a plan of ours came to last; nil for none
 	begun time.Time
 }
 
+// said is an entry that a plan of ours came to.
+type said struct {
+	index uint64
+	at    time.Time
+}
+
+// sayAgain is when a member whose copy does not come to what it has said plans by it all the same.
+// Guards the log against one whose copy stands still: it would say the same by its old book at each
+// look, 20 entries a second. And that one against a log that has begun anew.
+const sayAgain = duty.LeaseFor * time.Millisecond
+
 // word is what became of a step, or of an undo.
 type word struct {
 	kind  book.Kind
@@ -150,6 +164,9 @@
 		if d.log.Rank("") < 0 { // it has not come back far enough to take on what others left
 			continue
 		}
+		if last := d.said.Load(); last != nil && d.log.Seen() < last.index && time.Since(last.at) < sayAgain {
+			continue // what was planned last has not come here
+		}
 		var live []*flow.Flow
 		now := d.log.Now().Milliseconds()
 		d.log.Flows(func(b *book.Book) {
@@ -220,7 +237,8 @@
 	}
 	by := time.Now().Add(class.GiveUp) // past the lease's end too: it is taken on meanwhile
 	job := &core.Job{ID: fmt.Sprintf("%s.undo-%016x-%d-%x", d.cfg.Name, xxhash.Sum64String(r.ID), r.N, time.Since(d.begun).Nanoseconds()), Method: "POST",
-		Resource: r.Undo.Path, Key: key, Body: r.Undo.Body, Class: class.Number, Slots: 1, Deadline: by, Owed: true}
+		Resource: r.Undo.Path, Key: key, Body: r.Undo.Body, Class: class.Number, Slots: 1, Deadline: by, Owed: true,
+		Places: &places{d: d, run: r, by: by, went: map[core.Fate]uint64{}}}
 	d.jobs.Submit(job, answered(func(a core.Answer) {
 		switch a.Verdict {
 		case core.Served:
--- /dev/null
+++ b/internal/workflow/desk/places.go
@@ -0,0 +1,77 @@
+package desk
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"frosttide/internal/core"
+	"frosttide/internal/ledger"
+	"frosttide/internal/workflow/book"
+	"frosttide/internal/workflow/duty"
+	"frosttide/internal/workflow/flow"
+)
+
+// places has agreed on where one undo goes before it is sent there. It is the job's: there are no
+// more of them than undos under way.
+type places struct {
+	d   *Desk
+	run duty.Run
+	by  time.Time // the job's own time
+
+	mu   sync.Mutex
+	went map[core.Fate]uint64 // groups of this run, and by which entry
+}
+
+// Before tells where the log has it that the undo may have run.
+func (p *places) Before() (out []core.Fate) {
+	now := p.d.log.Now()
+	for _, w := range p.run.Went {
+		out = append(out, core.Fate{Zone: w.Zone, Cell: w.Cell, Age: max(now-time.Duration(w.At)*time.Millisecond, 0)})
+	}
+	return out
+}
+
+// Going has the log say that it goes to a group. A group that this run has gone to, and that was
+// not taken back, needs no second word.
+func (p *places) Going(group core.Fate, left time.Duration, send func(bool)) {
+	p.mu.Lock()
+	_, there := p.went[group]
+	p.mu.Unlock()
+	if there {
+		send(true)
+		return
+	}
+	go func() { // it ends with the job's time at the latest
+		ctx, cancel := context.WithDeadline(context.Background(), earlier(p.by, time.Now().Add(writeTime)))
+		defer cancel()
+		done, err := p.d.log.Propose(ctx, ledger.Entry{Op: ledger.Flow, UID: p.run.ID, Flow: &book.Command{Kind: book.Goes, ID: p.run.ID, N: p.run.N, Fence: p.run.Fence,
+			Place: flow.Place{Zone: group.Zone, Cell: group.Cell, Until: (p.d.log.Now() + left).Milliseconds()}}})
+		agreed := err == nil && done.Refused == ""
+		if agreed {
+			p.mu.Lock()
+			p.went[group] = done.Index
+			p.mu.Unlock()
+		}
+		send(agreed)
+	}()
+}
+
+// Never takes the word back. One that finds no room stays: the undo is bound to the group for its
+// window.
+func (p *places) Never(group core.Fate) {
+	p.mu.Lock()
+	entry := p.went[group]
+	delete(p.went, group)
+	p.mu.Unlock()
+	if entry > 0 {
+		p.d.put(word{kind: book.Stays, Word: book.Word{ID: p.run.ID, N: p.run.N, Fence: p.run.Fence, Entry: entry}})
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/workflow/desk/store.go
+++ b/internal/workflow/desk/store.go
@@ -33,17 +33,21 @@
 	for _, id := range ids {
 		c.Words = append(c.Words, book.Word{ID: id})
 	}
-	d.write(ctx, c)
+	if index := d.write(ctx, c); index > 0 {
+		d.said.Store(&said{index, time.Now()})
+	}
 }
 
-func (d *Desk) write(ctx context.Context, c *book.Command) (agreed bool) {
+// write has a command agreed on and returns the index of its entry, 0 where nobody knows.
+func (d *Desk) write(ctx context.Context, c *book.Command) (index uint64) {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(writeTime))
 	defer cancel()
-	if _, err := d.log.Propose(ctx, ledger.Entry{Op: ledger.Flow, Flow: c}); err != nil {
+	done, err := d.log.Propose(ctx, ledger.Entry{Op: ledger.Flow, Flow: c})
+	if err != nil {
 		d.line.WithError(err).WithField("kind", c.Kind).Debug("a word on workflows was not written")
-		return false
+		return 0
 	}
-	return true
+	return done.Index
 }
 
 // storeWords has what became of steps and undos written, several at a time.
@@ -72,7 +76,7 @@
 			for _, w := range list {
 				c.Words = append(c.Words, w.Word)
 			}
-			agreed := d.write(ctx, c)
+			agreed := d.write(ctx, c) > 0
 			if kind != book.Took {
 				continue
 			}
--- a/internal/workflow/duty/duty.go
+++ b/internal/workflow/duty/duty.go
@@ -27,6 +27,7 @@
 	Fence uint64
 	Tries int
 	Undo  flow.Undo
+	Went  []flow.Place // where it may have had its effect, its windows not over
 }
 
 // Plan is what is to be done.
@@ -58,7 +59,7 @@
 			if room > 0 && !busy(f.ID) {
 				n := f.Next()
 				s := &f.Steps[n-1]
-				p.Run = append(p.Run, Run{f.ID, n, f.Fence, s.Tries, s.Undo})
+				p.Run = append(p.Run, Run{f.ID, n, f.Fence, s.Tries, s.Undo, went(s, now)})
 				room--
 				taken--
 			} else if busy(f.ID) {
@@ -74,4 +75,13 @@
 	return p
 }
 
+func went(s *flow.Step, now int64) (out []flow.Place) {
+	for _, p := range s.Went {
+		if p.Until > now {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 func overdueAt(f *flow.Flow) int64 { return min(f.Deadline, f.Lease) }
--- a/internal/workflow/flow/flow.go
+++ b/internal/workflow/flow/flow.go
@@ -75,6 +75,8 @@
 	Tries int    `json:"tries,omitempty"` // of its undo, that failed
 	Next  int64  `json:"next,omitempty"`  // its undo is not tried before
 	Why   string `json:"why,omitempty"`   // of the last failure
+	// Went is where its undo was sent, and may have had its effect.
+	Went []Place `json:"went,omitempty"`
 }
 
 // Flow is a workflow.
@@ -270,7 +272,7 @@
 func (f *Flow) Bytes() int {
 	n := 256 + len(f.ID)
 	for i := range f.Steps {
-		n += f.Steps[i].Undo.Bytes()
+		n += f.Steps[i].Undo.Bytes() + 64*len(f.Steps[i].Went)
 	}
 	return n
 }
@@ -279,5 +281,8 @@
 func (f *Flow) Clone() *Flow {
 	c := *f
 	c.Steps = slices.Clone(f.Steps)
+	for i := range c.Steps {
+		c.Steps[i].Went = slices.Clone(c.Steps[i].Went)
+	}
 	return &c
 }
--- a/internal/workflow/flow/undo.go
+++ b/internal/workflow/flow/undo.go
@@ -25,6 +25,7 @@
 		f.Holder, f.Held = "", 0
 		for i := range f.Steps { // what they held is given back
 			f.Steps[i].Undo = Undo{Class: f.Steps[i].Undo.Class, Path: f.Steps[i].Undo.Path}
+			f.Steps[i].Went = nil
 		}
 	}
 }
@@ -74,19 +75,12 @@
 
 // TookBack takes in what became of the undo of a step, by who has it.
 func (f *Flow) TookBack(n int, fence uint64, o Outcome, why string, at int64) *Refusal {
-	switch {
-	case f.Phase != Undoing:
-		return No(Order, "the workflow is %s", f.Phase)
-	case fence != f.Fence:
-		return No(Fenced, "it was taken by entry %d since", f.Fence)
-	case n != f.Next():
-		return No(Order, "the undo of step %d is next", f.Next())
-	case at < f.Ready():
-		return No(Order, "step %d is not settled yet", n)
+	s, no := f.next(n, fence, at)
+	if no != nil {
+		return no
 	}
-	s := &f.Steps[n-1]
 	if o == OK {
-		s.State, s.Why = Taken, ""
+		s.State, s.Why, s.Went = Taken, "", nil
 		if f.Next() == 0 {
 			f.enter(Undone, f.Why, at)
 		}
--- a/internal/workflow/front/front_test.go
+++ b/internal/workflow/front/front_test.go
@@ -45,6 +45,7 @@
 
 func (l *log) Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
 func (l *log) Rank(string) int    { return 0 }
+func (l *log) Seen() uint64       { return 1 << 62 }
 
 // TestCalls has every call that can't be meant answered by what is wrong, and nothing half
 // taken in.
