--- a/internal/cluster/agreed.go
+++ b/internal/cluster/agreed.go
@@ -59,8 +59,9 @@
 	}
 	s := c.quorum.Status()
 	state := c.quorum.State()
-	if s.Leader == "" || s.Contact < 0 || s.Last == 0 || s.Applied < s.Last || state.Log == "" {
-		return // before it has its name it may have to say yet what was kept of another
+	c.askHowFar()
+	if !caughtUp(&s, state.Log, c.reaches) {
+		return
 	}
 	c.settled = true
 	other := c.knew != nil && c.knew.Log != "" && c.knew.Log != state.Log
@@ -76,6 +77,36 @@
 	c.keepOuts(s.Applied)
 }
 
+// caughtUp tells whether all that was agreed on before the leader was asked is known here; reaches is how
+// far its log went, 0 for unknown. Guards rule 3 at a member that starts again behind the others: what
+// its operators were told, and its own log has not yet, would be put back until that comes. And before
+// the log has its name it may have to say yet what was kept of another.
+func caughtUp(s *quorum.Status, log string, reaches uint64) bool {
+	return s.Leader != "" && s.Contact >= 0 && reaches > 0 && s.Applied >= max(s.Last, reaches) && log != ""
+}
+
+// askHowFar has the leader asked how far its log goes; what it says comes before the next look.
+func (c *Cluster) askHowFar() {
+	_, addr := c.quorum.Leader()
+	if addr == "" {
+		return
+	}
+	c.done.Add(1)
+	go func() { // one at a time, as it ends before the next look
+		defer c.done.Done()
+		ctx, cancel := context.WithDeadline(c.ctx, time.Now().Add(expireEvery))
+		defer cancel()
+		last := c.quorum.Last()
+		if !c.quorum.Leads() {
+			var err error
+			if last, err = c.lastOf(ctx, addr); err != nil {
+				return
+			}
+		}
+		c.box.Put(func(c *Cluster) { c.reaches = last })
+	}()
+}
+
 // left is what is left out here, as the log would have it.
 func (c *Cluster) left() map[string]ledger.Done {
 	out := map[string]ledger.Done{}
--- a/internal/cluster/agreed_test.go
+++ b/internal/cluster/agreed_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"frosttide/internal/ledger"
+	"frosttide/internal/quorum"
 )
 
 // acting is a dispatcher that does as it is told.
@@ -73,3 +74,29 @@
 		t.Errorf("%d are kept", len(c.ahead))
 	}
 }
+
+// TestCaughtUp guards what operators were told from a member that starts again behind the others.
+func TestCaughtUp(t *testing.T) {
+	at := func(leader string, contact float64, last, applied uint64) quorum.Status {
+		return quorum.Status{Leader: leader, Contact: contact, Last: last, Applied: applied}
+	}
+	for name, tc := range map[string]struct {
+		s       quorum.Status
+		log     string
+		reaches uint64
+		want    bool
+	}{
+		"all is here":                  {at("d1", 0.1, 9, 9), "log", 9, true},
+		"more has come since":          {at("d1", 0.1, 12, 12), "log", 9, true},
+		"behind the leader":            {at("d1", 0.1, 5, 5), "log", 9, false},
+		"not applied yet":              {at("d1", 0.1, 9, 8), "log", 9, false},
+		"the leader has not answered":  {at("d1", 0.1, 5, 5), "log", 0, false},
+		"nobody leads":                 {at("", 0.1, 9, 9), "log", 9, false},
+		"the leader was not heard yet": {at("d1", -1, 9, 9), "log", 9, false},
+		"it has no name yet":           {at("d1", 0.1, 9, 9), "", 9, false},
+	} {
+		if got := caughtUp(&tc.s, tc.log, tc.reaches); got != tc.want {
+			t.Errorf("%s: %t", name, got)
+		}
+	}
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -101,6 +101,7 @@
 	knew    *mark.Mark        // what was kept apart from the log at the start; nil for nothing
 	fresh   []replica.Fact    // taken in since the dispatcher was told
 	found   map[string]told   // what this member has said of runners' health last
+	reaches uint64            // how far the leader's log went when it was asked; 0 for unknown
 	settled bool              // what was left out at the start has been held against the log
 	told    counts
 	behind  int // buckets that differed at the last comparison
