--- a/internal/workflow/flow/flow.go
+++ b/internal/workflow/flow/flow.go
@@ -272,7 +272,10 @@
 func (f *Flow) Bytes() int {
 	n := 256 + len(f.ID)
 	for i := range f.Steps {
-		n += f.Steps[i].Undo.Bytes() + 64*len(f.Steps[i].Went)
+		n += f.Steps[i].Undo.Bytes()
+		for _, p := range f.Steps[i].Went { // of one step at a time: the next
+			n += 64 + len(p.Zone)
+		}
 	}
 	return n
 }
--- a/internal/workflow/flow/undo.go
+++ b/internal/workflow/flow/undo.go
@@ -99,7 +99,7 @@
 	if f.Phase != Stuck || n != f.Next() {
 		return No(Order, "the undo of step %d is not stuck", n)
 	}
-	f.Steps[n-1].State = Skipped
+	f.Steps[n-1].State, f.Steps[n-1].Went = Skipped, nil
 	f.enter(Undoing, f.Why, at)
 	return nil
 }
