Keep an undo bound to its group while any try there may have run

Found on reading the change again: the word that a try surely never ran dropped the group's place though an earlier try to the same group may have run (flow.Stays matched the last entry alone), so that the undo could have its effect in a second group. A place keeps the entries that rest on it, 8 told apart, and goes with the last; past 8 it stays for its window.

--- a/internal/workflow/book/book_test.go
+++ b/internal/workflow/book/book_test.go
@@ -193,7 +193,7 @@
 	}
 	went := func() (out []string) {
 		for _, p := range b.Find("w").Steps[0].Went {
-			out = append(out, fmt.Sprintf("%s %d-%d by %d", p.Zone, p.At, p.Until, p.Entry))
+			out = append(out, fmt.Sprintf("%s %d-%d by %v", p.Zone, p.At, p.Until, p.Entries))
 		}
 		return out
 	}
@@ -217,17 +217,19 @@
 		{1900, goes(0, "a", 9000), flow.Order, nil}, // nothing is undone yet
 		{2000, Command{Kind: Undo, ID: "w"}, "", nil},
 		{2000, take("d1", 5000), "", nil}, // entry 5
-		{2100, goes(5, "a", 9000), "", []string{"a 2100-9000 by 6"}},
-		{2200, goes(5, "a", 9100), "", []string{"a 2100-9000 by 7"}}, // its window begins with the first
-		{2300, stays(5, 6), "", []string{"a 2100-9000 by 7"}},        // of a word that has been said again since
-		{5000, take("d2", 8000), "", []string{"a 2100-9000 by 7"}},   // entry 9
-		{5100, stays(5, 7), "", []string{"a 2100-9000 by 7"}},        // d1 has lost it
-		{5100, goes(5, "b", 9000), flow.Fenced, []string{"a 2100-9000 by 7"}},
-		{5200, goes(9, "b", 9200), "", []string{"a 2100-9000 by 7", "b 5200-9200 by 12"}},
-		{5300, goes(9, "b", 5300), "", []string{"a 2100-9000 by 7", "b 5200-9200 by 13"}},
-		{5400, stays(9, 13), "", []string{"a 2100-9000 by 7"}},
+		{2100, goes(5, "a", 9000), "", []string{"a 2100-9000 by [6]"}},
+		{2200, goes(5, "a", 9100), "", []string{"a 2100-9000 by [6 7]"}}, // its window begins with the first
+		{2300, stays(5, 6), "", []string{"a 2100-9000 by [7]"}},          // the other may have run
+		{5000, take("d2", 8000), "", []string{"a 2100-9000 by [7]"}},     // entry 9
+		{5100, stays(5, 7), "", []string{"a 2100-9000 by [7]"}},          // d1 has lost it
+		{5100, goes(5, "b", 9000), flow.Fenced, []string{"a 2100-9000 by [7]"}},
+		{5200, goes(9, "b", 9200), "", []string{"a 2100-9000 by [7]", "b 5200-9200 by [12]"}},
+		{5300, goes(9, "b", 5300), "", []string{"a 2100-9000 by [7]", "b 5200-9200 by [12 13]"}},
+		{5400, stays(9, 13), "", []string{"a 2100-9000 by [7]", "b 5200-9200 by [12]"}}, // an earlier try may have run
+		{5500, stays(9, 12), "", []string{"a 2100-9000 by [7]"}},
+		{5600, stays(9, 0), "", []string{"a 2100-9000 by [7]"}},
 		{9000, goes(9, "c", 9000), flow.Bad, nil}, // the windows are over
-		{9000, goes(9, "c", 1<<60), "", []string{"c 9000-86409000 by 16"}},
+		{9000, goes(9, "c", 1<<60), "", []string{"c 9000-86409000 by [18]"}},
 	} {
 		if kind := say(step.at, step.c); kind != step.kind {
 			t.Errorf("word %d: refused as %q, want %q", i, kind, step.kind)
@@ -236,6 +238,15 @@
 			t.Errorf("word %d:\n%s", i, diff)
 		}
 	}
+	for range 20 { // more than are told apart: the place stays for its window
+		say(9000, goes(9, "c", 20_000))
+	}
+	for entry := range index {
+		say(9000, stays(9, entry+1))
+	}
+	if got := went(); len(got) != 1 {
+		t.Errorf("after more words than are told apart, all taken back, it is at %v", got)
+	}
 	for i := range flow.MostPlaces {
 		kind := say(9000, goes(9, fmt.Sprint("z", i), 20_000))
 		if (kind == flow.Large) != (i+1 == flow.MostPlaces) {
--- a/internal/workflow/desk/places.go
+++ b/internal/workflow/desk/places.go
@@ -33,7 +33,8 @@
 }
 
 // Going has the log say that it goes to a group. A group that this run has gone to, and that was
-// not taken back, needs no second word.
+// not taken back, needs no second word. An entry that comes to be after it was given up binds the undo
+// for its window, as nobody can tell it from one that was sent by.
 func (p *places) Going(group core.Fate, left time.Duration, send func(bool)) {
 	p.mu.Lock()
 	_, there := p.went[group]
@@ -43,7 +44,11 @@
 		return
 	}
 	go func() { // it ends with the job's time at the latest
-		ctx, cancel := context.WithDeadline(context.Background(), earlier(p.by, time.Now().Add(writeTime)))
+		by := time.Now().Add(writeTime)
+		if p.by.Before(by) {
+			by = p.by
+		}
+		ctx, cancel := context.WithDeadline(context.Background(), by)
 		defer cancel()
 		done, err := p.d.log.Propose(ctx, ledger.Entry{Op: ledger.Flow, UID: p.run.ID, Flow: &book.Command{Kind: book.Goes, ID: p.run.ID, N: p.run.N, Fence: p.run.Fence,
 			Place: flow.Place{Zone: group.Zone, Cell: group.Cell, Until: (p.d.log.Now() + left).Milliseconds()}}})
@@ -68,10 +73,3 @@
 		p.d.put(word{kind: book.Stays, Word: book.Word{ID: p.run.ID, N: p.run.N, Fence: p.run.Fence, Entry: entry}})
 	}
 }
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/internal/workflow/flow/flow.go
+++ b/internal/workflow/flow/flow.go
@@ -274,7 +274,7 @@
 	for i := range f.Steps {
 		n += f.Steps[i].Undo.Bytes()
 		for _, p := range f.Steps[i].Went { // of one step at a time: the next
-			n += 64 + len(p.Zone)
+			n += 64 + len(p.Zone) + 8*len(p.Entries)
 		}
 	}
 	return n
--- a/internal/workflow/flow/place.go
+++ b/internal/workflow/flow/place.go
@@ -8,9 +8,13 @@
 	Cell  int    `json:"cell,omitempty"`
 	At    int64  `json:"at"`    // ms since 1970, of the first that may have run: its window begins
 	Until int64  `json:"until"` // and ends
-	Entry uint64 `json:"entry"` // of the log, by which it was last said
+	// Entries are those of the log that said so and were not taken back; 0 for one that can't be.
+	Entries []uint64 `json:"entries"`
 }
 
+// mostEntries bounds how many of a place are told apart; past it the place stays for its window.
+const mostEntries = 8
+
 // MostPlaces bounds where an undo may have gone at a time. One more is not sent.
 const MostPlaces = 16
 
@@ -26,7 +30,11 @@
 	}
 	s.Went = slices.DeleteFunc(s.Went, func(o Place) bool { return o.Until <= at }) // its window is over
 	if i := slices.IndexFunc(s.Went, func(o Place) bool { return o.same(&p) }); i >= 0 {
-		s.Went[i].Entry = entry
+		if w := &s.Went[i]; len(w.Entries) < mostEntries {
+			w.Entries = append(slices.Clip(w.Entries), entry) // clones share what they had
+		} else {
+			w.Entries = append([]uint64{0}, w.Entries[1:]...)
+		}
 		return nil
 	}
 	switch {
@@ -35,19 +43,26 @@
 	case len(s.Went) >= MostPlaces:
 		return No(Large, "the undo of step %d may be in %d groups already", n, MostPlaces)
 	}
-	p.At, p.Until, p.Entry = at, min(p.Until, at+longest), entry
+	p.At, p.Until, p.Entries = at, min(p.Until, at+longest), []uint64{entry}
 	s.Went = append(s.Went, p)
 	return nil
 }
 
-// Stays takes in that what an entry had said to go to a group surely never ran. A later entry about
-// the same group counts on.
+// Stays takes in that what an entry had said to go to a group surely never ran. What another entry says
+// of the group counts on. Guards an undo that may have run there in an earlier try: the one after it, which no
+// runner took, would set it free for another group.
 func (f *Flow) Stays(n int, fence, entry uint64, at int64) *Refusal {
 	s, no := f.next(n, fence, at)
 	if no != nil {
 		return no
 	}
-	s.Went = slices.DeleteFunc(s.Went, func(o Place) bool { return o.Entry == entry })
+	if entry == 0 {
+		return No(Bad, "no entry is named")
+	}
+	for i := range s.Went {
+		s.Went[i].Entries = slices.DeleteFunc(slices.Clone(s.Went[i].Entries), func(e uint64) bool { return e == entry })
+	}
+	s.Went = slices.DeleteFunc(s.Went, func(o Place) bool { return len(o.Entries) == 0 })
 	return nil
 }
 
