Hold a run's loopback network for its whole length, so that two runs never share one

TestShortLeader and TestForce run in two processes; both probed for a free network and released it before use, so both could draw 127.92 (listen: address already in use). A run now keeps a listener in the network until it ends; TestHoldNetwork fails on the probing version.

--- a/internal/lab/scale/force.go
+++ b/internal/lab/scale/force.go
@@ -92,11 +92,12 @@
 		return out, err
 	}
 	defer os.RemoveAll(dir)
-	number, err := freeNetwork()
+	held, err := holdNetwork()
 	if err != nil {
 		return out, err
 	}
-	cfg := hollow.Config{Count: p.Members, Network: number, Dir: dir}
+	defer held.Close()
+	cfg := hollow.Config{Count: p.Members, Network: held.Number, Dir: dir}
 	for i := range forceVoters {
 		cfg.Voters = append(cfg.Voters, hollow.Name(i))
 	}
--- a/internal/lab/scale/member.go
+++ b/internal/lab/scale/member.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"os"
 	"slices"
 	"sync"
@@ -61,15 +59,16 @@
 		return Point{}, err
 	}
 	defer os.RemoveAll(dir)
-	number, err := freeNetwork()
+	held, err := holdNetwork()
 	if err != nil {
 		return Point{}, err
 	}
-	own := &size.Member{Listen: fmt.Sprintf("127.%d.250.1:7946", number), Voter: r.beside.leads, Voters: []string{hollow.Name(0)}}
+	defer held.Close()
+	own := &size.Member{Listen: fmt.Sprintf("127.%d.250.1:7946", held.Number), Voter: r.beside.leads, Voters: []string{hollow.Name(0)}}
 	if r.beside.leads {
 		own.Voters = []string{size.Name}
 	}
-	cfg := hollow.Config{Count: r.beside.members - 1, Network: number, Voters: own.Voters, Dir: dir, Join: []string{own.Listen}}
+	cfg := hollow.Config{Count: r.beside.members - 1, Network: held.Number, Voters: own.Voters, Dir: dir, Join: []string{own.Listen}}
 	own.Join = cfg.Addrs(3)
 	fleet, err := hollow.Open(cfg)
 	if err != nil {
@@ -106,18 +105,6 @@
 	return float64(all[len(all)/2])
 }
 
-// freeNetwork returns the number of a network in which nobody plays members.
-func freeNetwork() (int, error) {
-	for n := network; n < network+networks; n++ {
-		l, err := net.Listen("tcp4", hollow.Config{Count: 1, Network: n}.Addrs(1)[0])
-		if err == nil {
-			l.Close()
-			return n, nil
-		}
-	}
-	return 0, errors.New("members: all networks for them are in use")
-}
-
 // stands waits until all members know each other and all but the leader follow the log, which takes
 // them in one after the other.
 func stands(ctx context.Context, f *hollow.Fleet, own *size.Member, members int) error {
