--- /dev/null
+++ b/internal/control/journal/file.go
@@ -0,0 +1,113 @@
+package journal
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	fileName    = "state"
+	newName     = "state.new"
+	damagedName = "state.damaged"
+	fileMode    = 0o600
+)
+
+// File is a member's file on a disk. Its calls block for the disk; it is not safe for concurrent use.
+type File struct {
+	dir  string
+	file *os.File
+}
+
+// Open reads the file of a folder, which is made if it is missing, and leaves it cut after its last
+// good record. A file that is damaged is put aside, and the state returned is empty together with
+// ErrDamaged: the member comes back as one that has lost its disk.
+func Open(dir string) (*File, State, error) {
+	empty, _, _ := Read(nil)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, empty, errors.Wrap(err, "journal: the folder can't be made")
+	}
+	path := filepath.Join(dir, fileName)
+	data, err := os.ReadFile(path)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, empty, errors.Wrap(err, "journal: the file can't be read")
+	}
+	state, good, damage := Read(data)
+	if damage != nil {
+		if err := os.Rename(path, filepath.Join(dir, damagedName)); err != nil {
+			return nil, empty, errors.Wrap(err, "journal: the damaged file can't be put aside")
+		}
+		state, good = empty, 0
+	}
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, empty, errors.Wrap(err, "journal: the file can't be opened")
+	}
+	f := &File{dir: dir, file: file}
+	if err := f.cut(int64(good)); err != nil {
+		return nil, empty, err
+	}
+	return f, state, damage
+}
+
+// cut shortens the file to its good records, so that later ones follow those.
+func (f *File) cut(good int64) error {
+	if err := f.file.Truncate(good); err != nil {
+		return errors.Wrap(err, "journal: the torn end can't be cut off")
+	}
+	if _, err := f.file.Seek(good, 0); err != nil {
+		return errors.Wrap(err, "journal: the file has no end")
+	}
+	if err := f.file.Sync(); err != nil {
+		return errors.Wrap(err, "journal: the file can't be synced")
+	}
+	return f.syncFolder()
+}
+
+// Write appends records and syncs them.
+func (f *File) Write(records []byte) error {
+	if _, err := f.file.Write(records); err != nil {
+		return errors.Wrap(err, "journal: a write failed")
+	}
+	return errors.Wrap(f.file.Sync(), "journal: a sync failed")
+}
+
+// Rewrite replaces the whole file: a new one is written and synced, then takes the old one's name.
+func (f *File) Rewrite(whole []byte) error {
+	path := filepath.Join(f.dir, newName)
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return errors.Wrap(err, "journal: the new file can't be made")
+	}
+	if err = write(file, whole); err == nil {
+		err = os.Rename(path, filepath.Join(f.dir, fileName))
+	}
+	if err != nil {
+		file.Close()
+		return errors.Wrap(err, "journal: the new file can't be put in place")
+	}
+	f.file.Close()
+	f.file = file
+	return f.syncFolder()
+}
+
+func write(file *os.File, whole []byte) error {
+	if _, err := file.Write(whole); err != nil {
+		return err
+	}
+	return file.Sync()
+}
+
+func (f *File) syncFolder() error {
+	dir, err := os.Open(f.dir)
+	if err != nil {
+		return errors.Wrap(err, "journal: the folder can't be opened")
+	}
+	defer dir.Close()
+	return errors.Wrap(dir.Sync(), "journal: the folder can't be synced")
+}
+
+// Close closes the file.
+func (f *File) Close() error { return f.file.Close() }
--- /dev/null
+++ b/internal/control/replica/chain.go
@@ -0,0 +1,245 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/gammazero/deque"
+
+	"frosttide/internal/control/view"
+	"frosttide/internal/protocol"
+)
+
+// chain is the member's part in the chain of the newest view.
+type chain struct {
+	active     bool // as the head: all members hold the state; as another: the state is installed
+	following  bool // outside the chain: the state follows the tail's
+	log        deque.Deque[*protocol.Entry]
+	sent       uint64 // last entry passed on to the successor
+	behind     uint64 // durable at the successor and all after it
+	before     uint64 // durable at all members before this one
+	committed  uint64
+	movedAt    time.Duration // when committed last rose, or had nothing to rise to
+	toldBefore uint64        // last durable told to the successor
+	toldBehind uint64        // last durable told to the predecessor
+	followers  map[string]uint64
+	sync       syncing
+}
+
+// Append writes an entry as the serving head and returns its index; it fails where the member does not
+// serve. The entry belongs to the machine from then on.
+func (m *Machine) Append(now time.Duration, e *protocol.Entry) (uint64, Actions, bool) {
+	m.now = now
+	if !m.CanAppend() {
+		return 0, m.take(), false
+	}
+	e.Index = m.index + 1
+	m.hold(e)
+	m.passOn()
+	return e.GetIndex(), m.take(), true
+}
+
+// CanAppend tells whether the member serves as the head and has not promised to follow another view. It
+// may serve and not be able to append for the length of an election round.
+func (m *Machine) CanAppend() bool {
+	return m.Serving() && !m.disk.failed && m.promised <= m.Epoch()
+}
+
+// hold takes an entry into the state, the file and the log.
+func (m *Machine) hold(e *protocol.Entry) {
+	if m.index == m.chain.committed {
+		m.chain.movedAt = m.now
+	}
+	m.index = e.GetIndex()
+	m.store.Apply(e.GetPuts(), e.GetDeletes())
+	m.recordEntry(e)
+	m.chain.log.PushBack(e)
+}
+
+// successor returns the chain member behind this one, nil for the tail and outside the chain.
+func (m *Machine) successor() *protocol.Member {
+	place := m.place()
+	if place < 0 || place+1 >= len(m.view.GetChain()) {
+		return nil
+	}
+	return view.Find(m.view.GetVoters(), m.view.GetChain()[place+1])
+}
+
+// predecessor returns the chain member before this one, nil for the head and outside the chain.
+func (m *Machine) predecessor() *protocol.Member {
+	place := m.place()
+	if place < 1 {
+		return nil
+	}
+	return view.Find(m.view.GetVoters(), m.view.GetChain()[place-1])
+}
+
+// isTail tells whether the member is the last of the chain.
+func (m *Machine) isTail() bool {
+	return m.view != nil && view.Tail(m.view) == m.cfg.Self.GetId()
+}
+
+// passOn sends the successor, and as the tail the followers, what they have not been sent.
+func (m *Machine) passOn() {
+	if next := m.successor(); next != nil {
+		if m.chain.sent < m.index {
+			m.sendEntries(next.GetAddress(), m.chain.sent)
+			m.chain.sent = m.index
+		}
+		return
+	}
+	for address, sent := range m.chain.followers {
+		if sent < m.index {
+			m.sendEntries(address, sent)
+			m.chain.followers[address] = m.index
+		}
+	}
+}
+
+// sendEntries sends the entries after an index; an empty append lets the receiver see whether it lacks any.
+func (m *Machine) sendEntries(address string, after uint64) {
+	durable := m.durableBefore()
+	a := &protocol.Append{Epoch: m.Epoch(), First: after, Durable: durable}
+	for i := range m.chain.log.Len() {
+		if e := m.chain.log.At(i); e.GetIndex() > after {
+			a.Entries = append(a.Entries, e)
+		}
+	}
+	m.send(address, &protocol.Envelope{Body: &protocol.Envelope_Append{Append: a}})
+}
+
+// durableBefore returns what this member and all before it have synced.
+func (m *Machine) durableBefore() uint64 {
+	if m.isHead() {
+		return m.durable
+	}
+	return min(m.durable, m.chain.before)
+}
+
+// durableBehind returns what this member and all behind it have synced.
+func (m *Machine) durableBehind() uint64 {
+	if m.successor() == nil {
+		return m.durable
+	}
+	return min(m.durable, m.chain.behind)
+}
+
+func (m *Machine) onAppend(from string, a *protocol.Append) {
+	if a.GetEpoch() != m.Epoch() || m.promised > a.GetEpoch() {
+		return // it is of an older view, or this member has promised to leave that one
+	}
+	inChain := m.place() > 0
+	if inChain && m.installedEpoch != a.GetEpoch() || !inChain && !m.chain.following {
+		return
+	}
+	if a.GetFirst() > m.index {
+		m.lacks(from, inChain)
+		return
+	}
+	for _, e := range a.GetEntries() {
+		if e.GetIndex() == m.index+1 {
+			m.hold(e)
+		}
+	}
+	m.chain.active = inChain
+	m.chain.before = max(m.chain.before, a.GetDurable())
+	m.passOn()
+	m.advance()
+}
+
+// lacks tells the sender of an append that entries before it are missing here.
+func (m *Machine) lacks(from string, inChain bool) {
+	if !inChain {
+		m.chain.following = false // it is synced anew
+		return
+	}
+	m.send(from, &protocol.Envelope{Body: &protocol.Envelope_AppendAck{AppendAck: &protocol.AppendAck{
+		Epoch: m.Epoch(), Durable: m.durableBehind(), Resend: true, Index: m.index}}})
+}
+
+func (m *Machine) onAppendAck(from string, a *protocol.AppendAck) {
+	next := m.successor()
+	if a.GetEpoch() != m.Epoch() || next == nil || next.GetAddress() != from {
+		return
+	}
+	m.chain.behind = max(m.chain.behind, a.GetDurable())
+	if a.GetResend() {
+		m.chain.sent = min(m.chain.sent, a.GetIndex())
+		m.passOn()
+	}
+	m.advance()
+}
+
+// advance raises what is committed, answers what the tail can answer, and tells the neighbors what is
+// synced here.
+func (m *Machine) advance() {
+	if m.place() < 0 || m.installedEpoch != m.Epoch() {
+		m.trim()
+		return
+	}
+	if committed := min(m.durableBefore(), m.durableBehind()); committed > m.chain.committed && m.chain.active {
+		m.commit(committed)
+	}
+	if before := m.predecessor(); before != nil && m.durableBehind() > m.chain.toldBehind {
+		m.chain.toldBehind = m.durableBehind()
+		m.send(before.GetAddress(), &protocol.Envelope{Body: &protocol.Envelope_AppendAck{AppendAck: &protocol.AppendAck{
+			Epoch: m.Epoch(), Durable: m.chain.toldBehind, Index: m.index}}})
+	}
+	if next := m.successor(); next != nil && m.durableBefore() > m.chain.toldBefore && m.chain.active {
+		m.chain.toldBefore = m.durableBefore()
+		m.sendEntries(next.GetAddress(), m.chain.sent)
+	}
+	m.trim()
+	m.finishReads()
+}
+
+// commit takes entries for committed; the tail answers them.
+func (m *Machine) commit(upTo uint64) {
+	if m.isTail() {
+		for i := range m.chain.log.Len() {
+			e := m.chain.log.At(i)
+			if e.GetIndex() > m.chain.committed && e.GetIndex() <= upTo {
+				m.actions.Replies = append(m.actions.Replies, e.GetReplies()...)
+			}
+		}
+	}
+	m.chain.committed = upTo
+	m.chain.movedAt = m.now
+}
+
+// trim drops entries from the log that nobody will ask for: those that the members behind have synced,
+// and at the tail those that are answered. Outside the chain none is kept.
+func (m *Machine) trim() {
+	keepAfter := m.index
+	switch {
+	case m.place() < 0:
+	case m.successor() != nil:
+		keepAfter = min(m.chain.behind, m.chain.committed)
+	default:
+		keepAfter = m.chain.committed
+	}
+	for m.chain.log.Len() > 0 && m.chain.log.Front().GetIndex() <= keepAfter {
+		m.chain.log.PopFront()
+	}
+}
+
+// tickChain repeats what may have been lost on the way.
+func (m *Machine) tickChain() {
+	if m.view == nil {
+		return
+	}
+	m.tickSync()
+	if m.now < m.chain.sync.nextProbe || !m.chain.active {
+		return
+	}
+	m.chain.sync.nextProbe = m.now + m.cfg.Timing.Heartbeat
+	if next := m.successor(); next != nil {
+		m.sendEntries(next.GetAddress(), m.chain.sent)
+	}
+	for address, sent := range m.chain.followers {
+		m.sendEntries(address, sent)
+	}
+	if before := m.predecessor(); before != nil {
+		m.send(before.GetAddress(), &protocol.Envelope{Body: &protocol.Envelope_AppendAck{AppendAck: &protocol.AppendAck{
+			Epoch: m.Epoch(), Durable: m.durableBehind(), Index: m.index}}})
+	}
+}
--- /dev/null
+++ b/internal/control/replica/machine.go
@@ -0,0 +1,295 @@
+// Package replica is a member of the control plane as a pure state machine: it agrees on views with
+// the other voters, replicates the store along the chain of the view, repairs members that come
+// back, and confirms its epoch for reads and leases. It holds no socket, clock or file: it is told of
+// messages, of the time and of finished disk writes, and returns what is to be done.
+package replica
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"frosttide/internal/control/journal"
+	"frosttide/internal/control/store"
+	"frosttide/internal/control/view"
+	"frosttide/internal/protocol"
+)
+
+// Timing holds the machine's periods. All count on the steady clock.
+type Timing struct {
+	Heartbeat  time.Duration // between heartbeats
+	Suspect    time.Duration // of silence until a member is taken for dead
+	Start      time.Duration // after the start in which a view may still be heard of
+	Round      time.Duration // after which an election round is given up
+	Gather     time.Duration // after a quorum for further promises
+	Install    time.Duration // in which the members of a new chain take its state
+	Confirm    time.Duration // between the head's confirmations
+	DiskStall  time.Duration // age of a write from which a disk counts as stalled
+	DiskSlow   time.Duration // mean sync from which a disk counts as slow
+	DiskRetry  time.Duration // between tries to write anew after a failed write
+	Replace    time.Duration // of a voter's silence until a newcomer takes its place
+	Forget     time.Duration // of a voter's silence until the others go on without it
+	RewriteMin int           // bytes of the file under which it is never rewritten
+}
+
+// DefaultTiming returns the periods in use: a lost member is noticed in half a second, so that writes go
+// on within 1.5 s of it, and stalls of a processor shared with others are not taken for deaths.
+func DefaultTiming() Timing {
+	return Timing{
+		Heartbeat:  100 * time.Millisecond,
+		Suspect:    500 * time.Millisecond,
+		Start:      250 * time.Millisecond,
+		Round:      700 * time.Millisecond,
+		Gather:     30 * time.Millisecond,
+		Install:    700 * time.Millisecond,
+		Confirm:    200 * time.Millisecond,
+		DiskStall:  700 * time.Millisecond,
+		DiskSlow:   80 * time.Millisecond,
+		DiskRetry:  500 * time.Millisecond,
+		Replace:    3 * time.Second,
+		Forget:     20 * time.Second,
+		RewriteMin: 4 << 20,
+	}
+}
+
+// Config says who a member is. Self's ID is the identity kept on its disk.
+type Config struct {
+	Self        *protocol.Member
+	Incarnation uint64 // drawn when the process starts
+	Faults      int    // machines that may be lost at once
+	Contacts    []string
+	Seed        uint64
+	Timing      Timing
+}
+
+// Send is a message to the process at an internal address.
+type Send struct {
+	To      string
+	Message *protocol.Envelope
+}
+
+// Write is a task of the disk: bytes to append and sync, or a whole new file. Writes finish in order.
+type Write struct {
+	Sequence uint64
+	Data     []byte
+	Rewrite  bool
+}
+
+// Role tells the application that it serves as the head, or no longer does.
+type Role struct {
+	Serving bool
+	Epoch   uint64
+}
+
+// Actions is what is to be done after an event, in this order.
+type Actions struct {
+	Writes      []Write
+	Sends       []Send
+	Replies     []*protocol.Reply // of committed entries, at the tail
+	Roles       []Role
+	ReadsReady  []uint64 // reads whose value may be told
+	ReadsFailed []uint64
+	Notes       []string // for the log
+}
+
+// peer is what is known of another member.
+type peer struct {
+	last      *protocol.Heartbeat
+	heard     time.Duration
+	restarted bool // since the current view was adopted
+}
+
+// Machine is the member. It is not safe for concurrent use.
+type Machine struct {
+	cfg     Config
+	now     time.Duration
+	rng     *rand.Rand
+	actions Actions
+	store   *store.Store
+	disk    disk
+
+	promised  uint64
+	accepted  *protocol.View
+	highest   uint64 // ballot heard of
+	highestAt time.Duration
+	round     *round
+	next      time.Duration // earliest next round
+
+	view           *protocol.View // newest agreed view, nil before any is known
+	adopted        time.Duration
+	installedEpoch uint64
+	index          uint64
+	durable        uint64 // last entry that is synced here
+
+	chain     chain
+	confirms  confirms
+	peers     map[uint64]*peer
+	joiners   map[uint64]*joiner
+	began     time.Duration
+	beat      time.Duration // next heartbeat
+	suspected time.Duration // since when the head has been suspected, 0 while it is not
+	leaving   bool
+	wall      int64
+}
+
+// New returns a member with the state of its disk.
+func New(cfg Config, now time.Duration, state journal.State) *Machine {
+	return &Machine{
+		cfg: cfg, now: now, began: now, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Self.GetId())), store: state.Store,
+		promised: state.Promised, accepted: state.Accepted, highest: max(state.Promised, state.Accepted.GetEpoch()),
+		installedEpoch: state.InstalledEpoch, index: state.Index, durable: state.Index,
+		disk:  disk{installedEpoch: state.InstalledEpoch},
+		peers: make(map[uint64]*peer), joiners: make(map[uint64]*joiner),
+	}
+}
+
+// Founding returns the state of a founder that starts with an empty disk: view 0 with all founders as
+// its voters. Every founder makes the same one.
+func Founding(self *protocol.Member, founders []*protocol.Member) journal.State {
+	return journal.State{
+		ID: self.GetId(), Founder: true, Store: store.New(),
+		Accepted: &protocol.View{Voters: founders, NextNumber: uint32(len(founders) + 1)},
+	}
+}
+
+// Begin writes the state a member begins with, so that its identity is on disk before it says anything.
+func (m *Machine) Begin(now time.Duration) Actions {
+	m.now = now
+	m.rewrite()
+	return m.take()
+}
+
+// take returns the actions gathered since the last call.
+func (m *Machine) take() Actions {
+	m.flush()
+	out := m.actions
+	m.actions = Actions{}
+	return out
+}
+
+// Epoch returns the epoch of the newest agreed view that the member knows, 0 before any.
+func (m *Machine) Epoch() uint64 { return m.view.GetEpoch() }
+
+// View returns the newest agreed view, nil before any is known. It is not changed by the caller.
+func (m *Machine) View() *protocol.View { return m.view }
+
+// Index returns the number of the last entry that the member holds.
+func (m *Machine) Index() uint64 { return m.index }
+
+// Committed returns the number of the last entry that every chain member is known to have synced.
+func (m *Machine) Committed() uint64 { return m.chain.committed }
+
+// Store returns the member's state. Only entries change it.
+func (m *Machine) Store() *store.Store { return m.store }
+
+// Serving tells whether the member is the head of an active chain.
+func (m *Machine) Serving() bool { return m.chain.active && m.isHead() }
+
+// Leave has the others do without the member, whose process is about to end.
+func (m *Machine) Leave(now time.Duration) Actions {
+	m.now = now
+	m.leaving = true
+	m.heartbeat()
+	return m.take()
+}
+
+// Status is what an operator may want to know of a member.
+type Status struct {
+	View           *protocol.View
+	Self           uint64
+	Promised       uint64
+	InstalledEpoch uint64
+	Index          uint64
+	Durable        uint64
+	Committed      uint64
+	Serving        bool
+	DiskFailed     bool
+	DiskLag        time.Duration
+	Silent         map[uint64]time.Duration // of the other members
+}
+
+// Status returns the member's state.
+func (m *Machine) Status() Status {
+	s := Status{View: m.view, Self: m.cfg.Self.GetId(), Promised: m.promised, InstalledEpoch: m.installedEpoch, Index: m.index, Durable: m.durable,
+		Committed: m.chain.committed, Serving: m.Serving(), DiskFailed: m.disk.failed, DiskLag: m.disk.lag(m.now), Silent: make(map[uint64]time.Duration)}
+	for id, p := range m.peers {
+		s.Silent[id] = m.now - p.heard
+	}
+	return s
+}
+
+// Receive handles a message from the process at an address.
+func (m *Machine) Receive(now time.Duration, from string, envelope *protocol.Envelope) Actions {
+	m.now = now
+	switch body := envelope.GetBody().(type) {
+	case *protocol.Envelope_Heartbeat:
+		m.onHeartbeat(from, body.Heartbeat)
+	case *protocol.Envelope_Prepare:
+		m.onPrepare(from, body.Prepare)
+	case *protocol.Envelope_Promise:
+		m.onPromise(body.Promise)
+	case *protocol.Envelope_Accept:
+		m.onAccept(from, body.Accept)
+	case *protocol.Envelope_Accepted:
+		m.onAccepted(body.Accepted)
+	case *protocol.Envelope_Decided:
+		m.adopt(body.Decided.GetView())
+	case *protocol.Envelope_ViewQuery:
+		m.onViewQuery(from, body.ViewQuery)
+	case *protocol.Envelope_Append:
+		m.onAppend(from, body.Append)
+	case *protocol.Envelope_AppendAck:
+		m.onAppendAck(from, body.AppendAck)
+	case *protocol.Envelope_SyncRequest:
+		m.onSyncRequest(from, body.SyncRequest)
+	case *protocol.Envelope_SyncReply:
+		m.onSyncReply(from, body.SyncReply)
+	case *protocol.Envelope_Confirm:
+		m.onConfirm(from, body.Confirm)
+	case *protocol.Envelope_Confirmed:
+		m.onConfirmed(body.Confirmed)
+	}
+	return m.take()
+}
+
+// Tick lets time pass; wall is the time of day in ms from 1970.
+func (m *Machine) Tick(now time.Duration, wall int64) Actions {
+	m.now, m.wall = now, wall
+	m.tickDisk()
+	if now >= m.beat {
+		m.heartbeat()
+	}
+	m.tickChain()
+	m.tickConfirms()
+	m.tickRound()
+	m.considerRound()
+	return m.take()
+}
+
+// send queues a message.
+func (m *Machine) send(to string, e *protocol.Envelope) {
+	m.actions.Sends = append(m.actions.Sends, Send{To: to, Message: e})
+}
+
+// note queues a line for the log.
+func (m *Machine) note(text string) { m.actions.Notes = append(m.actions.Notes, text) }
+
+// isVoter tells whether the member votes, by the newest view that it accepted.
+func (m *Machine) isVoter() bool {
+	return m.accepted != nil && view.Find(view.Electorate(m.accepted), m.cfg.Self.GetId()) != nil
+}
+
+// isHead tells whether the member is the head of the newest agreed view.
+func (m *Machine) isHead() bool { return m.view != nil && view.Head(m.view) == m.cfg.Self.GetId() }
+
+// place returns the member's place in the chain, -1 outside of it.
+func (m *Machine) place() int {
+	if m.view == nil {
+		return -1
+	}
+	return view.Place(m.view, m.cfg.Self.GetId())
+}
+
+// clone copies a message, as those that were sent belong to their receivers.
+func clone(v *protocol.View) *protocol.View { return proto.Clone(v).(*protocol.View) }
--- /dev/null
+++ b/internal/control/replica/machine_test.go
@@ -0,0 +1,402 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"frosttide/internal/control/journal"
+	"frosttide/internal/protocol"
+)
+
+// cluster plays members on a network in virtual time.
+type cluster struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Duration
+	members map[string]*node
+	events  []event
+	order   int
+	cut     map[[2]string]bool
+	loss    float64
+	replies map[uint64]int // replies by the id of the request
+	reads   map[uint64]bool
+}
+
+type node struct {
+	*Machine
+	address string
+	id      uint64
+	up      bool
+	life    int
+	file    []byte
+	synced  int
+	disk    error
+	slow    time.Duration
+	busy    time.Duration
+	serving bool
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+const tick = 20 * time.Millisecond
+
+func newCluster(t *testing.T, seed uint64, founders int) *cluster {
+	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), members: make(map[string]*node), cut: make(map[[2]string]bool), replies: make(map[uint64]int), reads: make(map[uint64]bool)}
+	var all []*protocol.Member
+	for i := range founders {
+		all = append(all, &protocol.Member{Id: uint64(i + 1), Number: uint32(i + 1), Address: fmt.Sprintf("m%d", i+1), Zone: fmt.Sprintf("z%d", i%3)})
+	}
+	for _, m := range all {
+		state := Founding(m, all)
+		whole, err := journal.Snapshot(state)
+		require.NoError(t, err)
+		n := &node{address: m.GetAddress(), id: m.GetId(), file: whole, synced: len(whole)}
+		c.members[n.address] = n
+		c.start(n)
+	}
+	return c
+}
+
+func (c *cluster) after(d time.Duration, do func()) {
+	c.order++
+	c.events = append(c.events, event{at: c.now + d, order: c.order, do: do})
+}
+
+// start starts a member with what its disk holds.
+func (c *cluster) start(n *node) {
+	state, good, err := journal.Read(n.file)
+	require.NoError(c.t, err)
+	n.file, n.synced = n.file[:good], good
+	if state.ID == 0 {
+		n.id = c.rng.Uint64()
+		state.ID = n.id
+	}
+	n.life++
+	n.up, n.busy = true, c.now
+	var contacts []string
+	for i := range 3 {
+		contacts = append(contacts, fmt.Sprintf("m%d", i+1))
+	}
+	n.Machine = New(Config{Self: &protocol.Member{Id: n.id, Address: n.address, Zone: "z" + n.address}, Incarnation: c.rng.Uint64(), Faults: 1, Contacts: contacts,
+		Seed: c.rng.Uint64(), Timing: DefaultTiming()}, c.now, state)
+	c.do(n, n.Begin(c.now))
+	life := n.life
+	var again func()
+	again = func() {
+		if n.up && n.life == life {
+			c.do(n, n.Tick(c.now, 0))
+			c.after(tick, again)
+		}
+	}
+	c.after(time.Duration(c.rng.Int64N(int64(tick))), again)
+}
+
+// stop ends a member's process; with its power, writes that were not synced may be lost.
+func (c *cluster) stop(n *node, power bool) {
+	n.up = false
+	n.life++
+	if power && len(n.file) > n.synced {
+		n.file = n.file[:n.synced+c.rng.IntN(len(n.file)-n.synced+1)]
+	}
+}
+
+// wipe empties a member's disk.
+func (c *cluster) wipe(n *node) { n.file, n.synced = nil, 0 }
+
+func (c *cluster) do(n *node, a Actions) {
+	life := n.life
+	for _, w := range a.Writes {
+		n.busy = max(n.busy, c.now) + time.Duration(4+c.rng.IntN(6))*time.Millisecond + n.slow
+		if n.disk == nil {
+			if w.Rewrite {
+				n.file, n.synced = append([]byte(nil), w.Data...), 0
+			} else {
+				n.file = append(n.file, w.Data...)
+			}
+		}
+		length, failure := len(n.file), n.disk
+		c.after(n.busy-c.now, func() {
+			if !n.up || n.life != life {
+				return
+			}
+			if failure == nil {
+				n.synced = max(n.synced, min(length, len(n.file)))
+			}
+			c.do(n, n.DiskDone(c.now, w.Sequence, failure))
+		})
+	}
+	for _, text := range a.Notes {
+		c.t.Logf("%8.3f %s: %s", c.now.Seconds(), n.address, text)
+	}
+	for _, s := range a.Sends {
+		c.send(n, s)
+	}
+	for _, r := range a.Replies {
+		c.replies[r.GetReply().GetId()]++
+	}
+	for _, r := range a.Roles {
+		n.serving = r.Serving
+	}
+	for _, token := range a.ReadsReady {
+		c.reads[token] = true
+	}
+}
+
+func (c *cluster) send(n *node, s Send) {
+	if c.rng.Float64() < c.loss {
+		return
+	}
+	to := c.members[s.To]
+	if to == nil || c.cut[[2]string{n.address, s.To}] {
+		return
+	}
+	c.after(time.Duration(1000+c.rng.IntN(1000))*time.Microsecond, func() {
+		if to.up && !c.cut[[2]string{n.address, s.To}] {
+			c.do(to, to.Receive(c.now, n.address, s.Message))
+		}
+	})
+}
+
+// play lets time pass.
+func (c *cluster) play(d time.Duration) {
+	until := c.now + d
+	for {
+		best := -1
+		for i, e := range c.events {
+			if e.at <= until && (best < 0 || e.at < c.events[best].at || e.at == c.events[best].at && e.order < c.events[best].order) {
+				best = i
+			}
+		}
+		if best < 0 {
+			c.now = until
+			return
+		}
+		e := c.events[best]
+		c.events[best] = c.events[len(c.events)-1]
+		c.events = c.events[:len(c.events)-1]
+		c.now = e.at
+		e.do()
+	}
+}
+
+// head returns the member that serves in the newest view, nil if there is none.
+func (c *cluster) head() (head *node) {
+	for _, n := range c.members {
+		if n.up && n.Serving() && (head == nil || n.Epoch() > head.Epoch()) {
+			head = n
+		}
+	}
+	return head
+}
+
+// write appends an item and tells whether the head took it.
+func (c *cluster) write(id uint64) bool {
+	h := c.head()
+	if h == nil {
+		return false
+	}
+	_, a, ok := h.Append(c.now, &protocol.Entry{Puts: []*protocol.Put{{Key: fmt.Sprintf("k%d", id), Value: []byte{byte(id)}}},
+		Replies: []*protocol.Reply{{Reply: &protocol.ClientReply{Id: id}}}})
+	c.do(h, a)
+	return ok
+}
+
+// checkKept fails where an answered write is not in the state of the serving head.
+func (c *cluster) checkKept() {
+	c.t.Helper()
+	h := c.head()
+	require.NotNil(c.t, h, "nobody serves")
+	for id := range c.replies {
+		_, ok := h.Store().Get(fmt.Sprintf("k%d", id))
+		require.True(c.t, ok, "write %d was answered and is lost at %s", id, h.address)
+	}
+}
+
+func TestFoundsAndWrites(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	c.play(time.Second)
+	require.NotNil(t, c.head())
+	require.True(t, c.write(1))
+	c.play(50 * time.Millisecond)
+	require.Equal(t, 1, c.replies[1])
+}
+
+func TestHeadLostGoesOn(t *testing.T) {
+	c := newCluster(t, 2, 3)
+	c.play(time.Second)
+	require.True(t, c.write(1))
+	c.play(50 * time.Millisecond)
+	old := c.head()
+	c.stop(old, true)
+	c.play(1200 * time.Millisecond)
+	require.NotNil(t, c.head())
+	c.checkKept()
+	require.True(t, c.write(2))
+	c.play(100 * time.Millisecond)
+	require.Equal(t, 1, c.replies[2])
+	c.start(old)
+	c.play(2 * time.Second)
+	c.checkKept()
+}
+
+func TestNewcomerJoins(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.members["m4"] = &node{address: "m4"}
+	c.start(c.members["m4"])
+	c.play(3 * time.Second)
+	h := c.head()
+	require.NotNil(t, h)
+	require.Len(t, h.View().GetVoters(), 4)
+	require.Empty(t, h.View().GetPrevious())
+}
+
+func TestLostDiskIsReplaced(t *testing.T) {
+	c := newCluster(t, 4, 3)
+	c.play(time.Second)
+	require.True(t, c.write(1))
+	c.play(50 * time.Millisecond)
+	old := c.head()
+	id := old.id
+	c.stop(old, true)
+	c.wipe(old)
+	c.play(100 * time.Millisecond)
+	c.start(old)
+	require.NotEqual(t, id, old.id)
+	c.play(4 * time.Second)
+	c.checkKept()
+	require.Len(t, c.head().View().GetVoters(), 3)
+	for _, v := range c.head().View().GetVoters() {
+		require.NotEqual(t, id, v.GetId())
+	}
+}
+
+func TestFailedDiskIsRoundedOut(t *testing.T) {
+	c := newCluster(t, 5, 3)
+	c.play(time.Second)
+	old := c.head()
+	old.disk = errors.New("no space")
+	c.write(1)
+	c.play(3 * time.Second)
+	require.NotNil(t, c.head())
+	require.NotEqual(t, old, c.head())
+	require.Zero(t, c.replies[1])
+	require.True(t, c.write(2))
+	c.play(100 * time.Millisecond)
+	require.Equal(t, 1, c.replies[2])
+	old.disk = nil
+	c.play(3 * time.Second)
+	c.checkKept()
+}
+
+func TestCutOffHeadAnswersNothing(t *testing.T) {
+	c := newCluster(t, 6, 3)
+	c.play(time.Second)
+	old := c.head()
+	for a := range c.members {
+		c.cut[[2]string{a, old.address}] = true
+		c.cut[[2]string{old.address, a}] = true
+	}
+	c.write(1)
+	tail := old
+	if old.isTail() {
+		c.do(tail, tail.Read(c.now, 7))
+	}
+	c.play(3 * time.Second)
+	require.Zero(t, c.replies[1])
+	require.False(t, c.reads[7])
+	require.NotEqual(t, old, c.head())
+	c.cut = make(map[[2]string]bool)
+	c.play(2 * time.Second)
+	c.checkKept()
+}
+
+// TestTroubles plays random kills, losses of power and disks, cuts and slow disks, and checks that
+// every answered write is kept and that service returns once all is calm.
+func TestTroubles(t *testing.T) {
+	for seed := range uint64(200) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := newCluster(t, seed, 3)
+			for i := range 2 {
+				a := fmt.Sprintf("m%d", 4+i)
+				c.members[a] = &node{address: a}
+				c.start(c.members[a])
+			}
+			c.play(3 * time.Second)
+			id := uint64(0)
+			for range 12 {
+				c.trouble()
+				for range 20 {
+					id++
+					c.write(id)
+					c.play(time.Duration(c.rng.IntN(100)) * time.Millisecond)
+				}
+				c.calm()
+				c.play(5 * time.Second)
+				c.checkKept()
+			}
+		})
+	}
+}
+
+// trouble starts one random trouble.
+func (c *cluster) trouble() {
+	var all []*node
+	for i := range 5 {
+		all = append(all, c.members[fmt.Sprintf("m%d", i+1)])
+	}
+	one := all[c.rng.IntN(len(all))]
+	if h := c.head(); h != nil && c.rng.IntN(2) == 0 {
+		one = h
+	}
+	kind := c.rng.IntN(8)
+	c.t.Logf("%8.3f trouble %d at %s", c.now.Seconds(), kind, one.address)
+	switch kind {
+	case 0:
+		c.stop(one, false)
+	case 1:
+		c.stop(one, true)
+	case 2:
+		c.stop(one, true)
+		c.wipe(one)
+	case 3:
+		for _, n := range all {
+			c.stop(n, true)
+		}
+	case 4:
+		for _, n := range all {
+			c.cut[[2]string{one.address, n.address}] = true
+			if c.rng.IntN(2) == 0 {
+				c.cut[[2]string{n.address, one.address}] = true
+			}
+		}
+	case 5:
+		one.slow = time.Duration(c.rng.IntN(2000)) * time.Millisecond
+	case 6:
+		one.disk = errors.New("no space")
+	case 7: // a disk is lost and all others lose power
+		for _, n := range all {
+			c.stop(n, true)
+		}
+		c.wipe(one)
+	}
+}
+
+// calm ends all troubles.
+func (c *cluster) calm() {
+	c.cut = make(map[[2]string]bool)
+	for _, n := range c.members {
+		n.slow, n.disk = 0, nil
+		if !n.up {
+			c.start(n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/store/store.go
@@ -0,0 +1,175 @@
+// Package store is the replicated state of the control plane: a table of items by key, with a digest
+// for each of a fixed number of key ranges, so that two members find what differs between them
+// without sending what doesn't. It is not safe for concurrent use.
+package store
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"frosttide/internal/protocol"
+)
+
+// Ranges is the number of key ranges. Keys go to ranges by hash.
+const Ranges = 1024
+
+// Store is the table. The zero value is not usable; see New.
+type Store struct {
+	items   map[string][]byte
+	ranges  [Ranges]map[string]struct{}
+	digests [Ranges]uint64
+	bytes   int
+}
+
+// New returns an empty store.
+func New() *Store { return &Store{items: make(map[string][]byte)} }
+
+// itemOverhead is about what the record of an item takes on disk besides key and value.
+const itemOverhead = 8
+
+// rangeOf returns the range that a key belongs to.
+func rangeOf(key string) int { return int(xxhash.Sum64String(key) % Ranges) }
+
+// digestOf is what an item adds to its range's digest. Sums of it don't depend on the order of writes.
+func digestOf(key string, value []byte) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(value)
+	return d.Sum64()
+}
+
+// Put sets an item. The store keeps the value; the caller does not change it afterwards.
+func (s *Store) Put(key string, value []byte) {
+	r := rangeOf(key)
+	if old, ok := s.items[key]; ok {
+		s.digests[r] -= digestOf(key, old)
+		s.bytes -= len(old)
+	} else {
+		if s.ranges[r] == nil {
+			s.ranges[r] = make(map[string]struct{})
+		}
+		s.ranges[r][key] = struct{}{}
+		s.bytes += len(key) + itemOverhead
+	}
+	s.items[key] = value
+	s.bytes += len(value)
+	s.digests[r] += digestOf(key, value)
+}
+
+// Delete removes an item if it is there.
+func (s *Store) Delete(key string) {
+	old, ok := s.items[key]
+	if !ok {
+		return
+	}
+	r := rangeOf(key)
+	s.digests[r] -= digestOf(key, old)
+	s.bytes -= len(old) + len(key) + itemOverhead
+	delete(s.items, key)
+	delete(s.ranges[r], key)
+}
+
+// Apply carries out the writes of an entry.
+func (s *Store) Apply(puts []*protocol.Put, deletes []string) {
+	for _, p := range puts {
+		s.Put(p.GetKey(), p.GetValue())
+	}
+	for _, key := range deletes {
+		s.Delete(key)
+	}
+}
+
+// Get returns an item's value, and false where there is none.
+func (s *Store) Get(key string) ([]byte, bool) {
+	v, ok := s.items[key]
+	return v, ok
+}
+
+// Len returns the number of items.
+func (s *Store) Len() int { return len(s.items) }
+
+// Bytes returns about how many bytes the items take on disk.
+func (s *Store) Bytes() int { return s.bytes }
+
+// Each calls f with all items, in no order. f does not change the store.
+func (s *Store) Each(f func(key string, value []byte)) {
+	for k, v := range s.items {
+		f(k, v)
+	}
+}
+
+// All returns all items, by key.
+func (s *Store) All() []*protocol.Put {
+	out := make([]*protocol.Put, 0, len(s.items))
+	for k, v := range s.items {
+		out = append(out, &protocol.Put{Key: k, Value: v})
+	}
+	slices.SortFunc(out, byKey)
+	return out
+}
+
+// Digests returns the digests of all ranges.
+func (s *Store) Digests() []uint64 { return slices.Clone(s.digests[:]) }
+
+// Differing returns the ranges whose digests differ from others'. Ranges that the others lack count as
+// empty there.
+func (s *Store) Differing(digests []uint64) (ranges []uint32) {
+	for r := range s.digests {
+		other := uint64(0)
+		if r < len(digests) {
+			other = digests[r]
+		}
+		if s.digests[r] != other {
+			ranges = append(ranges, uint32(r))
+		}
+	}
+	return ranges
+}
+
+// Range returns the items of a range, by key.
+func (s *Store) Range(r uint32) (items []*protocol.Put) {
+	if r >= Ranges {
+		return nil
+	}
+	for k := range s.ranges[r] {
+		items = append(items, &protocol.Put{Key: k, Value: s.items[k]})
+	}
+	slices.SortFunc(items, byKey)
+	return items
+}
+
+// Repair returns the writes that make some ranges of this store hold just the given items.
+func (s *Store) Repair(ranges []uint32, items []*protocol.Put) (puts []*protocol.Put, deletes []string) {
+	wanted := make(map[string]struct{}, len(items))
+	for _, p := range items {
+		wanted[p.GetKey()] = struct{}{}
+		if old, ok := s.items[p.GetKey()]; !ok || string(old) != string(p.GetValue()) {
+			puts = append(puts, p)
+		}
+	}
+	for _, r := range ranges {
+		if r >= Ranges {
+			continue
+		}
+		for k := range s.ranges[r] {
+			if _, ok := wanted[k]; !ok {
+				deletes = append(deletes, k)
+			}
+		}
+	}
+	slices.Sort(deletes)
+	return puts, deletes
+}
+
+func byKey(a, b *protocol.Put) int {
+	switch {
+	case a.GetKey() < b.GetKey():
+		return -1
+	case a.GetKey() > b.GetKey():
+		return 1
+	default:
+		return 0
+	}
+}
