--- a/internal/control/replica/machine.go
+++ b/internal/control/replica/machine.go
@@ -113,6 +113,7 @@
 	accepted  *protocol.View
 	highest   uint64 // ballot heard of
 	highestAt time.Duration
+	givenUp   int // rounds in a row
 	round     *round
 	next      time.Duration // earliest next round
 
