--- a/internal/control/replica/machine_test.go
+++ b/internal/control/replica/machine_test.go
@@ -37,7 +37,8 @@
 	synced  int
 	disk    error
 	slow    time.Duration
-	busy    time.Duration
+	queue   []Write
+	writing bool
 	serving bool
 }
 
@@ -81,7 +82,7 @@
 		state.ID = n.id
 	}
 	n.life++
-	n.up, n.busy = true, c.now
+	n.up, n.queue, n.writing = true, nil, false
 	var contacts []string
 	for i := range 3 {
 		contacts = append(contacts, fmt.Sprintf("m%d", i+1))
@@ -113,26 +114,9 @@
 func (c *cluster) wipe(n *node) { n.file, n.synced = nil, 0 }
 
 func (c *cluster) do(n *node, a Actions) {
-	life := n.life
-	for _, w := range a.Writes {
-		n.busy = max(n.busy, c.now) + time.Duration(4+c.rng.IntN(6))*time.Millisecond + n.slow
-		if n.disk == nil {
-			if w.Rewrite {
-				n.file, n.synced = append([]byte(nil), w.Data...), 0
-			} else {
-				n.file = append(n.file, w.Data...)
-			}
-		}
-		length, failure := len(n.file), n.disk
-		c.after(n.busy-c.now, func() {
-			if !n.up || n.life != life {
-				return
-			}
-			if failure == nil {
-				n.synced = max(n.synced, min(length, len(n.file)))
-			}
-			c.do(n, n.DiskDone(c.now, w.Sequence, failure))
-		})
+	n.queue = append(n.queue, a.Writes...)
+	if !n.writing {
+		c.startWrite(n)
 	}
 	for _, text := range a.Notes {
 		c.t.Logf("%8.3f %s: %s", c.now.Seconds(), n.address, text)
@@ -151,6 +135,37 @@
 	}
 }
 
+// startWrite writes all that is queued and syncs once.
+func (c *cluster) startWrite(n *node) {
+	if len(n.queue) == 0 {
+		return
+	}
+	life, queue, failure := n.life, n.queue, n.disk
+	n.queue, n.writing = nil, true
+	if failure == nil {
+		for _, w := range queue {
+			if w.Rewrite {
+				n.file, n.synced = append([]byte(nil), w.Data...), 0
+			} else {
+				n.file = append(n.file, w.Data...)
+			}
+		}
+	}
+	c.after(time.Duration(4+c.rng.IntN(6))*time.Millisecond+n.slow, func() {
+		if !n.up || n.life != life {
+			return
+		}
+		n.writing = false
+		if failure == nil {
+			n.synced = len(n.file)
+		}
+		c.do(n, n.DiskDone(c.now, queue[len(queue)-1].Sequence, failure))
+		if !n.writing {
+			c.startWrite(n)
+		}
+	})
+}
+
 func (c *cluster) send(n *node, s Send) {
 	if c.rng.Float64() < c.loss {
 		return
