--- /dev/null
+++ b/internal/control/jobs/table.go
@@ -0,0 +1,333 @@
+package jobs
+
+import (
+	"container/heap"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"frosttide/internal/control/store"
+	"frosttide/internal/protocol"
+)
+
+// Table holds all jobs. It is not safe for concurrent use.
+type Table struct {
+	jobs     map[string]*Job
+	sequence uint64
+	due      dueHeap // jobs with times that have not fallen due
+	final    []*Job  // in the order of their ends
+	Writes   *Writes // what has been changed since it was last taken
+
+	ready   []*Step // steps that have become ready since they were last taken
+	stopped []Run   // runs that have lost their reason since they were last taken
+}
+
+// Run names a run of a task.
+type Run struct {
+	Task   string
+	Number uint32
+	Runner string
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{jobs: make(map[string]*Job), Writes: &Writes{}} }
+
+// Take returns what has been changed since the last call.
+func (t *Table) Take() *Writes {
+	w := t.Writes
+	t.Writes = &Writes{}
+	return w
+}
+
+// TakeReady returns the steps that have got tasks to start since the last call; a step may come again.
+func (t *Table) TakeReady() []*Step {
+	out := t.ready
+	t.ready = nil
+	return out
+}
+
+// TakeStopped returns the runs that are to be stopped since the last call.
+func (t *Table) TakeStopped() []Run {
+	out := t.stopped
+	t.stopped = nil
+	return out
+}
+
+// Get returns a job, nil if it is not known.
+func (t *Table) Get(id string) *Job { return t.jobs[id] }
+
+// Len returns how many jobs are known.
+func (t *Table) Len() int { return len(t.jobs) }
+
+// Each calls f with every job, in no order.
+func (t *Table) Each(f func(*Job)) {
+	for _, j := range t.jobs {
+		f(j)
+	}
+}
+
+// Accept takes a job in that was not known.
+func (t *Table) Accept(s *protocol.Submit, service string, nowMs int64) *Job {
+	t.sequence++
+	j := newJob(&protocol.JobRecord{Submit: s, Service: service, Sequence: t.sequence, AcceptedMs: nowMs})
+	t.jobs[j.ID] = j
+	t.Writes.Put(jobPrefix+j.ID, &protocol.JobRecord{Submit: s, Service: service, Sequence: j.Sequence, AcceptedMs: nowMs})
+	t.setState(j, Pending, nowMs)
+	heap.Push(&t.due, j)
+	t.Fall(nowMs)
+	return j
+}
+
+func newJob(r *protocol.JobRecord) *Job {
+	s := r.GetSubmit()
+	return &Job{ID: s.GetId(), Queue: s.GetQueue(), Service: r.GetService(), Spec: s.GetSpec(), Stages: s.GetStages(), Occasions: max(1, int(s.GetMaxRuns())),
+		StartAtMs: s.GetStartAtMs(), IntervalMs: s.GetIntervalMs(), Sequence: r.GetSequence(), AcceptedMs: r.GetAcceptedMs(), State: Pending}
+}
+
+// setState is the one place where a job's state changes.
+func (t *Table) setState(j *Job, s State, nowMs int64) {
+	if j.State.Final() {
+		return
+	}
+	j.State = s
+	if s.Final() {
+		j.EndedMs = nowMs
+		t.final = append(t.final, j)
+		t.stopAll(j)
+	}
+	t.Writes.putStatus(j)
+	t.tidy(j)
+}
+
+// stopAll has all runs of a job that has ended stopped.
+func (t *Table) stopAll(j *Job) {
+	for _, o := range j.times {
+		for _, s := range o.Steps {
+			for i := range s.Tasks {
+				if s.Tasks[i].Phase == Live {
+					t.stopped = append(t.stopped, Run{Task: s.TaskID(i), Number: s.Tasks[i].Run, Runner: s.Tasks[i].Runner})
+				}
+			}
+		}
+	}
+}
+
+// tidy removes all but the state of a job that has ended and runs nothing any more.
+func (t *Table) tidy(j *Job) {
+	if !j.State.Final() || j.live > 0 || j.Stages == nil {
+		return
+	}
+	t.Writes.Delete(jobPrefix + j.ID)
+	for _, o := range j.times {
+		for _, s := range o.Steps {
+			for i := range s.Tasks {
+				if s.Tasks[i].Run > 0 {
+					t.Writes.Delete(taskPrefix + s.TaskID(i))
+				}
+			}
+		}
+	}
+	j.Stages, j.times, j.Spec = nil, nil, ""
+}
+
+// Cancel ends a job at its client's wish; it returns false where the job is not known.
+func (t *Table) Cancel(id string, nowMs int64) bool {
+	j := t.jobs[id]
+	if j == nil {
+		return false
+	}
+	t.setState(j, Canceled, nowMs)
+	return true
+}
+
+// Forget removes jobs that ended before a time of day, up to a number of them.
+func (t *Table) Forget(beforeMs int64, most int) {
+	for ; most > 0 && len(t.final) > 0 && t.final[0].EndedMs < beforeMs && t.final[0].live == 0; most-- {
+		j := t.final[0]
+		t.final = t.final[1:]
+		delete(t.jobs, j.ID)
+		t.Writes.Delete(statusPrefix + j.ID)
+	}
+}
+
+// Fall makes the times that have fallen due.
+func (t *Table) Fall(nowMs int64) {
+	for t.due.Len() > 0 {
+		j := t.due[0]
+		if !j.State.Final() && len(j.times) < j.Occasions && j.dueMs(len(j.times)) > nowMs {
+			return
+		}
+		if j.State.Final() || len(j.times) == j.Occasions {
+			heap.Pop(&t.due)
+			continue
+		}
+		o := t.addOccasion(j)
+		heap.Fix(&t.due, 0)
+		for _, s := range o.Steps {
+			t.offer(s)
+		}
+	}
+}
+
+// NextDueMs returns when the next time falls due, as a time of day, and false where none does.
+func (t *Table) NextDueMs() (int64, bool) {
+	if t.due.Len() == 0 {
+		return 0, false
+	}
+	j := t.due[0]
+	return j.dueMs(len(j.times)), true
+}
+
+func (t *Table) addOccasion(j *Job) *Occasion {
+	o := &Occasion{Job: j, Number: len(j.times)}
+	for i, stage := range j.Stages {
+		o.Steps = append(o.Steps, &Step{Job: j, Occasion: o, Number: i, Stage: stage, Tasks: make([]Task, stage.GetCount()), Waiting: int(stage.GetCount())})
+	}
+	j.times = append(j.times, o)
+	return o
+}
+
+// offer notes a step whose tasks may be started.
+func (t *Table) offer(s *Step) {
+	if s.Waiting > 0 && s.Ready() {
+		t.ready = append(t.ready, s)
+	}
+}
+
+// Find returns the step of a task, nil where the job, time, step or task is not known.
+func (t *Table) Find(name TaskName) *Step {
+	j := t.jobs[name.Job]
+	if j == nil || name.Occasion >= len(j.times) || name.Step >= len(j.Stages) {
+		return nil
+	}
+	s := j.times[name.Occasion].Steps[name.Step]
+	if name.Index >= len(s.Tasks) {
+		return nil
+	}
+	return s
+}
+
+// dueHeap orders jobs by when their next time falls due.
+type dueHeap []*Job
+
+func (h dueHeap) Len() int { return len(h) }
+func (h dueHeap) Less(a, b int) bool {
+	return h[a].dueMs(len(h[a].times)) < h[b].dueMs(len(h[b].times))
+}
+func (h dueHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+
+// Push is part of heap.Interface.
+func (h *dueHeap) Push(x any) { *h = append(*h, x.(*Job)) }
+
+// Pop is part of heap.Interface.
+func (h *dueHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// Load makes the table of what a store holds.
+func Load(s *store.Store) (*Table, error) {
+	t := NewTable()
+	var problem error
+	tasks := make(map[string]*protocol.TaskRecord)
+	statuses := make(map[string]*protocol.StatusRecord)
+	s.Each(func(key string, value []byte) {
+		switch {
+		case strings.HasPrefix(key, jobPrefix):
+			var r protocol.JobRecord
+			problem = errors.CombineErrors(problem, proto.Unmarshal(value, &r))
+			j := newJob(&r)
+			t.jobs[j.ID] = j
+			t.sequence = max(t.sequence, j.Sequence)
+		case strings.HasPrefix(key, statusPrefix):
+			r := &protocol.StatusRecord{}
+			problem = errors.CombineErrors(problem, proto.Unmarshal(value, r))
+			statuses[strings.TrimPrefix(key, statusPrefix)] = r
+		case strings.HasPrefix(key, taskPrefix):
+			r := &protocol.TaskRecord{}
+			problem = errors.CombineErrors(problem, proto.Unmarshal(value, r))
+			tasks[strings.TrimPrefix(key, taskPrefix)] = r
+		}
+	})
+	if problem != nil {
+		return nil, errors.Wrap(problem, "jobs: the stored state can't be read")
+	}
+	t.loadStatuses(statuses)
+	t.loadTasks(tasks)
+	t.settle()
+	return t, nil
+}
+
+func (t *Table) loadStatuses(statuses map[string]*protocol.StatusRecord) {
+	for id, r := range statuses {
+		j := t.jobs[id]
+		if j == nil {
+			j = &Job{ID: id, Queue: r.GetQueue()}
+			t.jobs[id] = j
+		}
+		j.State, j.EndedMs = State(r.GetState()), r.GetEndedMs()
+		if j.State.Final() {
+			t.final = append(t.final, j)
+		}
+	}
+	slices.SortFunc(t.final, func(a, b *Job) int { return int(a.EndedMs - b.EndedMs) })
+}
+
+func (t *Table) loadTasks(tasks map[string]*protocol.TaskRecord) {
+	for id, r := range tasks {
+		name, ok := ParseTask(id)
+		j := t.jobs[name.Job]
+		if !ok || j == nil || j.Stages == nil {
+			continue
+		}
+		for len(j.times) <= name.Occasion {
+			t.addOccasion(j)
+		}
+		s := t.Find(name)
+		if s == nil {
+			continue
+		}
+		s.failures, s.failed = max(s.failures, int(r.GetGangFailures())), max(s.failed, r.GetGangFailed())
+		s.run = max(s.run, r.GetRun())
+		task := &s.Tasks[name.Index]
+		*task = Task{Phase: Phase(r.GetState()), Run: r.GetRun(), Runner: r.GetRunner(), Failures: int(r.GetFailures()), Saved: r.GetSaved(), LastFailed: r.GetLastFailed()}
+		if task.Phase != Waiting {
+			s.Waiting--
+		}
+		if task.Phase == Done || task.Phase == DoneLive {
+			s.done++
+		}
+		if task.Phase == Live || task.Phase == DoneLive {
+			j.live++
+		}
+	}
+}
+
+// settle derives what is not stored: what is finished and what is ready.
+func (t *Table) settle() {
+	for _, j := range t.jobs {
+		if j.Stages == nil {
+			continue
+		}
+		for _, o := range j.times {
+			for _, s := range o.Steps {
+				if s.done == len(s.Tasks) {
+					o.done++
+				}
+				t.offer(s)
+			}
+			if o.done == len(o.Steps) {
+				j.finished++
+			}
+		}
+		if !j.State.Final() {
+			t.due = append(t.due, j)
+		} else {
+			t.stopAll(j)
+		}
+	}
+	heap.Init(&t.due)
+}
--- a/internal/control/replica/agreement.go
+++ b/internal/control/replica/agreement.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"frosttide/internal/control/journal"
-	"frosttide/internal/control/view"
 	"frosttide/internal/protocol"
+	"frosttide/internal/view"
 )
 
 // phase is a round's state.
--- a/internal/control/replica/chain.go
+++ b/internal/control/replica/chain.go
@@ -5,8 +5,8 @@
 
 	"github.com/gammazero/deque"
 
-	"frosttide/internal/control/view"
 	"frosttide/internal/protocol"
+	"frosttide/internal/view"
 )
 
 // chain is the member's part in the chain of the newest view.
--- a/internal/control/replica/confirm.go
+++ b/internal/control/replica/confirm.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"frosttide/internal/control/view"
 	"frosttide/internal/protocol"
+	"frosttide/internal/view"
 )
 
 // confirms is how the member makes sure that its view is still the newest: a majority of the voters
--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"frosttide/internal/control/view"
 	"frosttide/internal/protocol"
+	"frosttide/internal/view"
 )
 
 // heartbeat tells all members that are known how this one stands.
--- a/internal/control/replica/install.go
+++ b/internal/control/replica/install.go
@@ -7,8 +7,8 @@
 	"github.com/gammazero/deque"
 
 	"frosttide/internal/control/journal"
-	"frosttide/internal/control/view"
 	"frosttide/internal/protocol"
+	"frosttide/internal/view"
 )
 
 // syncing is how a member takes the state of another.
--- a/internal/control/replica/machine.go
+++ b/internal/control/replica/machine.go
@@ -12,8 +12,8 @@
 
 	"frosttide/internal/control/journal"
 	"frosttide/internal/control/store"
-	"frosttide/internal/control/view"
 	"frosttide/internal/protocol"
+	"frosttide/internal/view"
 )
 
 // Timing holds the machine's periods. All count on the steady clock.
--- a/internal/control/replica/membership.go
+++ b/internal/control/replica/membership.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"frosttide/internal/control/view"
 	"frosttide/internal/protocol"
+	"frosttide/internal/view"
 )
 
 // joiner is a member that asks to become a voter.
--- /dev/null
+++ b/internal/control/scheduler/orders.go
@@ -0,0 +1,135 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"frosttide/internal/protocol"
+)
+
+// batch is the orders of one entry; they go out once it is committed.
+type batch struct {
+	index uint64
+	by    map[string]*runnerBatch // by the runner's id
+}
+
+type runnerBatch struct {
+	started []string
+	dropped []*protocol.RunRef
+	noted   uint64 // ends, 0 where none were
+}
+
+func (b *batch) empty() bool { return len(b.by) == 0 }
+
+func (b *batch) of(runner string) *runnerBatch {
+	if b.by == nil {
+		b.by = make(map[string]*runnerBatch)
+	}
+	if b.by[runner] == nil {
+		b.by[runner] = &runnerBatch{}
+	}
+	return b.by[runner]
+}
+
+// add orders the run of a task that has been started.
+func (b *batch) add(runner, task string) {
+	of := b.of(runner)
+	of.started = append(of.started, task)
+}
+
+// drop orders that a run is wanted no longer.
+func (b *batch) drop(runner, task string, run uint32) {
+	of := b.of(runner)
+	of.dropped = append(of.dropped, &protocol.RunRef{Task: task, Run: run})
+}
+
+// note orders that ends up to a number are acknowledged.
+func (b *batch) note(runner string, noted uint64) { b.of(runner).noted = noted }
+
+// order sends the orders of an entry that is committed.
+func (d *Scheduler) order(b *batch) {
+	for id, of := range b.by {
+		r := d.runners[id]
+		if r == nil {
+			continue
+		}
+		r.acknowledged = max(r.acknowledged, of.noted)
+		orders := &protocol.RunnerOrders{Drop: of.dropped}
+		for _, task := range of.started {
+			run, ok := r.live[task]
+			if !ok || run.stopped {
+				continue
+			}
+			run.pending = false
+			r.live[task] = run
+			orders.Runs = append(orders.Runs, d.runOrder(task, run))
+		}
+		for _, ref := range of.dropped {
+			if run, ok := r.live[ref.GetTask()]; ok && ref.GetRun() == run.number {
+				run.stopped = true
+				r.live[ref.GetTask()] = run
+			}
+		}
+		if r.session != nil {
+			d.sendOrders(r.session, orders)
+		}
+	}
+}
+
+func (d *Scheduler) runOrder(task string, run liveRun) *protocol.RunOrder {
+	return &protocol.RunOrder{Task: task, Run: run.number, Spec: run.step.Job.Spec, Saved: run.saved}
+}
+
+// answer answers a report: it renews the lease and sends the whole set of runs where it is needed.
+func (d *Scheduler) answer(s *session, report *protocol.RunnerReport) {
+	orders := &protocol.RunnerOrders{}
+	if report.GetLeaseRound() == 0 && !s.needsFull {
+		return
+	}
+	until := d.confirmed + d.cfg.Lease
+	if report.GetLeaseRound() > 0 && until > d.now {
+		orders.LeaseRound = report.GetLeaseRound()
+		orders.LeaseMs = uint32((until - d.now) / time.Millisecond)
+		s.leaseUntil = max(s.leaseUntil, until)
+		d.updateUsable(s)
+	}
+	d.sendOrders(s, orders)
+}
+
+// sendOrders sends orders to a session, as the whole set where that is due.
+func (d *Scheduler) sendOrders(s *session, orders *protocol.RunnerOrders) {
+	orders.Epoch, orders.Runner, orders.Companion = d.epoch, s.runner, s.incarnation
+	orders.RetryMs = retryIdleMs
+	if r := d.runners[s.runner]; r != nil {
+		orders.LastSeen = r.acknowledged
+		if len(r.live) > 0 {
+			orders.RetryMs = retryBusyMs
+		}
+		if s.needsFull {
+			d.fillWhole(r, orders)
+		}
+	}
+	if s.needsFull || len(orders.Runs) > 0 || len(orders.Drop) > 0 {
+		s.sequence++
+		s.sentAt = d.now
+	}
+	s.needsFull = false
+	orders.Sequence = s.sequence
+	d.sends = append(d.sends, Send{To: s.address, Message: &protocol.Envelope{Body: &protocol.Envelope_RunnerOrders{RunnerOrders: orders}}})
+}
+
+// fillWhole makes orders the whole set of the runs that a runner is to have.
+func (d *Scheduler) fillWhole(r *runner, orders *protocol.RunnerOrders) {
+	orders.Full, orders.Runs, orders.Drop = true, nil, nil
+	for task, run := range r.live {
+		if !run.pending && !run.stopped && !run.step.Job.State.Final() {
+			orders.Runs = append(orders.Runs, d.runOrder(task, run))
+		}
+	}
+	slices.SortFunc(orders.Runs, func(a, b *protocol.RunOrder) int {
+		if a.GetTask() < b.GetTask() {
+			return -1
+		}
+		return 1
+	})
+}
--- /dev/null
+++ b/internal/control/scheduler/sessions.go
@@ -0,0 +1,267 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"frosttide/internal/control/jobs"
+	"frosttide/internal/control/placement"
+	"frosttide/internal/control/store"
+	"frosttide/internal/protocol"
+)
+
+// runnerPrefix is the prefix of the keys of protocol.RunnerRecord.
+const runnerPrefix = "r/"
+
+// runner is what is known of a runner beside its account.
+type runner struct {
+	id           string
+	account      *placement.Runner
+	live         map[string]liveRun // by task
+	noted        uint64             // highest end in the store, or in the entry that is being made
+	acknowledged uint64             // highest end whose noting is committed
+	stored       bool               // there is an item of it
+	session      *session           // nil while no companion speaks for it
+	deadline     time.Duration      // when its holds have surely run out, without a session
+	known        bool               // it has given an account of itself to this head
+}
+
+// liveRun is a run that may be under way.
+type liveRun struct {
+	number  uint32
+	step    *jobs.Step
+	index   int
+	saved   string // checkpoint it starts from
+	pending bool   // its start is not committed yet
+	stopped bool   // it is to be stopped
+}
+
+// session is a companion that speaks for its runner.
+type session struct {
+	address     string
+	incarnation uint64
+	runner      string // id of its runner, empty before any is known
+	heard       time.Duration
+	leaseUntil  time.Duration // end of the newest lease
+	sequence    uint64        // of the newest orders
+	sentAt      time.Duration
+	seen        uint64 // newest orders that the companion has applied
+	needsFull   bool
+	silent      bool
+	holding     bool
+	draining    bool
+}
+
+const (
+	// sessionSilent is how long a companion may be silent until its runner gets no more tasks.
+	sessionSilent = 1200 * time.Millisecond
+	// resendAfter is how long orders may be unapplied until the whole set is sent again.
+	resendAfter = 700 * time.Millisecond
+	// retryBusy and retryIdle are the pauses between a runner's beats, with work under way or not.
+	retryBusyMs = 25
+	retryIdleMs = 25
+)
+
+// runner returns what is known of a runner and makes it where nothing is: its holds may last for a
+// lease from now on.
+func (d *Scheduler) runner(id string) *runner {
+	r := d.runners[id]
+	if r == nil {
+		r = &runner{id: id, account: d.fleet.Add(id), live: make(map[string]liveRun), deadline: d.leaseEnd(d.now + d.cfg.Lease)}
+		d.runners[id] = r
+	}
+	return r
+}
+
+// leaseEnd returns when holds within a lease have surely run out.
+func (d *Scheduler) leaseEnd(lease time.Duration) time.Duration {
+	return lease + time.Duration(clockSlack*float64(d.cfg.Lease)) + leaseMargin
+}
+
+func (d *Scheduler) loadRunners(s *store.Store) error {
+	var problem error
+	s.Each(func(key string, value []byte) {
+		if !strings.HasPrefix(key, runnerPrefix) {
+			return
+		}
+		var record protocol.RunnerRecord
+		problem = errors.CombineErrors(problem, proto.Unmarshal(value, &record))
+		r := d.runner(strings.TrimPrefix(key, runnerPrefix))
+		r.noted, r.acknowledged, r.stored = record.GetLastSeen(), record.GetLastSeen(), true
+	})
+	return errors.Wrap(problem, "scheduler: the stored runners can't be read")
+}
+
+// Report handles what a companion says.
+func (d *Scheduler) Report(now time.Duration, from string, report *protocol.RunnerReport) {
+	d.now = now
+	s := d.sessions[from]
+	if s == nil || s.incarnation != report.GetIncarnation() {
+		d.endSession(s)
+		s = &session{address: from, incarnation: report.GetIncarnation(), needsFull: true}
+		d.sessions[from] = s
+	}
+	s.heard = now
+	for _, id := range report.GetGone() {
+		d.lose(id)
+	}
+	d.meet(s, report)
+	s.silent, s.holding = report.GetSilent(), report.GetHolding()
+	if report.GetEpoch() == d.epoch {
+		s.seen = max(s.seen, report.GetOrdersSeen())
+	}
+	d.noteEnds(s, report.GetEnds())
+	d.updateUsable(s)
+	d.answer(s, report)
+}
+
+// meet notes which runner a companion speaks for.
+func (d *Scheduler) meet(s *session, report *protocol.RunnerReport) {
+	a := report.GetAccount()
+	if a == nil {
+		return
+	}
+	if s.runner != "" && s.runner != a.GetId() {
+		d.lose(s.runner) // it came back under another id, so it runs nothing
+	}
+	if s.runner != a.GetId() {
+		s.runner, s.needsFull = a.GetId(), true
+	}
+	r := d.runner(a.GetId())
+	r.session, r.known = s, true
+	s.draining = a.GetDraining()
+	c := a.GetCapacity()
+	d.fleet.Describe(r.account, a.GetService(), rackOf(d.cfg.RackPrefix, a.GetLabels()), a.GetLabels(), placement.Resources{CPU: c.GetCpu(), MemMB: c.GetMemMb(), GPUs: c.GetGpus()})
+}
+
+// updateUsable decides whether a session's runner may be sent tasks.
+func (d *Scheduler) updateUsable(s *session) {
+	if r := d.runners[s.runner]; r != nil && r.session == s {
+		r.account.Usable = r.known && s.holding && !s.silent && !s.draining && d.now-s.heard < sessionSilent && s.leaseUntil > d.now
+	}
+}
+
+// noteEnds notes the ends that a runner has listed, each once.
+func (d *Scheduler) noteEnds(s *session, ends []*protocol.RunEnd) {
+	r := d.runners[s.runner]
+	if r == nil {
+		return
+	}
+	before := r.noted
+	for _, end := range ends {
+		if end.GetNumber() <= r.noted {
+			continue
+		}
+		r.noted = end.GetNumber()
+		d.noteEnd(r, end)
+	}
+	if r.noted > before {
+		r.stored = true
+		d.put(runnerPrefix+r.id, &protocol.RunnerRecord{LastSeen: r.noted})
+		d.batch.note(r.id, r.noted)
+	}
+}
+
+func (d *Scheduler) noteEnd(r *runner, end *protocol.RunEnd) {
+	name, ok := jobs.ParseTask(end.GetTask())
+	if !ok {
+		return
+	}
+	how := jobs.How(end.GetHow())
+	out := d.jobs.End(name, end.GetRun(), r.id, how, end.GetSaved(), d.maxAttempts(name.Job), d.wallMs)
+	if run, live := r.live[end.GetTask()]; live && run.number == end.GetRun() {
+		d.dropRun(r, end.GetTask())
+	}
+	if out.Counted && (how == jobs.EndFailed || how == jobs.EndDone) {
+		d.fleet.Trouble(r.account, how == jobs.EndFailed, d.now)
+	}
+}
+
+// maxAttempts returns how many failed runs a task of a job may have.
+func (d *Scheduler) maxAttempts(id string) int {
+	j := d.jobs.Get(id)
+	if j == nil {
+		return 1
+	}
+	if route := d.config.Route(j.Queue); route != nil {
+		return route.MaxAttempts
+	}
+	return defaultAttempts
+}
+
+// defaultAttempts counts for jobs of a queue that is gone.
+const defaultAttempts = 2
+
+// dropRun gives back what a run held.
+func (d *Scheduler) dropRun(r *runner, task string) {
+	d.batch.drop(r.id, task, r.live[task].number)
+	delete(r.live, task)
+	d.fleet.Release(r.account, task)
+}
+
+// lose notes that a runner surely runs nothing any more.
+func (d *Scheduler) lose(id string) {
+	r := d.runners[id]
+	if r == nil {
+		return
+	}
+	tasks := make([]string, 0, len(r.live))
+	for task := range r.live {
+		tasks = append(tasks, task)
+	}
+	slices.Sort(tasks)
+	for _, task := range tasks {
+		run := r.live[task]
+		if name, ok := jobs.ParseTask(task); ok {
+			d.jobs.End(name, run.number, id, jobs.EndLost, "", d.maxAttempts(name.Job), d.wallMs)
+		}
+		delete(r.live, task)
+		d.fleet.Release(r.account, task)
+	}
+	if r.stored {
+		d.writes.Delete(runnerPrefix + id)
+	}
+	if r.session != nil && r.session.runner == id {
+		r.session.runner = ""
+	}
+	d.fleet.Remove(id)
+	delete(d.runners, id)
+}
+
+// endSession has a runner wait for its companion's next session.
+func (d *Scheduler) endSession(s *session) {
+	if s == nil {
+		return
+	}
+	if r := d.runners[s.runner]; r != nil && r.session == s {
+		r.session = nil
+		r.account.Usable = false
+		r.deadline = d.leaseEnd(s.leaseUntil)
+	}
+	delete(d.sessions, s.address)
+}
+
+// tickSessions gives up runners whose holds have run out, and has orders sent again that were not
+// applied.
+func (d *Scheduler) tickSessions() {
+	for _, s := range d.sessions {
+		if d.now > d.leaseEnd(s.leaseUntil) && d.now-s.heard > sessionSilent {
+			d.endSession(s)
+			continue
+		}
+		d.updateUsable(s)
+		if s.seen < s.sequence && d.now-s.sentAt > resendAfter && d.now-s.heard < sessionSilent {
+			s.needsFull = true
+			d.sendOrders(s, &protocol.RunnerOrders{})
+		}
+	}
+	for id, r := range d.runners {
+		if r.session == nil && d.now > r.deadline {
+			d.lose(id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/data/companion/head.go
@@ -0,0 +1,190 @@
+package companion
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"frosttide/internal/protocol"
+)
+
+// View notes a newer view of the control plane: its head is whom to report to.
+func (m *Machine) View(now time.Duration, epoch uint64, head string) {
+	m.now = now
+	if epoch <= m.epoch {
+		return
+	}
+	m.epoch, m.head = epoch, head
+	m.sequence, m.whole = 0, false
+	m.heardHead = now
+	m.nextReport = 0
+	if m.runner != nil {
+		m.runner.told, m.runner.sentEnds = false, 0
+	}
+}
+
+// Tick lets time pass.
+func (m *Machine) Tick(now time.Duration) {
+	m.now = now
+	m.forget()
+	if now < m.nextReport {
+		return
+	}
+	if m.head == "" || now-m.heardHead > headSilent {
+		m.find()
+	}
+	if m.head == "" {
+		m.nextReport = now + findEvery
+		return
+	}
+	m.report()
+	m.nextReport = now + reportEvery
+	if now-m.heardHead > headSilent {
+		m.nextReport = now + findEvery
+	}
+}
+
+// Due returns when Tick has something to do.
+func (m *Machine) Due() time.Duration { return m.nextReport }
+
+// find asks core machines for the newest view, another one each time.
+func (m *Machine) find() {
+	if len(m.cfg.Contacts) == 0 {
+		return
+	}
+	m.contact++
+	m.sends = append(m.sends, Send{To: m.cfg.Contacts[m.contact%len(m.cfg.Contacts)],
+		Message: &protocol.Envelope{Body: &protocol.Envelope_ViewQuery{ViewQuery: &protocol.ViewQuery{Epoch: m.epoch}}}})
+}
+
+// SetContacts replaces the core machines to be asked for the view.
+func (m *Machine) SetContacts(contacts []string) {
+	if len(contacts) > 0 {
+		m.cfg.Contacts = contacts
+	}
+}
+
+// forget drops what nobody has to be told any more, and gives up a runner whose holds have run out.
+func (m *Machine) forget() {
+	for id, at := range m.gone {
+		if m.now-at > goneKept {
+			delete(m.gone, id)
+		}
+	}
+	for round, at := range m.asked {
+		if m.now-at > goneKept {
+			delete(m.asked, round)
+		}
+	}
+	r := m.runner
+	if r != nil && m.now-r.heard > silentAfter && m.now > r.holdUntil {
+		m.gone[r.account.GetId()] = m.now
+		m.runner = nil
+		m.nextReport = 0
+	}
+}
+
+// report tells the head how the runner stands and asks for the lease to be renewed.
+func (m *Machine) report() {
+	m.round++
+	m.asked[m.round] = m.now
+	report := &protocol.RunnerReport{Incarnation: m.cfg.Incarnation, LeaseRound: m.round, OrdersSeen: m.sequence, Epoch: m.epoch, NoRunner: m.runner == nil,
+		Gone: slices.Sorted(maps.Keys(m.gone))}
+	if r := m.runner; r != nil {
+		report.Account = r.account
+		report.Silent = m.now-r.heard > silentAfter || r.left
+		report.Holding = !report.Silent
+		for _, number := range slices.Sorted(maps.Keys(r.ends)) {
+			report.Ends = append(report.Ends, r.ends[number])
+		}
+	}
+	m.sends = append(m.sends, Send{To: m.head, Message: &protocol.Envelope{Body: &protocol.Envelope_RunnerReport{RunnerReport: report}}})
+}
+
+// Orders handles orders of the head.
+func (m *Machine) Orders(now time.Duration, from string, o *protocol.RunnerOrders) {
+	m.now = now
+	if o.GetEpoch() < m.epoch || o.GetCompanion() != m.cfg.Incarnation {
+		return // of a head that is none any more, or for the process that was here before
+	}
+	if o.GetEpoch() > m.epoch {
+		m.View(now, o.GetEpoch(), from)
+	}
+	m.head, m.heardHead = from, now
+	m.takeLease(o)
+	r := m.runner
+	if r == nil || o.GetRunner() != r.account.GetId() {
+		return
+	}
+	if o.GetRetryMs() > 0 {
+		m.retry = time.Duration(o.GetRetryMs()) * time.Millisecond
+	}
+	m.acknowledge(r, o.GetLastSeen())
+	if !o.GetFull() && (!m.whole || o.GetSequence() > m.sequence+1) {
+		return // the whole set is sent again, as these are reported as not applied
+	}
+	m.sequence = max(m.sequence, o.GetSequence())
+	m.apply(r, o)
+}
+
+// takeLease counts a lease from the sending of the request that it answers.
+func (m *Machine) takeLease(o *protocol.RunnerOrders) {
+	at, ok := m.asked[o.GetLeaseRound()]
+	if !ok {
+		return
+	}
+	m.lease = max(m.lease, at+time.Duration(o.GetLeaseMs())*time.Millisecond)
+	for round := range m.asked {
+		if round <= o.GetLeaseRound() {
+			delete(m.asked, round)
+		}
+	}
+}
+
+// acknowledge drops the ends that the head has noted.
+func (m *Machine) acknowledge(r *runner, lastSeen uint64) {
+	if lastSeen <= r.lastSeen {
+		return
+	}
+	r.lastSeen = lastSeen
+	for number := range r.ends {
+		if number <= lastSeen {
+			delete(r.ends, number)
+		}
+	}
+}
+
+// apply changes the set of wanted runs.
+func (m *Machine) apply(r *runner, o *protocol.RunnerOrders) {
+	if o.GetFull() {
+		before := r.wanted
+		r.wanted = make(map[string]*protocol.RunOrder, len(o.GetRuns()))
+		m.whole = true
+		for task, w := range before { // a start of it may be under way to the runner
+			r.fenced[task] = w.GetRun()
+		}
+	}
+	for _, ref := range o.GetDrop() {
+		w := r.wanted[ref.GetTask()]
+		if w != nil && w.GetRun() <= ref.GetRun() {
+			r.fenced[ref.GetTask()] = w.GetRun()
+			delete(r.wanted, ref.GetTask())
+		}
+	}
+	for _, run := range o.GetRuns() {
+		if !m.ended(r, run) {
+			r.wanted[run.GetTask()] = run
+			delete(r.fenced, run.GetTask())
+		}
+	}
+}
+
+// ended tells whether the runner has listed the end of a run that is not noted yet.
+func (m *Machine) ended(r *runner, run *protocol.RunOrder) bool {
+	for _, e := range r.ends {
+		if e.GetTask() == run.GetTask() && e.GetRun() >= run.GetRun() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/data/companion/machine.go
@@ -0,0 +1,235 @@
+// Package companion answers the heartbeats of one runner. It holds the set of runs that the head wants
+// there, has the runner start what is missing and stop what is not wanted, passes the ends on to the
+// head, and lets the runner's holds grow only within the lease that the head has granted. Machine is pure;
+// Server runs it on HTTP and the internal transport.
+package companion
+
+import (
+	"time"
+
+	"frosttide/internal/protocol"
+)
+
+// Config holds what the settings say.
+type Config struct {
+	Incarnation uint64
+	HoldMax     time.Duration // longest hold that runners take
+	Contacts    []string      // core machines to ask for the view at first
+	Seed        uint64
+}
+
+// Beat is a heartbeat of the runner.
+type Beat struct {
+	Account  *protocol.RunnerAccount
+	Sequence uint64
+	Running  []*protocol.RunProgress
+	Finished []*protocol.RunEnd
+}
+
+// Answer is what the runner is told.
+type Answer struct {
+	Hold     time.Duration // 0 gives none
+	LastSeen uint64
+	Fence    uint64
+	Start    []*protocol.RunOrder
+	Stop     []*protocol.RunRef
+	Retry    time.Duration
+}
+
+// Send is a message to the process at an internal address.
+type Send struct {
+	To      string
+	Message *protocol.Envelope
+}
+
+// Machine is the companion. It is not safe for concurrent use.
+type Machine struct {
+	cfg   Config
+	now   time.Duration
+	began time.Duration
+	sends []Send
+
+	runner     *runner
+	gone       map[string]time.Duration // runners that run nothing any more, until the head surely knows
+	head       string                   // internal address of the head, empty where none is known
+	epoch      uint64                   // of the head
+	sequence   uint64                   // newest orders applied of this epoch
+	whole      bool                     // the whole set of this epoch has come
+	lease      time.Duration            // end of the lease
+	round      uint64                   // of the newest request for a lease
+	asked      map[uint64]time.Duration // when rounds were asked
+	nextReport time.Duration
+	retry      time.Duration
+	heardHead  time.Duration
+	contact    int
+}
+
+// runner is the runner as its beats show it.
+type runner struct {
+	account   *protocol.RunnerAccount
+	told      bool // the head knows the account as it is
+	sequence  uint64
+	heard     time.Duration
+	wanted    map[string]*protocol.RunOrder
+	fenced    map[string]uint32 // runs that are wanted no longer, until they are listed as ended
+	running   map[string]uint32
+	listed    bool // a beat has been handled under the present orders
+	lastSeen  uint64
+	ends      map[uint64]*protocol.RunEnd // listed and not noted by the head, by number
+	sentEnds  uint64                      // highest end sent to this head
+	holdUntil time.Duration               // when the newest hold surely has run out
+	left      bool
+}
+
+const (
+	// reportEvery is how often the lease is renewed.
+	reportEvery = 300 * time.Millisecond
+	// findEvery is how often the head is looked for while there is none.
+	findEvery = 100 * time.Millisecond
+	// headSilent is how long the head may be silent until it is looked for.
+	headSilent = 900 * time.Millisecond
+	// silentAfter is how long a runner may be silent until it gets no more tasks.
+	silentAfter = 700 * time.Millisecond
+	// clockSlack is how much slower than ours a runner's clock may be; the rules say 2%.
+	clockSlack = 0.03
+	// holdMargin is added to a hold's end.
+	holdMargin = 200 * time.Millisecond
+	// defaultRetry is the pause between beats until the head says another.
+	defaultRetry = 50 * time.Millisecond
+	// goneKept is how long the head is told of a runner that is gone.
+	goneKept = 30 * time.Second
+	// draining and departing runners get short holds.
+	leastHold = 100 * time.Millisecond
+)
+
+// New returns a companion that knows nothing yet.
+func New(cfg Config, now time.Duration) *Machine {
+	return &Machine{cfg: cfg, now: now, began: now, gone: make(map[string]time.Duration), asked: make(map[uint64]time.Duration), retry: defaultRetry}
+}
+
+// TakeSends returns the messages to be sent since the last call.
+func (m *Machine) TakeSends() []Send {
+	out := m.sends
+	m.sends = nil
+	return out
+}
+
+// Beat handles a heartbeat and returns the answer.
+func (m *Machine) Beat(now time.Duration, b *Beat) Answer {
+	m.now = now
+	r := m.runner
+	if r == nil || r.account.GetId() != b.Account.GetId() {
+		if r != nil && m.isOlder(b) {
+			return Answer{Retry: m.retry}
+		}
+		r = m.meet(b)
+	}
+	if b.Sequence < r.sequence {
+		return Answer{LastSeen: r.lastSeen, Retry: m.retry} // it comes late; what it lists is old
+	}
+	r.sequence, r.heard = b.Sequence, now
+	m.noteAccount(r, b.Account)
+	m.noteLists(r, b)
+	return m.answer(r)
+}
+
+// isOlder tells whether a beat is of a runner that was replaced here.
+func (m *Machine) isOlder(b *Beat) bool {
+	_, gone := m.gone[b.Account.GetId()]
+	return gone
+}
+
+// meet begins with a runner: one that was here under another id runs nothing any more.
+func (m *Machine) meet(b *Beat) *runner {
+	if m.runner != nil {
+		m.gone[m.runner.account.GetId()] = m.now
+	}
+	// A companion that has started anew knows no holds of the time before; they may last for the longest time.
+	m.runner = &runner{wanted: make(map[string]*protocol.RunOrder), fenced: make(map[string]uint32), running: make(map[string]uint32), ends: make(map[uint64]*protocol.RunEnd),
+		holdUntil: m.now + m.surely(m.cfg.HoldMax)}
+	m.whole = false
+	delete(m.gone, b.Account.GetId())
+	m.runner.account = b.Account
+	m.nextReport = 0
+	return m.runner
+}
+
+// surely returns when a hold has run out on the slowest clock.
+func (m *Machine) surely(hold time.Duration) time.Duration {
+	return hold + time.Duration(clockSlack*float64(hold)) + holdMargin
+}
+
+// noteAccount has the head told where the account has changed.
+func (m *Machine) noteAccount(r *runner, a *protocol.RunnerAccount) {
+	if r.account.GetDraining() != a.GetDraining() || r.account.GetCapacity().String() != a.GetCapacity().String() || r.account.GetService() != a.GetService() {
+		r.told = false
+		m.nextReport = 0
+	}
+	r.account = a
+}
+
+// noteLists takes in what the runner runs and what has ended.
+func (m *Machine) noteLists(r *runner, b *Beat) {
+	clear(r.running)
+	for _, p := range b.Running {
+		r.running[p.GetTask()] = p.GetRun()
+	}
+	fresh := false
+	for _, e := range b.Finished {
+		if e.GetNumber() <= r.lastSeen || r.ends[e.GetNumber()] != nil {
+			continue
+		}
+		r.ends[e.GetNumber()] = e
+		fresh = true
+		if w := r.wanted[e.GetTask()]; w != nil && w.GetRun() <= e.GetRun() {
+			delete(r.wanted, e.GetTask())
+		}
+	}
+	if fresh {
+		m.nextReport = 0
+	}
+}
+
+// answer tells the runner what is wanted of it.
+func (m *Machine) answer(r *runner) Answer {
+	a := Answer{LastSeen: r.lastSeen, Fence: m.epoch, Retry: m.retry}
+	left := m.lease - m.now
+	if left < leastHold || !m.whole {
+		return a
+	}
+	a.Hold = min(m.cfg.HoldMax, left)
+	r.holdUntil = max(r.holdUntil, m.now+m.surely(a.Hold))
+	if !r.account.GetDraining() {
+		for task, w := range r.wanted {
+			if r.running[task] != w.GetRun() {
+				a.Start = append(a.Start, w)
+			}
+		}
+	}
+	for task, run := range r.running {
+		if w := r.wanted[task]; w == nil || w.GetRun() != run {
+			a.Stop = append(a.Stop, &protocol.RunRef{Task: task, Run: run})
+		}
+	}
+	for task, run := range r.fenced {
+		if r.running[task] == 0 {
+			a.Stop = append(a.Stop, &protocol.RunRef{Task: task, Run: run})
+		}
+	}
+	clear(r.fenced)
+	return a
+}
+
+// Leave handles that the runner takes its leave. What it ran dies with it, once its hold has run out at
+// the latest.
+func (m *Machine) Leave(now time.Duration, id string) {
+	m.now = now
+	if m.runner == nil || m.runner.account.GetId() != id {
+		return
+	}
+	m.runner.left = true
+	m.nextReport = 0
+}
+
+// Draining tells whether the runner's wish to leave is known here; it is from then on sent nothing.
+func (m *Machine) Draining() bool { return m.runner != nil && m.runner.account.GetDraining() }
--- /dev/null
+++ b/internal/routeconfig/document.go
@@ -0,0 +1,131 @@
+// Package routeconfig is the operator's configuration: a table of items (routes, services and other
+// members) that whole documents and patches change, with the checks that a change has to pass. Both
+// planes hold one: the control plane evaluates orders on it, the data plane follows its versions.
+package routeconfig
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fastjson"
+)
+
+// ErrInvalid marks every reason why a configuration is refused.
+var ErrInvalid = errors.New("invalid configuration")
+
+// Kind is the list of a document that an item stands in; it is the first part of the item's key.
+type Kind string
+
+// The kinds of items. Members of the document that are no lists of named items are kept whole.
+const (
+	RouteKind   Kind = "route/"
+	ServiceKind Kind = "service/"
+	MemberKind  Kind = "member/"
+)
+
+const (
+	routesMember   = "Routes"
+	servicesMember = "Services"
+	versionMember  = "Version"
+)
+
+// listed are the lists of named items, by their member's name.
+var listed = map[string]Kind{routesMember: RouteKind, servicesMember: ServiceKind}
+
+// namedItem is an item of a document.
+type namedItem struct {
+	key  string
+	json []byte
+}
+
+// document is a whole configuration or a patch.
+type document struct {
+	version uint64
+	whole   bool
+	items   []namedItem
+	removed []string
+}
+
+// invalid returns an error that says why a configuration is refused.
+func invalid(format string, args ...any) error {
+	return errors.Mark(errors.Newf("configuration: "+format, args...), ErrInvalid)
+}
+
+// parse reads a whole configuration or a patch.
+func parse(body []byte, patch bool) (*document, error) {
+	value, err := fastjson.ParseBytes(body)
+	if err != nil {
+		return nil, invalid("it can't be read: %v", err)
+	}
+	top, err := value.Object()
+	if err != nil {
+		return nil, invalid("it is no object")
+	}
+	d := &document{whole: !patch}
+	number := value.Get(versionMember)
+	if number == nil {
+		return nil, invalid("Version: it is missing")
+	}
+	if d.version, err = number.Uint64(); err != nil {
+		return nil, invalid("Version: %v", err)
+	}
+	if patch {
+		return d, d.readPatch(value)
+	}
+	top.Visit(func(name []byte, v *fastjson.Value) {
+		if err == nil && string(name) != versionMember {
+			err = d.readMember(string(name), v)
+		}
+	})
+	return d, err
+}
+
+// readPatch reads what a patch sets and removes.
+func (d *document) readPatch(value *fastjson.Value) (err error) {
+	if upsert := value.GetObject("Upsert"); upsert != nil {
+		upsert.Visit(func(name []byte, v *fastjson.Value) {
+			if err == nil {
+				err = d.readMember(string(name), v)
+			}
+		})
+	}
+	if err != nil {
+		return err
+	}
+	remove := value.GetObject("Remove")
+	if remove == nil {
+		return nil
+	}
+	remove.Visit(func(name []byte, v *fastjson.Value) {
+		kind, ok := listed[string(name)]
+		if !ok || v.Type() != fastjson.TypeArray {
+			err = invalid("Remove.%s: it is no list of names", name)
+			return
+		}
+		for _, n := range v.GetArray() {
+			d.removed = append(d.removed, string(kind)+string(n.GetStringBytes()))
+		}
+	})
+	return err
+}
+
+// readMember reads a list of named items, or keeps another member as it is.
+func (d *document) readMember(name string, v *fastjson.Value) error {
+	kind, ok := listed[name]
+	if !ok {
+		d.items = append(d.items, namedItem{key: string(MemberKind) + name, json: v.MarshalTo(nil)})
+		return nil
+	}
+	list, err := v.Array()
+	if err != nil {
+		return invalid("%s: it is no list", name)
+	}
+	seen := make(map[string]bool, len(list))
+	for _, entry := range list {
+		itemName := string(entry.GetStringBytes("Name"))
+		if itemName == "" || seen[itemName] {
+			return invalid("%s: name %q is missing or stands twice", name, itemName)
+		}
+		seen[itemName] = true
+		d.items = append(d.items, namedItem{key: string(kind) + itemName, json: entry.MarshalTo(nil)})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/routeconfig/table.go
@@ -0,0 +1,272 @@
+package routeconfig
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fastjson"
+
+	"frosttide/internal/protocol"
+)
+
+// Route is a queue: where clients reach it and how its jobs are run.
+type Route struct {
+	Name, Host, PathPrefix string
+	Service                string
+	TimeoutMs              int64
+	TargetLatencyMs        int64
+	Priority               int
+	MaxAttempts            int
+	Stretch                float64
+}
+
+// Limits bounds what clients may send; 0 where the configuration says nothing.
+type Limits struct {
+	MaxHeaderBytes, MaxBodyBytes, HeaderTimeoutMs, IdleTimeoutMs int64
+}
+
+// Table is the configuration of one version. Changes make a new table, so that one may be shared.
+type Table struct {
+	Version uint64
+	Digest  uint64 // of all items, whatever their order
+	last    uint64 // highest position given
+	items   map[string]*protocol.ConfigItem
+	routes  map[string]*Route
+	hosts   map[string][]*Route // by host, longest prefix first
+	limits  Limits
+}
+
+// Empty returns the table before the first configuration.
+func Empty() *Table { return build(0, 0, nil) }
+
+// build makes a table of items, among them removed ones.
+func build(version, last uint64, items map[string]*protocol.ConfigItem) *Table {
+	t := &Table{Version: version, last: last, items: items, routes: make(map[string]*Route), hosts: make(map[string][]*Route)}
+	for key, item := range items {
+		if len(item.GetJson()) == 0 {
+			continue
+		}
+		t.Digest += digestOf(key, item)
+		switch {
+		case strings.HasPrefix(key, string(RouteKind)):
+			r := readRoute(item.GetJson())
+			t.routes[r.Name] = r
+			t.hosts[strings.ToLower(r.Host)] = append(t.hosts[strings.ToLower(r.Host)], r)
+		case key == string(MemberKind)+"Limits":
+			t.limits = readLimits(item.GetJson())
+		}
+	}
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, func(a, b *Route) int {
+			return cmp.Or(cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)), cmp.Compare(a.Name, b.Name))
+		})
+	}
+	return t
+}
+
+func digestOf(key string, item *protocol.ConfigItem) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(item.GetJson())
+	return d.Sum64()
+}
+
+func readRoute(json []byte) *Route {
+	v, err := fastjson.ParseBytes(json)
+	if err != nil {
+		return &Route{}
+	}
+	return &Route{
+		Name: string(v.GetStringBytes("Name")), Host: string(v.GetStringBytes("Host")), PathPrefix: string(v.GetStringBytes("PathPrefix")),
+		Service: string(v.GetStringBytes("Service")), TimeoutMs: v.GetInt64("TimeoutMs"), TargetLatencyMs: v.GetInt64("TargetLatencyMs"),
+		Priority: v.GetInt("Priority"), MaxAttempts: max(v.GetInt("MaxAttempts"), 1), Stretch: v.GetFloat64("Stretch"),
+	}
+}
+
+func readLimits(json []byte) Limits {
+	v, err := fastjson.ParseBytes(json)
+	if err != nil {
+		return Limits{}
+	}
+	return Limits{MaxHeaderBytes: v.GetInt64("MaxHeaderBytes"), MaxBodyBytes: v.GetInt64("MaxBodyBytes"),
+		HeaderTimeoutMs: v.GetInt64("HeaderTimeoutMs"), IdleTimeoutMs: v.GetInt64("IdleTimeoutMs")}
+}
+
+// Route returns the route of a name, nil if there is none.
+func (t *Table) Route(name string) *Route { return t.routes[name] }
+
+// Match returns the route of a host with the longest prefix that a path begins with, nil if there is none.
+func (t *Table) Match(host, path string) *Route {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
+		host = host[:colon]
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Limits returns the bounds on what clients may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Change is what an order does to a table.
+type Change struct {
+	Table *Table
+	Items map[string]*protocol.ConfigItem // set or removed, by key
+}
+
+// Apply evaluates an order; it returns an error marked ErrInvalid where the result can't be.
+func (t *Table) Apply(body []byte, patch bool) (*Change, error) {
+	d, err := parse(body, patch)
+	if err != nil {
+		return nil, err
+	}
+	if d.version <= t.Version {
+		return nil, invalid("Version: %d is not above the current one, %d", d.version, t.Version)
+	}
+	last := t.last
+	if d.whole {
+		last = 0 // positions are as in the document
+	}
+	c := &Change{Items: make(map[string]*protocol.ConfigItem)}
+	for _, item := range d.items {
+		position := t.items[item.key].GetPosition()
+		if d.whole || position == 0 || len(t.items[item.key].GetJson()) == 0 {
+			last++
+			position = last
+		}
+		c.Items[item.key] = &protocol.ConfigItem{Position: position, Version: d.version, Json: item.json}
+	}
+	for key, old := range t.items {
+		if _, kept := c.Items[key]; d.whole && !kept && len(old.GetJson()) > 0 {
+			d.removed = append(d.removed, key)
+		}
+	}
+	for _, key := range d.removed {
+		if _, set := c.Items[key]; !set && len(t.items[key].GetJson()) > 0 {
+			c.Items[key] = &protocol.ConfigItem{Version: d.version}
+		}
+	}
+	c.Table = t.with(d.version, last, c.Items)
+	return c, c.Table.check()
+}
+
+// with returns the table with some items set or removed.
+func (t *Table) with(version, last uint64, changed map[string]*protocol.ConfigItem) *Table {
+	items := make(map[string]*protocol.ConfigItem, len(t.items)+len(changed))
+	for key, item := range t.items {
+		items[key] = item
+	}
+	for key, item := range changed {
+		items[key] = item
+	}
+	return build(version, last, items)
+}
+
+// check tells why a configuration can't be in force.
+func (t *Table) check() error {
+	places := make(map[string]string, len(t.routes))
+	for name, r := range t.routes {
+		if len(t.items[string(ServiceKind)+r.Service].GetJson()) == 0 {
+			return invalid("route %q: there is no service %q", name, r.Service)
+		}
+		if r.TimeoutMs <= 0 {
+			return invalid("route %q: TimeoutMs is not above 0", name)
+		}
+		if !strings.HasPrefix(r.PathPrefix, "/") {
+			return invalid("route %q: PathPrefix does not begin with a slash", name)
+		}
+		place := strings.ToLower(r.Host) + r.PathPrefix
+		if other, taken := places[place]; taken {
+			return invalid("routes %q and %q have the same host and prefix", name, other)
+		}
+		places[place] = name
+	}
+	return nil
+}
+
+// Document returns the whole configuration as the operator reads it.
+func (t *Table) Document() []byte {
+	var arena fastjson.Arena
+	top := arena.NewObject()
+	top.Set(versionMember, arena.NewNumberString(strconv.FormatUint(t.Version, 10)))
+	top.Set(routesMember, t.list(&arena, RouteKind))
+	top.Set(servicesMember, t.list(&arena, ServiceKind))
+	for _, key := range t.keys(MemberKind) {
+		if v, err := fastjson.ParseBytes(t.items[key].GetJson()); err == nil {
+			top.Set(strings.TrimPrefix(key, string(MemberKind)), v)
+		}
+	}
+	return top.MarshalTo(nil)
+}
+
+func (t *Table) list(arena *fastjson.Arena, kind Kind) *fastjson.Value {
+	list := arena.NewArray()
+	for i, key := range t.keys(kind) {
+		if v, err := fastjson.ParseBytes(t.items[key].GetJson()); err == nil {
+			list.SetArrayItem(i, v)
+		}
+	}
+	return list
+}
+
+// keys returns the keys of a kind by position.
+func (t *Table) keys(kind Kind) (keys []string) {
+	for key, item := range t.items {
+		if strings.HasPrefix(key, string(kind)) && len(item.GetJson()) > 0 {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b string) int {
+		return cmp.Or(cmp.Compare(t.items[a].GetPosition(), t.items[b].GetPosition()), cmp.Compare(a, b))
+	})
+	return keys
+}
+
+// Since returns what makes a table of an older version, with its digest, the present one, and whether
+// that is less than the whole. Removed items are kept for it.
+func (t *Table) Since(version uint64) *protocol.ConfigDelta {
+	delta := &protocol.ConfigDelta{From: version, Version: t.Version, Digest: t.Digest}
+	for key, item := range t.items {
+		if item.GetVersion() > version {
+			delta.Items = append(delta.Items, &protocol.NamedItem{Key: key, Item: item})
+		}
+	}
+	return delta
+}
+
+// Follow returns the table after a delta, and false where the delta does not lead to the version that it
+// says: then the whole has to be asked for.
+func (t *Table) Follow(delta *protocol.ConfigDelta) (*Table, bool) {
+	if delta.GetVersion() <= t.Version || delta.GetFrom() > t.Version {
+		return t, delta.GetVersion() <= t.Version
+	}
+	base := t
+	if delta.GetFrom() == 0 {
+		base = Empty()
+	}
+	changed := make(map[string]*protocol.ConfigItem, len(delta.GetItems()))
+	last := base.last
+	for _, n := range delta.GetItems() {
+		changed[n.GetKey()] = n.GetItem()
+		last = max(last, n.GetItem().GetPosition())
+	}
+	next := base.with(delta.GetVersion(), last, changed)
+	return next, next.Digest == delta.GetDigest()
+}
+
+// Load returns the table of stored items.
+func Load(record *protocol.ConfigRecord, items map[string]*protocol.ConfigItem) *Table {
+	return build(record.GetVersion(), record.GetOrder(), items)
+}
+
+// Record returns what is stored beside the items.
+func (t *Table) Record() *protocol.ConfigRecord {
+	return &protocol.ConfigRecord{Version: t.Version, Order: t.last}
+}
