--- a/internal/chainclient/client.go
+++ b/internal/chainclient/client.go
@@ -63,9 +63,13 @@
 	viewDoubt = 120 * time.Millisecond
 )
 
+// idBits is how many of a request's id count; those above are drawn with the process, so that an answer
+// for an earlier process at the same address is not taken.
+const idBits = 24
+
 // New returns a client that asks the processes at some internal addresses for the view.
 func New(incarnation uint64, contacts []string) *Client {
-	return &Client{incarnation: incarnation, contacts: contacts, open: make(map[uint64]*request)}
+	return &Client{incarnation: incarnation, contacts: contacts, next: incarnation << idBits, open: make(map[uint64]*request)}
 }
 
 // SetContacts replaces the processes that are asked for the view at first.
--- a/internal/control/scheduler/orders.go
+++ b/internal/control/scheduler/orders.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"frosttide/internal/protocol"
+	"frosttide/internal/routeconfig"
 )
 
 // batch is the orders of one entry; they go out once it is committed.
 type batch struct {
-	index uint64
-	by    map[string]*runnerBatch // by the runner's id
+	index  uint64
+	by     map[string]*runnerBatch // by the runner's id
+	config *routeconfig.Table      // where the entry changes it
 }
 
 type runnerBatch struct {
@@ -19,7 +21,7 @@
 	noted   uint64 // ends, 0 where none were
 }
 
-func (b *batch) empty() bool { return len(b.by) == 0 }
+func (b *batch) empty() bool { return len(b.by) == 0 && b.config == nil }
 
 func (b *batch) of(runner string) *runnerBatch {
 	if b.by == nil {
@@ -48,6 +50,9 @@
 
 // order sends the orders of an entry that is committed.
 func (d *Scheduler) order(b *batch) {
+	if b.config != nil {
+		d.committedConfig = b.config
+	}
 	for id, of := range b.by {
 		r := d.runners[id]
 		if r == nil {
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -45,18 +45,19 @@
 	committed uint64
 	confirmed time.Duration // when the newest confirmation of the epoch had been asked for
 
-	config   *routeconfig.Table
-	jobs     *jobs.Table
-	fleet    *placement.Fleet
-	queues   map[string]*queue // by service
-	runners  map[string]*runner
-	sessions map[string]*session // by the companion's address
-	writes   *jobs.Writes        // beside the jobs' own
-	replies  []*protocol.Reply
-	sends    []Send
-	batches  []batch // orders that wait for their entry to be committed
-	batch    batch   // orders of the entry that is being made
-	nextTidy time.Duration
+	config          *routeconfig.Table
+	committedConfig *routeconfig.Table
+	jobs            *jobs.Table
+	fleet           *placement.Fleet
+	queues          map[string]*queue // by service
+	runners         map[string]*runner
+	sessions        map[string]*session // by the companion's address
+	writes          *jobs.Writes        // beside the jobs' own
+	replies         []*protocol.Reply
+	sends           []Send
+	batches         []batch // orders that wait for their entry to be committed
+	batch           batch   // orders of the entry that is being made
+	nextTidy        time.Duration
 }
 
 // New returns the scheduler of a member that begins to serve as the head with a store.
@@ -70,6 +71,7 @@
 	if d.config, err = loadConfig(s); err != nil {
 		return nil, err
 	}
+	d.committedConfig = d.config
 	if err := d.loadRunners(s); err != nil {
 		return nil, err
 	}
@@ -95,8 +97,8 @@
 // Epoch returns the epoch that the scheduler serves under.
 func (d *Scheduler) Epoch() uint64 { return d.epoch }
 
-// ConfigTable returns the configuration, with changes that may not be committed.
-func (d *Scheduler) ConfigTable() *routeconfig.Table { return d.config }
+// CommittedConfig returns the newest configuration that is committed.
+func (d *Scheduler) CommittedConfig() *routeconfig.Table { return d.committedConfig }
 
 // Jobs returns the account of jobs; it is only read.
 func (d *Scheduler) Jobs() *jobs.Table { return d.jobs }
@@ -139,6 +141,9 @@
 
 // Appended notes the index of the entry that was returned last.
 func (d *Scheduler) Appended(index uint64) {
+	if d.batch.config == nil && d.config.Version > d.writtenConfig() {
+		d.batch.config = d.config
+	}
 	if !d.batch.empty() {
 		d.batch.index = index
 		d.batches = append(d.batches, d.batch)
@@ -146,6 +151,16 @@
 	}
 }
 
+// writtenConfig returns the newest version whose entry has been appended.
+func (d *Scheduler) writtenConfig() uint64 {
+	for i := len(d.batches) - 1; i >= 0; i-- {
+		if c := d.batches[i].config; c != nil {
+			return c.Version
+		}
+	}
+	return d.committedConfig.Version
+}
+
 // Committed sends the orders whose entries are committed.
 func (d *Scheduler) Committed(now time.Duration, index uint64) {
 	d.now = now
--- a/internal/gossip/machine.go
+++ b/internal/gossip/machine.go
@@ -40,7 +40,7 @@
 	contactEvery = 4
 	// rumorEvery is how often a random neighbor is told of the versions, so that what was lost on the way
 	// arrives all the same.
-	rumorEvery = 400 * time.Millisecond
+	rumorEvery = 300 * time.Millisecond
 	// retellEvery is how soon something new is told to further ones, retellTimes times.
 	retellEvery = 60 * time.Millisecond
 	retellTimes = 3
@@ -61,7 +61,7 @@
 	shuffle   time.Duration // next
 	pause     time.Duration // before it
 	shuffles  int
-	retell    int // times that something new is still told soon
+	retell    int           // times that something new is still told soon
 	rumor     time.Duration // next
 	pulling   time.Duration // until when a delta is waited for
 	sent      []*protocol.Neighbor
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,343 @@
+// Package transport carries envelopes between the processes of the cluster scheduler: one drpc stream each
+// way between two of them, dialed by whichever has something to say first. Delivery is at most once and in
+// order as long as a link stands; a link that breaks loses what was on its way.
+package transport
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"frosttide/internal/protocol"
+)
+
+const (
+	// dialTimeout bounds the making of a link: a machine without power answers nothing.
+	dialTimeout = 600 * time.Millisecond
+	// dialPause is how long after a failed dial messages to that process are dropped.
+	dialPause = 80 * time.Millisecond
+	// userTimeout is how long sent bytes may be unacknowledged until the link is given up.
+	userTimeout = 1200 * time.Millisecond
+	// idleTime is how long a link may be unused until it is closed.
+	idleTime = 20 * time.Second
+	// mostQueued bounds the messages that wait for a link.
+	mostQueued = 8192
+	// mostMessage bounds a message in bytes.
+	mostMessage = 64 << 20
+)
+
+// Config says who the process is and who handles messages. Handle is called by one goroutine for each
+// link, in the order of that link's messages, and must not block for long.
+type Config struct {
+	Address     string // where the process listens
+	Role        string
+	Incarnation uint64
+	Handle      func(from string, e *protocol.Envelope)
+}
+
+// Transport is a process's links. It is safe for concurrent use.
+type Transport struct {
+	cfg      Config
+	listener net.Listener
+	cancel   context.CancelFunc
+	ctx      context.Context
+
+	mu     sync.Mutex
+	links  map[string]*link     // by the other's address: the one that is written to
+	failed map[string]time.Time // dials
+}
+
+// link is a stream to another process.
+type link struct {
+	to          string
+	incarnation atomic.Uint64 // of the other process, 0 before its hello
+	mu          sync.Mutex
+	queue       []*protocol.Envelope
+	wake        chan struct{}
+	done        chan struct{}
+	once        sync.Once
+	used        time.Time
+	close       func()
+}
+
+// stream is either end of a drpc stream.
+type stream interface {
+	Send(*protocol.Envelope) error
+	Recv() (*protocol.Envelope, error)
+}
+
+// flusher is what the streams of the library have for sending many messages at once.
+type flusher interface {
+	SetManualFlush(manual bool)
+	RawFlush() error
+}
+
+// Listen opens the process's address and serves it.
+func Listen(cfg Config) (*Transport, error) {
+	l, err := net.Listen("tcp4", cfg.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "transport: the internal address can't be listened on")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Transport{cfg: cfg, listener: l, ctx: ctx, cancel: cancel, links: make(map[string]*link), failed: make(map[string]time.Time)}
+	mux := drpcmux.New()
+	if err := protocol.DRPCRegisterPeer(mux, (*server)(t)); err != nil {
+		cancel()
+		l.Close()
+		return nil, errors.Wrap(err, "transport: the service can't be registered")
+	}
+	s := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions(), Log: func(error) {}})
+	go t.accept(s)
+	return t, nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: mostMessage}}
+}
+
+func (t *Transport) accept(s *drpcserver.Server) {
+	for {
+		conn, err := t.listener.Accept()
+		if err != nil {
+			if t.ctx.Err() != nil {
+				return
+			}
+			time.Sleep(dialPause)
+			continue
+		}
+		tune(conn)
+		go func() { _ = s.ServeOne(t.ctx, conn) }()
+	}
+}
+
+// tune has a connection fail soon after the other end can't be reached.
+func tune(conn net.Conn) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
+	})
+}
+
+// Close ends all links.
+func (t *Transport) Close() {
+	t.cancel()
+	t.listener.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range t.links {
+		l.end()
+	}
+}
+
+// Send sends a message to the process at an address; it is dropped where that can't be reached.
+func (t *Transport) Send(to string, e *protocol.Envelope) {
+	t.mu.Lock()
+	l := t.links[to]
+	if l == nil {
+		if time.Since(t.failed[to]) < dialPause {
+			t.mu.Unlock()
+			return
+		}
+		l = newLink(to)
+		t.links[to] = l
+		go t.dial(l)
+	}
+	t.mu.Unlock()
+	l.put(e)
+}
+
+func newLink(to string) *link {
+	return &link{to: to, wake: make(chan struct{}, 1), done: make(chan struct{}), used: time.Now(), close: func() {}}
+}
+
+// put queues a message. A link whose queue is full is given up, so that the other end sees the loss.
+func (l *link) put(e *protocol.Envelope) {
+	l.mu.Lock()
+	l.used = time.Now()
+	full := len(l.queue) >= mostQueued
+	if !full {
+		l.queue = append(l.queue, e)
+	}
+	l.mu.Unlock()
+	if full {
+		l.end()
+		return
+	}
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// end closes a link.
+func (l *link) end() {
+	l.once.Do(func() {
+		close(l.done)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.close()
+	})
+}
+
+// drop forgets a link that has ended.
+func (t *Transport) drop(l *link, failed bool) {
+	l.end()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.links[l.to] == l {
+		delete(t.links, l.to)
+		if failed {
+			t.failed[l.to] = time.Now()
+		}
+	}
+}
+
+// dial makes a link and keeps it until it breaks.
+func (t *Transport) dial(l *link) {
+	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp4", l.to)
+	if err != nil {
+		t.drop(l, true)
+		return
+	}
+	tune(conn)
+	d := drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()})
+	l.mu.Lock()
+	l.close = func() { conn.Close() }
+	l.mu.Unlock()
+	s, err := protocol.NewDRPCPeerClient(d).Exchange(t.ctx)
+	if err != nil {
+		conn.Close()
+		t.drop(l, true)
+		return
+	}
+	go t.write(l, s)
+	t.read(l, s)
+	conn.Close()
+	t.drop(l, false)
+}
+
+// server is the transport as the drpc service.
+type server Transport
+
+// Exchange serves a stream that another process has opened.
+func (s *server) Exchange(in protocol.DRPCPeer_ExchangeStream) error {
+	t := (*Transport)(s)
+	first, err := in.Recv()
+	if err != nil {
+		return err
+	}
+	hello := first.GetHello()
+	if hello == nil {
+		return errors.New("transport: the first message is no hello")
+	}
+	l := newLink(hello.GetAddress())
+	l.incarnation.Store(hello.GetIncarnation())
+	l.close = func() { in.Close() }
+	t.adopt(l)
+	go t.write(l, in)
+	t.read(l, in)
+	t.drop(l, false)
+	return nil
+}
+
+// adopt takes a link that another process has opened for writing to it, unless there is one already to
+// that very process.
+func (t *Transport) adopt(l *link) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.links[l.to]
+	if old != nil && (old.incarnation.Load() == 0 || old.incarnation.Load() == l.incarnation.Load()) {
+		return
+	}
+	if old != nil {
+		go old.end() // to the process that was there before
+	}
+	t.links[l.to] = l
+}
+
+// read hands on what comes.
+func (t *Transport) read(l *link, s stream) {
+	for {
+		e, err := s.Recv()
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		l.used = time.Now()
+		l.mu.Unlock()
+		if h := e.GetHello(); h != nil {
+			l.incarnation.Store(h.GetIncarnation())
+			continue
+		}
+		t.cfg.Handle(l.to, e)
+	}
+}
+
+// write sends what is queued, many messages with one flush.
+func (t *Transport) write(l *link, s stream) {
+	defer l.end()
+	flush := manual(s)
+	if err := s.Send(&protocol.Envelope{Body: &protocol.Envelope_Hello{Hello: &protocol.Hello{
+		Address: t.cfg.Address, Role: t.cfg.Role, Incarnation: t.cfg.Incarnation}}}); err != nil {
+		return
+	}
+	idle := time.NewTicker(idleTime)
+	defer idle.Stop()
+	for {
+		l.mu.Lock()
+		queue := l.queue
+		l.queue = nil
+		l.mu.Unlock()
+		for _, e := range queue {
+			if err := s.Send(e); err != nil {
+				return
+			}
+		}
+		if err := flush(); err != nil {
+			return
+		}
+		select {
+		case <-l.wake:
+		case <-l.done:
+			return
+		case <-idle.C:
+			if l.unused() {
+				return
+			}
+		}
+	}
+}
+
+func (l *link) unused() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue) == 0 && time.Since(l.used) > idleTime
+}
+
+// manual has a stream flush only when told, and returns how.
+func manual(s stream) func() error {
+	if holder, ok := s.(interface{ GetStream() drpc.Stream }); ok {
+		if f, ok := holder.GetStream().(flusher); ok {
+			f.SetManualFlush(true)
+			return f.RawFlush
+		}
+	}
+	return func() error { return nil }
+}
