--- a/cmd/frosttide/telemetry_test.go
+++ b/cmd/frosttide/telemetry_test.go
@@ -26,6 +26,7 @@
 
 	gocmp "github.com/google/go-cmp/cmp"
 	"go.opentelemetry.io/collector/pdata/ptrace"
+	"google.golang.org/protobuf/proto"
 
 	"frosttide/internal/standin/collector"
 )
@@ -149,7 +150,15 @@
 			if call.Traces == nil {
 				continue
 			}
-			for _, of := range call.Traces.ResourceSpans().All() {
+			raw, err := proto.Marshal(call.Traces)
+			if err != nil {
+				t.Fatal(err)
+			}
+			traces, err := (&ptrace.ProtoUnmarshaler{}).UnmarshalTraces(raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, of := range traces.ResourceSpans().All() {
 				for _, in := range of.ScopeSpans().All() {
 					for _, s := range in.Spans().All() {
 						all = append(all, s)
--- a/internal/otlp/payload.go
+++ b/internal/otlp/payload.go
@@ -2,7 +2,8 @@
 
 import (
 	"go.opentelemetry.io/collector/pdata/pmetric"
-	"go.opentelemetry.io/collector/pdata/ptrace"
+	tracepb "go.opentelemetry.io/proto/otlp/trace/v1"
+	"google.golang.org/protobuf/proto"
 )
 
 // Payload is a message that can be written either way.
@@ -12,10 +13,10 @@
 
 // TracesPayload returns the payload of spans. Its protobuf form is that of
 // ExportTraceServiceRequest, which has the fields of TracesData.
-func TracesPayload(t ptrace.Traces) Payload {
+func TracesPayload(t *tracepb.TracesData) Payload {
 	return Payload{
-		proto: func() ([]byte, error) { return (&ptrace.ProtoMarshaler{}).MarshalTraces(t) },
-		json:  func() ([]byte, error) { return (&ptrace.JSONMarshaler{}).MarshalTraces(t) },
+		proto: func() ([]byte, error) { return proto.Marshal(t) },
+		json:  func() ([]byte, error) { return MarshalSpans(t) },
 	}
 }
 
--- /dev/null
+++ b/internal/otlp/spansjson.go
@@ -0,0 +1,88 @@
+package otlp
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+
+	tracepb "go.opentelemetry.io/proto/otlp/trace/v1"
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+// idFields are the members of OTLP's JSON that hold ids, which are written in hexadecimal there and not
+// in base64 as protobuf's own JSON has bytes. Source: OTLP 1.x, JSON Protobuf Encoding.
+var idFields = map[string]bool{"traceId": true, "spanId": true, "parentSpanId": true}
+
+// errID is returned for an id that is no text in the encoding that it should have.
+var errID = errors.New("otlp: an id can't be read")
+
+// MarshalSpans writes spans as one line of OTLP's JSON.
+func MarshalSpans(t *tracepb.TracesData) ([]byte, error) {
+	line, err := protojson.MarshalOptions{UseEnumNumbers: true}.Marshal(t)
+	if err != nil {
+		return nil, err
+	}
+	return recode(line, func(id string) (string, error) {
+		raw, err := base64.StdEncoding.DecodeString(id)
+		return hex.EncodeToString(raw), err
+	})
+}
+
+// UnmarshalSpans reads spans from a line of OTLP's JSON.
+func UnmarshalSpans(line []byte) (*tracepb.TracesData, error) {
+	line, err := recode(line, func(id string) (string, error) {
+		raw, err := hex.DecodeString(id)
+		return base64.StdEncoding.EncodeToString(raw), err
+	})
+	if err != nil {
+		return nil, err
+	}
+	t := &tracepb.TracesData{}
+	return t, protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(line, t)
+}
+
+// recode writes the ids of a line in another encoding.
+func recode(line []byte, change func(id string) (string, error)) ([]byte, error) {
+	in := json.NewDecoder(bytes.NewReader(line))
+	in.UseNumber()
+	var whole any
+	if err := in.Decode(&whole); err != nil {
+		return nil, err
+	}
+	if err := recodeIDs(whole, change); err != nil {
+		return nil, err
+	}
+	return json.Marshal(whole)
+}
+
+func recodeIDs(value any, change func(id string) (string, error)) error {
+	switch v := value.(type) {
+	case []any:
+		for _, entry := range v {
+			if err := recodeIDs(entry, change); err != nil {
+				return err
+			}
+		}
+	case map[string]any:
+		for name, member := range v {
+			if !idFields[name] {
+				if err := recodeIDs(member, change); err != nil {
+					return err
+				}
+				continue
+			}
+			id, ok := member.(string)
+			if !ok {
+				return errID
+			}
+			changed, err := change(id)
+			if err != nil {
+				return errors.Join(errID, err)
+			}
+			v[name] = changed
+		}
+	}
+	return nil
+}
--- a/internal/otlp/traces.go
+++ b/internal/otlp/traces.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"go.opentelemetry.io/collector/pdata/pcommon"
-	"go.opentelemetry.io/collector/pdata/ptrace"
+	commonpb "go.opentelemetry.io/proto/otlp/common/v1"
+	resourcepb "go.opentelemetry.io/proto/otlp/resource/v1"
+	tracepb "go.opentelemetry.io/proto/otlp/trace/v1"
 
 	"frosttide/internal/trace"
 )
@@ -30,33 +32,37 @@
 
 // Traces writes stories: a span of kind SERVER for each, and below it one of kind CLIENT
 // for each hop.
-func Traces(resource map[string]string, stories []*trace.Story) ptrace.Traces {
-	t := ptrace.NewTraces()
-	of := t.ResourceSpans().AppendEmpty()
-	attributes(of.Resource().Attributes(), resource)
-	in := of.ScopeSpans().AppendEmpty()
-	in.Scope().SetName(scope)
-	n := 0
+func Traces(resource map[string]string, stories []*trace.Story) *tracepb.TracesData {
+	in := &tracepb.ScopeSpans{Scope: &commonpb.InstrumentationScope{Name: scope}}
 	for _, s := range stories {
-		n += 1 + len(s.Hops)
-	}
-	in.Spans().EnsureCapacity(n)
-	for _, s := range stories {
-		request(in.Spans().AppendEmpty(), s)
+		in.Spans = append(in.Spans, request(s))
 		for i := range s.Hops {
-			hop(in.Spans().AppendEmpty(), s, i)
+			in.Spans = append(in.Spans, hop(s, i))
 		}
 	}
-	return t
+	of := &tracepb.ResourceSpans{Resource: &resourcepb.Resource{Attributes: texts(resource)}, ScopeSpans: []*tracepb.ScopeSpans{in}}
+	return &tracepb.TracesData{ResourceSpans: []*tracepb.ResourceSpans{of}}
 }
 
+// attributes is for figures, which are written by another library than spans.
 func attributes(to pcommon.Map, from map[string]string) {
 	for _, key := range slices.Sorted(maps.Keys(from)) {
 		to.PutStr(key, from[key])
 	}
 }
 
-func stamp(at time.Duration) pcommon.Timestamp { return pcommon.Timestamp(max(at, 0)) }
+// spanNanos returns a moment as spans have it.
+func spanNanos(at time.Duration) uint64 { return uint64(max(at, 0)) }
+
+// idOf returns an id as spans have it: an empty one is left out.
+func idOf(id []byte) []byte {
+	for _, b := range id {
+		if b != 0 {
+			return id
+		}
+	}
+	return nil
+}
 
 // status is what a client was told, where the front has not said it.
 func status(s *trace.Story) int {
@@ -75,26 +81,18 @@
 	return 502
 }
 
-func request(to ptrace.Span, s *trace.Story) {
-	to.SetTraceID(pcommon.TraceID(s.Trace))
-	to.SetSpanID(pcommon.SpanID(s.Span))
-	to.SetParentSpanID(pcommon.SpanID(s.Parent))
-	to.TraceState().FromRaw(s.State)
+func request(s *trace.Story) *tracepb.Span {
 	flags := uint32(sampled)
 	if s.Parent != (trace.SpanID{}) {
 		flags |= knowRemote | remote
 	}
-	to.SetFlags(flags)
 	name := s.Method
 	if s.Class != "" {
 		name += " /" + s.Class
 	}
-	to.SetName(name)
-	to.SetKind(ptrace.SpanKindServer)
-	to.SetStartTimestamp(stamp(s.Came))
-	to.SetEndTimestamp(stamp(max(s.Ended, s.Came)))
-	a := to.Attributes()
-	a.EnsureCapacity(18)
+	to := &tracepb.Span{TraceId: idOf(s.Trace[:]), SpanId: idOf(s.Span[:]), ParentSpanId: idOf(s.Parent[:]), TraceState: s.State, Flags: flags,
+		Name: name, Kind: tracepb.Span_SPAN_KIND_SERVER, StartTimeUnixNano: spanNanos(s.Came), EndTimeUnixNano: spanNanos(max(s.Ended, s.Came)), Status: &tracepb.Status{}}
+	var a Attributes
 	a.PutStr("http.request.method", s.Method)
 	a.PutStr("url.scheme", "http")
 	if s.Class != "" {
@@ -126,34 +124,28 @@
 		a.PutBool("frosttide.moved", true)
 	}
 	if code >= 500 { // source: semantic conventions, the status of HTTP server spans
-		to.Status().SetCode(ptrace.StatusCodeError)
+		to.Status.Code = tracepb.Status_STATUS_CODE_ERROR
 		a.PutStr("error.type", s.Why)
 	}
 	for _, l := range s.Links {
 		link(to, l.Trace, l.Span, "previous_try")
 	}
+	to.Attributes = a
+	return to
 }
 
-func link(to ptrace.Span, t trace.ID, span trace.SpanID, what string) {
-	l := to.Links().AppendEmpty()
-	l.SetTraceID(pcommon.TraceID(t))
-	l.SetSpanID(pcommon.SpanID(span))
-	l.Attributes().PutStr("frosttide.link", what)
+func link(to *tracepb.Span, t trace.ID, span trace.SpanID, what string) {
+	var a Attributes
+	a.PutStr("frosttide.link", what)
+	to.Links = append(to.Links, &tracepb.Span_Link{TraceId: idOf(t[:]), SpanId: idOf(span[:]), Attributes: a})
 }
 
-func hop(to ptrace.Span, s *trace.Story, i int) {
+func hop(s *trace.Story, i int) *tracepb.Span {
 	h := &s.Hops[i]
-	to.SetTraceID(pcommon.TraceID(s.Trace))
-	to.SetSpanID(pcommon.SpanID(h.Span))
-	to.SetParentSpanID(pcommon.SpanID(s.Span))
-	to.TraceState().FromRaw(s.State)
-	to.SetFlags(sampled | knowRemote)
-	to.SetName(s.Method + " " + string(h.Kind))
-	to.SetKind(ptrace.SpanKindClient)
-	to.SetStartTimestamp(stamp(h.Began))
-	to.SetEndTimestamp(stamp(max(h.Ended, h.Began)))
-	a := to.Attributes()
-	a.EnsureCapacity(14)
+	to := &tracepb.Span{TraceId: idOf(s.Trace[:]), SpanId: idOf(h.Span[:]), ParentSpanId: idOf(s.Span[:]), TraceState: s.State, Flags: sampled | knowRemote,
+		Name: s.Method + " " + string(h.Kind), Kind: tracepb.Span_SPAN_KIND_CLIENT, StartTimeUnixNano: spanNanos(h.Began), EndTimeUnixNano: spanNanos(max(h.Ended, h.Began)),
+		Status: &tracepb.Status{}, DroppedEventsCount: uint32(h.Unnoted)}
+	var a Attributes
 	a.PutStr("http.request.method", s.Method)
 	if host, port, err := net.SplitHostPort(h.Addr); err == nil {
 		a.PutStr("server.address", host)
@@ -178,7 +170,7 @@
 	}
 	a.PutStr("frosttide.connection", connection)
 	if h.Outcome != "served" && h.Outcome != "given_up" {
-		to.Status().SetCode(ptrace.StatusCodeError)
+		to.Status.Code = tracepb.Status_STATUS_CODE_ERROR
 		a.PutStr("error.type", h.Outcome)
 	}
 	if h.Kind == trace.Copy {
@@ -190,18 +182,20 @@
 	for _, n := range h.Notes {
 		e := event(to, n.At, n.What)
 		if n.What == "running" {
-			e.Attributes().PutDouble("frosttide.share", n.Share)
+			var share Attributes
+			share.PutDouble("frosttide.share", n.Share)
+			e.Attributes = share
 		}
 	}
 	if h.Recalled != 0 {
 		event(to, h.Recalled, "recalled")
 	}
-	to.SetDroppedEventsCount(uint32(h.Unnoted))
+	to.Attributes = a
+	return to
 }
 
-func event(to ptrace.Span, at time.Duration, name string) ptrace.SpanEvent {
-	e := to.Events().AppendEmpty()
-	e.SetName(name)
-	e.SetTimestamp(stamp(at))
+func event(to *tracepb.Span, at time.Duration, name string) *tracepb.Span_Event {
+	e := &tracepb.Span_Event{Name: name, TimeUnixNano: spanNanos(at)}
+	to.Events = append(to.Events, e)
 	return e
 }
--- a/internal/standin/collector/collector.go
+++ b/internal/standin/collector/collector.go
@@ -21,8 +21,9 @@
 
 	"connectrpc.com/connect"
 	"go.opentelemetry.io/collector/pdata/pmetric"
-	"go.opentelemetry.io/collector/pdata/ptrace"
+	tracepb "go.opentelemetry.io/proto/otlp/trace/v1"
 	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 
 	"frosttide/internal/otlp"
@@ -41,7 +42,7 @@
 
 // Spans and Points are what came in one call.
 type (
-	Spans  = ptrace.Traces
+	Spans  = tracepb.TracesData
 	Points = pmetric.Metrics
 )
 
@@ -164,11 +165,11 @@
 func (c *Collector) take(call Call, traces bool, body []byte) Fault {
 	var rules []error
 	if traces {
-		t, err := (&ptrace.ProtoUnmarshaler{}).UnmarshalTraces(body)
-		if err != nil {
+		t := &tracepb.TracesData{}
+		if err := proto.Unmarshal(body, t); err != nil {
 			rules = append(rules, err)
 		} else {
-			call.Traces = &t
+			call.Traces = t
 			rules = CheckTraces(t)
 		}
 	} else {
--- a/internal/standin/collector/rules.go
+++ b/internal/standin/collector/rules.go
@@ -5,71 +5,88 @@
 
 	"go.opentelemetry.io/collector/pdata/pcommon"
 	"go.opentelemetry.io/collector/pdata/pmetric"
-	"go.opentelemetry.io/collector/pdata/ptrace"
+	tracepb "go.opentelemetry.io/proto/otlp/trace/v1"
+
+	"frosttide/internal/otlp"
 )
 
 // CheckTraces returns the rules that spans break: ids that name nothing or are there
 // twice, spans that end before they begin, events outside of their span, parents that are
 // not sent along though they are of the same process, links to nothing.
-func CheckTraces(t ptrace.Traces) (broken []error) {
-	wrong := func(s ptrace.Span, text string, more ...any) {
-		broken = append(broken, fmt.Errorf("span %s %s of trace %s: %s", s.SpanID(), s.Name(), s.TraceID(), fmt.Sprintf(text, more...)))
-	}
-	for _, of := range t.ResourceSpans().All() {
-		if name, ok := of.Resource().Attributes().Get("service.name"); !ok || name.AsString() == "" {
+func CheckTraces(t *tracepb.TracesData) (broken []error) {
+	for _, of := range t.GetResourceSpans() {
+		if otlp.Attributes(of.GetResource().GetAttributes()).Text("service.name") == "" {
 			broken = append(broken, fmt.Errorf("a resource without service.name"))
 		}
-		type id struct {
-			trace pcommon.TraceID
-			span  pcommon.SpanID
+		for _, in := range of.GetScopeSpans() {
+			broken = append(broken, checkScope(in.GetSpans())...)
 		}
-		for _, in := range of.ScopeSpans().All() {
-			ids := map[id]ptrace.Span{}
-			for _, s := range in.Spans().All() {
-				key := id{s.TraceID(), s.SpanID()}
-				if s.TraceID().IsEmpty() || s.SpanID().IsEmpty() {
-					wrong(s, "an id is empty")
-				}
-				if _, twice := ids[key]; twice {
-					wrong(s, "its id is there twice")
-				}
-				ids[key] = s
+	}
+	return broken
+}
+
+// spanID names a span among all.
+type spanID struct{ trace, span string }
+
+func checkScope(spans []*tracepb.Span) (broken []error) {
+	wrong := func(s *tracepb.Span, text string, more ...any) {
+		broken = append(broken, fmt.Errorf("span %x %s of trace %x: %s", s.GetSpanId(), s.GetName(), s.GetTraceId(), fmt.Sprintf(text, more...)))
+	}
+	ids := map[spanID]*tracepb.Span{}
+	for _, s := range spans {
+		key := spanID{string(s.GetTraceId()), string(s.GetSpanId())}
+		if empty(s.GetTraceId()) || empty(s.GetSpanId()) {
+			wrong(s, "an id is empty")
+		}
+		if _, twice := ids[key]; twice {
+			wrong(s, "its id is there twice")
+		}
+		ids[key] = s
+	}
+	for _, s := range spans {
+		start, end := s.GetStartTimeUnixNano(), s.GetEndTimeUnixNano()
+		if s.GetName() == "" {
+			wrong(s, "it has no name")
+		}
+		if start == 0 || end < start {
+			wrong(s, "it runs from %d to %d", start, end)
+		}
+		for _, e := range s.GetEvents() {
+			if e.GetTimeUnixNano() < start || e.GetTimeUnixNano() > end {
+				wrong(s, "event %s is %d ns off", e.GetName(), int64(e.GetTimeUnixNano())-int64(end))
 			}
-			for _, s := range in.Spans().All() {
-				if s.Name() == "" {
-					wrong(s, "it has no name")
-				}
-				if s.StartTimestamp() == 0 || s.EndTimestamp() < s.StartTimestamp() {
-					wrong(s, "it runs from %d to %d", s.StartTimestamp(), s.EndTimestamp())
-				}
-				for _, e := range s.Events().All() {
-					if e.Timestamp() < s.StartTimestamp() || e.Timestamp() > s.EndTimestamp() {
-						wrong(s, "event %s is %d ns off", e.Name(), int64(e.Timestamp())-int64(s.EndTimestamp()))
-					}
-				}
-				for _, l := range s.Links().All() {
-					if l.TraceID().IsEmpty() || l.SpanID().IsEmpty() {
-						wrong(s, "a link names nothing")
-					}
-				}
-				if s.Kind() != ptrace.SpanKindClient {
-					continue
-				}
-				parent, ok := ids[id{s.TraceID(), s.ParentSpanID()}]
-				switch {
-				case !ok:
-					wrong(s, "its parent is not there")
-				case parent.Kind() != ptrace.SpanKindServer:
-					wrong(s, "its parent is no request")
-				case s.StartTimestamp() < parent.StartTimestamp():
-					wrong(s, "it begins before its request")
-				}
+		}
+		for _, l := range s.GetLinks() {
+			if empty(l.GetTraceId()) || empty(l.GetSpanId()) {
+				wrong(s, "a link names nothing")
 			}
 		}
+		if s.GetKind() != tracepb.Span_SPAN_KIND_CLIENT {
+			continue
+		}
+		parent, ok := ids[spanID{string(s.GetTraceId()), string(s.GetParentSpanId())}]
+		switch {
+		case !ok:
+			wrong(s, "its parent is not there")
+		case parent.GetKind() != tracepb.Span_SPAN_KIND_SERVER:
+			wrong(s, "its parent is no request")
+		case start < parent.GetStartTimeUnixNano():
+			wrong(s, "it begins before its request")
+		}
 	}
 	return broken
 }
 
+// empty tells whether an id names nothing.
+func empty(id []byte) bool {
+	for _, b := range id {
+		if b != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // CheckMeasures returns the rules that figures break: no name, no temporality, points
 // that have no time or end before they begin, sums that fall though they never may,
 // histograms whose buckets don't add up, exemplars without a trace.
--- a/internal/traceview/read.go
+++ b/internal/traceview/read.go
@@ -6,14 +6,16 @@
 	"bufio"
 	"bytes"
 	"compress/gzip"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"time"
 
-	"go.opentelemetry.io/collector/pdata/pcommon"
-	"go.opentelemetry.io/collector/pdata/ptrace"
+	tracepb "go.opentelemetry.io/proto/otlp/trace/v1"
+
+	"frosttide/internal/otlp"
 )
 
 // Request is one request as its spans tell it.
@@ -91,7 +93,7 @@
 	for {
 		line, err := readLine(in)
 		if len(bytes.TrimSpace(line)) > 0 && !bytes.HasPrefix(line, []byte(`{"resourceMetrics"`)) {
-			traces, bad := (&ptrace.JSONUnmarshaler{}).UnmarshalTraces(line)
+			traces, bad := otlp.UnmarshalSpans(line)
 			if bad != nil {
 				unread++
 			} else {
@@ -129,17 +131,18 @@
 	}
 }
 
-func spans(traces ptrace.Traces, visit func(*Request)) {
-	for _, of := range traces.ResourceSpans().All() {
-		node := text(of.Resource().Attributes(), "service.instance.id")
-		for _, in := range of.ScopeSpans().All() {
+func spans(traces *tracepb.TracesData, visit func(*Request)) {
+	for _, of := range traces.GetResourceSpans() {
+		node := otlp.Attributes(of.GetResource().GetAttributes()).Text("service.instance.id")
+		for _, in := range of.GetScopeSpans() {
 			hops := map[string][]Hop{}
 			var requests []*Request
-			for _, s := range in.Spans().All() {
-				if s.Kind() == ptrace.SpanKindServer {
+			for _, s := range in.GetSpans() {
+				switch s.GetKind() {
+				case tracepb.Span_SPAN_KIND_SERVER:
 					requests = append(requests, request(s, node))
-				} else if s.Kind() == ptrace.SpanKindClient {
-					parent := s.ParentSpanID().String()
+				case tracepb.Span_SPAN_KIND_CLIENT:
+					parent := hex.EncodeToString(s.GetParentSpanId())
 					hops[parent] = append(hops[parent], hop(s))
 				}
 			}
@@ -151,55 +154,40 @@
 	}
 }
 
-func text(m pcommon.Map, key string) string {
-	v, ok := m.Get(key)
-	if !ok {
-		return ""
-	}
-	return v.AsString()
-}
-
-func truth(m pcommon.Map, key string) bool { return text(m, key) == "true" }
+func truth(a otlp.Attributes, key string) bool { return a.Text(key) == "true" }
 
-func figure(m pcommon.Map, key string) float64 {
-	v, ok := m.Get(key)
-	switch {
-	case ok && v.Type() == pcommon.ValueTypeDouble:
-		return v.Double()
-	case ok && v.Type() == pcommon.ValueTypeInt:
-		return float64(v.Int())
-	}
-	return 0
-}
+// moment returns the time of a stamp.
+func moment(nanos uint64) time.Time { return time.Unix(0, int64(nanos)).UTC() }
 
-func request(s ptrace.Span, node string) *Request {
-	a := s.Attributes()
-	r := &Request{Trace: s.TraceID().String(), Span: s.SpanID().String(), Parent: s.ParentSpanID().String(), Node: node,
-		ID: text(a, "frosttide.request"), Class: text(a, "frosttide.class"), Answer: text(a, "frosttide.answer"),
-		By: text(a, "frosttide.answer.by"), Why: text(a, "frosttide.answer.why"), Target: text(a, "frosttide.target"),
-		Status: int64(figure(a, "http.response.status_code")), Worth: figure(a, "frosttide.worth"), Slots: figure(a, "frosttide.slots"),
+func request(s *tracepb.Span, node string) *Request {
+	a := otlp.Attributes(s.GetAttributes())
+	r := &Request{Trace: hex.EncodeToString(s.GetTraceId()), Span: hex.EncodeToString(s.GetSpanId()), Parent: hex.EncodeToString(s.GetParentSpanId()), Node: node,
+		ID: a.Text("frosttide.request"), Class: a.Text("frosttide.class"), Answer: a.Text("frosttide.answer"),
+		By: a.Text("frosttide.answer.by"), Why: a.Text("frosttide.answer.why"), Target: a.Text("frosttide.target"),
+		Status: int64(a.Number("http.response.status_code")), Worth: a.Number("frosttide.worth"), Slots: a.Number("frosttide.slots"),
 		Keyed: truth(a, "frosttide.keyed"), Repeat: truth(a, "frosttide.repeat"), Late: truth(a, "frosttide.late"),
-		Moved: truth(a, "frosttide.moved"), Came: s.StartTimestamp().AsTime(), Ended: s.EndTimestamp().AsTime(),
-		Deadline: time.Duration(figure(a, "frosttide.deadline.ms")) * time.Millisecond}
-	for _, l := range s.Links().All() {
-		r.Links = append(r.Links, Link{Trace: l.TraceID().String(), Span: l.SpanID().String(), What: text(l.Attributes(), "frosttide.link")})
+		Moved: truth(a, "frosttide.moved"), Came: moment(s.GetStartTimeUnixNano()), Ended: moment(s.GetEndTimeUnixNano()),
+		Deadline: time.Duration(a.Number("frosttide.deadline.ms")) * time.Millisecond}
+	for _, l := range s.GetLinks() {
+		r.Links = append(r.Links, Link{Trace: hex.EncodeToString(l.GetTraceId()), Span: hex.EncodeToString(l.GetSpanId()),
+			What: otlp.Attributes(l.GetAttributes()).Text("frosttide.link")})
 	}
 	return r
 }
 
-func hop(s ptrace.Span) Hop {
-	a := s.Attributes()
-	h := Hop{Span: s.SpanID().String(), Target: text(a, "frosttide.target"), Zone: text(a, "frosttide.zone"),
-		Addr: text(a, "server.address") + ":" + text(a, "server.port"), Kind: text(a, "frosttide.hop.kind"),
-		Outcome: text(a, "frosttide.outcome"), Cold: truth(a, "frosttide.hop.cold"), MayHaveRun: truth(a, "frosttide.may_have_run"),
-		Kept: text(a, "frosttide.connection") == "kept", Bytes: int64(figure(a, "http.request.body.size")),
-		Began: s.StartTimestamp().AsTime(), Ended: s.EndTimestamp().AsTime()}
-	for _, e := range s.Events().All() {
-		h.Events = append(h.Events, Event{At: e.Timestamp().AsTime(), What: e.Name(), Share: figure(e.Attributes(), "frosttide.share")})
+func hop(s *tracepb.Span) Hop {
+	a := otlp.Attributes(s.GetAttributes())
+	h := Hop{Span: hex.EncodeToString(s.GetSpanId()), Target: a.Text("frosttide.target"), Zone: a.Text("frosttide.zone"),
+		Addr: a.Text("server.address") + ":" + a.Text("server.port"), Kind: a.Text("frosttide.hop.kind"),
+		Outcome: a.Text("frosttide.outcome"), Cold: truth(a, "frosttide.hop.cold"), MayHaveRun: truth(a, "frosttide.may_have_run"),
+		Kept: a.Text("frosttide.connection") == "kept", Bytes: int64(a.Number("http.request.body.size")),
+		Began: moment(s.GetStartTimeUnixNano()), Ended: moment(s.GetEndTimeUnixNano())}
+	for _, e := range s.GetEvents() {
+		h.Events = append(h.Events, Event{At: moment(e.GetTimeUnixNano()), What: e.GetName(), Share: otlp.Attributes(e.GetAttributes()).Number("frosttide.share")})
 	}
-	for _, l := range s.Links().All() {
-		if text(l.Attributes(), "frosttide.link") == "copy_of" {
-			h.CopyOf = l.SpanID().String()
+	for _, l := range s.GetLinks() {
+		if otlp.Attributes(l.GetAttributes()).Text("frosttide.link") == "copy_of" {
+			h.CopyOf = hex.EncodeToString(l.GetSpanId())
 		}
 	}
 	return h
