--- a/internal/control/placement/fleet.go
+++ b/internal/control/placement/fleet.go
@@ -148,16 +148,12 @@
 	}
 }
 
-// tokensFor returns how many of a runner's tokens a demand takes: its largest share of the capacity,
-// rounded down, as the room is accounted for exactly.
+// tokensFor returns how many of a runner's tokens a demand takes: by its processor time, rounded down.
+// Memory and GPUs are accounted for exactly beside the tokens; counted in tokens too, tasks that ask for
+// much of one and tasks that ask for much of another would keep each other out of a runner with room for
+// both.
 func (r *Runner) tokensFor(demand Resources) int {
-	share := 0.0
-	for _, part := range [][2]int64{{demand.CPU, r.Capacity.CPU}, {demand.MemMB, r.Capacity.MemMB}, {demand.GPUs, r.Capacity.GPUs}} {
-		if part[1] > 0 {
-			share = max(share, float64(part[0])/float64(part[1]))
-		}
-	}
-	return max(1, int(share*float64(r.account.Limit)))
+	return min(max(1, int(demand.CPU/tokenCPU)), max(1, r.account.Limit))
 }
 
 // Remove drops a runner, with its free tokens.
