Store a runner's companion, so that a new head knows at once that a runner came back

After all machines lost power, runners come back under new ids, but a new head could not tell which of them replaced which, and had their tasks wait for a whole lease.

--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -25,6 +25,7 @@
 	noted        uint64             // highest end in the store, or in the entry that is being made
 	acknowledged uint64             // highest end whose noting is committed
 	stored       bool               // there is an item of it
+	companion    string             // internal address of the companion on its machine
 	session      *session           // nil while no companion speaks for it
 	deadline     time.Duration      // when its holds have surely run out, without a session
 	known        bool               // it has given an account of itself to this head
@@ -91,7 +92,7 @@
 		var record protocol.RunnerRecord
 		problem = errors.CombineErrors(problem, proto.Unmarshal(value, &record))
 		r := d.runner(strings.TrimPrefix(key, runnerPrefix))
-		r.noted, r.acknowledged, r.stored = record.GetLastSeen(), record.GetLastSeen(), true
+		r.noted, r.acknowledged, r.stored, r.companion = record.GetLastSeen(), record.GetLastSeen(), true, record.GetCompanion()
 	})
 	return errors.Wrap(problem, "scheduler: the stored runners can't be read")
 }
@@ -125,19 +126,37 @@
 	if a == nil {
 		return
 	}
-	if s.runner != "" && s.runner != a.GetId() {
-		d.lose(s.runner) // it came back under another id, so it runs nothing
-	}
 	if s.runner != a.GetId() {
+		d.loseOthers(s.address, a.GetId())
 		s.runner, s.needsFull = a.GetId(), true
 	}
 	r := d.runner(a.GetId())
 	r.session, r.known = s, true
+	if r.companion != s.address {
+		r.companion = s.address
+		d.putRunner(r)
+	}
 	s.draining = a.GetDraining()
 	c := a.GetCapacity()
 	d.fleet.Describe(r.account, a.GetService(), rackOf(d.cfg.RackPrefix, a.GetLabels()), a.GetLabels(), placement.Resources{CPU: c.GetCpu(), MemMB: c.GetMemMb(), GPUs: c.GetGpus()})
 }
 
+// loseOthers gives up the runners that a machine had before the one it has now: a machine has one, which
+// comes back under another id after a crash and runs nothing then. Their companion's address is stored, so
+// that a head that has never met them knows it too.
+func (d *Scheduler) loseOthers(companion, but string) {
+	for id, r := range d.runners {
+		if r.companion == companion && id != but {
+			d.lose(id)
+		}
+	}
+}
+
+func (d *Scheduler) putRunner(r *runner) {
+	r.stored = true
+	d.put(runnerPrefix+r.id, &protocol.RunnerRecord{LastSeen: r.noted, Companion: r.companion})
+}
+
 // updateUsable decides whether a session's runner may be sent tasks.
 func (d *Scheduler) updateUsable(s *session) {
 	if r := d.runners[s.runner]; r != nil && r.session == s {
@@ -160,8 +179,7 @@
 		d.noteEnd(r, end)
 	}
 	if r.noted > before {
-		r.stored = true
-		d.put(runnerPrefix+r.id, &protocol.RunnerRecord{LastSeen: r.noted})
+		d.putRunner(r)
 		d.batch.note(r.id, r.noted)
 	}
 }
