--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -280,6 +280,7 @@
 		Lease:      nodefile.Seconds(settings.Bounds.RecoveryS),
 		StatusKept: nodefile.Seconds(settings.Bounds.StatusS) + statusMargin,
 		RackPrefix: "r",
+		FarFactor:  settings.Bounds.FarX,
 	}, now, h.process.WallMs(), r.Epoch, h.machine.Committed(), h.machine.Store())
 	if err != nil {
 		klog.ErrorS(err, "The state can't be read; this member can't schedule")
--- a/internal/control/placement/fleet.go
+++ b/internal/control/placement/fleet.go
@@ -23,11 +23,18 @@
 	return r.CPU <= room.CPU && r.MemMB <= room.MemMB && r.GPUs <= room.GPUs
 }
 
-func (r Resources) plus(o Resources) Resources {
+// Times returns a number of times the resources.
+func (r Resources) Times(n int) Resources {
+	return Resources{CPU: r.CPU * int64(n), MemMB: r.MemMB * int64(n), GPUs: r.GPUs * int64(n)}
+}
+
+// Plus returns the sum of two.
+func (r Resources) Plus(o Resources) Resources {
 	return Resources{CPU: r.CPU + o.CPU, MemMB: r.MemMB + o.MemMB, GPUs: r.GPUs + o.GPUs}
 }
 
-func (r Resources) minus(o Resources) Resources {
+// Minus returns the difference of two.
+func (r Resources) Minus(o Resources) Resources {
 	return Resources{CPU: r.CPU - o.CPU, MemMB: r.MemMB - o.MemMB, GPUs: r.GPUs - o.GPUs}
 }
 
@@ -64,7 +71,7 @@
 func (r *Runner) Used() Resources { return r.used }
 
 // Free returns the room that is left.
-func (r *Runner) Free() Resources { return r.Capacity.minus(r.used) }
+func (r *Runner) Free() Resources { return r.Capacity.Minus(r.used) }
 
 // Holds returns how many runs hold a part of the runner.
 func (r *Runner) Holds() int { return len(r.holds) }
@@ -109,6 +116,26 @@
 // Service returns the runners of a service.
 func (f *Fleet) Service(name string) []*Runner { return f.services[name] }
 
+// FreeOf returns the room that the usable runners of a service have together.
+func (f *Fleet) FreeOf(service string) (free Resources) {
+	for _, r := range f.services[service] {
+		if r.Usable {
+			free = free.Plus(r.Free())
+		}
+	}
+	return free
+}
+
+// HasRack tells whether a usable runner of a rack could take a task if it were empty.
+func (f *Fleet) HasRack(w *Want, rack string) bool {
+	for _, r := range f.services[w.Service] {
+		if r.Usable && r.Rack == rack && r.able(w) {
+			return true
+		}
+	}
+	return false
+}
+
 // Add makes an account for a runner that is known only by its id.
 func (f *Fleet) Add(id string) *Runner {
 	if r := f.runners[id]; r != nil {
@@ -182,7 +209,7 @@
 	h := Hold{Demand: demand, Group: group, tokens: r.tokensFor(demand)}
 	f.bucket.Seize(&r.account, h.tokens)
 	r.holds[task] = h
-	r.used = r.used.plus(demand)
+	r.used = r.used.Plus(demand)
 	r.groups[group]++
 }
 
@@ -194,7 +221,7 @@
 	}
 	delete(r.holds, task)
 	f.bucket.Release(&r.account, r, h.tokens)
-	r.used = r.used.minus(h.Demand)
+	r.used = r.used.Minus(h.Demand)
 	if r.groups[h.Group]--; r.groups[h.Group] == 0 {
 		delete(r.groups, h.Group)
 	}
--- a/internal/control/scheduler/queue.go
+++ b/internal/control/scheduler/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"frosttide/internal/control/jobs"
 	"frosttide/internal/control/placement"
@@ -10,13 +11,17 @@
 
 // queue holds the steps of a service that have tasks to start, in the order in which they are served.
 type queue struct {
+	service string
 	waiting []waitingStep
 	known   map[*jobs.Step]bool
+	reserve *placement.Reserve
+	running map[int]placement.Resources // what runs hold, by priority
 }
 
 type waitingStep struct {
 	step     *jobs.Step
 	priority int
+	since    time.Duration // when it became ready
 }
 
 func (a waitingStep) compare(b waitingStep) int {
@@ -37,19 +42,37 @@
 // place places what can be placed of all services.
 func (d *Scheduler) place() {
 	for _, s := range d.jobs.TakeReady() {
-		q := d.queues[s.Job.Service]
-		if q == nil {
-			q = &queue{known: make(map[*jobs.Step]bool)}
-			d.queues[s.Job.Service] = q
-		}
-		q.add(waitingStep{step: s, priority: d.priority(s.Job)})
+		d.queue(s.Job.Service).add(waitingStep{step: s, priority: d.priority(s.Job), since: d.now})
 	}
-	for service, q := range d.queues {
+	for _, q := range d.queues {
 		d.placeQueue(q)
-		if len(q.waiting) == 0 {
-			delete(d.queues, service)
+	}
+}
+
+// queue returns the queue of a service.
+func (d *Scheduler) queue(service string) *queue {
+	q := d.queues[service]
+	if q == nil {
+		q = &queue{service: service, known: make(map[*jobs.Step]bool), reserve: placement.NewReserve(), running: make(map[int]placement.Resources)}
+		d.queues[service] = q
+	}
+	return q
+}
+
+// observe tells the reserve what each priority holds and waits for.
+func (q *queue) observe(now time.Duration) {
+	waiting := make(map[int]placement.Resources)
+	for _, w := range q.waiting {
+		if w.step.Ready() {
+			waiting[w.priority] = waiting[w.priority].Plus(demandOf(w.step.Stage).Times(w.step.Waiting))
 		}
 	}
+	for priority := range q.running {
+		waiting[priority] = waiting[priority].Plus(placement.Resources{})
+	}
+	for priority, resources := range waiting {
+		q.reserve.Observe(priority, q.running[priority], resources, now)
+	}
 }
 
 // priority returns the priority of a job's queue; a queue that is gone comes last.
@@ -65,11 +88,15 @@
 // placeQueue offers the service's runners to its steps in order. Steps that ask for at least as much as
 // one that was blocked are passed over.
 func (d *Scheduler) placeQueue(q *queue) {
+	if len(q.waiting) == 0 {
+		return
+	}
+	q.observe(d.now)
 	var blocked blockedDemands
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		if w.step.Waiting > 0 && w.step.Ready() {
-			d.placeStep(w.step, &blocked)
+			d.placeStep(q, w, &blocked)
 		}
 		if w.step.Waiting > 0 && w.step.Ready() {
 			kept = append(kept, w)
@@ -95,15 +122,19 @@
 }
 
 // placeStep starts as many of a step's waiting tasks as there is room for.
-func (d *Scheduler) placeStep(s *jobs.Step, blocked *blockedDemands) {
+func (d *Scheduler) placeStep(q *queue, w waitingStep, blocked *blockedDemands) {
+	s := w.step
 	want := d.want(s)
-	if blocked.covers(want) {
+	if blocked.covers(want) || !d.leavesRoom(q, w, want) {
 		return
 	}
 	if s.Stage.GetGang() {
 		d.placeGang(s, want)
 		return
 	}
+	if d.waitsForRack(w, want) {
+		want.Rack = want.Affinity
+	}
 	for i := range s.Tasks {
 		if s.Tasks[i].Phase != jobs.Waiting {
 			continue
@@ -111,13 +142,39 @@
 		want.Avoid = s.Tasks[i].LastFailed
 		r := d.fleet.Pick(want, d.now)
 		if r == nil {
-			if want.AntiAffinity == 0 {
+			if want.AntiAffinity == 0 && want.Rack == "" {
 				*blocked = append(*blocked, *want)
 			}
 			return
 		}
 		d.start(s, i, s.NextRun(i), r, s.Tasks[i].Saved)
+		if !d.leavesRoom(q, w, want) {
+			return
+		}
+	}
+}
+
+// leavesRoom tells whether a task may be placed without taking what is kept for more urgent work.
+func (d *Scheduler) leavesRoom(q *queue, w waitingStep, want *placement.Want) bool {
+	if w.step.Job.Live() == 0 && d.now-w.since > reservePatience {
+		return true
 	}
+	room := q.reserve.Room(w.priority)
+	return room == (placement.Resources{}) || want.Demand.Plus(room).Fits(d.fleet.FreeOf(q.service))
+}
+
+// reservePatience is how long a job that runs nothing waits for more urgent work that has not come; the
+// rules say that a job with room for it runs something after 3 s.
+const reservePatience = 1500 * time.Millisecond
+
+// waitsForRack tells whether a step's tasks had better wait a little for the rack where their data lies:
+// for a part of the time that the work would take longer elsewhere.
+func (d *Scheduler) waitsForRack(w waitingStep, want *placement.Want) bool {
+	if want.Affinity == "" {
+		return false
+	}
+	longer := time.Duration((d.cfg.FarFactor - 1) * float64(w.step.Stage.GetEstimateMs()) * float64(time.Millisecond))
+	return d.now-w.since < longer/2 && d.fleet.HasRack(want, want.Affinity)
 }
 
 // placeGang starts all tasks of a gang or none.
@@ -153,12 +210,19 @@
 func (d *Scheduler) start(s *jobs.Step, index int, run uint32, on *placement.Runner, saved string) {
 	task := s.TaskID(index)
 	d.fleet.Hold(on, task, demandOf(s.Stage), groupOf(s))
+	d.countRunning(s, 1)
 	d.jobs.Start(s, index, run, on.ID, d.wallMs)
 	r := d.runner(on.ID)
 	r.live[task] = liveRun{number: run, step: s, index: index, saved: saved, pending: true}
 	d.batch.add(on.ID, task)
 }
 
+// countRunning counts what a step's task holds, or holds no longer.
+func (d *Scheduler) countRunning(s *jobs.Step, by int) {
+	q, priority := d.queue(s.Job.Service), d.priority(s.Job)
+	q.running[priority] = q.running[priority].Plus(demandOf(s.Stage).Times(by))
+}
+
 // stopRuns has the runs stopped whose jobs have ended.
 func (d *Scheduler) stopRuns() {
 	for _, run := range d.jobs.TakeStopped() {
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -22,6 +22,7 @@
 	Lease      time.Duration // how long companions may extend holds without hearing of the head
 	StatusKept time.Duration // how long the state of a job that has ended is kept
 	RackPrefix string        // label prefix that names racks
+	FarFactor  float64       // how many times as long work takes away from its data
 }
 
 // Send is a message to the process at an internal address.
@@ -80,6 +81,7 @@
 		r := d.runner(task.Runner)
 		d.fleet.Hold(r.account, s.TaskID(index), demandOf(s.Stage), groupOf(s))
 		r.live[s.TaskID(index)] = liveRun{number: task.Run, step: s, index: index}
+		d.countRunning(s, 1)
 	})
 	return d, nil
 }
--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -217,6 +217,7 @@
 // dropRun gives back what a run held.
 func (d *Scheduler) dropRun(r *runner, task string) {
 	d.batch.drop(r.id, task, r.live[task].number)
+	d.countRunning(r.live[task].step, -1)
 	delete(r.live, task)
 	d.fleet.Release(r.account, task)
 }
@@ -237,6 +238,7 @@
 		if name, ok := jobs.ParseTask(task); ok {
 			d.jobs.End(name, run.number, id, jobs.EndLost, "", d.maxAttempts(name.Job), d.wallMs)
 		}
+		d.countRunning(run.step, -1)
 		delete(r.live, task)
 		d.fleet.Release(r.account, task)
 	}
