--- a/internal/chainclient/client.go
+++ b/internal/chainclient/client.go
@@ -5,6 +5,8 @@
 package chainclient
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"frosttide/internal/protocol"
@@ -120,8 +122,8 @@
 		return
 	}
 	c.view = v
-	for _, o := range c.open {
-		c.transmit(o)
+	for _, id := range slices.Sorted(maps.Keys(c.open)) {
+		c.transmit(c.open[id])
 	}
 }
 
@@ -145,7 +147,8 @@
 func (c *Client) Tick(now time.Duration) {
 	c.now = now
 	doubt := false
-	for id, o := range c.open {
+	for _, id := range slices.Sorted(maps.Keys(c.open)) {
+		o := c.open[id]
 		switch {
 		case now >= o.deadline, !o.sent && now >= o.unsentBy:
 			delete(c.open, id)
--- a/internal/control/host/api.go
+++ b/internal/control/host/api.go
@@ -50,8 +50,7 @@
 func (h *Host) ask(ctx context.Context, r *protocol.ClientRequest, read bool) (chainclient.Outcome, bool) {
 	answer := make(chan chainclient.Outcome, 1)
 	h.process.Do(func() {
-		now := h.process.Now()
-		h.waiting[h.client.Do(now, r, read, now+answerTime, now+answerTime)] = answer
+		h.waiting[h.member.Ask(h.process.Now(), r, read, answerTime)] = answer
 	})
 	select {
 	case o := <-answer:
@@ -99,7 +98,7 @@
 
 func (h *Host) getStatus(w http.ResponseWriter, r *http.Request) {
 	answer := make(chan any, 1)
-	h.process.Do(func() { answer <- h.machine.Status() })
+	h.process.Do(func() { answer <- h.member.Replica().Status() })
 	select {
 	case status := <-answer:
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/control/jobs/runs.go
+++ b/internal/control/jobs/runs.go
@@ -1,5 +1,10 @@
 package jobs
 
+import (
+	"maps"
+	"slices"
+)
+
 // Outcome is what an end meant for its task.
 type Outcome struct {
 	Step    *Step
@@ -179,8 +184,8 @@
 
 // LiveOn calls f with every run in the account that may be under way, with its runner.
 func (t *Table) LiveOn(f func(s *Step, index int)) {
-	for _, j := range t.jobs {
-		for _, o := range j.times {
+	for _, id := range slices.Sorted(maps.Keys(t.jobs)) {
+		for _, o := range t.jobs[id].times {
 			for _, s := range o.Steps {
 				for i := range s.Tasks {
 					if p := s.Tasks[i].Phase; p == Live || p == DoneLive {
--- a/internal/control/jobs/table.go
+++ b/internal/control/jobs/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"slices"
 	"strings"
 
@@ -308,7 +309,8 @@
 
 // settle derives what is not stored: what is finished and what is ready.
 func (t *Table) settle() {
-	for _, j := range t.jobs {
+	for _, id := range slices.Sorted(maps.Keys(t.jobs)) {
+		j := t.jobs[id]
 		if j.Stages == nil {
 			continue
 		}
--- a/internal/control/jobs/writes.go
+++ b/internal/control/jobs/writes.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"google.golang.org/protobuf/proto"
@@ -52,15 +54,13 @@
 // Empty tells whether there is nothing to write.
 func (w *Writes) Empty() bool { return len(w.puts) == 0 && len(w.deletes) == 0 }
 
-// Entry returns the writes as an entry of the chain.
+// Entry returns the writes as an entry of the chain, by key, so that equal states write equal entries.
 func (w *Writes) Entry() *protocol.Entry {
 	e := &protocol.Entry{}
-	for key, value := range w.puts {
-		e.Puts = append(e.Puts, &protocol.Put{Key: key, Value: value})
-	}
-	for key := range w.deletes {
-		e.Deletes = append(e.Deletes, key)
+	for _, key := range slices.Sorted(maps.Keys(w.puts)) {
+		e.Puts = append(e.Puts, &protocol.Put{Key: key, Value: w.puts[key]})
 	}
+	e.Deletes = slices.Sorted(maps.Keys(w.deletes))
 	return e
 }
 
--- /dev/null
+++ b/internal/control/member/member.go
@@ -0,0 +1,218 @@
+// Package member is a process of the control plane as a pure state machine: the replica, the scheduler while
+// the replica serves as the head, the gossip, and the client through which the operator's API asks the
+// chain. Whatever runs it tells it of messages, time and finished writes, and carries out its output.
+package member
+
+import (
+	"time"
+
+	"frosttide/internal/chainclient"
+	"frosttide/internal/control/journal"
+	"frosttide/internal/control/replica"
+	"frosttide/internal/control/scheduler"
+	"frosttide/internal/gossip"
+	"frosttide/internal/protocol"
+)
+
+// Config says who a member is.
+type Config struct {
+	Replica   replica.Config
+	Scheduler scheduler.Config
+}
+
+// Send is a message to the process at an internal address.
+type Send struct {
+	To      string
+	Message *protocol.Envelope
+}
+
+// Output is what is to be done after a turn. Writes are handed to the disk before anything is sent.
+type Output struct {
+	Writes   []replica.Write
+	Sends    []Send
+	Outcomes []chainclient.Outcome // of requests made by Ask
+	Notes    []string              // for the log
+}
+
+// Member is the process. It is not safe for concurrent use.
+type Member struct {
+	cfg       Config
+	wallMs    int64
+	replica   *replica.Machine
+	scheduler *scheduler.Scheduler // nil where this member does not serve as the head
+	gossip    *gossip.Machine
+	client    *chainclient.Client
+	reads     map[uint64]pendingRead
+	nextRead  uint64
+	known     uint64 // epoch that gossip and client have been told of
+	saved     uint64 // version of the configuration that gossip has been told of
+	out       Output
+}
+
+// pendingRead is a read at the tail whose answer is not certain yet.
+type pendingRead struct {
+	to    string
+	reply *protocol.ClientReply
+}
+
+// New returns a member with the state of its disk.
+func New(cfg Config, now time.Duration, state journal.State) *Member {
+	m := &Member{cfg: cfg, replica: replica.New(cfg.Replica, now, state), reads: make(map[uint64]pendingRead)}
+	m.gossip = gossip.New(gossip.Config{Address: cfg.Replica.Self.GetAddress(), Role: "control", Contacts: cfg.Replica.Contacts, Seed: cfg.Replica.Seed})
+	m.client = chainclient.New(cfg.Replica.Incarnation, cfg.Replica.Contacts)
+	m.act(now, m.replica.Begin(now))
+	return m
+}
+
+// Replica returns the replica; it is only read.
+func (m *Member) Replica() *replica.Machine { return m.replica }
+
+// Scheduler returns the scheduler, nil where the member does not serve as the head; it is only read.
+func (m *Member) Scheduler() *scheduler.Scheduler { return m.scheduler }
+
+// Gossip returns the gossip; it is only read.
+func (m *Member) Gossip() *gossip.Machine { return m.gossip }
+
+// SetContacts replaces the processes that are asked at first.
+func (m *Member) SetContacts(contacts []string) {
+	m.gossip.SetContacts(contacts)
+	m.client.SetContacts(contacts)
+	m.replica.SetContacts(contacts)
+}
+
+// Receive handles a message of another process.
+func (m *Member) Receive(now time.Duration, from string, e *protocol.Envelope) {
+	switch body := e.GetBody().(type) {
+	case *protocol.Envelope_ClientRequest:
+		m.onRequest(now, from, body.ClientRequest)
+	case *protocol.Envelope_ClientReply:
+		m.client.Reply(now, body.ClientReply)
+	case *protocol.Envelope_RunnerReport:
+		if m.scheduler != nil {
+			m.scheduler.Report(now, from, body.RunnerReport)
+		}
+	case *protocol.Envelope_Shuffle, *protocol.Envelope_Rumor, *protocol.Envelope_RumorPull, *protocol.Envelope_ConfigDelta:
+		m.gossip.Receive(now, from, e)
+	default:
+		m.act(now, m.replica.Receive(now, from, e))
+	}
+}
+
+// DiskDone handles the end of a write.
+func (m *Member) DiskDone(now time.Duration, sequence uint64, err error) {
+	m.act(now, m.replica.DiskDone(now, sequence, err))
+}
+
+// Tick lets time pass; wallMs is the time of day in ms from 1970.
+func (m *Member) Tick(now time.Duration, wallMs int64) {
+	m.wallMs = wallMs
+	m.act(now, m.replica.Tick(now, wallMs))
+	if m.scheduler != nil {
+		m.scheduler.Tick(now, wallMs, m.replica.ConfirmedAt())
+	}
+	m.gossip.Tick(now)
+	m.client.Tick(now)
+}
+
+// Ask has the chain answer a request of this process's own and returns its id; the outcome comes within
+// a time.
+func (m *Member) Ask(now time.Duration, r *protocol.ClientRequest, read bool, within time.Duration) uint64 {
+	return m.client.Do(now, r, read, now+within, now+within)
+}
+
+// Leave has the other members go on without this one, which is about to end.
+func (m *Member) Leave(now time.Duration) { m.act(now, m.replica.Leave(now)) }
+
+// Turn ends a turn: what it has led to is appended, and what is to be done is returned.
+func (m *Member) Turn(now time.Duration) Output {
+	m.append(now)
+	m.learn(now)
+	for _, s := range m.gossip.TakeSends() {
+		m.send(s.To, s.Message)
+	}
+	for _, s := range m.client.TakeSends() {
+		m.send(s.To, s.Message)
+	}
+	m.out.Outcomes = append(m.out.Outcomes, m.client.TakeOutcomes()...)
+	out := m.out
+	m.out = Output{}
+	return out
+}
+
+func (m *Member) send(to string, e *protocol.Envelope) {
+	m.out.Sends = append(m.out.Sends, Send{To: to, Message: e})
+}
+
+// append has the scheduler's decisions written, and its orders sent once that is committed.
+func (m *Member) append(now time.Duration) {
+	if m.scheduler != nil && m.replica.CanAppend() {
+		if e := m.scheduler.Entry(now); e != nil {
+			index, actions, _ := m.replica.Append(now, e)
+			m.scheduler.Appended(index)
+			m.act(now, actions)
+		}
+	}
+	if m.scheduler == nil {
+		return
+	}
+	m.scheduler.Committed(now, m.replica.Committed())
+	for _, s := range m.scheduler.TakeSends() {
+		m.send(s.To, s.Message)
+	}
+	if t := m.scheduler.CommittedConfig(); t.Version > m.saved {
+		m.saved = t.Version
+		m.gossip.SetConfig(now, t)
+	}
+}
+
+// learn tells gossip and the client of the newest view, from wherever it came.
+func (m *Member) learn(now time.Duration) {
+	v := m.replica.View()
+	if other := m.gossip.View(); other.GetEpoch() > v.GetEpoch() {
+		v = other
+	}
+	if v.GetEpoch() > m.known {
+		m.known = v.GetEpoch()
+		m.gossip.SetView(now, v)
+		m.client.Learn(now, v)
+	}
+}
+
+// act carries out what the replica wants done.
+func (m *Member) act(now time.Duration, a replica.Actions) {
+	m.out.Notes = append(m.out.Notes, a.Notes...)
+	m.out.Writes = append(m.out.Writes, a.Writes...)
+	for _, s := range a.Sends {
+		m.send(s.To, s.Message)
+	}
+	for _, r := range a.Replies {
+		m.send(r.GetAddress(), &protocol.Envelope{Body: &protocol.Envelope_ClientReply{ClientReply: r.GetReply()}})
+	}
+	for _, r := range a.Roles {
+		m.onRole(now, r)
+	}
+	for _, token := range a.ReadsReady {
+		m.finishRead(token, true)
+	}
+	for _, token := range a.ReadsFailed {
+		m.finishRead(token, false)
+	}
+}
+
+// onRole begins or ends the scheduler.
+func (m *Member) onRole(now time.Duration, r replica.Role) {
+	if !r.Serving {
+		m.scheduler = nil
+		return
+	}
+	if m.scheduler != nil {
+		m.scheduler.Continue(now, r.Epoch, m.replica.Committed())
+		return
+	}
+	s, err := scheduler.New(m.cfg.Scheduler, now, m.wallMs, r.Epoch, m.replica.Committed(), m.replica.Store())
+	if err != nil {
+		m.out.Notes = append(m.out.Notes, "the state can't be read; this member can't schedule: "+err.Error())
+		return
+	}
+	m.scheduler = s
+}
--- a/internal/control/placement/fleet.go
+++ b/internal/control/placement/fleet.go
@@ -5,6 +5,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -167,7 +168,8 @@
 
 // recount gives the runs that a runner has the tokens that its capacity says.
 func (f *Fleet) recount(r *Runner) {
-	for task, h := range r.holds {
+	for _, task := range slices.Sorted(maps.Keys(r.holds)) {
+		h := r.holds[task]
 		f.bucket.Release(&r.account, r, h.tokens)
 		h.tokens = r.tokensFor(h.Demand)
 		f.bucket.Seize(&r.account, h.tokens)
--- a/internal/control/replica/chain.go
+++ b/internal/control/replica/chain.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gammazero/deque"
@@ -87,8 +89,8 @@
 		}
 		return
 	}
-	for address, sent := range m.chain.followers {
-		if sent < m.index {
+	for _, address := range slices.Sorted(maps.Keys(m.chain.followers)) {
+		if sent := m.chain.followers[address]; sent < m.index {
 			m.sendEntries(address, sent)
 			m.chain.followers[address] = m.index
 		}
@@ -235,8 +237,8 @@
 	if next := m.successor(); next != nil {
 		m.sendEntries(next.GetAddress(), m.chain.sent)
 	}
-	for address, sent := range m.chain.followers {
-		m.sendEntries(address, sent)
+	for _, address := range slices.Sorted(maps.Keys(m.chain.followers)) {
+		m.sendEntries(address, m.chain.followers[address])
 	}
 	if before := m.predecessor(); before != nil {
 		m.send(before.GetAddress(), &protocol.Envelope{Body: &protocol.Envelope_AppendAck{AppendAck: &protocol.AppendAck{
--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -28,8 +29,8 @@
 			tell(member.GetAddress())
 		}
 	}
-	for _, j := range m.joiners {
-		tell(j.member.GetAddress())
+	for _, id := range slices.Sorted(maps.Keys(m.joiners)) {
+		tell(m.joiners[id].member.GetAddress())
 	}
 	if !m.isVoter() || m.view == nil {
 		for _, address := range m.cfg.Contacts {
--- a/internal/control/replica/machine.go
+++ b/internal/control/replica/machine.go
@@ -187,6 +187,13 @@
 // Serving tells whether the member is the head of an active chain.
 func (m *Machine) Serving() bool { return m.chain.active && m.isHead() }
 
+// SetContacts replaces the processes that are asked while no view is known.
+func (m *Machine) SetContacts(contacts []string) {
+	if len(contacts) > 0 {
+		m.cfg.Contacts = contacts
+	}
+}
+
 // Leave has the others do without the member, whose process is about to end.
 func (m *Machine) Leave(now time.Duration) Actions {
 	m.now = now
--- a/internal/control/replica/membership.go
+++ b/internal/control/replica/membership.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"frosttide/internal/protocol"
@@ -39,7 +41,8 @@
 			c.Remove = append(c.Remove, id)
 		}
 	}
-	for id, j := range m.joiners {
+	for _, id := range slices.Sorted(maps.Keys(m.joiners)) {
+		j := m.joiners[id]
 		if m.now-j.heard > m.cfg.Timing.Suspect {
 			delete(m.joiners, id)
 			continue
--- a/internal/control/scheduler/orders.go
+++ b/internal/control/scheduler/orders.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -53,8 +54,8 @@
 	if b.config != nil {
 		d.committedConfig = b.config
 	}
-	for id, of := range b.by {
-		r := d.runners[id]
+	for _, id := range slices.Sorted(maps.Keys(b.by)) {
+		of, r := b.by[id], d.runners[id]
 		if r == nil {
 			continue
 		}
--- a/internal/control/scheduler/queue.go
+++ b/internal/control/scheduler/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -44,8 +45,8 @@
 	for _, s := range d.jobs.TakeReady() {
 		d.queue(s.Job.Service).add(waitingStep{step: s, priority: d.priority(s.Job), since: d.now})
 	}
-	for _, q := range d.queues {
-		d.placeQueue(q)
+	for _, service := range slices.Sorted(maps.Keys(d.queues)) {
+		d.placeQueue(d.queues[service])
 	}
 }
 
--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -145,8 +146,8 @@
 // comes back under another id after a crash and runs nothing then. Their companion's address is stored, so
 // that a head that has never met them knows it too.
 func (d *Scheduler) loseOthers(companion, but string) {
-	for id, r := range d.runners {
-		if r.companion == companion && id != but {
+	for _, id := range slices.Sorted(maps.Keys(d.runners)) {
+		if d.runners[id].companion == companion && id != but {
 			d.lose(id)
 		}
 	}
@@ -228,12 +229,7 @@
 	if r == nil {
 		return
 	}
-	tasks := make([]string, 0, len(r.live))
-	for task := range r.live {
-		tasks = append(tasks, task)
-	}
-	slices.Sort(tasks)
-	for _, task := range tasks {
+	for _, task := range slices.Sorted(maps.Keys(r.live)) {
 		run := r.live[task]
 		if name, ok := jobs.ParseTask(task); ok {
 			d.jobs.End(name, run.number, id, jobs.EndLost, "", d.maxAttempts(name.Job), d.wallMs)
@@ -268,7 +264,8 @@
 // tickSessions gives up runners whose holds have run out, and has orders sent again that were not
 // applied.
 func (d *Scheduler) tickSessions() {
-	for _, s := range d.sessions {
+	for _, address := range slices.Sorted(maps.Keys(d.sessions)) {
+		s := d.sessions[address]
 		if d.now > d.leaseEnd(s.leaseUntil) && d.now-s.heard > sessionSilent {
 			d.endSession(s)
 			continue
@@ -279,8 +276,8 @@
 			d.sendOrders(s, &protocol.RunnerOrders{})
 		}
 	}
-	for id, r := range d.runners {
-		if r.session == nil && d.now > r.deadline {
+	for _, id := range slices.Sorted(maps.Keys(d.runners)) {
+		if r := d.runners[id]; r.session == nil && d.now > r.deadline {
 			d.lose(id)
 		}
 	}
--- a/internal/data/carrier/carrier.go
+++ b/internal/data/carrier/carrier.go
@@ -10,7 +10,6 @@
 	"k8s.io/klog/v2"
 
 	"frosttide/internal/chainclient"
-	"frosttide/internal/gossip"
 	"frosttide/internal/nodefile"
 	"frosttide/internal/process"
 	"frosttide/internal/protocol"
@@ -26,10 +25,8 @@
 // Carrier is the process.
 type Carrier struct {
 	process *process.Process
-	gossip  *gossip.Machine
-	client  *chainclient.Client
+	node    *Node
 	waiting map[uint64]chan<- chainclient.Outcome
-	known   uint64 // epoch that gossip and client have been told of
 	front   *front
 }
 
@@ -42,14 +39,15 @@
 		return nodefile.Needs(path, "ListenAddrs.Readiness")
 	}
 	c := &Carrier{waiting: make(map[uint64]chan<- chainclient.Outcome)}
-	p, err := process.New(path, settings, "carrier", c.receive)
+	p, err := process.New(path, settings, "carrier", func(from string, e *protocol.Envelope) {
+		c.node.Receive(c.process.Now(), from, e)
+	})
 	if err != nil {
 		return err
 	}
 	defer p.Close()
 	c.process = p
-	c.gossip = gossip.New(gossip.Config{Address: p.Address, Role: "carrier", Contacts: settings.Contacts(), Seed: p.Incarnation})
-	c.client = chainclient.New(p.Incarnation, settings.Contacts())
+	c.node = NewNode(p.Address, p.Incarnation, settings.Contacts())
 	if c.front, err = newFront(c, settings); err != nil {
 		return err
 	}
@@ -65,42 +63,15 @@
 	return nil
 }
 
-// Reread takes a changed settings file.
-func (c *Carrier) Reread() { c.process.Reread() }
-
-func (c *Carrier) receive(from string, e *protocol.Envelope) {
-	now := c.process.Now()
-	switch body := e.GetBody().(type) {
-	case *protocol.Envelope_ClientReply:
-		c.client.Reply(now, body.ClientReply)
-		c.gossip.Hear(now, from, body.ClientReply.GetConfigVersion())
-	case *protocol.Envelope_Decided:
-		c.client.Learn(now, body.Decided.GetView())
-		c.gossip.SetView(now, body.Decided.GetView())
-	case *protocol.Envelope_Shuffle, *protocol.Envelope_Rumor, *protocol.Envelope_RumorPull, *protocol.Envelope_ConfigDelta:
-		c.gossip.Receive(now, from, e)
-	}
-}
-
-func (c *Carrier) tick() {
-	now := c.process.Now()
-	c.gossip.Tick(now)
-	c.client.Tick(now)
-}
+func (c *Carrier) tick() { c.node.Tick(c.process.Now()) }
 
 func (c *Carrier) after() {
-	if v := c.gossip.View(); v.GetEpoch() > c.known {
-		c.known = v.GetEpoch()
-		c.client.Learn(c.process.Now(), v)
-	}
-	c.front.table.Store(c.gossip.Config())
-	for _, s := range c.gossip.TakeSends() {
-		c.process.Send(s.To, s.Message)
-	}
-	for _, s := range c.client.TakeSends() {
+	sends, outcomes := c.node.Turn(c.process.Now())
+	c.front.table.Store(c.node.Table())
+	for _, s := range sends {
 		c.process.Send(s.To, s.Message)
 	}
-	for _, o := range c.client.TakeOutcomes() {
+	for _, o := range outcomes {
 		if waiting := c.waiting[o.ID]; waiting != nil {
 			delete(c.waiting, o.ID)
 			waiting <- o
@@ -112,8 +83,7 @@
 func (c *Carrier) ask(ctx context.Context, r *protocol.ClientRequest, read bool, within time.Duration) (chainclient.Outcome, bool) {
 	answer := make(chan chainclient.Outcome, 1)
 	c.process.Do(func() {
-		now := c.process.Now()
-		c.waiting[c.client.Do(now, r, read, now+within, now+unsentTime)] = answer
+		c.waiting[c.node.Ask(c.process.Now(), r, read, within)] = answer
 	})
 	select {
 	case o := <-answer:
--- a/internal/data/companion/machine.go
+++ b/internal/data/companion/machine.go
@@ -5,6 +5,8 @@
 package companion
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"frosttide/internal/protocol"
@@ -200,19 +202,20 @@
 	a.Hold = min(m.cfg.HoldMax, left)
 	r.holdUntil = max(r.holdUntil, m.now+m.surely(a.Hold))
 	if !r.account.GetDraining() {
-		for task, w := range r.wanted {
-			if r.running[task] != w.GetRun() {
+		for _, task := range slices.Sorted(maps.Keys(r.wanted)) {
+			if w := r.wanted[task]; r.running[task] != w.GetRun() {
 				a.Start = append(a.Start, w)
 			}
 		}
 	}
-	for task, run := range r.running {
+	for _, task := range slices.Sorted(maps.Keys(r.running)) {
+		run := r.running[task]
 		if w := r.wanted[task]; w == nil || w.GetRun() != run {
 			a.Stop = append(a.Stop, &protocol.RunRef{Task: task, Run: run})
 		}
 	}
-	for task, run := range r.fenced {
-		if r.running[task] == 0 {
+	for _, task := range slices.Sorted(maps.Keys(r.fenced)) {
+		if run := r.fenced[task]; r.running[task] == 0 {
 			a.Stop = append(a.Stop, &protocol.RunRef{Task: task, Run: run})
 		}
 	}
--- a/internal/data/companion/server.go
+++ b/internal/data/companion/server.go
@@ -13,11 +13,9 @@
 	"github.com/valyala/fastjson"
 	"k8s.io/klog/v2"
 
-	"frosttide/internal/gossip"
 	"frosttide/internal/nodefile"
 	"frosttide/internal/process"
 	"frosttide/internal/protocol"
-	"frosttide/internal/view"
 )
 
 const (
@@ -32,9 +30,7 @@
 // Server runs the companion as a process.
 type Server struct {
 	process *process.Process
-	machine *Machine
-	gossip  *gossip.Machine
-	known   uint64
+	node    *Node
 }
 
 // Run runs the process until the context ends.
@@ -43,14 +39,15 @@
 		return nodefile.Needs(path, "ListenAddrs.Control")
 	}
 	s := &Server{}
-	p, err := process.New(path, settings, "companion", s.receive)
+	p, err := process.New(path, settings, "companion", func(from string, e *protocol.Envelope) {
+		s.node.Receive(s.process.Now(), from, e)
+	})
 	if err != nil {
 		return err
 	}
 	defer p.Close()
 	s.process = p
-	s.machine = New(Config{Incarnation: p.Incarnation, HoldMax: nodefile.Milliseconds(settings.Bounds.HoldMaxMs), Contacts: settings.Contacts(), Seed: p.Incarnation}, p.Now())
-	s.gossip = gossip.New(gossip.Config{Address: p.Address, Role: "companion", Contacts: settings.Contacts(), Seed: p.Incarnation})
+	s.node = NewNode(Config{Incarnation: p.Incarnation, HoldMax: nodefile.Milliseconds(settings.Bounds.HoldMaxMs), Contacts: settings.Contacts(), Seed: p.Incarnation}, p.Address, p.Now())
 	l, err := net.Listen("tcp4", settings.ListenAddrs.Control)
 	if err != nil {
 		return errors.Wrap(err, "companion: the runner's address can't be listened on")
@@ -69,31 +66,10 @@
 	return nil
 }
 
-func (s *Server) receive(from string, e *protocol.Envelope) {
-	now := s.process.Now()
-	switch body := e.GetBody().(type) {
-	case *protocol.Envelope_RunnerOrders:
-		s.machine.Orders(now, from, body.RunnerOrders)
-	case *protocol.Envelope_Decided:
-		s.gossip.SetView(now, body.Decided.GetView())
-	case *protocol.Envelope_Shuffle, *protocol.Envelope_Rumor, *protocol.Envelope_RumorPull, *protocol.Envelope_ConfigDelta:
-		s.gossip.Receive(now, from, e)
-	}
-}
-
-func (s *Server) tick() { s.gossip.Tick(s.process.Now()) }
+func (s *Server) tick() { s.node.Tick(s.process.Now()) }
 
 func (s *Server) after() {
-	now := s.process.Now()
-	if v := s.gossip.View(); v.GetEpoch() > s.known && len(v.GetChain()) > 0 {
-		s.known = v.GetEpoch()
-		s.machine.View(now, v.GetEpoch(), view.Find(v.GetVoters(), view.Head(v)).GetAddress())
-	}
-	s.machine.Tick(now)
-	for _, m := range s.machine.TakeSends() {
-		s.process.Send(m.To, m.Message)
-	}
-	for _, m := range s.gossip.TakeSends() {
+	for _, m := range s.node.Turn(s.process.Now()) {
 		s.process.Send(m.To, m.Message)
 	}
 }
@@ -112,7 +88,7 @@
 		return
 	}
 	answer := make(chan Answer, 1)
-	s.process.Do(func() { answer <- s.machine.Beat(s.process.Now(), b) })
+	s.process.Do(func() { answer <- s.node.Machine.Beat(s.process.Now(), b) })
 	select {
 	case a := <-answer:
 		w.Header().Set("Content-Type", "application/json")
@@ -126,7 +102,7 @@
 	id := r.PathValue("id")
 	done := make(chan struct{})
 	s.process.Do(func() {
-		s.machine.Leave(s.process.Now(), id)
+		s.node.Machine.Leave(s.process.Now(), id)
 		close(done)
 	})
 	<-done
