--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -207,6 +207,9 @@
 	if m.diskBad() && m.chain.active && m.otherDiskGood(m.cfg.Self.GetId()) {
 		return "" // the others choose another head
 	}
+	if m.headBefore() {
+		return "the head has restarted"
+	}
 	for _, id := range m.view.GetChain() {
 		if id == m.cfg.Self.GetId() {
 			continue
--- a/internal/control/replica/install.go
+++ b/internal/control/replica/install.go
@@ -58,7 +58,9 @@
 		m.note("no longer the head")
 	}
 	if m.isHead() {
-		m.becomeSource()
+		if !m.headBefore() {
+			m.becomeSource()
+		}
 	} else if m.isVoterOf(v) || !m.isVoter() {
 		m.requestSync()
 	}
@@ -69,6 +71,10 @@
 	return view.Find(v.GetVoters(), m.cfg.Self.GetId()) != nil
 }
 
+// headBefore tells whether the view may be one that this member has served as the head before its process
+// began. It has forgotten then which entries it has sent, so that it must not go on in that view.
+func (m *Machine) headBefore() bool { return m.isHead() && m.view.GetEpoch() <= m.bootEpoch }
+
 // becomeSource makes this member's state the one that the view begins with.
 func (m *Machine) becomeSource() {
 	m.installedEpoch = m.view.GetEpoch()
@@ -189,7 +195,7 @@
 
 // considerInstalled makes the chain active once all its members hold the state.
 func (m *Machine) considerInstalled() {
-	if m.chain.active || !m.isHead() || m.disk.installedEpoch != m.Epoch() || m.promised > m.Epoch() {
+	if m.chain.active || !m.isHead() || m.headBefore() || m.disk.installedEpoch != m.Epoch() || m.promised > m.Epoch() {
 		return
 	}
 	for _, id := range m.view.GetChain()[1:] {
--- a/internal/control/replica/machine.go
+++ b/internal/control/replica/machine.go
@@ -119,6 +119,7 @@
 
 	view           *protocol.View // newest agreed view, nil before any is known
 	adopted        time.Duration
+	bootEpoch      uint64 // accepted before the process began
 	installedEpoch uint64
 	index          uint64
 	durable        uint64 // last entry that is synced here
@@ -139,7 +140,7 @@
 	return &Machine{
 		cfg: cfg, now: now, began: now, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Self.GetId())), store: state.Store,
 		promised: state.Promised, accepted: state.Accepted, highest: max(state.Promised, state.Accepted.GetEpoch()),
-		installedEpoch: state.InstalledEpoch, index: state.Index, durable: state.Index,
+		bootEpoch: state.Accepted.GetEpoch(), installedEpoch: state.InstalledEpoch, index: state.Index, durable: state.Index,
 		disk:  disk{installedEpoch: state.InstalledEpoch},
 		peers: make(map[uint64]*peer), joiners: make(map[uint64]*joiner),
 	}
--- a/internal/control/scheduler/orders.go
+++ b/internal/control/scheduler/orders.go
@@ -104,7 +104,7 @@
 
 // sendOrders sends orders to a session, as the whole set where that is due.
 func (d *Scheduler) sendOrders(s *session, orders *protocol.RunnerOrders) {
-	orders.Epoch, orders.Runner, orders.Companion = d.epoch, s.runner, s.incarnation
+	orders.Epoch, orders.Runner, orders.Companion, orders.Session = d.epoch, s.runner, s.incarnation, s.number
 	orders.RetryMs = retryIdleMs
 	if r := d.runners[s.runner]; r != nil {
 		orders.LastSeen = r.acknowledged
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -53,7 +53,8 @@
 	queues          map[string]*queue // by service
 	runners         map[string]*runner
 	sessions        map[string]*session // by the companion's address
-	writes          *jobs.Writes        // beside the jobs' own
+	lastSession     uint64
+	writes          *jobs.Writes // beside the jobs' own
 	replies         []*protocol.Reply
 	sends           []Send
 	batches         []batch // orders that wait for their entry to be committed
--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -45,7 +45,8 @@
 // session is a companion that speaks for its runner.
 type session struct {
 	address     string
-	incarnation uint64
+	number      uint64 // rises with each session
+	incarnation uint64 // of the companion
 	runner      string // id of its runner, empty before any is known
 	heard       time.Duration
 	leaseUntil  time.Duration // end of the newest lease
@@ -104,7 +105,8 @@
 	s := d.sessions[from]
 	if s == nil || s.incarnation != report.GetIncarnation() {
 		d.endSession(s)
-		s = &session{address: from, incarnation: report.GetIncarnation(), needsFull: true}
+		d.lastSession++
+		s = &session{address: from, number: d.lastSession, incarnation: report.GetIncarnation(), needsFull: true}
 		d.sessions[from] = s
 	}
 	s.heard = now
--- a/internal/data/companion/head.go
+++ b/internal/data/companion/head.go
@@ -15,7 +15,7 @@
 		return
 	}
 	m.epoch, m.head = epoch, head
-	m.sequence, m.whole = 0, false
+	m.session, m.sequence, m.whole = 0, 0, false
 	m.heardHead = now
 	m.nextReport = 0
 	if m.runner != nil {
@@ -78,17 +78,25 @@
 	}
 	r := m.runner
 	if r != nil && m.now-r.heard > silentAfter && m.now > r.holdUntil {
-		m.gone[r.account.GetId()] = m.now
-		m.runner = nil
-		m.nextReport = 0
+		m.giveUp(r)
 	}
 }
 
+// giveUp tells the head that a runner surely runs nothing any more. What the head ordered before it knows
+// that is void, should the runner beat again.
+func (m *Machine) giveUp(r *runner) {
+	m.gone[r.account.GetId()] = m.now
+	m.runner = nil
+	m.incarnation++
+	m.session, m.sequence, m.whole = 0, 0, false
+	m.nextReport = 0
+}
+
 // report tells the head how the runner stands and asks for the lease to be renewed.
 func (m *Machine) report() {
 	m.round++
 	m.asked[m.round] = m.now
-	report := &protocol.RunnerReport{Incarnation: m.cfg.Incarnation, LeaseRound: m.round, OrdersSeen: m.sequence, Epoch: m.epoch, NoRunner: m.runner == nil,
+	report := &protocol.RunnerReport{Incarnation: m.incarnation, LeaseRound: m.round, OrdersSeen: m.sequence, Epoch: m.epoch, NoRunner: m.runner == nil,
 		Gone: slices.Sorted(maps.Keys(m.gone))}
 	if r := m.runner; r != nil {
 		report.Account = r.account
@@ -104,7 +112,7 @@
 // Orders handles orders of the head.
 func (m *Machine) Orders(now time.Duration, from string, o *protocol.RunnerOrders) {
 	m.now = now
-	if o.GetEpoch() < m.epoch || o.GetCompanion() != m.cfg.Incarnation {
+	if o.GetEpoch() < m.epoch || o.GetCompanion() != m.incarnation {
 		return // of a head that is none any more, or for the process that was here before
 	}
 	if o.GetEpoch() > m.epoch {
@@ -120,6 +128,12 @@
 		m.retry = time.Duration(o.GetRetryMs()) * time.Millisecond
 	}
 	m.acknowledge(r, o.GetLastSeen())
+	if o.GetSession() < m.session {
+		return // of a session that the head has ended
+	}
+	if o.GetSession() > m.session {
+		m.session, m.sequence, m.whole = o.GetSession(), 0, false
+	}
 	if !o.GetFull() && (!m.whole || o.GetSequence() > m.sequence+1) {
 		return // the whole set is sent again, as these are reported as not applied
 	}
--- a/internal/data/companion/machine.go
+++ b/internal/data/companion/machine.go
@@ -51,19 +51,21 @@
 	began time.Duration
 	sends []Send
 
-	runner     *runner
-	gone       map[string]time.Duration // runners that run nothing any more, until the head surely knows
-	head       string                   // internal address of the head, empty where none is known
-	epoch      uint64                   // of the head
-	sequence   uint64                   // newest orders applied of this epoch
-	whole      bool                     // the whole set of this epoch has come
-	lease      time.Duration            // end of the lease
-	round      uint64                   // of the newest request for a lease
-	asked      map[uint64]time.Duration // when rounds were asked
-	nextReport time.Duration
-	retry      time.Duration
-	heardHead  time.Duration
-	contact    int
+	incarnation uint64 // rises where a runner was given up, so that orders from before are void
+	session     uint64 // of the head's orders
+	runner      *runner
+	gone        map[string]time.Duration // runners that run nothing any more, until the head surely knows
+	head        string                   // internal address of the head, empty where none is known
+	epoch       uint64                   // of the head
+	sequence    uint64                   // newest orders applied of this epoch
+	whole       bool                     // the whole set of this epoch has come
+	lease       time.Duration            // end of the lease
+	round       uint64                   // of the newest request for a lease
+	asked       map[uint64]time.Duration // when rounds were asked
+	nextReport  time.Duration
+	retry       time.Duration
+	heardHead   time.Duration
+	contact     int
 }
 
 // runner is the runner as its beats show it.
@@ -106,7 +108,7 @@
 
 // New returns a companion that knows nothing yet.
 func New(cfg Config, now time.Duration) *Machine {
-	return &Machine{cfg: cfg, now: now, began: now, gone: make(map[string]time.Duration), asked: make(map[uint64]time.Duration), retry: defaultRetry}
+	return &Machine{cfg: cfg, incarnation: cfg.Incarnation, now: now, began: now, gone: make(map[string]time.Duration), asked: make(map[uint64]time.Duration), retry: defaultRetry}
 }
 
 // TakeSends returns the messages to be sent since the last call.
