--- a/internal/control/host/api.go
+++ b/internal/control/host/api.go
@@ -37,6 +37,7 @@
 	mux.HandleFunc("PUT /v1/config", func(w http.ResponseWriter, r *http.Request) { h.changeConfig(w, r, false) })
 	mux.HandleFunc("PATCH /v1/config", func(w http.ResponseWriter, r *http.Request) { h.changeConfig(w, r, true) })
 	mux.HandleFunc("GET /v1/status", h.getStatus)
+	mux.HandleFunc("GET /v1/scheduler", h.getScheduler)
 	server := &http.Server{Handler: mux, ReadTimeout: readTime}
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -96,6 +97,12 @@
 	}
 }
 
+// getScheduler answers with the state of the placement role, wherever that is.
+func (h *Host) getScheduler(w http.ResponseWriter, r *http.Request) {
+	h.respond(w, r, &protocol.ClientRequest{Op: &protocol.ClientRequest_ReadStatus{ReadStatus: &protocol.ReadStatus{}}}, false)
+}
+
+// getStatus answers with the state of this member.
 func (h *Host) getStatus(w http.ResponseWriter, r *http.Request) {
 	answer := make(chan any, 1)
 	h.process.Do(func() { answer <- h.member.Replica().Status() })
--- a/internal/control/member/requests.go
+++ b/internal/control/member/requests.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -26,6 +27,8 @@
 func (m *Member) onRequest(now time.Duration, from string, r *protocol.ClientRequest) {
 	v := m.replica.View()
 	switch {
+	case r.GetReadStatus() != nil && m.scheduler != nil:
+		m.reply(from, m.readStatus(r))
 	case !isRead(r) && m.scheduler != nil:
 		m.scheduler.Request(from, r, func(key string) bool {
 			_, ok := m.replica.Store().Get(key)
@@ -43,6 +46,15 @@
 	}
 }
 
+// readStatus answers what an operator asks of the placement role; it is not confirmed by others.
+func (m *Member) readStatus(r *protocol.ClientRequest) *protocol.ClientReply {
+	body, err := json.Marshal(m.scheduler.Status())
+	if err != nil {
+		return &protocol.ClientReply{Id: r.GetId(), Status: http.StatusInternalServerError, Body: []byte(err.Error())}
+	}
+	return &protocol.ClientReply{Id: r.GetId(), Status: http.StatusOK, Body: body}
+}
+
 func (m *Member) reply(to string, r *protocol.ClientReply) {
 	m.send(to, &protocol.Envelope{Body: &protocol.Envelope_ClientReply{ClientReply: r}})
 }
--- a/internal/control/placement/fleet.go
+++ b/internal/control/placement/fleet.go
@@ -14,9 +14,9 @@
 
 // Resources is what a task asks for or a runner has.
 type Resources struct {
-	CPU   int64 // thousandths of a core
-	MemMB int64
-	GPUs  int64
+	CPU   int64 `json:"cpu"` // thousandths of a core
+	MemMB int64 `json:"mem_mb"`
+	GPUs  int64 `json:"gpus"`
 }
 
 // Fits tells whether a demand fits into free room.
--- a/internal/control/placement/trust.go
+++ b/internal/control/placement/trust.go
@@ -32,3 +32,6 @@
 func (t *trust) suspect(now time.Duration) bool {
 	return t.failing >= suspectShare && now-t.last < forgiveAfter
 }
+
+// Suspect tells whether a runner fails what it is given.
+func (r *Runner) Suspect(now time.Duration) bool { return r.trust.suspect(now) }
