--- a/cmd/frosttide-control/main.go
+++ b/cmd/frosttide-control/main.go
@@ -35,6 +35,5 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP)
 	return host.Run(ctx, path, settings)
 }
--- a/cmd/frosttide-data/main.go
+++ b/cmd/frosttide-data/main.go
@@ -55,6 +55,5 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP)
 	return role(ctx, path, settings)
 }
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -76,6 +76,7 @@
 	defer stop()
 	running, end := context.WithCancel(context.Background())
 	defer end()
+	p.Follow(running, func(changed *nodefile.File) { h.member.SetContacts(changed.Contacts()) })
 	go func() {
 		<-ctx.Done()
 		p.Do(func() { h.leave(end) })
--- a/internal/control/jobs/jobs.go
+++ b/internal/control/jobs/jobs.go
@@ -103,8 +103,8 @@
 	return false
 }
 
-// dueMs returns when a time falls due, as a time of day in ms.
-func (j *Job) dueMs(number int) int64 {
+// DueMs returns when a time falls due, as a time of day in ms.
+func (j *Job) DueMs(number int) int64 {
 	if j.StartAtMs == 0 && j.IntervalMs == 0 {
 		return 0
 	}
--- a/internal/control/jobs/table.go
+++ b/internal/control/jobs/table.go
@@ -157,7 +157,7 @@
 func (t *Table) Fall(nowMs int64) {
 	for t.due.Len() > 0 {
 		j := t.due[0]
-		if !j.State.Final() && len(j.times) < j.Occasions && j.dueMs(len(j.times)) > nowMs {
+		if !j.State.Final() && len(j.times) < j.Occasions && j.DueMs(len(j.times)) > nowMs {
 			return
 		}
 		if j.State.Final() || len(j.times) == j.Occasions {
@@ -178,7 +178,7 @@
 		return 0, false
 	}
 	j := t.due[0]
-	return j.dueMs(len(j.times)), true
+	return j.DueMs(len(j.times)), true
 }
 
 func (t *Table) addOccasion(j *Job) *Occasion {
@@ -215,7 +215,7 @@
 
 func (h dueHeap) Len() int { return len(h) }
 func (h dueHeap) Less(a, b int) bool {
-	return h[a].dueMs(len(h[a].times)) < h[b].dueMs(len(h[b].times))
+	return h[a].DueMs(len(h[a].times)) < h[b].DueMs(len(h[b].times))
 }
 func (h dueHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
 
--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -61,6 +61,17 @@
 		m.considerJoiner(h)
 		m.considerInstalled()
 	}
+	m.prepareAgain(from, h)
+}
+
+// prepareAgain asks a voter that has been heard of and has not promised: it may not have been there yet
+// when the round began.
+func (m *Machine) prepareAgain(from string, h *protocol.Heartbeat) {
+	r := m.round
+	if r == nil || r.phase != preparing || r.promises[h.GetMember().GetId()] != nil || h.GetPromised() >= r.ballot {
+		return
+	}
+	m.send(from, &protocol.Envelope{Body: &protocol.Envelope_Prepare{Prepare: &protocol.Prepare{Ballot: r.ballot}}})
 }
 
 // alive tells whether a member has been heard of lately and is not about to end.
--- a/internal/control/scheduler/queue.go
+++ b/internal/control/scheduler/queue.go
@@ -20,14 +20,18 @@
 }
 
 type waitingStep struct {
-	step     *jobs.Step
-	priority int
-	since    time.Duration // when it became ready
+	step      *jobs.Step
+	priority  int
+	since     time.Duration // when it became ready
+	objective objective
+	lateness  lateness
 }
 
+// compare orders steps by priority; of equal ones those go first that can still be in time, the most
+// pressing before others.
 func (a waitingStep) compare(b waitingStep) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.step.Job.Sequence, b.step.Job.Sequence),
-		cmp.Compare(a.step.Occasion.Number, b.step.Occasion.Number), cmp.Compare(a.step.Number, b.step.Number))
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.objective.byMs, b.objective.byMs),
+		cmp.Compare(a.step.Job.Sequence, b.step.Job.Sequence), cmp.Compare(a.step.Occasion.Number, b.step.Occasion.Number), cmp.Compare(a.step.Number, b.step.Number))
 }
 
 // add puts a step in its place.
@@ -40,10 +44,26 @@
 	q.waiting = slices.Insert(q.waiting, at, w)
 }
 
+// reorder moves the steps that have become late since the last pass.
+func (q *queue) reorder(wallMs int64) {
+	changed := false
+	for i := range q.waiting {
+		w := &q.waiting[i]
+		if now := w.objective.lateness(wallMs); now != w.lateness {
+			w.lateness, changed = now, true
+		}
+	}
+	if changed {
+		slices.SortFunc(q.waiting, waitingStep.compare)
+	}
+}
+
 // place places what can be placed of all services.
 func (d *Scheduler) place() {
 	for _, s := range d.jobs.TakeReady() {
-		d.queue(s.Job.Service).add(waitingStep{step: s, priority: d.priority(s.Job), since: d.now})
+		w := waitingStep{step: s, priority: d.priority(s.Job), since: d.now, objective: d.objective(s)}
+		w.lateness = w.objective.lateness(d.wallMs)
+		d.queue(s.Job.Service).add(w)
 	}
 	for _, service := range slices.Sorted(maps.Keys(d.queues)) {
 		d.placeQueue(d.queues[service])
@@ -93,6 +113,7 @@
 		return
 	}
 	q.observe(d.now)
+	q.reorder(d.wallMs)
 	var blocked blockedDemands
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
--- a/internal/data/carrier/carrier.go
+++ b/internal/data/carrier/carrier.go
@@ -53,6 +53,7 @@
 	}
 	running, end := context.WithCancel(context.Background())
 	defer end()
+	p.Follow(running, func(changed *nodefile.File) { c.node.SetContacts(changed.Contacts()) })
 	go func() {
 		<-ctx.Done()
 		klog.InfoS("Carrier drains")
--- a/internal/data/companion/machine.go
+++ b/internal/data/companion/machine.go
@@ -165,7 +165,9 @@
 
 // noteAccount has the head told where the account has changed.
 func (m *Machine) noteAccount(r *runner, a *protocol.RunnerAccount) {
-	if r.account.GetDraining() != a.GetDraining() || r.account.GetCapacity().String() != a.GetCapacity().String() || r.account.GetService() != a.GetService() {
+	before, now := r.account.GetCapacity(), a.GetCapacity()
+	if r.account.GetDraining() != a.GetDraining() || r.account.GetService() != a.GetService() ||
+		before.GetCpu() != now.GetCpu() || before.GetMemMb() != now.GetMemMb() || before.GetGpus() != now.GetGpus() {
 		r.told = false
 		m.nextReport = 0
 	}
--- a/internal/data/companion/server.go
+++ b/internal/data/companion/server.go
@@ -62,6 +62,7 @@
 		}
 	}()
 	defer server.Close()
+	p.Follow(ctx, func(changed *nodefile.File) { s.node.SetContacts(changed.Contacts()) })
 	p.Loop(ctx, tickEvery, s.tick, s.after)
 	return nil
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -5,6 +5,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -93,14 +96,60 @@
 	}
 }
 
-// Reread reads the settings file again; a file that can't be used changes nothing.
-func (p *Process) Reread() {
+// lookEvery is how often the settings file is looked at: it may change without a signal.
+const lookEvery = time.Second
+
+// Follow reads the settings file again where it has changed, until the context ends, and has apply take the
+// new settings on the process's goroutine. A file that can't be used changes nothing.
+func (p *Process) Follow(ctx context.Context, apply func(*nodefile.File)) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(hup)
+		look := time.NewTicker(lookEvery)
+		defer look.Stop()
+		seen := stamp(p.Path)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+			case <-look.C:
+				if stamp(p.Path) == seen {
+					continue
+				}
+			}
+			seen = stamp(p.Path)
+			p.reread(apply)
+		}
+	}()
+}
+
+// fileStamp tells one state of a file from another.
+type fileStamp struct {
+	changed time.Time
+	length  int64
+}
+
+func stamp(path string) fileStamp {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileStamp{}
+	}
+	return fileStamp{changed: info.ModTime(), length: info.Size()}
+}
+
+func (p *Process) reread(apply func(*nodefile.File)) {
 	settings, err := nodefile.Read(p.Path)
 	if err != nil {
 		klog.ErrorS(err, "The settings are left as they are")
 		return
 	}
-	p.Do(func() { p.Settings = settings })
+	klog.InfoS("Settings read again", "seeds", settings.Seeds)
+	p.Do(func() {
+		p.Settings = settings
+		apply(settings)
+	})
 }
 
 // Close ends the process's links.
--- /dev/null
+++ b/internal/simnet/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package simnet
+
+const raced = false
