--- a/internal/control/replica/install.go
+++ b/internal/control/replica/install.go
@@ -35,7 +35,6 @@
 	if v.GetEpoch() <= m.Epoch() {
 		return
 	}
-	served := m.Serving()
 	m.stopReads()
 	m.sawBallot(v.GetEpoch())
 	m.view, m.adopted = v, m.now
@@ -53,7 +52,8 @@
 	m.chain = chain{committed: m.chain.committed, followers: make(map[string]uint64), movedAt: m.now, log: deque.Deque[*protocol.Entry]{}, sync: syncing{round: m.chain.sync.round}}
 	m.confirms = confirms{at: m.now, round: m.confirms.round}
 	m.suspected, m.givenUp, m.next = 0, 0, 0
-	if served && !m.isHead() {
+	if m.announced && !m.isHead() {
+		m.announced = false
 		m.actions.Roles = append(m.actions.Roles, Role{Epoch: v.GetEpoch()})
 		m.note("no longer the head")
 	}
@@ -210,6 +210,7 @@
 	m.chain.movedAt = m.now
 	m.confirms.at = m.now
 	m.note(fmt.Sprintf("serving as the head: epoch=%d index=%d", m.Epoch(), m.index))
+	m.announced = true
 	m.actions.Roles = append(m.actions.Roles, Role{Serving: true, Epoch: m.Epoch()})
 	m.heartbeat()
 	if next := m.successor(); next != nil {
--- a/internal/control/replica/machine.go
+++ b/internal/control/replica/machine.go
@@ -132,6 +132,7 @@
 	beat      time.Duration // next heartbeat
 	suspected time.Duration // since when the head has been suspected, 0 while it is not
 	leaving   bool
+	announced bool // the application has been told that the member serves as the head
 	wall      int64
 }
 
--- a/internal/data/companion/head.go
+++ b/internal/data/companion/head.go
@@ -134,6 +134,9 @@
 	if o.GetSession() > m.session {
 		m.session, m.sequence, m.whole = o.GetSession(), 0, false
 	}
+	if !o.GetFull() && len(o.GetRuns()) == 0 && len(o.GetDrop()) == 0 {
+		return // it bears the newest sequence, of orders that may have been lost
+	}
 	if !o.GetFull() && (!m.whole || o.GetSequence() > m.sequence+1) {
 		return // the whole set is sent again, as these are reported as not applied
 	}
