--- a/internal/control/jobs/jobs.go
+++ b/internal/control/jobs/jobs.go
@@ -90,6 +90,18 @@
 	live     int         // runs that may be under way
 }
 
+// String tells where a job and its tasks stand, for the log.
+func (j *Job) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "job %s of %s: %s, %d of %d times due, %d finished, %d runs may be under way", j.ID, j.Queue, j.State, len(j.times), j.Occasions, j.finished, j.live)
+	for _, o := range j.times {
+		for _, s := range o.Steps {
+			fmt.Fprintf(&b, "; %d.%d: %d waiting, %d done of %d", o.Number, s.Number, s.Waiting, s.done, len(s.Tasks))
+		}
+	}
+	return b.String()
+}
+
 // Live returns how many of the job's runs may be under way.
 func (j *Job) Live() int { return j.live }
 
--- a/internal/control/scheduler/orders.go
+++ b/internal/control/scheduler/orders.go
@@ -14,6 +14,7 @@
 	index  uint64
 	by     map[string]*runnerBatch // by the runner's id
 	config *routeconfig.Table      // where the entry changes it
+	whole  []*session              // that are sent the whole set once the entry is committed
 }
 
 type runnerBatch struct {
@@ -22,7 +23,7 @@
 	noted   uint64 // ends, 0 where none were
 }
 
-func (b *batch) empty() bool { return len(b.by) == 0 && b.config == nil }
+func (b *batch) empty() bool { return len(b.by) == 0 && b.config == nil && len(b.whole) == 0 }
 
 func (b *batch) of(runner string) *runnerBatch {
 	if b.by == nil {
@@ -80,20 +81,37 @@
 			d.sendOrders(r.session, orders)
 		}
 	}
+	for _, s := range b.whole {
+		if d.sessions[s.address] == s && s.whole == wholeRequested {
+			s.whole = wholeDue
+			d.sendOrders(s, &protocol.RunnerOrders{})
+		}
+	}
+}
+
+// requestWhole has the sessions that need the whole set sent it once all that has been decided so far is
+// committed: a set that left out runs whose end is not would have the companion stop what is wanted.
+func (d *Scheduler) requestWhole() {
+	for _, address := range slices.Sorted(maps.Keys(d.sessions)) {
+		if s := d.sessions[address]; s.whole == wholeNeeded {
+			s.whole = wholeRequested
+			d.batch.whole = append(d.batch.whole, s)
+		}
+	}
 }
 
 func (d *Scheduler) runOrder(task string, run liveRun) *protocol.RunOrder {
 	return &protocol.RunOrder{Task: task, Run: run.number, Spec: run.step.Job.Spec, Saved: run.saved}
 }
 
-// answer answers a report: it renews the lease and sends the whole set of runs where it is needed.
+// answer answers a report: it renews the lease.
 func (d *Scheduler) answer(s *session, report *protocol.RunnerReport) {
-	orders := &protocol.RunnerOrders{}
-	if report.GetLeaseRound() == 0 && !s.needsFull {
+	if report.GetLeaseRound() == 0 {
 		return
 	}
+	orders := &protocol.RunnerOrders{}
 	until := d.confirmed + d.cfg.Lease
-	if report.GetLeaseRound() > 0 && until > d.now {
+	if until > d.now {
 		orders.LeaseRound = report.GetLeaseRound()
 		orders.LeaseMs = uint32((until - d.now) / time.Millisecond)
 		s.leaseUntil = max(s.leaseUntil, until)
@@ -102,7 +120,8 @@
 	d.sendOrders(s, orders)
 }
 
-// sendOrders sends orders to a session, as the whole set where that is due.
+// sendOrders sends orders to a session: as the whole set where that is due, and without runs where the
+// whole set is still to come.
 func (d *Scheduler) sendOrders(s *session, orders *protocol.RunnerOrders) {
 	orders.Epoch, orders.Runner, orders.Companion, orders.Session = d.epoch, s.runner, s.incarnation, s.number
 	orders.RetryMs = retryIdleMs
@@ -111,15 +130,19 @@
 		if len(r.live) > 0 {
 			orders.RetryMs = retryBusyMs
 		}
-		if s.needsFull {
-			d.fillWhole(r, orders)
-		}
 	}
-	if s.needsFull || len(orders.Runs) > 0 || len(orders.Drop) > 0 {
+	switch s.whole {
+	case wholeDue:
+		d.fillWhole(d.runners[s.runner], orders)
+		s.whole = wholeSent
+	case wholeSent:
+	default:
+		orders.Runs, orders.Drop = nil, nil
+	}
+	if orders.GetFull() || len(orders.Runs) > 0 || len(orders.Drop) > 0 {
 		s.sequence++
 		s.sentAt = d.now
 	}
-	s.needsFull = false
 	orders.Sequence = s.sequence
 	d.sends = append(d.sends, Send{To: s.address, Message: &protocol.Envelope{Body: &protocol.Envelope_RunnerOrders{RunnerOrders: orders}}})
 }
@@ -127,6 +150,9 @@
 // fillWhole makes orders the whole set of the runs that a runner is to have.
 func (d *Scheduler) fillWhole(r *runner, orders *protocol.RunnerOrders) {
 	orders.Full, orders.Runs, orders.Drop = true, nil, nil
+	if r == nil {
+		return
+	}
 	for task, run := range r.live {
 		if !run.pending && !run.stopped && !run.step.Job.State.Final() {
 			orders.Runs = append(orders.Runs, d.runOrder(task, run))
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -92,7 +92,7 @@
 func (d *Scheduler) Continue(now time.Duration, epoch, index uint64) {
 	d.now, d.epoch = now, epoch
 	for _, s := range d.sessions {
-		s.needsFull = true
+		s.whole = wholeNeeded
 	}
 	d.Committed(now, index)
 }
@@ -129,6 +129,7 @@
 	d.now = now
 	d.place()
 	d.stopRuns()
+	d.requestWhole()
 	writes := d.jobs.Take()
 	e := writes.Entry()
 	own := d.writes.Entry()
--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -42,6 +42,17 @@
 	stopped bool   // it is to be stopped
 }
 
+// wholeState is how far the sending of the whole set of a runner's runs is.
+type wholeState int
+
+// The states of the whole set.
+const (
+	wholeNeeded    wholeState = iota // it is to be sent
+	wholeRequested                   // it is sent once the entry that asks for it is committed
+	wholeDue                         // it goes with the next orders
+	wholeSent                        // changes are enough
+)
+
 // session is a companion that speaks for its runner.
 type session struct {
 	address     string
@@ -53,7 +64,7 @@
 	sequence    uint64        // of the newest orders
 	sentAt      time.Duration
 	seen        uint64 // newest orders that the companion has applied
-	needsFull   bool
+	whole       wholeState
 	silent      bool
 	holding     bool
 	draining    bool
@@ -106,7 +117,7 @@
 	if s == nil || s.incarnation != report.GetIncarnation() {
 		d.endSession(s)
 		d.lastSession++
-		s = &session{address: from, number: d.lastSession, incarnation: report.GetIncarnation(), needsFull: true}
+		s = &session{address: from, number: d.lastSession, incarnation: report.GetIncarnation()}
 		d.sessions[from] = s
 	}
 	s.heard = now
@@ -119,6 +130,7 @@
 		s.seen = max(s.seen, report.GetOrdersSeen())
 	}
 	d.noteEnds(s, report.GetEnds())
+	d.noteRefused(s, report.GetRefused())
 	d.updateUsable(s)
 	d.answer(s, report)
 }
@@ -131,7 +143,7 @@
 	}
 	if s.runner != a.GetId() {
 		d.loseOthers(s.address, a.GetId())
-		s.runner, s.needsFull = a.GetId(), true
+		s.runner, s.whole = a.GetId(), wholeNeeded
 	}
 	r := d.runner(a.GetId())
 	r.session, r.known = s, true
@@ -187,6 +199,23 @@
 	}
 }
 
+// noteRefused notes runs that a runner surely never starts.
+func (d *Scheduler) noteRefused(s *session, refused []*protocol.RunRef) {
+	r := d.runners[s.runner]
+	if r == nil || r.session != s {
+		return
+	}
+	for _, ref := range refused {
+		name, ok := jobs.ParseTask(ref.GetTask())
+		run, live := r.live[ref.GetTask()]
+		if !ok || !live || run.number != ref.GetRun() || run.pending {
+			continue
+		}
+		d.jobs.End(name, run.number, r.id, jobs.EndRefused, "", d.maxAttempts(name.Job), d.wallMs)
+		d.dropRun(r, ref.GetTask())
+	}
+}
+
 func (d *Scheduler) noteEnd(r *runner, end *protocol.RunEnd) {
 	name, ok := jobs.ParseTask(end.GetTask())
 	if !ok {
@@ -274,8 +303,8 @@
 		}
 		d.updateUsable(s)
 		if s.seen < s.sequence && d.now-s.sentAt > resendAfter && d.now-s.heard < sessionSilent {
-			s.needsFull = true
-			d.sendOrders(s, &protocol.RunnerOrders{})
+			s.whole = wholeNeeded
+			s.sentAt = d.now
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.runners)) {
--- a/internal/data/companion/head.go
+++ b/internal/data/companion/head.go
@@ -19,7 +19,7 @@
 	m.heardHead = now
 	m.nextReport = 0
 	if m.runner != nil {
-		m.runner.told, m.runner.sentEnds = false, 0
+		m.runner.known, m.runner.sentEnds = false, 0
 	}
 }
 
@@ -105,6 +105,9 @@
 		for _, number := range slices.Sorted(maps.Keys(r.ends)) {
 			report.Ends = append(report.Ends, r.ends[number])
 		}
+		for _, task := range slices.Sorted(maps.Keys(r.refused)) {
+			report.Refused = append(report.Refused, &protocol.RunRef{Task: task, Run: r.refused[task]})
+		}
 	}
 	m.sends = append(m.sends, Send{To: m.head, Message: &protocol.Envelope{Body: &protocol.Envelope_RunnerReport{RunnerReport: report}}})
 }
@@ -177,11 +180,15 @@
 		before := r.wanted
 		r.wanted = make(map[string]*protocol.RunOrder, len(o.GetRuns()))
 		m.whole = true
+		clear(r.refused)
 		for task, w := range before { // a start of it may be under way to the runner
 			r.fenced[task] = w.GetRun()
 		}
 	}
 	for _, ref := range o.GetDrop() {
+		if r.refused[ref.GetTask()] <= ref.GetRun() {
+			delete(r.refused, ref.GetTask())
+		}
 		w := r.wanted[ref.GetTask()]
 		if w != nil && w.GetRun() <= ref.GetRun() {
 			r.fenced[ref.GetTask()] = w.GetRun()
--- a/internal/data/companion/machine.go
+++ b/internal/data/companion/machine.go
@@ -71,11 +71,13 @@
 // runner is the runner as its beats show it.
 type runner struct {
 	account   *protocol.RunnerAccount
-	told      bool // the head knows the account as it is
+	known     bool // the head knows the account as it is
 	sequence  uint64
 	heard     time.Duration
 	wanted    map[string]*protocol.RunOrder
-	fenced    map[string]uint32 // runs that are wanted no longer, until they are listed as ended
+	told      map[string]*attempt // starts that the runner has been told of and does not list
+	refused   map[string]uint32   // runs that it surely never starts, until the head has dropped them
+	fenced    map[string]uint32   // runs that are wanted no longer, until they are listed as ended
 	running   map[string]uint32
 	listed    bool // a beat has been handled under the present orders
 	lastSeen  uint64
@@ -149,7 +151,7 @@
 		m.gone[m.runner.account.GetId()] = m.now
 	}
 	// A companion that has started anew knows no holds of the time before; they may last for the longest time.
-	m.runner = &runner{wanted: make(map[string]*protocol.RunOrder), fenced: make(map[string]uint32), running: make(map[string]uint32), ends: make(map[uint64]*protocol.RunEnd),
+	m.runner = &runner{wanted: make(map[string]*protocol.RunOrder), told: make(map[string]*attempt), refused: make(map[string]uint32), fenced: make(map[string]uint32), running: make(map[string]uint32), ends: make(map[uint64]*protocol.RunEnd),
 		holdUntil: m.now + m.surely(m.cfg.HoldMax)}
 	m.whole = false
 	delete(m.gone, b.Account.GetId())
@@ -168,7 +170,7 @@
 	before, now := r.account.GetCapacity(), a.GetCapacity()
 	if r.account.GetDraining() != a.GetDraining() || r.account.GetService() != a.GetService() ||
 		before.GetCpu() != now.GetCpu() || before.GetMemMb() != now.GetMemMb() || before.GetGpus() != now.GetGpus() {
-		r.told = false
+		r.known = false
 		m.nextReport = 0
 	}
 	r.account = a
@@ -207,9 +209,7 @@
 	r.holdUntil = max(r.holdUntil, m.now+m.surely(a.Hold))
 	if !r.account.GetDraining() {
 		for _, task := range slices.Sorted(maps.Keys(r.wanted)) {
-			if w := r.wanted[task]; r.running[task] != w.GetRun() {
-				a.Start = append(a.Start, w)
-			}
+			m.startOrBar(r, r.wanted[task], &a)
 		}
 	}
 	for _, task := range slices.Sorted(maps.Keys(r.running)) {
