--- a/internal/control/placement/pick.go
+++ b/internal/control/placement/pick.go
@@ -15,6 +15,7 @@
 	AntiAffinity int    // most tasks of the group on a runner, 0 for no bound
 	Group        Group
 	Avoid        string // runner that failed the task last
+	LastAttempt  bool   // another failure would fail the job
 	Rack         string // only runners of this rack, where set
 }
 
@@ -35,12 +36,14 @@
 type class struct {
 	avoided bool // it failed this very task
 	suspect bool // it fails what it is given
+	risky   bool // its newest run failed, and the task has no further attempt
 	far     bool // the data lies in another rack
+	doubted bool // its newest run failed
 	waste   int  // how badly it fits: whole runners are kept free for those that need them
 }
 
 func (r *Runner) class(w *Want, now time.Duration) class {
-	return class{avoided: w.Avoid == r.ID, suspect: r.trust.suspect(now), far: w.Affinity != "" && r.Rack != w.Affinity, waste: r.waste(w)}
+	return class{avoided: w.Avoid == r.ID, suspect: r.trust.suspect(now), risky: w.LastAttempt && r.trust.doubtful(now), doubted: r.trust.doubtful(now), far: w.Affinity != "" && r.Rack != w.Affinity, waste: r.waste(w)}
 }
 
 // waste says how badly a task with GPUs fits: 0 on a runner whose GPUs are in use already or that it
@@ -53,7 +56,8 @@
 }
 
 func (c class) compare(o class) int {
-	return cmp.Or(compareBool(c.avoided, o.avoided), compareBool(c.suspect, o.suspect), compareBool(c.far, o.far), cmp.Compare(c.waste, o.waste))
+	return cmp.Or(compareBool(c.avoided, o.avoided), compareBool(c.suspect, o.suspect), compareBool(c.risky, o.risky), compareBool(c.far, o.far),
+		compareBool(c.doubted, o.doubted), cmp.Compare(c.waste, o.waste))
 }
 
 func compareBool(a, b bool) int {
--- a/internal/control/scheduler/queue.go
+++ b/internal/control/scheduler/queue.go
@@ -161,7 +161,7 @@
 		if s.Tasks[i].Phase != jobs.Waiting {
 			continue
 		}
-		want.Avoid = s.Tasks[i].LastFailed
+		want.Avoid, want.LastAttempt = s.Tasks[i].LastFailed, s.Failures(i)+1 >= d.maxAttempts(s.Job.ID)
 		r := d.fleet.Pick(want, d.now)
 		if r == nil {
 			if want.AntiAffinity == 0 && want.Rack == "" {
@@ -209,6 +209,7 @@
 		names[i] = s.TaskID(i)
 		want.Avoid = cmp.Or(want.Avoid, s.Tasks[i].LastFailed)
 	}
+	want.LastAttempt = s.Failures(0)+1 >= d.maxAttempts(s.Job.ID)
 	picked := d.fleet.PickGang(want, names, s.Stage.GetSameRack(), d.now)
 	if picked == nil && s.Stage.GetSameRack() {
 		picked = d.fleet.PickGang(want, names, false, d.now)
@@ -235,7 +236,7 @@
 	d.countRunning(s, 1)
 	d.jobs.Start(s, index, run, on.ID, d.wallMs)
 	r := d.runner(on.ID)
-	r.live[task] = liveRun{number: run, step: s, index: index, saved: saved, pending: true}
+	r.live[task] = liveRun{number: run, step: s, index: index, saved: saved, began: d.now, pending: true}
 	d.batch.add(on.ID, task)
 }
 
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -81,7 +81,7 @@
 		task := &s.Tasks[index]
 		r := d.runner(task.Runner)
 		d.fleet.Hold(r.account, s.TaskID(index), demandOf(s.Stage), groupOf(s))
-		r.live[s.TaskID(index)] = liveRun{number: task.Run, step: s, index: index}
+		r.live[s.TaskID(index)] = liveRun{number: task.Run, step: s, index: index, began: now}
 		d.countRunning(s, 1)
 	})
 	return d, nil
--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -37,9 +37,11 @@
 	number  uint32
 	step    *jobs.Step
 	index   int
-	saved   string // checkpoint it starts from
-	pending bool   // its start is not committed yet
-	stopped bool   // it is to be stopped
+	saved   string        // checkpoint it starts from
+	began   time.Duration // when it was started, or taken over from the head before
+	pending bool          // its start is not committed yet
+	stopped bool          // it is to be stopped
+	leaving bool          // its stop has been asked for, as its runner drains
 }
 
 // wholeState is how far the sending of the whole set of a runner's runs is.
@@ -71,8 +73,15 @@
 }
 
 const (
-	// sessionSilent is how long a companion may be silent until its runner gets no more tasks.
-	sessionSilent = 1200 * time.Millisecond
+	// sessionEnded is how long a companion may be silent until its session may be given up.
+	sessionEnded = 1200 * time.Millisecond
+	// silentReports is how many reports a companion may leave out until its runner gets no more tasks.
+	silentReports = 2.5
+	// leastReport and mostReport bound the pause between a companion's reports; reportsASecond is how many
+	// the head takes of all companions together.
+	leastReport    = 100 * time.Millisecond
+	mostReport     = 500 * time.Millisecond
+	reportsASecond = 700
 	// resendAfter is how long orders may be unapplied until the whole set is sent again.
 	resendAfter = 700 * time.Millisecond
 	// retryBusy and retryIdle are the pauses between a runner's beats, with work under way or not.
@@ -152,10 +161,24 @@
 		d.putRunner(r)
 	}
 	s.draining = a.GetDraining()
+	if s.draining {
+		d.evacuate(r, time.Duration(a.GetRemainingMs())*time.Millisecond)
+	}
 	c := a.GetCapacity()
 	d.fleet.Describe(r.account, a.GetService(), rackOf(d.cfg.RackPrefix, a.GetLabels()), a.GetLabels(), placement.Resources{CPU: c.GetCpu(), MemMB: c.GetMemMb(), GPUs: c.GetGpus()})
 }
 
+// reportPause returns how often companions report: the fewer there are, the sooner a silent one is noticed.
+func (d *Scheduler) reportPause() time.Duration {
+	return min(max(time.Duration(len(d.sessions))*time.Second/reportsASecond, leastReport), mostReport)
+}
+
+// silentAfter returns how long a companion may be silent, or orders unapplied, until its runner gets no
+// more tasks.
+func (d *Scheduler) silentAfter() time.Duration {
+	return time.Duration(silentReports * float64(d.reportPause()))
+}
+
 // loseOthers gives up the runners that a machine had before the one it has now: a machine has one, which
 // comes back under another id after a crash and runs nothing then. Their companion's address is stored, so
 // that a head that has never met them knows it too.
@@ -175,7 +198,8 @@
 // updateUsable decides whether a session's runner may be sent tasks.
 func (d *Scheduler) updateUsable(s *session) {
 	if r := d.runners[s.runner]; r != nil && r.session == s {
-		r.account.Usable = r.known && s.holding && !s.silent && !s.draining && d.now-s.heard < sessionSilent && s.leaseUntil > d.now
+		r.account.Usable = r.known && s.holding && !s.silent && !s.draining && d.now-s.heard < d.silentAfter() && s.leaseUntil > d.now &&
+			(s.seen >= s.sequence || d.now-s.sentAt < d.silentAfter())
 	}
 }
 
@@ -222,15 +246,23 @@
 		return
 	}
 	how := jobs.How(end.GetHow())
+	first := d.firstFailure(name)
 	out := d.jobs.End(name, end.GetRun(), r.id, how, end.GetSaved(), d.maxAttempts(name.Job), d.wallMs)
 	if run, live := r.live[end.GetTask()]; live && run.number == end.GetRun() {
 		d.dropRun(r, end.GetTask())
 	}
-	if out.Counted && (how == jobs.EndFailed || how == jobs.EndDone) {
+	if out.Counted && (how == jobs.EndDone || how == jobs.EndFailed && first) {
 		d.fleet.Trouble(r.account, how == jobs.EndFailed, d.now)
 	}
 }
 
+// firstFailure tells whether a task has not failed before: one that fails again and again says little of its
+// runners.
+func (d *Scheduler) firstFailure(name jobs.TaskName) bool {
+	s := d.jobs.Find(name)
+	return s != nil && s.Tasks[name.Index].Failures == 0
+}
+
 // maxAttempts returns how many failed runs a task of a job may have.
 func (d *Scheduler) maxAttempts(id string) int {
 	j := d.jobs.Get(id)
@@ -297,12 +329,12 @@
 func (d *Scheduler) tickSessions() {
 	for _, address := range slices.Sorted(maps.Keys(d.sessions)) {
 		s := d.sessions[address]
-		if d.now > d.leaseEnd(s.leaseUntil) && d.now-s.heard > sessionSilent {
+		if d.now > d.leaseEnd(s.leaseUntil) && d.now-s.heard > sessionEnded {
 			d.endSession(s)
 			continue
 		}
 		d.updateUsable(s)
-		if s.seen < s.sequence && d.now-s.sentAt > resendAfter && d.now-s.heard < sessionSilent {
+		if s.seen < s.sequence && d.now-s.sentAt > resendAfter && d.now-s.heard < d.silentAfter() {
 			s.whole = wholeNeeded
 			s.sentAt = d.now
 		}
--- a/internal/data/companion/head.go
+++ b/internal/data/companion/head.go
@@ -38,7 +38,7 @@
 		return
 	}
 	m.report()
-	m.nextReport = now + reportEvery
+	m.nextReport = now + m.pause
 	if now-m.heardHead > headSilent {
 		m.nextReport = now + findEvery
 	}
@@ -77,7 +77,10 @@
 		}
 	}
 	r := m.runner
-	if r != nil && m.now-r.heard > silentAfter && m.now > r.holdUntil {
+	if r == nil || !m.silent(r) {
+		return
+	}
+	if m.now > r.holdUntil || r.left && m.now-max(r.leftAt, r.heard) > leftAfter {
 		m.giveUp(r)
 	}
 }
@@ -100,7 +103,7 @@
 		Gone: slices.Sorted(maps.Keys(m.gone))}
 	if r := m.runner; r != nil {
 		report.Account = r.account
-		report.Silent = m.now-r.heard > silentAfter || r.left
+		report.Silent = m.silent(r) || r.left
 		report.Holding = !report.Silent
 		for _, number := range slices.Sorted(maps.Keys(r.ends)) {
 			report.Ends = append(report.Ends, r.ends[number])
@@ -130,6 +133,9 @@
 	if o.GetRetryMs() > 0 {
 		m.retry = time.Duration(o.GetRetryMs()) * time.Millisecond
 	}
+	if o.GetReportMs() > 0 {
+		m.pause = time.Duration(o.GetReportMs()) * time.Millisecond
+	}
 	m.acknowledge(r, o.GetLastSeen())
 	if o.GetSession() < m.session {
 		return // of a session that the head has ended
--- a/internal/data/companion/machine.go
+++ b/internal/data/companion/machine.go
@@ -64,6 +64,7 @@
 	asked       map[uint64]time.Duration // when rounds were asked
 	nextReport  time.Duration
 	retry       time.Duration
+	pause       time.Duration // between reports
 	heardHead   time.Duration
 	contact     int
 }
@@ -85,17 +86,31 @@
 	sentEnds  uint64                      // highest end sent to this head
 	holdUntil time.Duration               // when the newest hold surely has run out
 	left      bool
+	leftAt    time.Duration
+	refusals  int // looks in this silence that found nobody listening
+}
+
+// silent tells whether a runner has missed its beats.
+func (m *Machine) silent(r *runner) bool {
+	return m.now-r.heard > max(silentAfter, silentBeats*m.retry)
 }
 
 const (
-	// reportEvery is how often the lease is renewed.
-	reportEvery = 300 * time.Millisecond
+	// reportEvery is how often the lease is renewed until the head says how often.
+	reportEvery = 200 * time.Millisecond
 	// findEvery is how often the head is looked for while there is none.
 	findEvery = 100 * time.Millisecond
 	// headSilent is how long the head may be silent until it is looked for.
 	headSilent = 900 * time.Millisecond
-	// silentAfter is how long a runner may be silent until it gets no more tasks.
-	silentAfter = 700 * time.Millisecond
+	// silentAfter and silentBeats are how long, and for how many beats, a runner may be silent until it gets
+	// no more tasks.
+	silentAfter = 250 * time.Millisecond
+	silentBeats = 8
+	// leftAfter is how long after its leave a runner that is silent has surely ended.
+	leftAfter = 400 * time.Millisecond
+	// probesRefused is how many looks at a silent runner have to find that nobody listens there until it
+	// counts as ended.
+	probesRefused = 2
 	// clockSlack is how much slower than ours a runner's clock may be; the rules say 2%.
 	clockSlack = 0.03
 	// holdMargin is added to a hold's end.
@@ -110,7 +125,7 @@
 
 // New returns a companion that knows nothing yet.
 func New(cfg Config, now time.Duration) *Machine {
-	return &Machine{cfg: cfg, incarnation: cfg.Incarnation, now: now, began: now, gone: make(map[string]time.Duration), asked: make(map[uint64]time.Duration), retry: defaultRetry}
+	return &Machine{cfg: cfg, incarnation: cfg.Incarnation, now: now, began: now, gone: make(map[string]time.Duration), asked: make(map[uint64]time.Duration), retry: defaultRetry, pause: reportEvery}
 }
 
 // TakeSends returns the messages to be sent since the last call.
@@ -133,7 +148,7 @@
 	if b.Sequence < r.sequence {
 		return Answer{LastSeen: r.lastSeen, Retry: m.retry} // it comes late; what it lists is old
 	}
-	r.sequence, r.heard = b.Sequence, now
+	r.sequence, r.heard, r.refusals = b.Sequence, now, 0
 	m.noteAccount(r, b.Account)
 	m.noteLists(r, b)
 	return m.answer(r)
@@ -227,16 +242,41 @@
 	return a
 }
 
-// Leave handles that the runner takes its leave. What it ran dies with it, once its hold has run out at
-// the latest.
+// Leave handles that the runner takes its leave: it ends, and what it runs with it.
 func (m *Machine) Leave(now time.Duration, id string) {
 	m.now = now
 	if m.runner == nil || m.runner.account.GetId() != id {
 		return
 	}
-	m.runner.left = true
+	m.runner.left, m.runner.leftAt = true, now
 	m.nextReport = 0
 }
 
+// Doubtful returns the id of a runner that has fallen silent, so that it is looked at.
+func (m *Machine) Doubtful(now time.Duration) (id string, ok bool) {
+	m.now = now
+	if m.runner == nil || !m.silent(m.runner) {
+		return "", false
+	}
+	return m.runner.account.GetId(), true
+}
+
+// Probed notes what a look at a silent runner has found. A machine on which nobody listens at the runner's
+// address, again and again, while it is silent, has no runner any more.
+func (m *Machine) Probed(now time.Duration, id string, refused bool) {
+	m.now = now
+	r := m.runner
+	if r == nil || r.account.GetId() != id || !m.silent(r) {
+		return
+	}
+	if !refused {
+		r.refusals = 0
+		return
+	}
+	if r.refusals++; r.refusals >= probesRefused {
+		m.giveUp(r)
+	}
+}
+
 // Draining tells whether the runner's wish to leave is known here; it is from then on sent nothing.
 func (m *Machine) Draining() bool { return m.runner != nil && m.runner.account.GetDraining() }
--- a/internal/data/companion/server.go
+++ b/internal/data/companion/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fastjson"
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"frosttide/internal/nodefile"
@@ -23,6 +24,9 @@
 	tickEvery = 50 * time.Millisecond
 	// mostBeat bounds a heartbeat in bytes; runners list 500 ends at once.
 	mostBeat = 4 << 20
+	// probePause is the pause between looks at a silent runner, probeTime bounds one.
+	probePause = 100 * time.Millisecond
+	probeTime  = 300 * time.Millisecond
 	// readTime bounds how long a heartbeat may take to come in.
 	readTime = 3 * time.Second
 )
@@ -31,6 +35,9 @@
 type Server struct {
 	process *process.Process
 	node    *Node
+	app     string // where the runner listens
+	probing bool
+	probed  time.Duration // when the runner was last looked at
 }
 
 // Run runs the process until the context ends.
@@ -38,7 +45,7 @@
 	if settings.ListenAddrs.Control == "" {
 		return nodefile.Needs(path, "ListenAddrs.Control")
 	}
-	s := &Server{}
+	s := &Server{app: settings.App}
 	p, err := process.New(path, settings, "companion", func(from string, e *protocol.Envelope) {
 		s.node.Receive(s.process.Now(), from, e)
 	})
@@ -70,9 +77,36 @@
 func (s *Server) tick() { s.node.Tick(s.process.Now()) }
 
 func (s *Server) after() {
-	for _, m := range s.node.Turn(s.process.Now()) {
+	now := s.process.Now()
+	for _, m := range s.node.Turn(now) {
 		s.process.Send(m.To, m.Message)
 	}
+	s.probe(now)
+}
+
+// probe looks whether anybody listens at the address of a runner that has fallen silent.
+func (s *Server) probe(now time.Duration) {
+	id, doubtful := s.node.Machine.Doubtful(now)
+	if !doubtful || s.probing || s.app == "" || now-s.probed < probePause {
+		return
+	}
+	s.probing, s.probed = true, now
+	go func() {
+		refused := refuses(s.app)
+		s.process.Do(func() {
+			s.probing = false
+			s.node.Machine.Probed(s.process.Now(), id, refused)
+		})
+	}()
+}
+
+// refuses tells whether a connection to an address is refused at once.
+func refuses(address string) bool {
+	conn, err := net.DialTimeout("tcp4", address, probeTime)
+	if err == nil {
+		conn.Close()
+	}
+	return errors.Is(err, unix.ECONNREFUSED)
 }
 
 // beat answers a heartbeat.
--- a/internal/nodefile/nodefile.go
+++ b/internal/nodefile/nodefile.go
@@ -32,6 +32,7 @@
 	DataDir         string
 	HeartbeatMs     int64
 	Service         string
+	App             string `toml:"app"` // where the runner of a side machine listens
 	ListenAddrs     struct {
 		Front     string
 		Readiness string
