Leave suspect runners alone, and try them again by one task; bound the looks at silent ones

A runner that fails all it is given in a tenth of a second had the same tasks back at once, as the only one with room, until their jobs had failed.

--- a/internal/control/placement/pick.go
+++ b/internal/control/placement/pick.go
@@ -16,6 +16,7 @@
 	Group        Group
 	Avoid        string // runner that failed the task last
 	LastAttempt  bool   // another failure would fail the job
+	Gang         bool   // it is a member of a gang
 	Rack         string // only runners of this rack, where set
 }
 
@@ -76,8 +77,9 @@
 func (f *Fleet) Pick(w *Want, now time.Duration) *Runner {
 	var best *Runner
 	var bestClass class
+	wary := f.suspicionCounts(w.Service, now)
 	for _, r := range f.services[w.Service] {
-		if !r.compatible(w) {
+		if !r.compatible(w) || wary && !r.trusted(w, now) {
 			continue
 		}
 		c := r.class(w, now)
--- a/internal/control/placement/trust.go
+++ b/internal/control/placement/trust.go
@@ -4,47 +4,85 @@
 
 // trust is what the ends of its runs say of a runner.
 type trust struct {
-	failing float64 // share of failed ends, newer ones counting more
-	ends    int
-	inARow  int           // failures since the last end that was none
-	last    time.Duration // of the newest failure
+	failing   float64 // share of failed ends, newer ones counting more
+	ends      int
+	inARow    int           // failures since the last end that was none
+	last      time.Duration // of the newest failure
+	probation bool          // it was suspect, and has ended nothing well since
 }
 
 const (
 	// trustWeight is how much a new end counts.
 	trustWeight = 0.2
-	// suspectShare is the share of failures from which a runner comes last, once it has some ends. Tasks that
+	// suspectShare is the share of failures from which a runner is suspect, once it has some ends. Tasks that
 	// fail through their own fault are far fewer.
 	suspectShare = 0.35
 	suspectEnds  = 5
 	// suspectInARow is how many failures in a row make a runner suspect: where one task in twenty fails through its
 	// own fault, two in a row are more likely the runner's.
 	suspectInARow = 2
-	// forgiveAfter is how long after its last failure a suspect is tried again.
-	forgiveAfter = 5 * time.Second
+	// forgiveAfter is how long after its last failure a suspect is tried again, by one task at a time.
+	forgiveAfter = 4 * time.Second
+	// avoidFor is how long a task waits for another runner than the one that has just failed it.
+	avoidFor = 3 * time.Second
+	// mostOut is the share of a service's runners that may be out on suspicion. Where more are suspect, the
+	// fault is not theirs, and none is.
+	mostOut = 1.0 / 3
 )
 
 // note takes an end into account.
 func (t *trust) note(failed bool, now time.Duration) {
 	value := 0.0
-	t.inARow++
 	if failed {
 		value, t.last = 1, now
+		t.inARow++
 	} else {
-		t.inARow = 0
+		t.inARow, t.probation = 0, false
 	}
 	t.ends++
 	t.failing += (value - t.failing) * trustWeight
+	if t.fails() {
+		t.probation = true
+	}
 }
 
-// suspect tells whether a runner fails what it is given.
-func (t *trust) suspect(now time.Duration) bool {
-	fails := t.inARow >= suspectInARow || t.ends >= suspectEnds && t.failing >= suspectShare
-	return fails && now-t.last < forgiveAfter
+// fails tells whether the ends say that a runner fails what it is given.
+func (t *trust) fails() bool {
+	return t.inARow >= suspectInARow || t.ends >= suspectEnds && t.failing >= suspectShare
 }
 
+// suspect tells whether a runner is to be left alone for now.
+func (t *trust) suspect(now time.Duration) bool { return t.probation && now-t.last < forgiveAfter }
+
 // doubtful tells whether a runner's newest end was a failure: it may be the first of many.
 func (t *trust) doubtful(now time.Duration) bool { return t.inARow > 0 && now-t.last < forgiveAfter }
 
 // Suspect tells whether a runner fails what it is given.
 func (r *Runner) Suspect(now time.Duration) bool { return r.trust.suspect(now) }
+
+// trusted tells whether a runner may take a task as far as its trust goes.
+func (r *Runner) trusted(w *Want, now time.Duration) bool {
+	switch {
+	case r.trust.suspect(now):
+		return false
+	case r.trust.probation:
+		return len(r.holds) == 0 && !w.LastAttempt && !w.Gang
+	case w.LastAttempt && r.trust.doubtful(now):
+		return false
+	default:
+		return w.Avoid != r.ID || now-r.trust.last >= avoidFor
+	}
+}
+
+// suspicionCounts tells whether suspicion keeps runners of a service out: not where too many are suspect, nor
+// where a service has but one.
+func (f *Fleet) suspicionCounts(service string, now time.Duration) bool {
+	runners := f.services[service]
+	suspects := 0
+	for _, r := range runners {
+		if r.trust.suspect(now) {
+			suspects++
+		}
+	}
+	return len(runners) > 1 && suspects <= max(1, int(mostOut*float64(len(runners))))
+}
--- a/internal/control/placement/why.go
+++ b/internal/control/placement/why.go
@@ -19,7 +19,8 @@
 }
 
 // Why tells what keeps a task from the runners of its service.
-func (f *Fleet) Why(w *Want, _ time.Duration) (o Obstacles) {
+func (f *Fleet) Why(w *Want, now time.Duration) (o Obstacles) {
+	wary := f.suspicionCounts(w.Service, now)
 	for _, r := range f.services[w.Service] {
 		o.Runners++
 		free := r.Free()
@@ -37,6 +38,8 @@
 			o.AntiAffinity++
 		case !r.compatible(w):
 			o.Full++
+		case wary && !r.trusted(w, now):
+			o.Suspect++
 		default:
 			o.Room++
 		}
@@ -46,6 +49,6 @@
 
 // String tells the obstacles in a line.
 func (o Obstacles) String() string {
-	return fmt.Sprintf("of %d runners %d are unusable, %d lack the label, %d are too small, %d hold as many of the step as they may, %d are full, %d have room; largest free: %d thousandths of a core, %d MB, %d GPUs",
-		o.Runners, o.Unusable, o.Label, o.TooSmall, o.AntiAffinity, o.Full, o.Room, o.LargestFree.CPU, o.LargestFree.MemMB, o.LargestFree.GPUs)
+	return fmt.Sprintf("of %d runners %d are unusable, %d lack the label, %d are too small, %d hold as many of the step as they may, %d are full, %d are suspect, %d have room; largest free: %d thousandths of a core, %d MB, %d GPUs",
+		o.Runners, o.Unusable, o.Label, o.TooSmall, o.AntiAffinity, o.Full, o.Suspect, o.Room, o.LargestFree.CPU, o.LargestFree.MemMB, o.LargestFree.GPUs)
 }
--- a/internal/control/scheduler/queue.go
+++ b/internal/control/scheduler/queue.go
@@ -226,7 +226,7 @@
 // want returns what a step's tasks ask of a runner.
 func (d *Scheduler) want(s *jobs.Step) *placement.Want {
 	return &placement.Want{Service: s.Job.Service, Demand: demandOf(s.Stage), Requirement: s.Stage.GetRequirements(), Affinity: s.Stage.GetAffinity(),
-		AntiAffinity: int(s.Stage.GetAntiAffinity()), Group: groupOf(s)}
+		AntiAffinity: int(s.Stage.GetAntiAffinity()), Group: groupOf(s), Gang: s.Stage.GetGang()}
 }
 
 // start notes a run; its order goes out once that is committed.
--- a/internal/data/companion/machine.go
+++ b/internal/data/companion/machine.go
@@ -87,7 +87,8 @@
 	holdUntil time.Duration               // when the newest hold surely has run out
 	left      bool
 	leftAt    time.Duration
-	refusals  int // looks in this silence that found nobody listening
+	probes    int // looks in this silence
+	refusals  int // of these, that found nobody listening
 }
 
 // silent tells whether a runner has missed its beats.
@@ -111,6 +112,8 @@
 	// probesRefused is how many looks at a silent runner have to find that nobody listens there until it
 	// counts as ended.
 	probesRefused = 2
+	// mostProbes bounds the looks in one silence.
+	mostProbes = 4
 	// clockSlack is how much slower than ours a runner's clock may be; the rules say 2%.
 	clockSlack = 0.03
 	// holdMargin is added to a hold's end.
@@ -148,7 +151,7 @@
 	if b.Sequence < r.sequence {
 		return Answer{LastSeen: r.lastSeen, Retry: m.retry} // it comes late; what it lists is old
 	}
-	r.sequence, r.heard, r.refusals = b.Sequence, now, 0
+	r.sequence, r.heard, r.probes, r.refusals = b.Sequence, now, 0, 0
 	m.noteAccount(r, b.Account)
 	m.noteLists(r, b)
 	return m.answer(r)
@@ -252,12 +255,13 @@
 	m.nextReport = 0
 }
 
-// Doubtful returns the id of a runner that has fallen silent, so that it is looked at.
+// Doubtful returns the id of a runner that has fallen silent and is to be looked at now.
 func (m *Machine) Doubtful(now time.Duration) (id string, ok bool) {
 	m.now = now
-	if m.runner == nil || !m.silent(m.runner) {
+	if r := m.runner; r == nil || !m.silent(r) || r.left || r.probes >= mostProbes {
 		return "", false
 	}
+	m.runner.probes++
 	return m.runner.account.GetId(), true
 }
 
--- a/internal/data/companion/server.go
+++ b/internal/data/companion/server.go
@@ -86,8 +86,11 @@
 
 // probe looks whether anybody listens at the address of a runner that has fallen silent.
 func (s *Server) probe(now time.Duration) {
+	if s.probing || s.app == "" || now-s.probed < probePause {
+		return
+	}
 	id, doubtful := s.node.Machine.Doubtful(now)
-	if !doubtful || s.probing || s.app == "" || now-s.probed < probePause {
+	if !doubtful {
 		return
 	}
 	s.probing, s.probed = true, now
