--- a/internal/control/placement/why.go
+++ b/internal/control/placement/why.go
@@ -13,6 +13,7 @@
 	Label        int       `json:"label"`         // without the label that is asked for
 	TooSmall     int       `json:"too_small"`     // could not take it if they were empty
 	AntiAffinity int       `json:"anti_affinity"` // hold as many tasks of the step as they may
+	Suspect      int       `json:"suspect"`       // fail what they are given
 	Full         int       `json:"full"`          // have too little room now
 	Room         int       `json:"room"`          // could take it
 	LargestFree  Resources `json:"largest_free"`  // the most that a usable runner has free, each by itself
