--- a/internal/control/placement/fleet.go
+++ b/internal/control/placement/fleet.go
@@ -230,4 +230,6 @@
 }
 
 // Trouble notes how a run on a runner ended, for the choice between runners.
-func (f *Fleet) Trouble(r *Runner, failed bool, now time.Duration) { r.trust.note(failed, now) }
+func (f *Fleet) Trouble(r *Runner, job string, failed bool, now time.Duration) {
+	r.trust.note(job, failed, now)
+}
--- a/internal/control/placement/trust.go
+++ b/internal/control/placement/trust.go
@@ -6,7 +6,8 @@
 type trust struct {
 	failing   float64 // share of failed ends, newer ones counting more
 	ends      int
-	inARow    int           // failures since the last end that was none
+	inARow    int           // jobs with failures since the last end that was none
+	job       string        // of the newest failure
 	last      time.Duration // of the newest failure
 	probation bool          // it was suspect, and has ended nothing well since
 }
@@ -18,8 +19,9 @@
 	// fail through their own fault are far fewer.
 	suspectShare = 0.35
 	suspectEnds  = 5
-	// suspectInARow is how many failures in a row make a runner suspect: where one task in twenty fails through its
-	// own fault, two in a row are more likely the runner's.
+	// suspectInARow is how many jobs have to fail one after the other to make a runner suspect. Failures of one
+	// job count once, as they may be its own fault; where one task in twenty fails through its own fault, two jobs in
+	// a row are more likely the runner's.
 	suspectInARow = 2
 	// forgiveAfter is how long after its last failure a suspect is tried again, by one task at a time.
 	forgiveAfter = 4 * time.Second
@@ -31,13 +33,17 @@
 )
 
 // note takes an end into account.
-func (t *trust) note(failed bool, now time.Duration) {
+func (t *trust) note(job string, failed bool, now time.Duration) {
 	value := 0.0
-	if failed {
-		value, t.last = 1, now
+	switch {
+	case !failed:
+		t.inARow, t.probation, t.job = 0, false, ""
+	case job == t.job:
+		t.last = now
+		return
+	default:
+		value, t.last, t.job = 1, now, job
 		t.inARow++
-	} else {
-		t.inARow, t.probation = 0, false
 	}
 	t.ends++
 	t.failing += (value - t.failing) * trustWeight
--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -252,15 +252,15 @@
 		d.dropRun(r, end.GetTask())
 	}
 	if out.Counted && (how == jobs.EndDone || how == jobs.EndFailed && first) {
-		d.fleet.Trouble(r.account, how == jobs.EndFailed, d.now)
+		d.fleet.Trouble(r.account, name.Job, how == jobs.EndFailed, d.now)
 	}
 }
 
 // firstFailure tells whether a task has not failed before: one that fails again and again says little of its
-// runners.
+// runners, nor does lasting work, which may fail at any time.
 func (d *Scheduler) firstFailure(name jobs.TaskName) bool {
 	s := d.jobs.Find(name)
-	return s != nil && s.Tasks[name.Index].Failures == 0
+	return s != nil && s.Tasks[name.Index].Failures == 0 && !s.Stage.GetLongRunning()
 }
 
 // maxAttempts returns how many failed runs a task of a job may have.
