--- a/internal/control/placement/pick.go
+++ b/internal/control/placement/pick.go
@@ -77,7 +77,7 @@
 func (f *Fleet) Pick(w *Want, now time.Duration) *Runner {
 	var best *Runner
 	var bestClass class
-	wary := f.suspicionCounts(w.Service, now)
+	wary := f.suspicionCounts(w, now)
 	for _, r := range f.services[w.Service] {
 		if !r.compatible(w) || wary && !r.trusted(w, now) {
 			continue
--- a/internal/control/placement/trust.go
+++ b/internal/control/placement/trust.go
@@ -25,8 +25,6 @@
 	suspectInARow = 2
 	// forgiveAfter is how long after its last failure a suspect is tried again, by one task at a time.
 	forgiveAfter = 4 * time.Second
-	// avoidFor is how long a task waits for another runner than the one that has just failed it.
-	avoidFor = 3 * time.Second
 	// mostOut is the share of a service's runners that may be out on suspicion. Where more are suspect, the
 	// fault is not theirs, and none is.
 	mostOut = 1.0 / 3
@@ -66,29 +64,33 @@
 // Suspect tells whether a runner fails what it is given.
 func (r *Runner) Suspect(now time.Duration) bool { return r.trust.suspect(now) }
 
-// trusted tells whether a runner may take a task as far as its trust goes.
+// trusted tells whether a runner may take a task as far as its trust goes. A task that has one attempt left,
+// or that the runner has failed, waits for one whose newest end was none that failed.
 func (r *Runner) trusted(w *Want, now time.Duration) bool {
 	switch {
 	case r.trust.suspect(now):
 		return false
 	case r.trust.probation:
 		return len(r.holds) == 0 && !w.LastAttempt && !w.Gang
-	case w.LastAttempt && r.trust.doubtful(now):
-		return false
+	case w.LastAttempt || w.Avoid == r.ID:
+		return !r.trust.doubtful(now)
 	default:
-		return w.Avoid != r.ID || now-r.trust.last >= avoidFor
+		return true
 	}
 }
 
-// suspicionCounts tells whether suspicion keeps runners of a service out: not where too many are suspect, nor
-// where a service has but one.
-func (f *Fleet) suspicionCounts(service string, now time.Duration) bool {
-	runners := f.services[service]
-	suspects := 0
-	for _, r := range runners {
+// suspicionCounts tells whether suspicion keeps runners from a task: not where too many of those that could
+// take it are suspect, so that the fault is hardly theirs, nor where there is but one.
+func (f *Fleet) suspicionCounts(w *Want, now time.Duration) bool {
+	able, suspects := 0, 0
+	for _, r := range f.services[w.Service] {
+		if !r.Usable || !r.able(w) {
+			continue
+		}
+		able++
 		if r.trust.suspect(now) {
 			suspects++
 		}
 	}
-	return len(runners) > 1 && suspects <= max(1, int(mostOut*float64(len(runners))))
+	return able > 1 && suspects <= max(1, int(mostOut*float64(able)))
 }
