--- a/internal/control/scheduler/orders.go
+++ b/internal/control/scheduler/orders.go
@@ -124,12 +124,9 @@
 // whole set is still to come.
 func (d *Scheduler) sendOrders(s *session, orders *protocol.RunnerOrders) {
 	orders.Epoch, orders.Runner, orders.Companion, orders.Session = d.epoch, s.runner, s.incarnation, s.number
-	orders.RetryMs, orders.ReportMs = retryIdleMs, uint32(d.reportPause()/time.Millisecond)
+	orders.RetryMs, orders.ReportMs = retryMs, uint32(d.reportPause()/time.Millisecond)
 	if r := d.runners[s.runner]; r != nil {
 		orders.LastSeen = r.acknowledged
-		if len(r.live) > 0 {
-			orders.RetryMs = retryBusyMs
-		}
 	}
 	switch s.whole {
 	case wholeDue:
--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -84,9 +84,8 @@
 	reportsASecond = 700
 	// resendAfter is how long orders may be unapplied until the whole set is sent again.
 	resendAfter = 700 * time.Millisecond
-	// retryBusy and retryIdle are the pauses between a runner's beats, with work under way or not.
-	retryBusyMs = 25
-	retryIdleMs = 25
+	// retryMs is the pause between a runner's beats; runners make none that is shorter.
+	retryMs = 50
 )
 
 // runner returns what is known of a runner and makes it where nothing is: its holds may last for a
--- a/internal/data/companion/machine.go
+++ b/internal/data/companion/machine.go
@@ -93,7 +93,7 @@
 
 // silent tells whether a runner has missed its beats.
 func (m *Machine) silent(r *runner) bool {
-	return m.now-r.heard > max(silentAfter, silentBeats*m.retry)
+	return m.now-r.heard > min(silentMost, silentAfter+time.Duration(len(r.running))*silentRun)
 }
 
 const (
@@ -103,10 +103,12 @@
 	findEvery = 100 * time.Millisecond
 	// headSilent is how long the head may be silent until it is looked for.
 	headSilent = 900 * time.Millisecond
-	// silentAfter and silentBeats are how long, and for how many beats, a runner may be silent until it gets
-	// no more tasks.
-	silentAfter = 250 * time.Millisecond
-	silentBeats = 8
+	// silentAfter is how long a runner that runs nothing may be silent until it gets no more tasks, silentRun
+	// what each of its runs adds to that and silentMost the bound: a runner puts its beat off until 50 ms after
+	// its newest end, so that one with many short runs is silent for longer.
+	silentAfter = 300 * time.Millisecond
+	silentRun   = 10 * time.Millisecond
+	silentMost  = 900 * time.Millisecond
 	// leftAfter is how long after its leave a runner that is silent has surely ended.
 	leftAfter = 400 * time.Millisecond
 	// probesRefused is how many looks at a silent runner have to find that nobody listens there until it
