--- a/internal/data/companion/machine.go
+++ b/internal/data/companion/machine.go
@@ -80,7 +80,6 @@
 	refused   map[string]uint32   // runs that it surely never starts, until the head has dropped them
 	fenced    map[string]uint32   // runs that are wanted no longer, until they are listed as ended
 	running   map[string]uint32
-	listed    bool // a beat has been handled under the present orders
 	lastSeen  uint64
 	ends      map[uint64]*protocol.RunEnd // listed and not noted by the head, by number
 	sentEnds  uint64                      // highest end sent to this head
--- a/internal/simnet/faults.go
+++ b/internal/simnet/faults.go
@@ -16,10 +16,14 @@
 
 // kinds are the kinds of faults; each draws its particulars and returns what it is and how to begin it.
 func (w *world) kinds() []func() (string, func()) {
-	return []func() (string, func()){
+	core := []func() (string, func()){
 		w.killCore, w.powerCore, w.wipeCore, w.powerAll, w.killAll, w.wipeAndPowerAll, w.freezeCore, w.cutCore, w.cutCoreHalf, w.slowDisk, w.failDisk, w.stepClock,
-		w.killSide, w.freezeSide, w.cutSide, w.cutSideOneWay, w.killCarrier, w.crashRunner, w.restartRunner, w.drainRunner, w.freezeHead, w.killHead, w.cutHead, w.cutHeadFromCore,
+		w.freezeHead, w.killHead, w.cutHead, w.cutHeadFromCore,
 	}
+	if w.options.CoreOnly {
+		return core
+	}
+	return append(core, w.killSide, w.freezeSide, w.cutSide, w.cutSideOneWay, w.killCarrier, w.crashRunner, w.restartRunner, w.drainRunner)
 }
 
 // drawFaults draws the faults of a play.
--- a/internal/simnet/world.go
+++ b/internal/simnet/world.go
@@ -22,6 +22,7 @@
 	Faults   int           // machines with a disk that may be lost at once
 	Length   time.Duration // in which clients send and faults strike
 	Skip     map[int]bool  // faults left out, by their number, for shorter traces
+	CoreOnly bool          // only machines of the control plane meet faults
 	Weaken   Weakness      // a safety check that is taken out, for tests of the checks
 	Trace    func(line string)
 }
--- a/internal/toyrunner/runner.go
+++ b/internal/toyrunner/runner.go
@@ -121,13 +121,20 @@
 	Version  string
 	Slots    int
 	State    string
-	Capacity struct{ Cpu, MemMb, Gpus int64 } //nolint:revive // the protocol's names
+	Capacity capacity
 	Labels   []string
 	Sequence uint64
 	Running  [][]any
 	Finished [][]any
 }
 
+// capacity is what a runner has.
+type capacity struct {
+	CPU   int64 `json:"Cpu"`
+	MemMB int64 `json:"MemMb"`
+	GPUs  int64 `json:"Gpus"`
+}
+
 // answer is what a companion says.
 type answer struct {
 	HoldMs     int64
@@ -173,7 +180,7 @@
 	if r.draining {
 		a.State = "draining"
 	}
-	a.Capacity.Cpu, a.Capacity.MemMb, a.Capacity.Gpus = r.cfg.CPU, r.cfg.MemMB, r.cfg.GPUs
+	a.Capacity = capacity{CPU: r.cfg.CPU, MemMB: r.cfg.MemMB, GPUs: r.cfg.GPUs}
 	for _, one := range r.running {
 		a.Running = append(a.Running, []any{one.Task, one.Number, "", 0})
 	}
