--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"frosttide/internal/protocol"
@@ -78,10 +79,7 @@
 }
 
 // flusher is what the streams of the library have for sending many messages at once.
-type flusher interface {
-	SetManualFlush(manual bool)
-	RawFlush() error
-}
+type flusher interface{ RawFlush() error }
 
 // Listen opens the process's address and serves it.
 func Listen(cfg Config) (*Transport, error) {
@@ -103,7 +101,10 @@
 }
 
 func managerOptions() drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: mostMessage}}
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: mostMessage},
+		Stream: drpcstream.Options{ManualFlush: true}, // write flushes many messages at once
+	}
 }
 
 func (t *Transport) accept(s *drpcserver.Server) {
@@ -293,7 +294,7 @@
 // write sends what is queued, many messages with one flush.
 func (t *Transport) write(l *link, s stream) {
 	defer l.end()
-	flush := manual(s)
+	flush := flushOf(s)
 	if err := s.Send(&protocol.Envelope{Body: &protocol.Envelope_Hello{Hello: &protocol.Hello{
 		Address: t.cfg.Address, Role: t.cfg.Role, Incarnation: t.cfg.Incarnation}}}); err != nil {
 		return
@@ -331,11 +332,10 @@
 	return len(l.queue) == 0 && time.Since(l.used) > idleTime
 }
 
-// manual has a stream flush only when told, and returns how.
-func manual(s stream) func() error {
+// flushOf returns how a stream is flushed.
+func flushOf(s stream) func() error {
 	if holder, ok := s.(interface{ GetStream() drpc.Stream }); ok {
 		if f, ok := holder.GetStream().(flusher); ok {
-			f.SetManualFlush(true)
 			return f.RawFlush
 		}
 	}
