Have a head without a majority begin no election round

Seen in an incident: a head that was cut off for 6.5 s began six rounds that could not end, and the last one's ballot, let through as the cut healed, interrupted the view of the others for 0.2 s. Voters already wait for a quorum that finds the head lost; the head itself did not.

The head now begins a round only while a majority is heard of. TestCutOffHeadDoesNotDisturb fails without it.

--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -196,6 +196,9 @@
 // considerAsHead begins a round of the head's own: the chain without a member that is lost, or with
 // other voters.
 func (m *Machine) considerAsHead() {
+	if !m.majorityAlive() {
+		return // no view can be agreed on, and the ballots would disturb the others' when they are back
+	}
 	self := m.cfg.Self.GetId()
 	if reason := m.chainTrouble(); reason != "" {
 		m.begin(reason, self, view.Change{}, false)
--- a/internal/control/replica/machine_test.go
+++ b/internal/control/replica/machine_test.go
@@ -437,3 +437,27 @@
 	}
 	require.Equal(t, []string{follower.address}, replied)
 }
+
+// TestCutOffHeadDoesNotDisturb has a head that comes back from a cut take the view that the others have
+// agreed on meanwhile, in place of interrupting it with a ballot of its own.
+func TestCutOffHeadDoesNotDisturb(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, 100+seed, 5)
+		c.play(2 * time.Second)
+		old := c.head()
+		for address := range c.members {
+			c.cut[[2]string{address, old.address}] = true
+			c.cut[[2]string{old.address, address}] = true
+		}
+		c.play(4 * time.Second)
+		next := c.head()
+		require.NotNil(t, next)
+		require.NotEqual(t, old.address, next.address)
+		epoch := next.Epoch()
+		clear(c.cut)
+		c.play(2 * time.Second)
+		require.Equal(t, next, c.head())
+		require.Equal(t, epoch, old.Epoch(), "it takes up the others' view")
+		c.checkKept()
+	}
+}
