Let lost voters leave where the others would not bear the losses to be borne

The head now removes voters that have been silent for 1 s, or that announce their end, as long as the living ones would have no majority after the losses that are to be borne, and never below twice the tolerance plus one. Where the margin is there, as with five voters and tolerance one, nothing changes.

--- a/internal/control/replica/machine.go
+++ b/internal/control/replica/machine.go
@@ -29,6 +29,7 @@
 	DiskSlow   time.Duration // mean sync from which a disk counts as slow
 	DiskRetry  time.Duration // between tries to write anew after a failed write
 	Replace    time.Duration // of a voter's silence until a newcomer takes its place
+	Lost       time.Duration // of a voter's silence until it leaves where the others need a smaller majority
 	Forget     time.Duration // of a voter's silence until the others go on without it
 	RewriteMin int           // bytes of the file under which it is never rewritten
 }
@@ -48,6 +49,7 @@
 		DiskSlow:   80 * time.Millisecond,
 		DiskRetry:  500 * time.Millisecond,
 		Replace:    3 * time.Second,
+		Lost:       time.Second,
 		Forget:     20 * time.Second,
 		RewriteMin: 4 << 20,
 	}
--- a/internal/control/replica/machine_test.go
+++ b/internal/control/replica/machine_test.go
@@ -21,6 +21,7 @@
 	members map[string]*node
 	events  []event
 	order   int
+	faults  int // machines that are to be borne
 	cut     map[[2]string]bool
 	loss    float64
 	replies map[uint64]int // replies by the id of the request
@@ -51,7 +52,11 @@
 const tick = 20 * time.Millisecond
 
 func newCluster(t *testing.T, seed uint64, founders int) *cluster {
-	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), members: make(map[string]*node), cut: make(map[[2]string]bool), replies: make(map[uint64]int), reads: make(map[uint64]bool)}
+	return newClusterBearing(t, seed, founders, 1)
+}
+
+func newClusterBearing(t *testing.T, seed uint64, founders, faults int) *cluster {
+	c := &cluster{t: t, faults: faults, rng: rand.New(rand.NewPCG(seed, 1)), members: make(map[string]*node), cut: make(map[[2]string]bool), replies: make(map[uint64]int), reads: make(map[uint64]bool)}
 	var all []*protocol.Member
 	for i := range founders {
 		all = append(all, &protocol.Member{Id: uint64(i + 1), Number: uint32(i + 1), Address: fmt.Sprintf("m%d", i+1), Zone: fmt.Sprintf("z%d", i%3)})
@@ -87,7 +92,7 @@
 	for i := range 3 {
 		contacts = append(contacts, fmt.Sprintf("m%d", i+1))
 	}
-	n.Machine = New(Config{Self: &protocol.Member{Id: n.id, Address: n.address, Zone: "z" + n.address}, Incarnation: c.rng.Uint64(), Faults: 1, Contacts: contacts,
+	n.Machine = New(Config{Self: &protocol.Member{Id: n.id, Address: n.address, Zone: "z" + n.address}, Incarnation: c.rng.Uint64(), Faults: c.faults, Contacts: contacts,
 		Seed: c.rng.Uint64(), Timing: DefaultTiming()}, c.now, state)
 	c.do(n, n.Begin(c.now))
 	life := n.life
@@ -461,3 +466,57 @@
 		c.checkKept()
 	}
 }
+
+// TestReplacedMachineLeavesTheVoters has a machine replaced for good and then, once its successor has caught up,
+// as many disks lost as are to be borne while all others lose power. With the old machine still a voter beside
+// its successor no majority would be left.
+func TestReplacedMachineLeavesTheVoters(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newClusterBearing(t, 200+seed, 5, 2)
+		c.play(2 * time.Second)
+		require.True(t, c.write(1))
+		c.play(100 * time.Millisecond)
+		c.stop(c.members["m5"], true)
+		delete(c.members, "m5")
+		c.play(time.Second)
+		c.members["m6"] = &node{address: "m6"}
+		c.start(c.members["m6"])
+		c.play(4 * time.Second)
+		require.True(t, c.write(2))
+		c.play(100 * time.Millisecond)
+		require.Equal(t, 1, c.replies[2])
+		all := []string{"m1", "m2", "m3", "m4", "m6"}
+		c.rng.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
+		for i, address := range all {
+			c.stop(c.members[address], true)
+			if i < 2 {
+				c.wipe(c.members[address])
+			}
+		}
+		c.play(time.Second)
+		for _, address := range all {
+			c.start(c.members[address])
+		}
+		c.play(3 * time.Second)
+		c.checkKept()
+	}
+}
+
+// TestLeavingMachineAfterItsSuccessor has a machine leave when its successor is a voter already: the voters
+// are to bear the losses as soon as it has gone.
+func TestLeavingMachineAfterItsSuccessor(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newClusterBearing(t, 300+seed, 5, 2)
+		c.members["m6"] = &node{address: "m6"}
+		c.start(c.members["m6"])
+		c.play(4 * time.Second)
+		require.Len(t, c.head().View().GetVoters(), 6)
+		leaving := c.members["m2"]
+		c.do(leaving, leaving.Leave(c.now))
+		c.play(300 * time.Millisecond)
+		c.stop(leaving, false)
+		delete(c.members, "m2")
+		c.play(300 * time.Millisecond)
+		require.Len(t, c.head().View().GetVoters(), 5)
+	}
+}
--- a/internal/control/replica/membership.go
+++ b/internal/control/replica/membership.go
@@ -31,16 +31,10 @@
 }
 
 // voterChange returns the change of the voters that is due, if any: members that have taken the state
-// join, in place of the one whose address they have, or of one that has long been silent.
+// join, in place of the one whose address they have, or of one that has long been silent; and voters that are
+// lost leave where the others would not bear the losses that are to be borne.
 func (m *Machine) voterChange() view.Change {
-	var c view.Change
-	gone := make(map[uint64]bool)
-	remove := func(id uint64) {
-		if !gone[id] && id != m.cfg.Self.GetId() {
-			gone[id] = true
-			c.Remove = append(c.Remove, id)
-		}
-	}
+	e := &electorChange{machine: m, gone: make(map[uint64]bool)}
 	for _, id := range slices.Sorted(maps.Keys(m.joiners)) {
 		j := m.joiners[id]
 		if m.now-j.heard > m.cfg.Timing.Suspect {
@@ -50,20 +44,79 @@
 		if !j.ready {
 			continue
 		}
-		c.Add = append(c.Add, j.member)
+		e.change.Add = append(e.change.Add, j.member)
 		if old := m.voterAt(j.member.GetAddress()); old != 0 {
-			remove(old)
-		} else if silent := m.longestSilent(gone, m.cfg.Timing.Replace); silent != 0 {
-			remove(silent)
+			e.remove(old)
+		} else if silent := m.longestSilent(e.gone, m.cfg.Timing.Replace); silent != 0 {
+			e.remove(silent)
+		}
+	}
+	e.removeLost()
+	if !e.change.Empty() {
+		return e.change
+	}
+	if silent := m.longestSilent(nil, m.cfg.Timing.Forget); silent != 0 && e.size() > m.leastVoters() {
+		e.remove(silent)
+	}
+	return e.change
+}
+
+// leastVoters returns how many voters bear the losses that are to be borne.
+func (m *Machine) leastVoters() int { return 2*m.cfg.Faults + 1 }
+
+// electorChange is a change of the voters that is being put together.
+type electorChange struct {
+	machine *Machine
+	change  view.Change
+	gone    map[uint64]bool
+}
+
+func (e *electorChange) remove(id uint64) {
+	if !e.gone[id] && id != e.machine.cfg.Self.GetId() {
+		e.gone[id] = true
+		e.change.Remove = append(e.change.Remove, id)
+	}
+}
+
+// size returns how many voters there are after the change.
+func (e *electorChange) size() int {
+	return len(e.machine.view.GetVoters()) + len(e.change.Add) - len(e.change.Remove)
+}
+
+// living returns how many voters are heard of after the change.
+func (e *electorChange) living() int {
+	count := len(e.change.Add)
+	for _, v := range e.machine.view.GetVoters() {
+		if !e.gone[v.GetId()] && e.machine.alive(v.GetId()) {
+			count++
 		}
 	}
-	if !c.Empty() {
-		return c
+	return count
+}
+
+// removeLost removes voters that are lost as long as the living ones would have no majority after the losses
+// that are to be borne. A machine that was replaced for good is one of them: its successor's vote alone makes the
+// majority larger.
+func (e *electorChange) removeLost() {
+	m := e.machine
+	for e.living()-m.cfg.Faults < view.Majority(e.size()) && e.size() > m.leastVoters() {
+		lost := e.lost()
+		if lost == 0 {
+			return
+		}
+		e.remove(lost)
 	}
-	if silent := m.longestSilent(nil, m.cfg.Timing.Forget); silent != 0 && len(m.view.GetVoters()) > 2*m.cfg.Faults+1 {
-		remove(silent)
+}
+
+// lost returns a voter that is about to end or has been silent for a time, 0 if there is none.
+func (e *electorChange) lost() uint64 {
+	m := e.machine
+	for _, v := range m.view.GetVoters() {
+		if p := m.peers[v.GetId()]; p != nil && p.last.GetLeaving() && !e.gone[v.GetId()] {
+			return v.GetId()
+		}
 	}
-	return c
+	return m.longestSilent(e.gone, m.cfg.Timing.Lost)
 }
 
 // voterAt returns the voter with an address, 0 if there is none.
