Give back the room of runs that never began, and see lost orders under new ones

- The whole set now names the runs whose end the head waits for.
A companion bars what is wanted no longer and not listed by stops in four answered beats, as it does for starts without effect, and then reports that it never begins.
- A report of a run that the head does not know is answered with its drop.

Runners' status tells which runs hold them.

--- a/internal/control/placement/fleet.go
+++ b/internal/control/placement/fleet.go
@@ -59,7 +59,7 @@
 	Rack     string // the label that names its rack
 	Labels   []string
 	Capacity Resources
-	Usable   bool // it may be sent tasks now
+	Usable   bool // it may be sent tasks now; SetUsable changes it
 
 	account bucket.Account[*Runner]
 	used    Resources
@@ -97,6 +97,7 @@
 	runners  map[string]*Runner
 	services map[string][]*Runner
 	bucket   *bucket.Bucket[*Runner]
+	changes  uint64
 }
 
 // NewFleet returns a fleet without runners.
@@ -104,6 +105,18 @@
 	return &Fleet{runners: make(map[string]*Runner), services: make(map[string][]*Runner), bucket: bucket.New[*Runner]()}
 }
 
+// Changes returns a number that rises whenever something has changed by which a task that was blocked may be
+// placed. While it stands still, and no time passes, nothing that was blocked can be placed.
+func (f *Fleet) Changes() uint64 { return f.changes }
+
+// SetUsable says whether a runner may be sent tasks now.
+func (f *Fleet) SetUsable(r *Runner, usable bool) {
+	if r.Usable != usable {
+		r.Usable = usable
+		f.changes++
+	}
+}
+
 // Runner returns a runner, nil if it is not known.
 func (f *Fleet) Runner(id string) *Runner { return f.runners[id] }
 
@@ -154,10 +167,14 @@
 		r.Service = service
 		f.services[service] = append(f.services[service], r)
 	}
-	r.Rack, r.Labels = rack, labels
+	if r.Rack != rack || !slices.Equal(r.Labels, labels) {
+		r.Rack, r.Labels = rack, labels
+		f.changes++
+	}
 	if r.Capacity == capacity {
 		return
 	}
+	f.changes++
 	r.Capacity = capacity
 	f.bucket.SetLimit(&r.account, r, tokensOf(capacity))
 	f.recount(r)
@@ -191,6 +208,7 @@
 	if r == nil {
 		return
 	}
+	f.changes++
 	f.bucket.Take(&r.account, r.account.Free)
 	f.leaveService(r)
 	delete(f.runners, id)
@@ -221,6 +239,7 @@
 	if !ok {
 		return
 	}
+	f.changes++
 	delete(r.holds, task)
 	f.bucket.Release(&r.account, r, h.tokens)
 	r.used = r.used.Minus(h.Demand)
@@ -231,5 +250,6 @@
 
 // Trouble notes how a run on a runner ended, for the choice between runners.
 func (f *Fleet) Trouble(r *Runner, job string, failed bool, now time.Duration) {
+	f.changes++
 	r.trust.note(job, failed, now)
 }
--- a/internal/control/placement/placement_test.go
+++ b/internal/control/placement/placement_test.go
@@ -17,7 +17,7 @@
 	for i := range count {
 		r := f.Add(fmt.Sprint("r", i))
 		f.Describe(r, "svc", fmt.Sprint("rack", i/2), []string{fmt.Sprint("rack", i/2), []string{"a", "b"}[i%2]}, capacity)
-		r.Usable = true
+		f.SetUsable(r, true)
 	}
 	return f
 }
@@ -70,7 +70,7 @@
 	require.Nil(t, f.Pick(w, 0), "each holds one of the group")
 	o := f.Why(w, 0)
 	require.Equal(t, 4, o.AntiAffinity)
-	f.Runner("r0").Usable = false
+	f.SetUsable(f.Runner("r0"), false)
 	require.Equal(t, 1, f.Why(w, 0).Unusable)
 	require.Nil(t, f.Pick(&Want{Service: "none"}, 0))
 }
@@ -139,7 +139,7 @@
 		}
 	}
 	require.Equal(t, "r3", f.Pick(want(100), 0).ID, "suspects come last")
-	f.Runner("r3").Usable = false
+	f.SetUsable(f.Runner("r3"), false)
 	require.Equal(t, "r0", f.Pick(want(100), 0).ID, "where most are suspect none is kept out")
 	alone := fleet(1, big)
 	for j := range 2 {
--- a/internal/control/scheduler/orders.go
+++ b/internal/control/scheduler/orders.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"frosttide/internal/protocol"
@@ -92,6 +93,10 @@
 // requestWhole has the sessions that need the whole set sent it once all that has been decided so far is
 // committed: a set that left out runs whose end is not would have the companion stop what is wanted.
 func (d *Scheduler) requestWhole() {
+	if !d.wholeWanted {
+		return
+	}
+	d.wholeWanted = false
 	for _, address := range slices.Sorted(maps.Keys(d.sessions)) {
 		if s := d.sessions[address]; s.whole == wholeNeeded {
 			s.whole = wholeRequested
@@ -137,8 +142,10 @@
 		orders.Runs, orders.Drop = nil, nil
 	}
 	if orders.GetFull() || len(orders.Runs) > 0 || len(orders.Drop) > 0 {
+		if s.seen >= s.sequence {
+			s.waitsSince = d.now
+		}
 		s.sequence++
-		s.sentAt = d.now
 	}
 	orders.Sequence = s.sequence
 	d.sends = append(d.sends, Send{To: s.address, Message: &protocol.Envelope{Body: &protocol.Envelope_RunnerOrders{RunnerOrders: orders}}})
@@ -151,14 +158,14 @@
 		return
 	}
 	for task, run := range r.live {
-		if !run.pending && !run.stopped && !run.step.Job.State.Final() {
+		switch {
+		case run.pending:
+		case run.stopped || run.step.Job.State.Final(): // its end, or that it never began, is still to be told
+			orders.Drop = append(orders.Drop, &protocol.RunRef{Task: task, Run: run.number})
+		default:
 			orders.Runs = append(orders.Runs, d.runOrder(task, run))
 		}
 	}
-	slices.SortFunc(orders.Runs, func(a, b *protocol.RunOrder) int {
-		if a.GetTask() < b.GetTask() {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(orders.Drop, func(a, b *protocol.RunRef) int { return strings.Compare(a.GetTask(), b.GetTask()) })
+	slices.SortFunc(orders.Runs, func(a, b *protocol.RunOrder) int { return strings.Compare(a.GetTask(), b.GetTask()) })
 }
--- a/internal/control/scheduler/queue.go
+++ b/internal/control/scheduler/queue.go
@@ -17,10 +17,12 @@
 	known   map[*jobs.Step]bool
 	reserve *placement.Reserve
 	running map[int]placement.Resources // what runs hold, by priority
+	fresh   bool                        // steps were added since the last pass
 }
 
 type waitingStep struct {
 	step      *jobs.Step
+	want      *placement.Want // what its tasks ask of a runner
 	priority  int
 	since     time.Duration // when it became ready
 	objective objective
@@ -36,6 +38,7 @@
 
 // add puts a step in its place.
 func (q *queue) add(w waitingStep) {
+	q.fresh = true
 	if q.known[w.step] {
 		return
 	}
@@ -58,15 +61,23 @@
 	}
 }
 
-// place places what can be placed of all services.
+// place places what can be placed of all services. A queue is gone through when a step has come to it, or
+// when something has changed by which a blocked task may be placed; what turns on time alone waits for the
+// next tick.
 func (d *Scheduler) place() {
 	for _, s := range d.jobs.TakeReady() {
-		w := waitingStep{step: s, priority: d.priority(s.Job), since: d.now, objective: d.objective(s)}
+		w := waitingStep{step: s, want: wantOf(s), priority: d.priority(s.Job), since: d.now, objective: d.objective(s)}
 		w.lateness = w.objective.lateness(d.wallMs)
 		d.queue(s.Job.Service).add(w)
 	}
+	all := d.timePassed || d.fleet.Changes() != d.placedAt
 	for _, service := range slices.Sorted(maps.Keys(d.queues)) {
-		d.placeQueue(d.queues[service])
+		if q := d.queues[service]; all || q.fresh {
+			d.placeQueue(q)
+		}
+	}
+	if all {
+		d.timePassed, d.placedAt = false, d.fleet.Changes()
 	}
 }
 
@@ -83,10 +94,14 @@
 // observe tells the reserve what each priority holds and waits for.
 func (q *queue) observe(now time.Duration) {
 	waiting := make(map[int]placement.Resources)
-	for _, w := range q.waiting {
-		if w.step.Ready() {
-			waiting[w.priority] = waiting[w.priority].Plus(demandOf(w.step.Stage).Times(w.step.Waiting))
+	for i := 0; i < len(q.waiting); { // steps of a priority stand together
+		priority, sum := q.waiting[i].priority, placement.Resources{}
+		for ; i < len(q.waiting) && q.waiting[i].priority == priority; i++ {
+			if w := &q.waiting[i]; w.due() {
+				sum = sum.Plus(w.want.Demand.Times(w.step.Waiting))
+			}
 		}
+		waiting[priority] = sum
 	}
 	for priority := range q.running {
 		waiting[priority] = waiting[priority].Plus(placement.Resources{})
@@ -109,27 +124,38 @@
 // placeQueue offers the service's runners to its steps in order. Steps that ask for at least as much as
 // one that was blocked are passed over.
 func (d *Scheduler) placeQueue(q *queue) {
+	q.fresh = false
 	if len(q.waiting) == 0 {
 		return
 	}
 	q.observe(d.now)
-	q.reorder(d.wallMs)
+	if d.timePassed {
+		q.reorder(d.wallMs)
+	}
 	var blocked blockedDemands
-	kept := q.waiting[:0]
-	for _, w := range q.waiting {
-		if w.step.Waiting > 0 && w.step.Ready() {
+	kept := 0
+	for i := range q.waiting {
+		w := &q.waiting[i]
+		if w.due() {
 			d.placeStep(q, w, &blocked)
 		}
-		if w.step.Waiting > 0 && w.step.Ready() {
-			kept = append(kept, w)
-		} else {
+		if !w.due() {
 			delete(q.known, w.step)
+			continue
 		}
+		if kept < i {
+			q.waiting[kept] = *w
+		}
+		kept++
 	}
-	clear(q.waiting[len(kept):])
-	q.waiting = kept
+	clear(q.waiting[kept:])
+	q.waiting = q.waiting[:kept]
 }
 
+// due tells whether a step has tasks that may be started. What it depends on stays done, so that only the end of
+// its job takes that back.
+func (a *waitingStep) due() bool { return a.step.Waiting > 0 && !a.step.Job.State.Final() }
+
 // blockedDemands are the demands that no runner had room for in this pass.
 type blockedDemands []placement.Want
 
@@ -144,9 +170,9 @@
 }
 
 // placeStep starts as many of a step's waiting tasks as there is room for.
-func (d *Scheduler) placeStep(q *queue, w waitingStep, blocked *blockedDemands) {
+func (d *Scheduler) placeStep(q *queue, w *waitingStep, blocked *blockedDemands) {
 	s := w.step
-	want := d.want(s)
+	want := w.want
 	if blocked.covers(want) || !d.leavesRoom(q, w, want) {
 		return
 	}
@@ -154,6 +180,7 @@
 		d.placeGang(s, want)
 		return
 	}
+	want.Rack = ""
 	if d.waitsForRack(w, want) {
 		want.Rack = want.Affinity
 	}
@@ -177,7 +204,7 @@
 }
 
 // leavesRoom tells whether a task may be placed without taking what is kept for more urgent work.
-func (d *Scheduler) leavesRoom(q *queue, w waitingStep, want *placement.Want) bool {
+func (d *Scheduler) leavesRoom(q *queue, w *waitingStep, want *placement.Want) bool {
 	if w.step.Job.Live() == 0 && d.now-w.since > reservePatience {
 		return true
 	}
@@ -191,7 +218,7 @@
 
 // waitsForRack tells whether a step's tasks had better wait a little for the rack where their data lies:
 // for a part of the time that the work would take longer elsewhere.
-func (d *Scheduler) waitsForRack(w waitingStep, want *placement.Want) bool {
+func (d *Scheduler) waitsForRack(w *waitingStep, want *placement.Want) bool {
 	if want.Affinity == "" {
 		return false
 	}
@@ -204,6 +231,7 @@
 	if !s.GangIdle() {
 		return
 	}
+	want.Avoid = ""
 	names := make([]string, len(s.Tasks))
 	for i := range s.Tasks {
 		names[i] = s.TaskID(i)
@@ -223,8 +251,8 @@
 	}
 }
 
-// want returns what a step's tasks ask of a runner.
-func (d *Scheduler) want(s *jobs.Step) *placement.Want {
+// wantOf returns what a step's tasks ask of a runner.
+func wantOf(s *jobs.Step) *placement.Want {
 	return &placement.Want{Service: s.Job.Service, Demand: demandOf(s.Stage), Requirement: s.Stage.GetRequirements(), Affinity: s.Stage.GetAffinity(),
 		AntiAffinity: int(s.Stage.GetAntiAffinity()), Group: groupOf(s), Gang: s.Stage.GetGang()}
 }
--- /dev/null
+++ b/internal/control/scheduler/scale_bench_test.go
@@ -0,0 +1,149 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"frosttide/internal/control/store"
+	"frosttide/internal/protocol"
+)
+
+// fleetSize is the size of a fleet that a benchmark plays.
+type fleetSize struct {
+	runners int
+	running int // tasks
+	waiting int // tasks, in steps of stepWidth
+}
+
+// sizes are a quarter, a half and the whole of the size of two years from now, so that growth shows.
+var sizes = []fleetSize{{237, 3250, 25_000}, {475, 6500, 50_000}, {950, 13_000, 100_000}}
+
+// stepWidth is how many tasks a job of the benchmarks has.
+const stepWidth = 10
+
+func (s fleetSize) String() string {
+	return fmt.Sprintf("runners=%d/running=%d/waiting=%d", s.runners, s.running, s.waiting)
+}
+
+// busyFleet returns a scheduler whose fleet is full and has tasks waiting.
+func busyFleet(b *testing.B, size fleetSize) *rig {
+	b.Helper()
+	r := &rig{t: b, store: store.New(), now: time.Hour, epoch: 1, replies: make(map[uint64]*protocol.ClientReply), ends: make(map[string]uint64)}
+	r.elect()
+	r.ask(&protocol.ClientRequest{Op: &protocol.ClientRequest_Config{Config: &protocol.ConfigOrder{Body: []byte(config)}}})
+	each := int64(size.running / size.runners)
+	for i := range size.runners {
+		r.report(companionName(i), runnerName(i), func(report *protocol.RunnerReport) {
+			report.Account.Capacity = &protocol.Capacity{Cpu: 100 * each, MemMb: 1000 * each}
+		})
+	}
+	r.commit()
+	for i := range size.runners {
+		r.report(companionName(i), runnerName(i), func(report *protocol.RunnerReport) {
+			report.Account.Capacity = &protocol.Capacity{Cpu: 100 * each, MemMb: 1000 * each}
+		})
+	}
+	for i := range (size.running + size.waiting) / stepWidth {
+		r.d.Request("client", &protocol.ClientRequest{Id: uint64(i + 100), Op: &protocol.ClientRequest_Submit{Submit: &protocol.Submit{Id: fmt.Sprintf("%016x", i+1), Queue: "slow", Spec: "s",
+			Stages: []*protocol.Stage{{Count: stepWidth, Cpu: 100, MemMb: 100, EstimateMs: 1000}}}}}, func(string) bool { return false })
+	}
+	r.commit()
+	require.Greater(b, len(r.d.queues["svc"].waiting), size.waiting/stepWidth-2*size.runners)
+	return r
+}
+
+func companionName(i int) string { return fmt.Sprintf("c%d", i) }
+func runnerName(i int) string    { return fmt.Sprintf("w%d", i) }
+
+// BenchmarkEndAndNextStart measures the end of a task and the start of the next one in its place, from the
+// report to the order.
+func BenchmarkEndAndNextStart(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.String(), func(b *testing.B) {
+			r := busyFleet(b, size)
+			b.ResetTimer()
+			for i := 0; b.Loop(); i++ {
+				r.endOne(i % size.runners)
+				r.now += time.Millisecond
+			}
+		})
+	}
+}
+
+// endOne has a runner report the end of one of its tasks, and commits what follows.
+func (r *rig) endOne(i int) {
+	runner := r.d.runners[runnerName(i)]
+	for task, run := range runner.live {
+		s := r.d.sessions[companionName(i)]
+		r.d.noteEnds(s, []*protocol.RunEnd{{Number: runner.noted + 1, Task: task, Run: run.number, How: "done"}})
+		break
+	}
+	if e := r.d.Entry(r.now); e != nil {
+		r.index++
+		r.store.Apply(e.GetPuts(), e.GetDeletes())
+		r.d.Appended(r.index)
+	}
+	r.d.Committed(r.now, r.index)
+	r.d.TakeSends()
+}
+
+// BenchmarkPassWithoutChange measures what a turn costs in which nothing has happened but time.
+func BenchmarkPassWithoutChange(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.String(), func(b *testing.B) {
+			r := busyFleet(b, size)
+			b.ResetTimer()
+			for b.Loop() {
+				r.d.Entry(r.now)
+			}
+		})
+	}
+}
+
+// BenchmarkTick measures what the clock costs.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.String(), func(b *testing.B) {
+			r := busyFleet(b, size)
+			b.ResetTimer()
+			for b.Loop() {
+				r.d.Tick(r.now, r.wall(), r.now)
+			}
+		})
+	}
+}
+
+// BenchmarkViewChange measures what the head does when it goes on in another view.
+func BenchmarkViewChange(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.String(), func(b *testing.B) {
+			r := busyFleet(b, size)
+			b.ResetTimer()
+			for b.Loop() {
+				r.epoch++
+				r.d.Continue(r.now, r.epoch, r.index)
+				r.d.Entry(r.now)
+				r.index++
+				r.d.Appended(r.index)
+				r.d.Committed(r.now, r.index)
+				r.d.TakeSends()
+			}
+		})
+	}
+}
+
+// BenchmarkTakeOver measures how long a new head needs to know all from the store.
+func BenchmarkTakeOver(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.String(), func(b *testing.B) {
+			r := busyFleet(b, size)
+			b.ResetTimer()
+			for b.Loop() {
+				r.elect()
+			}
+		})
+	}
+}
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -54,12 +54,15 @@
 	runners         map[string]*runner
 	sessions        map[string]*session // by the companion's address
 	lastSession     uint64
+	wholeWanted     bool         // by some session
 	writes          *jobs.Writes // beside the jobs' own
 	replies         []*protocol.Reply
 	sends           []Send
 	batches         []batch // orders that wait for their entry to be committed
 	batch           batch   // orders of the entry that is being made
 	nextTidy        time.Duration
+	placedAt        uint64 // the fleet's changes at the last pass over all queues
+	timePassed      bool   // since that pass
 }
 
 // New returns the scheduler of a member that begins to serve as the head with a store.
@@ -92,7 +95,7 @@
 func (d *Scheduler) Continue(now time.Duration, epoch, index uint64) {
 	d.now, d.epoch = now, epoch
 	for _, s := range d.sessions {
-		s.whole = wholeNeeded
+		d.needWhole(s)
 	}
 	d.Committed(now, index)
 }
@@ -112,7 +115,7 @@
 // Tick lets time pass. wallMs is the time of day; confirmed is when the newest confirmation that the
 // epoch stands had been asked for.
 func (d *Scheduler) Tick(now time.Duration, wallMs int64, confirmed time.Duration) {
-	d.now, d.wallMs, d.confirmed = now, wallMs, max(d.confirmed, confirmed)
+	d.now, d.wallMs, d.confirmed, d.timePassed = now, wallMs, max(d.confirmed, confirmed), true
 	d.jobs.Fall(wallMs)
 	d.tickSessions()
 	if now >= d.nextTidy {
--- a/internal/control/scheduler/scheduler_test.go
+++ b/internal/control/scheduler/scheduler_test.go
@@ -18,7 +18,7 @@
 
 // rig is a scheduler whose chain commits when the test says so.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	d       *Scheduler
 	store   *store.Store
 	now     time.Duration
@@ -380,3 +380,59 @@
 	}
 	require.Len(t, r.started("c1"), 4)
 }
+
+// TestCanceledBeforeItWasSent gives back the room of a run whose job was canceled before its companion had the whole
+// set: the companion has never heard of it and can list no end.
+func TestCanceledBeforeItWasSent(t *testing.T) {
+	r := newRig(t)
+	r.meet("c1", "i1")
+	r.report("c1", "i1", func(report *protocol.RunnerReport) { report.Incarnation = 2 }) // its set is asked for again
+	job := r.submit(1, "fast", stage(2, 1000))
+	require.EqualValues(t, http.StatusOK, r.ask(&protocol.ClientRequest{Op: &protocol.ClientRequest_Cancel{Cancel: &protocol.Cancel{Id: job}}}).GetStatus())
+	r.now += time.Second
+	r.elect()
+	r.report("c1", "i1")
+	r.commit()
+	require.Empty(t, r.started("c1"))
+	var waited []*protocol.RunRef
+	for _, o := range r.orders["c1"] {
+		if o.GetFull() {
+			waited = o.GetDrop()
+		}
+	}
+	require.Len(t, waited, 2, "their ends are asked for")
+	require.Equal(t, 2, r.d.Fleet().Runner("i1").Holds())
+	r.report("c1", "i1", func(report *protocol.RunnerReport) { report.Refused = waited })
+	r.commit()
+	require.Zero(t, r.d.Fleet().Runner("i1").Holds())
+	before := len(r.orders["c1"])
+	r.report("c1", "i1", func(report *protocol.RunnerReport) { report.Refused = waited })
+	r.commit()
+	var dropped []*protocol.RunRef
+	for _, o := range r.orders["c1"][before:] {
+		dropped = append(dropped, o.GetDrop()...)
+	}
+	require.Len(t, dropped, 2, "the companion may forget them")
+}
+
+// TestLostOrdersUnderNewOnes has the whole set sent again to a companion that has missed orders though newer ones
+// are sent all the time.
+func TestLostOrdersUnderNewOnes(t *testing.T) {
+	r := newRig(t)
+	r.meet("c1", "i1")
+	r.report("c1", "i1")
+	r.commit()
+	seen := r.orders["c1"][len(r.orders["c1"])-1].GetSequence()
+	before := len(r.orders["c1"])
+	for i := range 20 {
+		r.now += 100 * time.Millisecond
+		r.submit(i+1, "fast", stage(1, 10))
+		r.report("c1", "i1", func(report *protocol.RunnerReport) { report.OrdersSeen = seen }) // the first was lost
+		r.commit()
+	}
+	again := false
+	for _, o := range r.orders["c1"][before:] {
+		again = again || o.GetFull()
+	}
+	require.True(t, again)
+}
--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -64,7 +64,7 @@
 	heard       time.Duration
 	leaseUntil  time.Duration // end of the newest lease
 	sequence    uint64        // of the newest orders
-	sentAt      time.Duration
+	waitsSince  time.Duration // since when the oldest unapplied orders wait, or some were last applied
 	seen        uint64 // newest orders that the companion has applied
 	whole       wholeState
 	silent      bool
@@ -127,6 +127,7 @@
 		d.lastSession++
 		s = &session{address: from, number: d.lastSession, incarnation: report.GetIncarnation()}
 		d.sessions[from] = s
+		d.needWhole(s)
 	}
 	s.heard = now
 	for _, id := range report.GetGone() {
@@ -135,7 +136,7 @@
 	d.meet(s, report)
 	s.silent, s.holding = report.GetSilent(), report.GetHolding()
 	if report.GetEpoch() == d.epoch {
-		s.seen = max(s.seen, report.GetOrdersSeen())
+		s.apply(now, report.GetOrdersSeen())
 	}
 	d.noteEnds(s, report.GetEnds())
 	d.noteRefused(s, report.GetRefused())
@@ -143,6 +144,20 @@
 	d.answer(s, report)
 }
 
+// apply notes how far a companion has applied its orders. Later orders don't put the patience with the oldest
+// off: a companion that misses one applies none after it.
+func (s *session) apply(now time.Duration, seen uint64) {
+	if seen > s.seen {
+		s.seen, s.waitsSince = seen, now
+	}
+}
+
+// needWhole has a session sent the whole set of its runner's runs.
+func (d *Scheduler) needWhole(s *session) {
+	s.whole = wholeNeeded
+	d.wholeWanted = true
+}
+
 // meet notes which runner a companion speaks for.
 func (d *Scheduler) meet(s *session, report *protocol.RunnerReport) {
 	a := report.GetAccount()
@@ -151,7 +166,8 @@
 	}
 	if s.runner != a.GetId() {
 		d.loseOthers(s.address, a.GetId())
-		s.runner, s.whole = a.GetId(), wholeNeeded
+		s.runner = a.GetId()
+		d.needWhole(s)
 	}
 	r := d.runner(a.GetId())
 	r.session, r.known = s, true
@@ -197,8 +213,8 @@
 // updateUsable decides whether a session's runner may be sent tasks.
 func (d *Scheduler) updateUsable(s *session) {
 	if r := d.runners[s.runner]; r != nil && r.session == s {
-		r.account.Usable = r.known && s.holding && !s.silent && !s.draining && d.now-s.heard < d.silentAfter() && s.leaseUntil > d.now &&
-			(s.seen >= s.sequence || d.now-s.sentAt < d.silentAfter())
+		d.fleet.SetUsable(r.account, r.known && s.holding && !s.silent && !s.draining && d.now-s.heard < d.silentAfter() && s.leaseUntil > d.now &&
+			(s.seen >= s.sequence || d.now-s.waitsSince < d.silentAfter()))
 	}
 }
 
@@ -231,7 +247,11 @@
 	for _, ref := range refused {
 		name, ok := jobs.ParseTask(ref.GetTask())
 		run, live := r.live[ref.GetTask()]
-		if !ok || !live || run.number != ref.GetRun() || run.pending {
+		if !ok || !live || run.number != ref.GetRun() {
+			d.batch.drop(r.id, ref.GetTask(), ref.GetRun()) // it is known already
+			continue
+		}
+		if run.pending {
 			continue
 		}
 		d.jobs.End(name, run.number, r.id, jobs.EndRefused, "", d.maxAttempts(name.Job), d.wallMs)
@@ -317,7 +337,7 @@
 	}
 	if r := d.runners[s.runner]; r != nil && r.session == s {
 		r.session = nil
-		r.account.Usable = false
+		d.fleet.SetUsable(r.account, false)
 		r.deadline = d.leaseEnd(s.leaseUntil)
 	}
 	delete(d.sessions, s.address)
@@ -333,9 +353,9 @@
 			continue
 		}
 		d.updateUsable(s)
-		if s.seen < s.sequence && d.now-s.sentAt > resendAfter && d.now-s.heard < d.silentAfter() {
-			s.whole = wholeNeeded
-			s.sentAt = d.now
+		if s.seen < s.sequence && d.now-s.waitsSince > resendAfter && d.now-s.heard < d.silentAfter() {
+			d.needWhole(s)
+			s.waitsSince = d.now
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.runners)) {
--- a/internal/control/scheduler/status.go
+++ b/internal/control/scheduler/status.go
@@ -33,11 +33,21 @@
 	Capacity   placement.Resources `json:"capacity"`
 	Used       placement.Resources `json:"used"`
 	Runs       int                 `json:"runs"`
+	Tasks      []RunStatus         `json:"tasks,omitempty"` // that hold a part of it
 	LeaseMs    int64               `json:"lease_ms"`             // left
 	LostInMs   int64               `json:"lost_in_ms,omitempty"` // out of touch: until its runs count as lost
 	HeardMsAgo int64               `json:"heard_ms_ago,omitempty"`
 }
 
+// RunStatus is a run that may be under way on a runner.
+type RunStatus struct {
+	Task     string `json:"task"`
+	Run      uint32 `json:"run"`
+	State    string `json:"state"` // of its job
+	Stopping bool   `json:"stopping,omitempty"`
+	ForMs    int64  `json:"for_ms"` // since it was started, or taken over by this head
+}
+
 // WaitStatus is a step that waits, and why.
 type WaitStatus struct {
 	Job       string              `json:"job"`
@@ -66,8 +76,8 @@
 	}
 	for _, service := range slices.Sorted(maps.Keys(d.queues)) {
 		q := d.queues[service]
-		for _, w := range q.waiting {
-			if len(s.Waiting) < mostWaiting && w.step.Waiting > 0 && w.step.Ready() {
+		for i := range q.waiting {
+			if w := &q.waiting[i]; len(s.Waiting) < mostWaiting && w.due() {
 				s.Waiting = append(s.Waiting, d.waitStatus(q, w))
 			}
 		}
@@ -79,6 +89,10 @@
 	a := r.account
 	s := RunnerStatus{ID: r.id, Service: a.Service, Companion: r.companion, Rack: a.Rack, Labels: a.Labels, Usable: a.Usable, InSession: r.session != nil,
 		Suspect: a.Suspect(d.now), Capacity: a.Capacity, Used: a.Used(), Runs: a.Holds()}
+	for _, task := range slices.Sorted(maps.Keys(r.live)) {
+		run := r.live[task]
+		s.Tasks = append(s.Tasks, RunStatus{Task: task, Run: run.number, State: run.step.Job.State.String(), Stopping: run.stopped || run.leaving, ForMs: (d.now - run.began).Milliseconds()})
+	}
 	if r.session == nil {
 		s.LostInMs = max(0, (r.deadline - d.now).Milliseconds())
 		return s
@@ -89,8 +103,8 @@
 	return s
 }
 
-func (d *Scheduler) waitStatus(q *queue, w waitingStep) WaitStatus {
-	want := d.want(w.step)
+func (d *Scheduler) waitStatus(q *queue, w *waitingStep) WaitStatus {
+	want := wantOf(w.step)
 	o := d.fleet.Why(want, d.now)
 	why := o.String()
 	switch {
--- a/internal/data/companion/head.go
+++ b/internal/data/companion/head.go
@@ -188,7 +188,7 @@
 		m.whole = true
 		clear(r.refused)
 		for task, w := range before { // a start of it may be under way to the runner
-			r.fenced[task] = w.GetRun()
+			r.fenced[task] = &fence{run: w.GetRun()}
 		}
 	}
 	for _, ref := range o.GetDrop() {
@@ -197,12 +197,15 @@
 		}
 		w := r.wanted[ref.GetTask()]
 		if w != nil && w.GetRun() <= ref.GetRun() {
-			r.fenced[ref.GetTask()] = w.GetRun()
+			r.fenced[ref.GetTask()] = &fence{run: w.GetRun()}
 			delete(r.wanted, ref.GetTask())
 		}
+		if o.GetFull() && !m.ended(r, ref.GetTask(), ref.GetRun()) { // the head waits for its end
+			r.fenced[ref.GetTask()] = &fence{run: ref.GetRun()}
+		}
 	}
 	for _, run := range o.GetRuns() {
-		if !m.ended(r, run) {
+		if !m.ended(r, run.GetTask(), run.GetRun()) {
 			r.wanted[run.GetTask()] = run
 			delete(r.fenced, run.GetTask())
 		}
@@ -210,9 +213,9 @@
 }
 
 // ended tells whether the runner has listed the end of a run that is not noted yet.
-func (m *Machine) ended(r *runner, run *protocol.RunOrder) bool {
+func (m *Machine) ended(r *runner, task string, run uint32) bool {
 	for _, e := range r.ends {
-		if e.GetTask() == run.GetTask() && e.GetRun() >= run.GetRun() {
+		if e.GetTask() == task && e.GetRun() >= run {
 			return true
 		}
 	}
--- a/internal/data/companion/machine.go
+++ b/internal/data/companion/machine.go
@@ -78,7 +78,7 @@
 	wanted    map[string]*protocol.RunOrder
 	told      map[string]*attempt // starts that the runner has been told of and does not list
 	refused   map[string]uint32   // runs that it surely never starts, until the head has dropped them
-	fenced    map[string]uint32   // runs that are wanted no longer, until they are listed as ended
+	fenced    map[string]*fence   // runs that are wanted no longer and not listed, until they surely never begin
 	running   map[string]uint32
 	lastSeen  uint64
 	ends      map[uint64]*protocol.RunEnd // listed and not noted by the head, by number
@@ -170,7 +170,7 @@
 		m.gone[m.runner.account.GetId()] = m.now
 	}
 	// A companion that has started anew knows no holds of the time before; they may last for the longest time.
-	m.runner = &runner{wanted: make(map[string]*protocol.RunOrder), told: make(map[string]*attempt), refused: make(map[string]uint32), fenced: make(map[string]uint32), running: make(map[string]uint32), ends: make(map[uint64]*protocol.RunEnd),
+	m.runner = &runner{wanted: make(map[string]*protocol.RunOrder), told: make(map[string]*attempt), refused: make(map[string]uint32), fenced: make(map[string]*fence), running: make(map[string]uint32), ends: make(map[uint64]*protocol.RunEnd),
 		holdUntil: m.now + m.surely(m.cfg.HoldMax)}
 	m.whole = false
 	delete(m.gone, b.Account.GetId())
@@ -208,6 +208,9 @@
 		}
 		r.ends[e.GetNumber()] = e
 		fresh = true
+		if f := r.fenced[e.GetTask()]; f != nil && f.run <= e.GetRun() {
+			delete(r.fenced, e.GetTask())
+		}
 		if w := r.wanted[e.GetTask()]; w != nil && w.GetRun() <= e.GetRun() {
 			delete(r.wanted, e.GetTask())
 		}
@@ -237,12 +240,7 @@
 			a.Stop = append(a.Stop, &protocol.RunRef{Task: task, Run: run})
 		}
 	}
-	for _, task := range slices.Sorted(maps.Keys(r.fenced)) {
-		if run := r.fenced[task]; r.running[task] == 0 {
-			a.Stop = append(a.Stop, &protocol.RunRef{Task: task, Run: run})
-		}
-	}
-	clear(r.fenced)
+	m.barFenced(r, &a)
 	return a
 }
 
--- a/internal/data/companion/machine_test.go
+++ b/internal/data/companion/machine_test.go
@@ -251,3 +251,37 @@
 	}
 	require.Len(t, asked, 2)
 }
+
+// TestRunDroppedBeforeItBegan has the companion bar a run that was dropped before the runner has listed it, and
+// then tell the head that it never begins: the head keeps its room until then.
+func TestRunDroppedBeforeItBegan(t *testing.T) {
+	r := ready(t)
+	r.order(r.report(), false, []*protocol.RunOrder{run("t", 1)})
+	r.order(r.report(), false, nil, &protocol.RunRef{Task: "t", Run: 1})
+	for range barBeats + 1 {
+		a := r.beat("i1", nil)
+		require.Len(t, a.Stop, 1)
+		require.Empty(t, a.Start)
+	}
+	require.Empty(t, r.beat("i1", nil).Stop, "it is barred for good")
+	report := r.report()
+	require.Len(t, report.GetRefused(), 1)
+	r.order(report, false, nil, &protocol.RunRef{Task: "t", Run: 1})
+	require.Empty(t, r.report().GetRefused(), "the head knows")
+}
+
+// TestRunOfTheWholeSetThatNobodyKnows has a companion that never heard of a run, whose end the head waits for,
+// bar it and say so.
+func TestRunOfTheWholeSetThatNobodyKnows(t *testing.T) {
+	r := newRig(t)
+	r.beat("i1", nil)
+	r.order(r.report(), true, nil, &protocol.RunRef{Task: "t", Run: 2}, &protocol.RunRef{Task: "u", Run: 1})
+	require.Len(t, r.beat("i1", listed("u", 1)).Stop, 2)
+	for range barBeats + 2 {
+		r.beat("i1", nil, &protocol.RunEnd{Number: 1, Task: "u", Run: 1, How: "stopped"})
+	}
+	report := r.report()
+	require.Len(t, report.GetRefused(), 1)
+	require.Equal(t, "t", report.GetRefused()[0].GetTask())
+	require.Len(t, report.GetEnds(), 1)
+}
--- a/internal/data/companion/starts.go
+++ b/internal/data/companion/starts.go
@@ -1,6 +1,8 @@
 package companion
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"frosttide/internal/protocol"
@@ -23,6 +25,34 @@
 	barBeats = 3
 )
 
+// fence is a run that is wanted no longer though the runner has not listed it: its start may be under way to the
+// runner, or may never have been told.
+type fence struct {
+	run    uint32
+	barred int // beats that were answered with a stop
+}
+
+// barFenced bars the runs that are wanted no longer and not listed. One that the runner has still not listed after
+// enough stops never begins, which the head waits to hear: until then it keeps their room.
+func (m *Machine) barFenced(r *runner, a *Answer) {
+	for _, task := range slices.Sorted(maps.Keys(r.fenced)) {
+		f := r.fenced[task]
+		if r.running[task] != 0 {
+			if r.running[task] >= f.run {
+				delete(r.fenced, task) // it is stopped as any that is not wanted, and its end is listed
+			}
+			continue
+		}
+		f.barred++
+		a.Stop = append(a.Stop, &protocol.RunRef{Task: task, Run: f.run})
+		if f.barred > barBeats {
+			delete(r.fenced, task)
+			r.refused[task] = f.run
+			m.nextReport = 0
+		}
+	}
+}
+
 // startOrBar has the runner start a wanted run that it does not list. One that it does not start though it was
 // told again and again is barred by a stop and reported as refused: runners silently pass over a run that
 // is not above one stopped there.
