--- /dev/null
+++ b/cmd/frosttide-variants/main.go
@@ -0,0 +1,57 @@
+// Command frosttide-variants writes variations of a site file of the fleet bench, each with days that
+// combine kinds of trouble by pairs, for hunting broken rules on deployments that nobody has seen.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"frosttide/internal/lab/variants"
+)
+
+func main() {
+	site := flag.String("site", "", "the site file to vary")
+	out := flag.String("out", "", "the folder that the variations are written to")
+	first := flag.Uint64("first", 1, "the first seed")
+	count := flag.Uint64("count", 1, "how many variations")
+	days := flag.Int("days", 4, "days of troubles in each")
+	same := flag.Bool("same", false, "keep the deployment, draw days only")
+	flag.Parse()
+	if *site == "" || *out == "" || flag.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "frosttide-variants: want -site FILE -out FOLDER")
+		os.Exit(2)
+	}
+	for seed := *first; seed < *first+*count; seed++ {
+		path, err := write(*site, *out, variants.Options{Seed: seed, Days: *days, Same: *same})
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "frosttide-variants: %s: %v\n", *site, err)
+			os.Exit(1)
+		}
+		fmt.Println(path)
+	}
+}
+
+// write writes one variation and returns its path.
+func write(site, out string, o variants.Options) (string, error) {
+	data, err := os.ReadFile(site)
+	if err != nil {
+		return "", errors.Wrap(err, "the site can't be read")
+	}
+	o.Folder, err = filepath.Abs(filepath.Dir(site))
+	if err != nil {
+		return "", errors.Wrap(err, "the site's folder can't be told")
+	}
+	varied, err := variants.Generate(data, o)
+	if err != nil {
+		return "", err
+	}
+	if err := os.MkdirAll(out, 0o755); err != nil {
+		return "", errors.Wrap(err, "the folder can't be made")
+	}
+	path := filepath.Join(out, fmt.Sprintf("variant-%d.toml", o.Seed))
+	return path, errors.Wrap(os.WriteFile(path, varied, 0o644), "the variation can't be written")
+}
--- /dev/null
+++ b/internal/lab/variants/variants.go
@@ -0,0 +1,316 @@
+// Package variants draws deployments and days that nobody has planned for: variations of a given site file
+// of the fleet bench in its number of zones, size of the control plane, tolerance, periods, distances and
+// sizes, each with days that combine kinds of trouble by pairs. What is drawn depends on the seed alone.
+package variants
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// ErrSite marks a site file that can't be varied.
+var ErrSite = errors.New("the site can't be varied")
+
+// table is a TOML table. The site file's format belongs to the bench, so that only the keys that are varied
+// are known here and the others are kept as they are.
+type table = map[string]any
+
+// Options say what is drawn.
+type Options struct {
+	Seed   uint64
+	Days   int    // days of troubles, beside a calm one
+	Folder string // of the site file, against which it names other files
+	Same   bool   // keep the deployment as it is and draw days only
+}
+
+// Generate returns a variation of a site file.
+func Generate(site []byte, o Options) ([]byte, error) {
+	var root table
+	if err := toml.Unmarshal(site, &root); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "it is no TOML"), ErrSite)
+	}
+	g := &generator{root: root, rng: rand.New(rand.NewPCG(o.Seed, 1))}
+	if err := g.check(); err != nil {
+		return nil, err
+	}
+	if name, ok := root["wire"].(string); ok && !filepath.IsAbs(name) {
+		root["wire"] = filepath.Join(o.Folder, name)
+	}
+	root["name"] = fmt.Sprintf("%s-%d", root["name"], o.Seed)
+	if !o.Same {
+		g.vary()
+	}
+	g.days(o)
+	out, err := toml.Marshal(root)
+	return out, errors.Wrap(err, "variants: the variation can't be written")
+}
+
+// generator draws one variation.
+type generator struct {
+	root  table
+	rng   *rand.Rand
+	zones []string
+	core  int // control machines
+	bears int // of them that may be lost at once
+}
+
+// check reads what the variation rests on.
+func (g *generator) check() error {
+	for _, zone := range list(g.root["zones"]) {
+		name, _ := zone["name"].(string)
+		g.zones = append(g.zones, name)
+	}
+	for _, machine := range list(g.root["machines"]) {
+		if machine["class"] == coreClass {
+			g.core += int(number(machine["count"]))
+		}
+	}
+	tolerate, _ := g.root["tolerate"].(table)
+	g.bears = int(number(tolerate["machines"]))
+	switch {
+	case len(g.zones) == 0:
+		return errors.Mark(errors.New("zones: none are named"), ErrSite)
+	case g.core == 0:
+		return errors.Mark(errors.Newf("machines: none is of the class %q", coreClass), ErrSite)
+	case len(list(g.root["day"])) == 0:
+		return errors.Mark(errors.New("day: there is none to take the traffic from"), ErrSite)
+	}
+	return nil
+}
+
+// coreClass is the class of the machines of the control plane.
+const coreClass = "core"
+
+// The bounds of what is drawn.
+const (
+	mostZones      = 6
+	leastCore      = 3
+	mostCore       = 9
+	mostBorne      = 3
+	leastBeatMs    = 500
+	mostBeatMs     = 3000
+	leastCrossMs   = 0.5
+	mostCrossMs    = 8.0
+	leastSyncMs    = 2.0
+	mostSyncMs     = 15.0
+	leastHoldMs    = 6000
+	mostHoldMs     = 16000
+	mostCores      = 4
+	smallestPower  = 0.8
+	largestPower   = 1.5
+	quietestShare  = 0.7
+	busiestShare   = 1.15
+	mostPriorities = 3
+)
+
+// vary changes the deployment.
+func (g *generator) vary() {
+	g.varyZones()
+	g.varyCore()
+	g.varyPeriods()
+	g.varySizes()
+	g.varyTraffic()
+}
+
+// varyZones takes zones away or adds some. What stood in a zone that goes moves to one that stays.
+func (g *generator) varyZones() {
+	count := 1 + g.rng.IntN(mostZones)
+	first := list(g.root["zones"])[0]
+	var zones []any
+	var names []string
+	for i := range count {
+		name := fmt.Sprintf("zone-%d", i+1)
+		names = append(names, name)
+		zones = append(zones, table{"name": name, "region": first["region"]})
+	}
+	moved := make(map[string]string)
+	for i, old := range g.zones {
+		moved[old] = names[i%count]
+	}
+	g.root["zones"] = zones
+	rename(g.root, moved)
+	g.zones = names
+	g.spread()
+}
+
+// spread moves single machines of a class into zones that have none of it.
+func (g *generator) spread() {
+	machines := list(g.root["machines"])
+	for _, class := range []string{"front", "side"} {
+		for _, zone := range g.zones {
+			g.fill(machines, class, zone)
+		}
+	}
+}
+
+// fill gives a zone one entry of a class where it has none and another zone has two.
+func (g *generator) fill(machines []table, class, zone string) {
+	byZone := make(map[string][]table)
+	for _, m := range machines {
+		if m["class"] == class {
+			name, _ := m["zone"].(string)
+			byZone[name] = append(byZone[name], m)
+		}
+	}
+	if len(byZone[zone]) > 0 {
+		return
+	}
+	for _, other := range g.zones {
+		if len(byZone[other]) > 1 {
+			byZone[other][0]["zone"] = zone
+			return
+		}
+	}
+}
+
+// varyCore draws the control machines and how many of them may be lost at once.
+func (g *generator) varyCore() {
+	g.core = leastCore + g.rng.IntN(mostCore-leastCore+1)
+	g.bears = 1 + g.rng.IntN(min(mostBorne, (g.core-1)/2))
+	var pattern table
+	var others []any
+	for _, m := range list(g.root["machines"]) {
+		if m["class"] != coreClass {
+			others = append(others, m)
+		} else if pattern == nil {
+			pattern = m
+		}
+	}
+	count := make(map[string]int)
+	for i := range g.core {
+		count[g.zones[i%len(g.zones)]]++
+	}
+	for _, zone := range g.zones {
+		if count[zone] > 0 {
+			m := copied(pattern)
+			m["zone"], m["count"] = zone, int64(count[zone])
+			if disk, ok := m["disk"].(table); ok {
+				disk = copied(disk)
+				disk["sync_ms"] = g.between(leastSyncMs, mostSyncMs)
+				m["disk"] = disk
+			}
+			others = append(others, m)
+		}
+	}
+	g.root["machines"] = others
+	tolerate, _ := g.root["tolerate"].(table)
+	tolerate["machines"] = int64(g.bears)
+}
+
+func (g *generator) varyPeriods() {
+	set(g.root, "discovery", "beat_ms", int64(g.between(leastBeatMs, mostBeatMs)))
+	set(g.root, "net", "cross_zone_ms", g.between(leastCrossMs, mostCrossMs))
+	set(g.root, "timing", "hold_max_ms", math.Round(g.between(leastHoldMs, mostHoldMs)))
+}
+
+func (g *generator) varySizes() {
+	cores := int64(1 + g.rng.IntN(mostCores))
+	for _, m := range list(g.root["machines"]) {
+		m["cores"] = cores
+		if share, ok := m["cpu_share"].(float64); ok {
+			m["cpu_share"] = round(share * g.between(smallestPower, largestPower))
+		}
+	}
+}
+
+// varyTraffic changes how much of what comes, and which class goes first.
+func (g *generator) varyTraffic() {
+	for _, class := range list(g.root["classes"]) {
+		if _, ok := class["priority"]; ok && g.rng.IntN(2) == 0 {
+			class["priority"] = int64(g.rng.IntN(mostPriorities))
+		}
+	}
+	share := g.between(quietestShare, busiestShare)
+	scale(list(g.root["traffic"]), share)
+	for _, day := range list(g.root["day"]) {
+		scale(list(day["traffic"]), share)
+	}
+}
+
+func scale(traffic []table, share float64) {
+	for _, t := range traffic {
+		if rate, ok := t["per_s"].(float64); ok {
+			t["per_s"] = round(rate * share)
+		}
+	}
+}
+
+// between draws a number.
+func (g *generator) between(least, most float64) float64 {
+	return round(least + (most-least)*g.rng.Float64())
+}
+
+func (g *generator) pick(choices []string) string { return choices[g.rng.IntN(len(choices))] }
+
+// round keeps three places.
+func round(x float64) float64 { return math.Round(x*1000) / 1000 }
+
+// set sets a key of a sub-table that exists.
+func set(root table, name, key string, value any) {
+	if sub, ok := root[name].(table); ok {
+		sub[key] = value
+	}
+}
+
+// rename replaces names of zones wherever a value is one.
+func rename(value any, names map[string]string) any {
+	switch v := value.(type) {
+	case string:
+		if to, ok := names[v]; ok {
+			return to
+		}
+	case table:
+		for key := range v {
+			v[key] = rename(v[key], names)
+		}
+	case []any:
+		for i := range v {
+			v[i] = rename(v[i], names)
+		}
+	}
+	return value
+}
+
+// list returns the tables of an array.
+func list(value any) (out []table) {
+	items, _ := value.([]any)
+	for _, item := range items {
+		if t, ok := item.(table); ok {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func number(value any) float64 {
+	switch v := value.(type) {
+	case int64:
+		return float64(v)
+	case float64:
+		return v
+	}
+	return 0
+}
+
+func copied(t table) table {
+	out := make(table, len(t))
+	for key, value := range t {
+		out[key] = value
+	}
+	return out
+}
+
+// sorted returns the keys of a table in order.
+func sorted(t map[string]kind) (keys []string) {
+	for key := range t {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/lab/variants/variants_test.go
@@ -0,0 +1,104 @@
+package variants
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/stretchr/testify/require"
+)
+
+const site = `name = "small"
+wire = "wire.json"
+zones = [{ name = "east", region = "r" }, { name = "west", region = "r" }]
+machines = [
+  { class = "front", zone = "east", count = 1, cores = 1, cpu_share = 0.3 },
+  { class = "front", zone = "west", count = 1, cores = 1, cpu_share = 0.3 },
+  { class = "side", zone = "west", count = 2, cores = 1, cpu_share = 0.2 },
+  { class = "core", zone = "east", count = 2, cores = 1, cpu_share = 0.8, disk = { mb = 128, sync_ms = 6.0 } },
+  { class = "core", zone = "west", count = 1, cores = 1, cpu_share = 0.8, disk = { mb = 128, sync_ms = 6.0 } },
+]
+classes = [{ name = "clips", priority = 0 }]
+traffic = [{ zone = "east", per_s = 2.0 }]
+[tolerate]
+machines = 1
+[net]
+cross_zone_ms = 1.4
+[discovery]
+beat_ms = 1500
+[timing]
+hold_max_ms = 10000.0
+[[day]]
+name = "quiet-1"
+seed = 5
+faults = []
+plan = []
+traffic = [{ zone = "west", per_s = 2.0 }]
+`
+
+func generate(t *testing.T, o Options) table {
+	t.Helper()
+	out, err := Generate([]byte(site), o)
+	require.NoError(t, err)
+	again, err := Generate([]byte(site), o)
+	require.NoError(t, err)
+	require.Equal(t, string(out), string(again), "the seed decides")
+	var root table
+	require.NoError(t, toml.Unmarshal(out, &root))
+	return root
+}
+
+func TestVariationsAreSound(t *testing.T) {
+	seen := make(map[string]bool)
+	for seed := range uint64(300) {
+		root := generate(t, Options{Seed: seed, Days: 5, Folder: "/folder"})
+		require.Equal(t, "/folder/wire.json", root["wire"])
+		zones := make(map[string]bool)
+		for _, z := range list(root["zones"]) {
+			zones[z["name"].(string)] = true
+		}
+		require.LessOrEqual(t, len(zones), mostZones)
+		core, sides := 0, 0
+		for _, m := range list(root["machines"]) {
+			require.Contains(t, zones, m["zone"])
+			switch m["class"] {
+			case coreClass:
+				core += int(number(m["count"]))
+			case "side":
+				sides += int(number(m["count"]))
+			}
+		}
+		bears := int(number(root["tolerate"].(table)["machines"]))
+		require.GreaterOrEqual(t, core, 2*bears+1, "a majority survives what is to be borne")
+		require.Equal(t, 2, sides, "no machine is lost on the way")
+		for _, day := range list(root["day"]) {
+			for _, traffic := range list(day["traffic"]) {
+				require.Contains(t, zones, traffic["zone"])
+			}
+			for _, trouble := range append(list(day["plan"]), list(day["faults"])...) {
+				seen[trouble["kind"].(string)] = true
+			}
+		}
+	}
+	require.Len(t, seen, len(kinds), "every kind comes")
+}
+
+func TestSameDeployment(t *testing.T) {
+	root := generate(t, Options{Seed: 3, Days: 2, Same: true})
+	require.Len(t, list(root["zones"]), 2)
+	require.Len(t, list(root["day"]), 3)
+	require.EqualValues(t, 1500, root["discovery"].(table)["beat_ms"])
+}
+
+func TestSiteThatCannotBeVaried(t *testing.T) {
+	for text, reason := range map[string]string{
+		"= 3":                      "it is no TOML",
+		"name = 'a'":               "zones: none are named",
+		"zones = [{ name = 'a' }]": `machines: none is of the class "core"`,
+		"zones = [{ name = 'a' }]\nmachines = [{ class = 'core', count = 1 }]": "day: there is none",
+	} {
+		_, err := Generate([]byte(text), Options{})
+		require.True(t, errors.Is(err, ErrSite))
+		require.ErrorContains(t, err, reason)
+	}
+}
