Play machines replaced for good and each tolerance on the simulated network

The plays had three to five members and a tolerance of one, and no machine went for good; a disk could be lost only once the voters were as many as the machines.

Plays now have three to seven members with each tolerance that they allow, replace machines (planned or not), lose as many disks as are to be borne once all has been calm for 4.2 s, and have machines come back from a loss of power within 1.5 s.

--- a/cmd/frosttide-simulate/main.go
+++ b/cmd/frosttide-simulate/main.go
@@ -27,7 +27,9 @@
 		os.Exit(2)
 	}
 	options := func(seed uint64) simnet.Options {
-		return simnet.Options{Seed: seed, Cores: 3 + int(seed%3), Runners: *runners, Carriers: 2, Faults: 1, Length: *length, Weaken: simnet.Weakness(*weaken)}
+		o := simnet.Usual(seed)
+		o.Runners, o.Length, o.Weaken = *runners, *length, simnet.Weakness(*weaken)
+		return o
 	}
 	if broken := run(options, *first, *count, *trace); broken > 0 {
 		fmt.Printf("%d of %d plays break a rule\n", broken, *count)
--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -65,7 +65,7 @@
 	leaseUntil  time.Duration // end of the newest lease
 	sequence    uint64        // of the newest orders
 	waitsSince  time.Duration // since when the oldest unapplied orders wait, or some were last applied
-	seen        uint64 // newest orders that the companion has applied
+	seen        uint64        // newest orders that the companion has applied
 	whole       wholeState
 	silent      bool
 	holding     bool
--- a/internal/control/scheduler/status.go
+++ b/internal/control/scheduler/status.go
@@ -33,7 +33,7 @@
 	Capacity   placement.Resources `json:"capacity"`
 	Used       placement.Resources `json:"used"`
 	Runs       int                 `json:"runs"`
-	Tasks      []RunStatus         `json:"tasks,omitempty"` // that hold a part of it
+	Tasks      []RunStatus         `json:"tasks,omitempty"`      // that hold a part of it
 	LeaseMs    int64               `json:"lease_ms"`             // left
 	LostInMs   int64               `json:"lost_in_ms,omitempty"` // out of touch: until its runs count as lost
 	HeardMsAgo int64               `json:"heard_ms_ago,omitempty"`
--- a/internal/simnet/core.go
+++ b/internal/simnet/core.go
@@ -29,6 +29,7 @@
 	queue   []replica.Write
 	writing bool
 	failing bool
+	gone    bool          // it was replaced for good
 	slow    time.Duration // added to each sync
 	clock   time.Duration // what its time of day is off by
 	answers map[uint64]func(status int)
--- a/internal/simnet/faults.go
+++ b/internal/simnet/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"frosttide/internal/view"
@@ -17,7 +18,7 @@
 // kinds are the kinds of faults; each draws its particulars and returns what it is and how to begin it.
 func (w *world) kinds() []func() (string, func()) {
 	core := []func() (string, func()){
-		w.killCore, w.powerCore, w.wipeCore, w.powerAll, w.killAll, w.wipeAndPowerAll, w.freezeCore, w.cutCore, w.cutCoreHalf, w.slowDisk, w.failDisk, w.stepClock,
+		w.killCore, w.powerCore, w.wipeCore, w.powerAll, w.killAll, w.wipeAndPowerAll, w.replaceCore, w.freezeCore, w.cutCore, w.cutCoreHalf, w.slowDisk, w.failDisk, w.stepClock,
 		w.freezeHead, w.killHead, w.cutHead, w.cutHeadFromCore,
 	}
 	if w.options.CoreOnly {
@@ -30,14 +31,26 @@
 func (w *world) drawFaults() (out []fault) {
 	kinds := w.kinds()
 	at := 4 * time.Second
+	losses := []func() (string, func()){w.wipeCore, w.wipeAndPowerAll, w.replaceCore}
 	for at < w.options.Length {
 		at += w.between(0, 5*time.Second)
-		name, do := kinds[w.rng.IntN(len(kinds))]()
+		draw := kinds[w.rng.IntN(len(kinds))]
+		if w.rng.IntN(quietOneIn) == 0 { // losses for good are allowed only when all has been calm
+			at += w.between(catchUp, quietMost)
+			draw = losses[w.rng.IntN(len(losses))]
+		}
+		name, do := draw()
 		out = append(out, fault{name: name, at: at, do: do})
 	}
 	return out
 }
 
+const (
+	// quietOneIn is how seldom a fault is preceded by a quiet time, of at most quietMost.
+	quietOneIn = 5
+	quietMost  = 15 * time.Second
+)
+
 func (w *world) anyCore() *core { return w.cores[w.rng.IntN(len(w.cores))] }
 func (w *world) anySide() *side { return w.sides[w.rng.IntN(len(w.sides))] }
 
@@ -60,7 +73,7 @@
 // back starts a machine of the core again after a time.
 func (c *core) back(d time.Duration) {
 	c.world.while(d, func() {
-		if !c.up {
+		if !c.up && !c.gone {
 			c.begin()
 		}
 	})
@@ -79,7 +92,7 @@
 func (w *world) wipeCore() (string, func()) {
 	c, d := w.anyCore(), w.between(time.Second, 3*time.Second)
 	return fmt.Sprintf("%s loses its disk for %v", c.address, d), func() {
-		if w.mayWipe() {
+		if (w.mayLose() || w.mayWipeOne()) && !c.gone {
 			w.lastWipe = w.now
 			c.powerOff()
 			c.wipe()
@@ -88,12 +101,32 @@
 	}
 }
 
-// wipeApart is how far apart lost disks are at least.
+// backSpread is within how long machines are back after a loss of power.
+const backSpread = 1500 * time.Millisecond
+
+// catchUp is how long a machine counts as lost after it is back, or after its start if it is new; the rules
+// say 4 s.
+const catchUp = 4200 * time.Millisecond
+
+// mayLose tells whether machines or disks may be lost: all are there and have had the time to catch up.
+func (w *world) mayLose() bool {
+	if !w.calmFor(catchUp) {
+		return false
+	}
+	for _, c := range w.cores {
+		if !c.up || c.frozen || c.failing {
+			return false
+		}
+	}
+	return true
+}
+
+// wipeApart is how far apart lost disks are at least where others are in trouble.
 const wipeApart = 12 * time.Second
 
-// mayWipe tells whether a disk may be lost: the one lost before has been replaced, all machines are there
-// and vote. Until then they count as lost themselves, and no more may be.
-func (w *world) mayWipe() bool {
+// mayWipeOne tells whether one disk may be lost though others are cut off or behind: the one lost before has been
+// replaced, and all machines are up and vote.
+func (w *world) mayWipeOne() bool {
 	if w.lastWipe > 0 && w.now-w.lastWipe < wipeApart {
 		return false
 	}
@@ -110,6 +143,39 @@
 	return len(v.GetPrevious()) == 0 && len(v.GetVoters()) == len(w.cores)
 }
 
+// replaceCore takes a machine away for good; an empty one comes later at another address. At least two of the
+// seeds stay.
+func (w *world) replaceCore() (string, func()) {
+	index, d := 2+w.rng.IntN(len(w.cores)-2), w.between(200*time.Millisecond, 3*time.Second)
+	planned := w.rng.IntN(3) == 0
+	return fmt.Sprintf("machine %d of the core is replaced after %v, planned: %v", index, d, planned), func() {
+		if !w.mayLose() {
+			return
+		}
+		old := w.cores[index]
+		w.addresses++
+		next := w.newCore(w.addresses)
+		if planned { // the new one first
+			w.cores = append(w.cores, next)
+			next.begin()
+			w.while(d, func() { w.removeCore(old) })
+			return
+		}
+		w.removeCore(old)
+		w.while(d, func() {
+			w.cores = append(w.cores, next)
+			next.begin()
+		})
+	}
+}
+
+// removeCore takes a machine away for good.
+func (w *world) removeCore(c *core) {
+	c.powerOff()
+	c.gone = true
+	w.cores = slices.DeleteFunc(w.cores, func(o *core) bool { return o == c })
+}
+
 func (w *world) powerAll() (string, func()) {
 	d := w.between(500*time.Millisecond, 9*time.Second)
 	return fmt.Sprintf("all of the core lose power for %v", d), func() {
@@ -139,16 +205,25 @@
 }
 
 func (w *world) wipeAndPowerAll() (string, func()) {
-	c, d := w.anyCore(), w.between(500*time.Millisecond, 2*time.Second)
-	return fmt.Sprintf("%s loses its disk, the others power for %v", c.address, d), func() {
-		wipe := w.mayWipe()
-		for _, other := range w.cores {
-			other.powerOff()
-			if other == c && wipe {
-				w.lastWipe = w.now
+	count, d := 1+w.rng.IntN(w.options.Faults), w.between(500*time.Millisecond, 2*time.Second)
+	order := w.rng.Perm(len(w.cores))
+	return fmt.Sprintf("%d disks are lost, all of the core lose power for %v", count, d), func() {
+		most := 0
+		if w.mayWipeOne() {
+			most = 1
+		}
+		if w.mayLose() {
+			most = count
+		}
+		if most > 0 {
+			w.lastWipe = w.now
+		}
+		for i, c := range w.cores {
+			c.powerOff()
+			if order[i%len(order)] < most {
 				c.wipe()
 			}
-			other.back(d)
+			c.back(d + w.between(0, backSpread)) // a majority may be back before the others
 		}
 	}
 }
--- a/internal/simnet/play.go
+++ b/internal/simnet/play.go
@@ -19,6 +19,13 @@
 	mostShrinks = 60
 )
 
+// Usual returns the usual play of a seed: three to seven members of the control plane, with each tolerance that
+// they allow.
+func Usual(seed uint64) Options {
+	cores := 3 + int(seed%5)
+	return Options{Seed: seed, Cores: cores, Runners: 8, Carriers: 2, Faults: 1 + int(seed/5)%((cores-1)/2), Length: 30 * time.Second}
+}
+
 // Play plays once and returns what it came to.
 func Play(o Options) *Report {
 	w := &world{options: o, rng: rand.New(rand.NewPCG(o.Seed, 2)), processes: make(map[string]*process), cuts: make(map[link]time.Duration), arrives: make(map[link]time.Duration)}
@@ -50,6 +57,7 @@
 	for i := range w.options.Cores {
 		c := w.newCore(i)
 		w.cores = append(w.cores, c)
+		w.addresses = i
 		w.after(w.between(0, 300*time.Millisecond), c.begin)
 	}
 	for i := range w.options.Carriers {
--- a/internal/simnet/play_test.go
+++ b/internal/simnet/play_test.go
@@ -3,14 +3,8 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 )
 
-// options returns the usual play of a seed: three to five members, two or four runners more.
-func options(seed uint64) Options {
-	return Options{Seed: seed, Cores: 3 + int(seed%3), Runners: 8, Carriers: 2, Faults: 1, Length: 30 * time.Second}
-}
-
 // TestPlays holds the rules on plays of many seeds.
 func TestPlays(t *testing.T) {
 	plays := uint64(100)
@@ -23,7 +17,7 @@
 			t.Parallel()
 			atOnce <- struct{}{}
 			defer func() { <-atOnce }()
-			r := Play(options(seed))
+			r := Play(Usual(seed))
 			for _, v := range r.Broken {
 				t.Errorf("%s", v)
 			}
@@ -36,7 +30,7 @@
 
 // TestRepeats has a play of the same seed be the same play.
 func TestRepeats(t *testing.T) {
-	a, b := Play(options(7)), Play(options(7))
+	a, b := Play(Usual(7)), Play(Usual(7))
 	if a.Starts != b.Starts || a.Done != b.Done || a.Accepted != b.Accepted {
 		t.Errorf("%d/%d/%d and %d/%d/%d", a.Starts, a.Done, a.Accepted, b.Starts, b.Done, b.Accepted)
 	}
--- a/internal/simnet/weak_test.go
+++ b/internal/simnet/weak_test.go
@@ -16,13 +16,17 @@
 	for _, c := range []struct {
 		weakness Weakness
 		name     string
-		coreOnly bool // the check is for faults of these machines
-	}{{NoHoldWait, "hold wait", false}, {NoSync, "sync before answer", true}, {NoFence, "fence", false}, {KeepsIdentity, "identity of a lost disk", true}} {
+		faults   Options // the faults that the check is for, all where none are named
+	}{{NoHoldWait, "hold wait", Options{}}, {NoSync, "sync before answer", Options{CoreOnly: true}}, {NoFence, "fence", Options{}},
+		{KeepsIdentity, "identity of a lost disk", Options{CoreOnly: true, Faults: 1}}} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(weakSeeds) {
-				o := options(seed)
-				o.Weaken, o.CoreOnly = c.weakness, c.coreOnly
+				o := Usual(seed)
+				o.Weaken, o.CoreOnly = c.weakness, c.faults.CoreOnly
+				if c.faults.Faults > 0 {
+					o.Cores, o.Faults = 3+int(seed%3), c.faults.Faults
+				}
 				if r := Play(o); len(r.Broken) > 0 {
 					t.Logf("found by seed %d: %s", seed, r.Broken[0])
 					return
--- a/internal/simnet/world.go
+++ b/internal/simnet/world.go
@@ -104,6 +104,7 @@
 
 	processes map[string]*process // by internal address
 	cores     []*core
+	addresses int // the newest machine of the core has this number
 	sides     []*side
 	carriers  []*carrierHost
 	cuts      map[link]time.Duration // cut links, until when
