--- a/cmd/frosttide-lab/force.go
+++ b/cmd/frosttide-lab/force.go
@@ -14,7 +14,7 @@
 func forceCommand() *cobra.Command {
 	to, plan := publication{}, scale.ForcePlan{}
 	c := &cobra.Command{Use: "force", Short: "Measure how long operators' words take to all members, in calm and under faults", Args: cobra.NoArgs,
-		Example: `  frosttide-lab force --commit $(git rev-parse --short HEAD) --page docs/CAPACITY.md --figures docs/capacity`}
+		Example: `  frosttide-lab force --commit $(git rev-parse --short HEAD) --page docs/capacity/dispatcher.md --figures docs/capacity`}
 	f := c.Flags()
 	f.IntVar(&plan.Members, "members", 300, "hollow members, three of them voters")
 	f.IntVar(&plan.Words, "words", 100, "words under each fault")
--- a/cmd/frosttide-lab/scale.go
+++ b/cmd/frosttide-lab/scale.go
@@ -23,7 +23,7 @@
 	var seconds float64
 	to, plan := publication{}, scale.Plan{}
 	c := &cobra.Command{Use: "scale", Short: "Measure how a role's needs grow with the fleet", Args: cobra.NoArgs,
-		Example: `  frosttide-lab scale --binary bin/frosttide --commit $(git rev-parse --short HEAD) --page docs/CAPACITY.md --figures docs/capacity`}
+		Example: `  frosttide-lab scale --binary bin/frosttide --commit $(git rev-parse --short HEAD) --page docs/capacity/dispatcher.md --figures docs/capacity`}
 	f := c.Flags()
 	f.StringVar(&plan.Binary, "binary", "bin/frosttide", "the program")
 	f.StringVar(&role, "role", string(scale.Dispatcher), "what is measured: dispatcher, member, leader")
--- a/cmd/frosttide-lab/urgent.go
+++ b/cmd/frosttide-lab/urgent.go
@@ -17,7 +17,7 @@
 	var seconds float64
 	to, plan := publication{}, size.UrgentPlan{}
 	c := &cobra.Command{Use: "urgent", Short: "Measure how long urgent work waits for its start, in calm, near capacity and under a fault", Args: cobra.NoArgs,
-		Example: `  frosttide-lab urgent --commit $(git rev-parse --short HEAD) --page docs/CAPACITY.md --figures docs/capacity`}
+		Example: `  frosttide-lab urgent --commit $(git rev-parse --short HEAD) --page docs/capacity/dispatcher.md --figures docs/capacity`}
 	f := c.Flags()
 	f.StringVar(&plan.Binary, "binary", "bin/frosttide", "the program")
 	f.IntVar(&plan.Workers, "workers", 40, "hollow workers that hold one job each")
