--- a/internal/nodefile/nodefile_test.go
+++ b/internal/nodefile/nodefile_test.go
@@ -70,3 +70,21 @@
 	_, err = Path()
 	require.ErrorContains(t, err, Variable)
 }
+
+// FuzzRead has any file be read, or refused with the file's name.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(sample))
+	f.Add([]byte("Ip = \"10.0.0.1\"\nPortRange = [1, 2]\n"))
+	f.Add([]byte("PortRange = [9223372036854775807, -1]\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		path := write(t, string(data))
+		settings, err := Read(path)
+		if err != nil {
+			require.True(t, errors.Is(err, ErrSettings))
+			require.ErrorContains(t, err, path)
+			return
+		}
+		require.NotNil(t, settings)
+		settings.Contacts()
+	})
+}
