Mend six of the nine linter findings in older packages

Unused fields in the labs, values of tests that were never looked at, a condition written three times.

--- a/cmd/frosttide/state_test.go
+++ b/cmd/frosttide/state_test.go
@@ -318,6 +318,9 @@
 		t.Fatal(err)
 	}
 	out, errs, status := command(t, nil, "state", "show", dir)
+	if status != 0 {
+		t.Errorf("status %d: %s", status, errs)
+	}
 	for uid, want := range map[string]string{"s-new": "used", "s-old": "withheld", "s-out": "barred", "s-ancient": "rejected"} {
 		found := false
 		for line := range strings.Lines(out) {
--- a/internal/handover/listener_test.go
+++ b/internal/handover/listener_test.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// blocked tells whether a thread of this process is in accept4(2), at two looks in a row.
+// blocked tells whether a thread of this process is in accept4(2), at three looks in a row.
 func blocked(t *testing.T) bool {
 	t.Helper()
 	in := func() bool {
@@ -95,5 +95,10 @@
 		}
 		return false
 	}
-	return in() && in() && in()
+	for range 3 {
+		if !in() {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/lab/gangs/sim.go
+++ b/internal/lab/gangs/sim.go
@@ -107,7 +107,6 @@
 	at     time.Duration
 	parts  []*piece
 	left   int
-	ended  time.Duration
 	served []float64
 }
 
--- a/internal/lab/outage/host.go
+++ b/internal/lab/outage/host.go
@@ -25,7 +25,6 @@
 type asked struct {
 	work float64
 	came time.Duration
-	sent int
 }
 
 // Of the settings that no installation differs in much.
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -68,7 +68,6 @@
 	class    string
 	deadline time.Time
 	answers  int
-	refused  bool
 	ran      int
 }
 
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -107,7 +107,7 @@
 	if i := await(t, a.seen.gone, "end of b", named("b")); i.Life != Dead {
 		t.Errorf("after a crash b is %s", i.Life)
 	}
-	b = start(t, "b", at, c.port.Advertised())
+	start(t, "b", at, c.port.Advertised())
 	await(t, a.seen.joined, "b back", named("b"))
 	c.Leave()
 	if i := await(t, a.seen.gone, "farewell of c", named("c")); i.Life != Left {
