--- a/internal/control/placement/fleet.go
+++ b/internal/control/placement/fleet.go
@@ -163,6 +163,7 @@
 // Describe notes what a runner says of itself.
 func (f *Fleet) Describe(r *Runner, service, rack string, labels []string, capacity Resources) {
 	if r.Service != service {
+		f.changes++
 		f.leaveService(r)
 		r.Service = service
 		f.services[service] = append(f.services[service], r)
--- a/internal/control/replica/machine_test.go
+++ b/internal/control/replica/machine_test.go
@@ -520,3 +520,27 @@
 		require.Len(t, c.head().View().GetVoters(), 5)
 	}
 }
+
+// TestLostVoterComesBack has a voter that left as it was silent join again when it is back, and bear its part.
+func TestLostVoterComesBack(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newClusterBearing(t, 400+seed, 4, 1)
+		c.play(2 * time.Second)
+		require.True(t, c.write(1))
+		c.play(100 * time.Millisecond)
+		lost := c.members["m4"]
+		if c.head() == lost {
+			lost = c.members["m3"]
+		}
+		c.stop(lost, true)
+		c.play(3 * time.Second)
+		require.Len(t, c.head().View().GetVoters(), 3, "three bear another loss, four with one lost do not")
+		require.True(t, c.write(2))
+		c.start(lost)
+		c.play(3 * time.Second)
+		require.Len(t, c.head().View().GetVoters(), 4)
+		c.stop(c.head(), true)
+		c.play(2 * time.Second)
+		c.checkKept()
+	}
+}
--- a/internal/control/scheduler/inspect.go
+++ b/internal/control/scheduler/inspect.go
@@ -88,11 +88,7 @@
 		}
 		out.Steps = append(out.Steps, step)
 	})
-	for _, w := range d.Status().Waiting {
-		if w.Job == id {
-			out.Waiting = append(out.Waiting, w)
-		}
-	}
+	out.Waiting = d.waiting(func(s *jobs.Step) bool { return s.Job == j })
 	return out, true
 }
 
--- a/internal/control/scheduler/scale_bench_test.go
+++ b/internal/control/scheduler/scale_bench_test.go
@@ -58,21 +58,28 @@
 func companionName(i int) string { return fmt.Sprintf("c%d", i) }
 func runnerName(i int) string    { return fmt.Sprintf("w%d", i) }
 
-// BenchmarkEndAndNextStart measures the end of a task and the start of the next one in its place, from the
-// report to the order.
-func BenchmarkEndAndNextStart(b *testing.B) {
+// eachSize measures a step on a busy fleet of each size.
+func eachSize(b *testing.B, step func(r *rig, size fleetSize, i int)) {
 	for _, size := range sizes {
 		b.Run(size.String(), func(b *testing.B) {
 			r := busyFleet(b, size)
 			b.ResetTimer()
 			for i := 0; b.Loop(); i++ {
-				r.endOne(i % size.runners)
-				r.now += time.Millisecond
+				step(r, size, i)
 			}
 		})
 	}
 }
 
+// BenchmarkEndAndNextStart measures the end of a task and the start of the next one in its place, from the
+// report to the order.
+func BenchmarkEndAndNextStart(b *testing.B) {
+	eachSize(b, func(r *rig, size fleetSize, i int) {
+		r.endOne(i % size.runners)
+		r.now += time.Millisecond
+	})
+}
+
 // endOne has a runner report the end of one of its tasks, and commits what follows.
 func (r *rig) endOne(i int) {
 	runner := r.d.runners[runnerName(i)]
@@ -90,60 +97,33 @@
 	r.d.TakeSends()
 }
 
-// BenchmarkPassWithoutChange measures what a turn costs in which nothing has happened but time.
-func BenchmarkPassWithoutChange(b *testing.B) {
-	for _, size := range sizes {
-		b.Run(size.String(), func(b *testing.B) {
-			r := busyFleet(b, size)
-			b.ResetTimer()
-			for b.Loop() {
-				r.d.Entry(r.now)
-			}
-		})
-	}
+// BenchmarkTurnWithoutChange measures a turn in which nothing has happened.
+func BenchmarkTurnWithoutChange(b *testing.B) {
+	eachSize(b, func(r *rig, _ fleetSize, _ int) { r.d.Entry(r.now) })
 }
 
-// BenchmarkTick measures what the clock costs.
+// BenchmarkTick measures what the clock costs, with the pass over all that waits that follows it.
 func BenchmarkTick(b *testing.B) {
-	for _, size := range sizes {
-		b.Run(size.String(), func(b *testing.B) {
-			r := busyFleet(b, size)
-			b.ResetTimer()
-			for b.Loop() {
-				r.d.Tick(r.now, r.wall(), r.now)
-			}
-		})
-	}
+	eachSize(b, func(r *rig, _ fleetSize, _ int) {
+		r.d.Tick(r.now, r.wall(), r.now)
+		r.d.Entry(r.now)
+	})
 }
 
 // BenchmarkViewChange measures what the head does when it goes on in another view.
 func BenchmarkViewChange(b *testing.B) {
-	for _, size := range sizes {
-		b.Run(size.String(), func(b *testing.B) {
-			r := busyFleet(b, size)
-			b.ResetTimer()
-			for b.Loop() {
-				r.epoch++
-				r.d.Continue(r.now, r.epoch, r.index)
-				r.d.Entry(r.now)
-				r.index++
-				r.d.Appended(r.index)
-				r.d.Committed(r.now, r.index)
-				r.d.TakeSends()
-			}
-		})
-	}
+	eachSize(b, func(r *rig, _ fleetSize, _ int) {
+		r.epoch++
+		r.d.Continue(r.now, r.epoch, r.index)
+		r.d.Entry(r.now)
+		r.index++
+		r.d.Appended(r.index)
+		r.d.Committed(r.now, r.index)
+		r.d.TakeSends()
+	})
 }
 
 // BenchmarkTakeOver measures how long a new head needs to know all from the store.
 func BenchmarkTakeOver(b *testing.B) {
-	for _, size := range sizes {
-		b.Run(size.String(), func(b *testing.B) {
-			r := busyFleet(b, size)
-			b.ResetTimer()
-			for b.Loop() {
-				r.elect()
-			}
-		})
-	}
+	eachSize(b, func(r *rig, _ fleetSize, _ int) { r.elect() })
 }
--- a/internal/control/scheduler/scheduler_test.go
+++ b/internal/control/scheduler/scheduler_test.go
@@ -402,6 +402,9 @@
 	}
 	require.Len(t, waited, 2, "their ends are asked for")
 	require.Equal(t, 2, r.d.Fleet().Runner("i1").Holds())
+	held := r.d.Status().Runners[0].Tasks
+	require.Len(t, held, 2)
+	require.Equal(t, RunStatus{Task: job + ".0.0.0", Run: 1, State: "canceled", Stopping: true}, held[0], "an operator sees what holds it")
 	r.report("c1", "i1", func(report *protocol.RunnerReport) { report.Refused = waited })
 	r.commit()
 	require.Zero(t, r.d.Fleet().Runner("i1").Holds())
@@ -413,6 +416,8 @@
 		dropped = append(dropped, o.GetDrop()...)
 	}
 	require.Len(t, dropped, 2, "the companion may forget them")
+	r.elect()
+	require.Zero(t, r.d.Fleet().Runner("i1").Holds(), "their ends are in the store")
 }
 
 // TestLostOrdersUnderNewOnes has the whole set sent again to a companion that has missed orders though newer ones
@@ -436,3 +441,27 @@
 	}
 	require.True(t, again)
 }
+
+// TestPlacesWithoutATick has a blocked task started in the very turn in which room comes back, not only when the
+// clock has moved, and no pass made in a turn that changes nothing.
+func TestPlacesWithoutATick(t *testing.T) {
+	r := newRig(t)
+	r.meet("c1", "i1")
+	first := r.submit(1, "fast", stage(1, 4000))
+	second := r.submit(2, "fast", stage(1, 4000))
+	r.report("c1", "i1")
+	r.commit()
+	require.Contains(t, r.started("c1"), first+".0.0.0")
+	require.NotContains(t, r.started("c1"), second+".0.0.0")
+	r.d.Entry(r.now)
+	require.Equal(t, r.d.fleet.Changes(), r.d.placedAt)
+	require.False(t, r.d.timePassed)
+	r.report("c1", "i1", ends("done", &protocol.RunEnd{Number: 1, Task: first + ".0.0.0", Run: 1}))
+	e := r.d.Entry(r.now)
+	r.index++
+	r.store.Apply(e.GetPuts(), e.GetDeletes())
+	r.d.Appended(r.index)
+	r.d.Committed(r.now, r.index)
+	r.collect()
+	require.Contains(t, r.started("c1"), second+".0.0.0")
+}
--- a/internal/control/scheduler/status.go
+++ b/internal/control/scheduler/status.go
@@ -74,15 +74,21 @@
 	for _, id := range slices.Sorted(maps.Keys(d.runners)) {
 		s.Runners = append(s.Runners, d.runnerStatus(d.runners[id]))
 	}
+	s.Waiting = d.waiting(func(*jobs.Step) bool { return true })
+	return s
+}
+
+// waiting returns the steps that wait and are wanted, bounded.
+func (d *Scheduler) waiting(wanted func(*jobs.Step) bool) (out []WaitStatus) {
 	for _, service := range slices.Sorted(maps.Keys(d.queues)) {
 		q := d.queues[service]
 		for i := range q.waiting {
-			if w := &q.waiting[i]; len(s.Waiting) < mostWaiting && w.due() {
-				s.Waiting = append(s.Waiting, d.waitStatus(q, w))
+			if w := &q.waiting[i]; len(out) < mostWaiting && w.due() && wanted(w.step) {
+				out = append(out, d.waitStatus(q, w))
 			}
 		}
 	}
-	return s
+	return out
 }
 
 func (d *Scheduler) runnerStatus(r *runner) RunnerStatus {
--- a/internal/lab/variants/days.go
+++ b/internal/lab/variants/days.go
@@ -1,11 +1,15 @@
 package variants
 
-import "fmt"
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
 
 // kind is how a kind of trouble is drawn.
 type kind struct {
 	planned bool // work of the operators, not a fault
-	draw    func(g *generator, at float64) table
+	draw    func(g *generator) table
 }
 
 // kinds are the kinds of trouble that the bench tells of.
@@ -14,8 +18,8 @@
 	"after_ack_kill": {draw: choosing(1, 3, "", "kill", "timed", "taken")},
 	"after_ack_wipe": {draw: choosing(1, 3, "", "timed", "oldest")},
 	"bad_config":     {planned: true, draw: repeated("", "cut_short", "unknown_service", "old_version", "same_version", "stale_match")},
-	"big_config":     {planned: true, draw: func(g *generator, _ float64) table { return table{"count": int64(100 + g.rng.IntN(300))} }},
-	"burst":          {draw: func(g *generator, _ float64) table { return table{"x": g.between(1.5, 3), "for_s": g.between(2, 4)} }},
+	"big_config":     {planned: true, draw: func(g *generator) table { return table{"count": int64(100 + g.rng.IntN(300))} }},
+	"burst":          {draw: func(g *generator) table { return table{"x": g.between(1.5, 3), "for_s": g.between(2, 4)} }},
 	"clock_step":     {draw: clockStep},
 	"config_change":  {planned: true, draw: repeated("route", "timeout", "idle")},
 	"config_race":    {planned: true, draw: repeated("")},
@@ -25,53 +29,53 @@
 	"disk_stall":     {draw: onDisks(0)},
 	"give_up":        {draw: sharing(3, 6, 0.1, 0.35)},
 	"herd_kill":      {draw: herdKill},
-	"hup":            {planned: true, draw: func(g *generator, _ float64) table { return table{"share": g.between(0.2, 1), "gap_s": 1.0} }},
+	"hup":            {planned: true, draw: func(g *generator) table { return table{"share": g.between(0.2, 1), "gap_s": 1.0} }},
 	"node_cut":       {draw: nodeCut},
 	"node_freeze":    {draw: onMachines("leader", "")},
 	"node_kill":      {draw: onMachines("power", "leader", "seed", "")},
 	"node_slow":      {draw: sharing(2, 6, 0.05, 0.2)},
 	"poison":         {draw: sharing(2, 4, 0.03, 0.08)},
 	"replace_core":   {draw: replaceCore},
-	"reset_conns":    {draw: func(g *generator, _ float64) table { return table{"share": g.between(0.1, 0.5), "x": 0.5} }},
+	"reset_conns":    {draw: func(g *generator) table { return table{"share": g.between(0.1, 0.5), "x": 0.5} }},
 	"roll_term":      {planned: true, draw: rollTerm},
-	"scale_in":       {planned: true, draw: func(g *generator, _ float64) table { return table{"share": g.between(0.04, 0.12)} }},
-	"seed_turnover":  {planned: true, draw: func(*generator, float64) table { return table{} }},
+	"scale_in":       {planned: true, draw: func(g *generator) table { return table{"share": g.between(0.04, 0.12)} }},
+	"seed_turnover":  {planned: true, draw: func(*generator) table { return table{} }},
 	"srv_crash":      {draw: choosing(2, 5, "", "dark", "gone", "rack")},
 	"srv_cut":        {draw: sharing(2, 6, 0.1, 0.25)},
 	"srv_grey":       {draw: srvGrey},
-	"srv_slow": {draw: func(g *generator, _ float64) table {
+	"srv_slow": {draw: func(g *generator) table {
 		return table{"share": 0.15, "x": g.between(3, 7), "for_s": g.between(3, 8)}
 	}},
 }
 
-func lasting(least, most float64, more table) func(*generator, float64) table {
-	return func(g *generator, _ float64) table {
-		out := copied(more)
+func lasting(least, most float64, more table) func(*generator) table {
+	return func(g *generator) table {
+		out := maps.Clone(more)
 		out["for_s"] = g.between(least, most)
 		return out
 	}
 }
 
-func sharing(least, most, smallest, largest float64) func(*generator, float64) table {
-	return func(g *generator, _ float64) table {
+func sharing(least, most, smallest, largest float64) func(*generator) table {
+	return func(g *generator) table {
 		return table{"for_s": g.between(least, most), "share": g.between(smallest, largest)}
 	}
 }
 
-func choosing(least, most float64, how ...string) func(*generator, float64) table {
-	return func(g *generator, _ float64) table {
+func choosing(least, most float64, how ...string) func(*generator) table {
+	return func(g *generator) table {
 		return table{"for_s": g.between(least, most), "how": g.pick(how)}
 	}
 }
 
-func repeated(how ...string) func(*generator, float64) table {
-	return func(g *generator, _ float64) table {
+func repeated(how ...string) func(*generator) table {
+	return func(g *generator) table {
 		return table{"count": int64(1 + g.rng.IntN(3)), "gap_s": g.between(0.5, 1.5), "how": g.pick(how)}
 	}
 }
 
-func onDisks(x float64) func(*generator, float64) table {
-	return func(g *generator, _ float64) table {
+func onDisks(x float64) func(*generator) table {
+	return func(g *generator) table {
 		out := table{"count": int64(1 + g.rng.IntN(g.bears)), "for_s": g.between(2, 6), "how": g.pick([]string{"", "leader"})}
 		if x > 0 {
 			out["x"] = x
@@ -81,8 +85,8 @@
 }
 
 // onMachines strikes control machines or others.
-func onMachines(how ...string) func(*generator, float64) table {
-	return func(g *generator, _ float64) table {
+func onMachines(how ...string) func(*generator) table {
+	return func(g *generator) table {
 		out := table{"for_s": g.between(1.5, 5), "how": g.pick(how)}
 		switch g.rng.IntN(3) {
 		case 0:
@@ -94,15 +98,15 @@
 	}
 }
 
-func clockStep(g *generator, _ float64) table {
+func clockStep(g *generator) table {
 	return table{"share": g.between(0.2, 0.6), "x": g.between(500, 5000), "for_s": g.between(3, 8), "how": g.pick([]string{"back", "ahead"})}
 }
 
-func coreCut(g *generator, _ float64) table {
+func coreCut(g *generator) table {
 	return table{"count": int64(1 + g.rng.IntN(g.bears)), "for_s": g.between(2, 7), "how": g.pick([]string{"", "leader", "behind", "leader race"})}
 }
 
-func herdKill(g *generator, _ float64) table {
+func herdKill(g *generator) table {
 	out := table{"on": coreClass, "share": g.between(0.5, 1), "how": g.pick([]string{"", "power", "taken power"})}
 	if out["how"] != "" {
 		out["for_s"] = g.between(1, 9.5)
@@ -110,7 +114,7 @@
 	return out
 }
 
-func nodeCut(g *generator, _ float64) table {
+func nodeCut(g *generator) table {
 	out := table{"share": g.between(0.1, 0.25), "for_s": g.between(2, 6)}
 	if g.rng.IntN(2) == 0 {
 		out["on"] = "side"
@@ -118,15 +122,15 @@
 	return out
 }
 
-func replaceCore(g *generator, _ float64) table {
+func replaceCore(g *generator) table {
 	return table{"x": g.between(0.5, 3), "how": g.pick([]string{"", "planned", "oldest"})}
 }
 
-func rollTerm(g *generator, _ float64) table {
+func rollTerm(g *generator) table {
 	return table{"share": g.between(0.3, 1), "x": 1.0, "gap_s": g.between(0.5, 1.5), "how": g.pick([]string{"", "busy"})}
 }
 
-func srvGrey(g *generator, _ float64) table {
+func srvGrey(g *generator) table {
 	return table{"share": 0.1, "x": g.between(0.4, 1), "for_s": g.between(3, 7),
 		"how": g.pick([]string{"errors", "shed", "busy", "hang", "reset", "mute", "slow"})}
 }
@@ -146,14 +150,14 @@
 func (g *generator) days(o Options) {
 	pattern := list(g.root["day"])[0]
 	days := []any{g.day(pattern, "calm", nil, nil)}
-	names := sorted(kinds)
+	names := slices.Sorted(maps.Keys(kinds))
 	for i := range o.Days {
 		var plan, faults []any
 		for range 2 + g.rng.IntN(2) {
 			at := g.between(earliest, latest)
 			for range 2 {
 				name := g.pick(names)
-				trouble := kinds[name].draw(g, at)
+				trouble := kinds[name].draw(g)
 				trouble["kind"], trouble["at"] = name, round(at+g.between(0, nearby))
 				if trouble["how"] == "" {
 					delete(trouble, "how")
@@ -171,7 +175,7 @@
 }
 
 func (g *generator) day(pattern table, name string, plan, faults []any) table {
-	day := copied(pattern)
+	day := maps.Clone(pattern)
 	for _, key := range []string{"floor_classes", "floor_zones", "goal", "light"} {
 		delete(day, key) // they belong to the original's day
 	}
--- a/internal/lab/variants/variants.go
+++ b/internal/lab/variants/variants.go
@@ -5,10 +5,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"path/filepath"
-	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
@@ -188,10 +188,10 @@
 	}
 	for _, zone := range g.zones {
 		if count[zone] > 0 {
-			m := copied(pattern)
+			m := maps.Clone(pattern)
 			m["zone"], m["count"] = zone, int64(count[zone])
 			if disk, ok := m["disk"].(table); ok {
-				disk = copied(disk)
+				disk = maps.Clone(disk)
 				disk["sync_ms"] = g.between(leastSyncMs, mostSyncMs)
 				m["disk"] = disk
 			}
@@ -297,20 +297,3 @@
 	}
 	return 0
 }
-
-func copied(t table) table {
-	out := make(table, len(t))
-	for key, value := range t {
-		out[key] = value
-	}
-	return out
-}
-
-// sorted returns the keys of a table in order.
-func sorted(t map[string]kind) (keys []string) {
-	for key := range t {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
