--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,20 +60,6 @@
 	failed map[string]time.Time // dials
 }
 
-// link is a stream to another process.
-type link struct {
-	to          string
-	incarnation atomic.Uint64 // of the other process, 0 before its hello
-	mu          sync.Mutex
-	queue       []*protocol.Envelope
-	wake        chan struct{}
-	done        chan struct{}
-	once        sync.Once
-	used        time.Time
-	close       func()
-	dialing     bool // no connection stands yet; guarded by the transport's lock
-}
-
 // stream is either end of a drpc stream.
 type stream interface {
 	Send(*protocol.Envelope) error
@@ -172,39 +157,6 @@
 	l.put(e)
 }
 
-func newLink(to string) *link {
-	return &link{to: to, wake: make(chan struct{}, 1), done: make(chan struct{}), used: time.Now(), close: func() {}}
-}
-
-// put queues a message. A link whose queue is full is given up, so that the other end sees the loss.
-func (l *link) put(e *protocol.Envelope) {
-	l.mu.Lock()
-	l.used = time.Now()
-	full := len(l.queue) >= mostQueued
-	if !full {
-		l.queue = append(l.queue, e)
-	}
-	l.mu.Unlock()
-	if full {
-		l.end()
-		return
-	}
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
-}
-
-// end closes a link.
-func (l *link) end() {
-	l.once.Do(func() {
-		close(l.done)
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.close()
-	})
-}
-
 // drop forgets a link that has ended.
 func (t *Transport) drop(l *link, failed bool) {
 	l.end()
@@ -310,15 +262,6 @@
 	t.links[l.to] = l
 }
 
-// take returns the messages that wait, which the link forgets.
-func (l *link) take() []*protocol.Envelope {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	queue := l.queue
-	l.queue = nil
-	return queue
-}
-
 // read hands on what comes.
 func (t *Transport) read(l *link, s stream) {
 	for {
@@ -368,12 +311,6 @@
 	}
 }
 
-func (l *link) unused() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.queue) == 0 && time.Since(l.used) > idleTime
-}
-
 // flushOf returns how a stream is flushed.
 func flushOf(s stream) func() error {
 	if holder, ok := s.(interface{ GetStream() drpc.Stream }); ok {
