Have steps that ask for the same wait in one line

A task that waited for a trusted runner alone (its last attempt) counted as blocked and kept all like it waiting; a gang that could not be placed put the tokens it had tried to the back of the ring.

Ruled out: a tree of demands; with a handful of demands for a service a line for each is simpler, and what is blocked is known for a line at once.

Change: queues keep lines by what is asked; a pass merges the lines in the order of their steps; runners with free tokens, the free room and whether any runner is distrusted are kept by service (placement.pool).

--- a/internal/control/placement/fleet.go
+++ b/internal/control/placement/fleet.go
@@ -66,6 +66,7 @@
 	holds   map[string]Hold // by run: task's name
 	groups  map[Group]int
 	trust   trust
+	openAt  int // its place among the open ones of its pool, or notOpen
 }
 
 // Used returns what runs hold of the runner.
@@ -94,15 +95,15 @@
 
 // Fleet is all runners. It is not safe for concurrent use.
 type Fleet struct {
-	runners  map[string]*Runner
-	services map[string][]*Runner
-	bucket   *bucket.Bucket[*Runner]
-	changes  uint64
+	runners map[string]*Runner
+	pools   map[string]*pool // by service
+	bucket  *bucket.Bucket[*Runner]
+	changes uint64
 }
 
 // NewFleet returns a fleet without runners.
 func NewFleet() *Fleet {
-	return &Fleet{runners: make(map[string]*Runner), services: make(map[string][]*Runner), bucket: bucket.New[*Runner]()}
+	return &Fleet{runners: make(map[string]*Runner), pools: make(map[string]*pool), bucket: bucket.New[*Runner]()}
 }
 
 // Changes returns a number that rises whenever something has changed by which a task that was blocked may be
@@ -112,7 +113,7 @@
 // SetUsable says whether a runner may be sent tasks now.
 func (f *Fleet) SetUsable(r *Runner, usable bool) {
 	if r.Usable != usable {
-		r.Usable = usable
+		f.change(r, func() { r.Usable = usable })
 		f.changes++
 	}
 }
@@ -127,58 +128,34 @@
 	}
 }
 
-// Service returns the runners of a service.
-func (f *Fleet) Service(name string) []*Runner { return f.services[name] }
-
-// FreeOf returns the room that the usable runners of a service have together.
-func (f *Fleet) FreeOf(service string) (free Resources) {
-	for _, r := range f.services[service] {
-		if r.Usable {
-			free = free.Plus(r.Free())
-		}
-	}
-	return free
-}
-
-// HasRack tells whether a usable runner of a rack could take a task if it were empty.
-func (f *Fleet) HasRack(w *Want, rack string) bool {
-	for _, r := range f.services[w.Service] {
-		if r.Usable && r.Rack == rack && r.able(w) {
-			return true
-		}
-	}
-	return false
-}
-
 // Add makes an account for a runner that is known only by its id.
 func (f *Fleet) Add(id string) *Runner {
 	if r := f.runners[id]; r != nil {
 		return r
 	}
-	r := &Runner{ID: id, holds: make(map[string]Hold), groups: make(map[Group]int)}
+	r := &Runner{ID: id, holds: make(map[string]Hold), groups: make(map[Group]int), openAt: notOpen}
 	f.runners[id] = r
 	return r
 }
 
 // Describe notes what a runner says of itself.
 func (f *Fleet) Describe(r *Runner, service, rack string, labels []string, capacity Resources) {
-	if r.Service != service {
-		f.changes++
-		f.leaveService(r)
-		r.Service = service
-		f.services[service] = append(f.services[service], r)
-	}
-	if r.Rack != rack || !slices.Equal(r.Labels, labels) {
-		r.Rack, r.Labels = rack, labels
-		f.changes++
-	}
-	if r.Capacity == capacity {
+	if r.Service == service && r.Rack == rack && r.Capacity == capacity && slices.Equal(r.Labels, labels) {
 		return
 	}
 	f.changes++
-	r.Capacity = capacity
-	f.bucket.SetLimit(&r.account, r, tokensOf(capacity))
-	f.recount(r)
+	f.change(r, func() {
+		if r.Service != service {
+			f.leave(r)
+			f.join(r, service)
+		}
+		r.Rack, r.Labels = rack, labels
+		if r.Capacity != capacity {
+			r.Capacity = capacity
+			f.bucket.SetLimit(&r.account, r, tokensOf(capacity))
+			f.recount(r)
+		}
+	})
 }
 
 // tokensOf returns how many tokens a capacity is worth.
@@ -210,27 +187,23 @@
 		return
 	}
 	f.changes++
+	f.withdraw(r)
 	f.bucket.Take(&r.account, r.account.Free)
-	f.leaveService(r)
+	f.leave(r)
 	delete(f.runners, id)
 }
 
-func (f *Fleet) leaveService(r *Runner) {
-	f.services[r.Service] = slices.DeleteFunc(f.services[r.Service], func(o *Runner) bool { return o == r })
-	if len(f.services[r.Service]) == 0 {
-		delete(f.services, r.Service)
-	}
-}
-
 // Hold gives a part of a runner to a task's run.
 func (f *Fleet) Hold(r *Runner, task string, demand Resources, group Group) {
 	if r.Holding(task) {
 		return
 	}
 	h := Hold{Demand: demand, Group: group, tokens: r.tokensFor(demand)}
-	f.bucket.Seize(&r.account, h.tokens)
-	r.holds[task] = h
-	r.used = r.used.Plus(demand)
+	f.change(r, func() {
+		f.bucket.Seize(&r.account, h.tokens)
+		r.holds[task] = h
+		r.used = r.used.Plus(demand)
+	})
 	r.groups[group]++
 }
 
@@ -241,9 +214,11 @@
 		return
 	}
 	f.changes++
-	delete(r.holds, task)
-	f.bucket.Release(&r.account, r, h.tokens)
-	r.used = r.used.Minus(h.Demand)
+	f.change(r, func() {
+		delete(r.holds, task)
+		f.bucket.Release(&r.account, r, h.tokens)
+		r.used = r.used.Minus(h.Demand)
+	})
 	if r.groups[h.Group]--; r.groups[h.Group] == 0 {
 		delete(r.groups, h.Group)
 	}
@@ -252,5 +227,5 @@
 // Trouble notes how a run on a runner ended, for the choice between runners.
 func (f *Fleet) Trouble(r *Runner, job string, failed bool, now time.Duration) {
 	f.changes++
-	r.trust.note(job, failed, now)
+	f.change(r, func() { r.trust.note(job, failed, now) })
 }
--- a/internal/control/placement/pick.go
+++ b/internal/control/placement/pick.go
@@ -75,10 +75,14 @@
 // Pick returns the runner that a task goes to: of the compatible ones those of the best class, of these
 // the one whose tokens have been free longest; nil where the task is blocked.
 func (f *Fleet) Pick(w *Want, now time.Duration) *Runner {
+	p := f.pools[w.Service]
+	if p == nil {
+		return nil
+	}
 	var best *Runner
 	var bestClass class
 	wary := f.suspicionCounts(w, now)
-	for _, r := range f.services[w.Service] {
+	for _, r := range p.open {
 		if !r.compatible(w) || wary && !r.trusted(w, now) {
 			continue
 		}
@@ -111,7 +115,7 @@
 
 // racks returns the racks of a service, where the data lies first.
 func (f *Fleet) racks(w *Want) (racks []string) {
-	for _, r := range f.services[w.Service] {
+	for _, r := range f.Service(w.Service) {
 		if !slices.Contains(racks, r.Rack) {
 			racks = append(racks, r.Rack)
 		}
@@ -122,21 +126,53 @@
 	return racks
 }
 
+// tryGang returns a runner for each task, nil where there is no room for all of them. What can't be placed
+// leaves the order of the free tokens as it was.
 func (f *Fleet) tryGang(w *Want, tasks []string, now time.Duration) []*Runner {
-	var picked []*Runner
+	if !f.holdsAll(w, len(tasks), now) {
+		return nil
+	}
+	picked := make([]*Runner, 0, len(tasks))
 	for _, task := range tasks {
 		r := f.Pick(w, now)
-		if r == nil {
-			break
-		}
 		f.Hold(r, task, w.Demand, w.Group)
 		picked = append(picked, r)
 	}
 	for i, r := range picked {
 		f.Release(r, tasks[i])
 	}
-	if len(picked) < len(tasks) {
-		return nil
-	}
 	return picked
 }
+
+// holdsAll tells whether a number of tasks that ask for the same can be placed at once.
+func (f *Fleet) holdsAll(w *Want, count int, now time.Duration) bool {
+	p := f.pools[w.Service]
+	if p == nil {
+		return false
+	}
+	wary := f.suspicionCounts(w, now)
+	room := 0
+	for _, r := range p.open {
+		if r.compatible(w) && (!wary || r.trusted(w, now)) {
+			room += r.roomFor(w)
+		}
+		if room >= count {
+			return true
+		}
+	}
+	return false
+}
+
+// roomFor returns how many tasks that ask for the same a compatible runner can take.
+func (r *Runner) roomFor(w *Want) int {
+	room, free := r.account.Free/r.tokensFor(w.Demand), r.Free()
+	for _, part := range [...]struct{ free, demand int64 }{{free.CPU, w.Demand.CPU}, {free.MemMB, w.Demand.MemMB}, {free.GPUs, w.Demand.GPUs}} {
+		if part.demand > 0 {
+			room = min(room, int(part.free/part.demand))
+		}
+	}
+	if w.AntiAffinity > 0 {
+		room = min(room, w.AntiAffinity-r.groups[w.Group])
+	}
+	return room
+}
--- a/internal/control/placement/trust.go
+++ b/internal/control/placement/trust.go
@@ -55,6 +55,9 @@
 	return t.inARow >= suspectInARow || t.ends >= suspectEnds && t.failing >= suspectShare
 }
 
+// troubled tells whether the newest ends speak against a runner; of one that is not, no task is kept.
+func (t *trust) troubled() bool { return t.probation || t.inARow > 0 }
+
 // suspect tells whether a runner is to be left alone for now.
 func (t *trust) suspect(now time.Duration) bool { return t.probation && now-t.last < forgiveAfter }
 
@@ -82,8 +85,12 @@
 // suspicionCounts tells whether suspicion keeps runners from a task: not where too many of those that could
 // take it are suspect, so that the fault is hardly theirs, nor where there is but one.
 func (f *Fleet) suspicionCounts(w *Want, now time.Duration) bool {
+	p := f.pools[w.Service]
+	if p == nil || p.troubled == 0 {
+		return false
+	}
 	able, suspects := 0, 0
-	for _, r := range f.services[w.Service] {
+	for _, r := range p.all {
 		if !r.Usable || !r.able(w) {
 			continue
 		}
--- a/internal/control/placement/why.go
+++ b/internal/control/placement/why.go
@@ -22,7 +22,7 @@
 // Why tells what keeps a task from the runners of its service.
 func (f *Fleet) Why(w *Want, now time.Duration) (o Obstacles) {
 	wary := f.suspicionCounts(w, now)
-	for _, r := range f.services[w.Service] {
+	for _, r := range f.Service(w.Service) {
 		o.Runners++
 		free := r.Free()
 		if r.Usable {
--- /dev/null
+++ b/internal/control/scheduler/pass_test.go
@@ -0,0 +1,164 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"frosttide/internal/control/jobs"
+	"frosttide/internal/protocol"
+)
+
+// placeOneByOne does what a pass does, without lines: it looks at each step and has its tasks tried each by
+// itself.
+func placeOneByOne(d *Scheduler) {
+	for _, s := range d.jobs.TakeReady() {
+		w := &waitingStep{step: s, want: wantOf(s), priority: d.priority(s.Job), since: d.now, objective: d.objective(s)}
+		w.lateness = w.objective.lateness(d.wallMs)
+		d.queue(s.Job.Service).add(w)
+	}
+	for _, service := range slices.Sorted(maps.Keys(d.queues)) {
+		q := d.queues[service]
+		q.sweep(d.wallMs)
+		if len(q.lines) == 0 {
+			continue
+		}
+		q.observe(d.now)
+		for _, w := range q.inOrder() {
+			// A pass of its own knows of nothing that was blocked, and of no place in the line.
+			p := d.newPass(q)
+			if w.due() && w.want.Gang {
+				p.placeStep(w)
+				continue
+			}
+			for i := range w.step.Tasks {
+				w.want.Rack = ""
+				if p.waitsForRack(w) {
+					w.want.Rack = w.want.Affinity
+				}
+				p.blocked = nil
+				if w.step.Tasks[i].Phase == jobs.Waiting && d.leavesRoom(q, w) {
+					p.placeTask(w, i)
+				}
+			}
+		}
+		q.sweep(d.wallMs)
+	}
+}
+
+// runsOf returns the runner of each task that runs.
+func (r *rig) runsOf() map[string]string {
+	runs := make(map[string]string)
+	for id, runner := range r.d.runners {
+		for task := range runner.live {
+			runs[task] = id
+		}
+	}
+	return runs
+}
+
+// randomStage returns a stage of one of a few kinds.
+func randomStage(rng *rand.Rand) *protocol.Stage {
+	s := &protocol.Stage{Count: 1 + uint32(rng.IntN(6)), Cpu: int64(500 * (1 + rng.IntN(4))), MemMb: int64(500 * rng.IntN(4)), EstimateMs: 3000}
+	switch rng.IntN(6) {
+	case 0:
+		s.Gang, s.SameRack = true, rng.IntN(2) == 0
+	case 1:
+		s.Affinity = fmt.Sprintf("r%d-1", rng.IntN(3))
+	case 2:
+		s.AntiAffinity = 1 + uint32(rng.IntN(2))
+	case 3:
+		s.Requirements = "big"
+	}
+	return s
+}
+
+// TestPassPlacesAsOneByOne compares a pass with placing without any shortcut, over random work.
+func TestPassPlacesAsOneByOne(t *testing.T) {
+	started := 0
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		pair := []*rig{newRig(t), newRig(t)}
+		for _, r := range pair {
+			r.reportAll()
+			r.commit()
+		}
+		for step := range 25 {
+			var stages []*protocol.Stage
+			for range rng.IntN(4) {
+				stages = append(stages, randomStage(rng))
+			}
+			queue := []string{"fast", "slow"}[rng.IntN(2)]
+			runner, how := runnerName(rng.IntN(passRunners)), []string{"done", "done", "failed"}[rng.IntN(3)]
+			after := time.Duration(rng.IntN(1500)) * time.Millisecond
+			for _, r := range pair {
+				r.now += after
+				r.d.Tick(r.now, r.wall(), r.now)
+				r.reportAll()
+				for i, stage := range stages {
+					r.d.Request("client", &protocol.ClientRequest{Id: uint64(1000 + i), Op: &protocol.ClientRequest_Submit{Submit: &protocol.Submit{
+						Id: fmt.Sprintf("%016x", 100*step+i+1), Queue: queue, Spec: "s", Stages: []*protocol.Stage{stage}}}}, func(string) bool { return false })
+				}
+				r.endFirst(runner, how)
+			}
+			placeOneByOne(pair[1].d)
+			for _, r := range pair {
+				r.commit()
+			}
+			require.Equal(t, pair[1].runsOf(), pair[0].runsOf(), "seed %d step %d", seed, step)
+			started += len(pair[0].runsOf())
+		}
+	}
+	require.Greater(t, started, 5000)
+}
+
+// passRunners is how many runners the plays of a pass have, in three racks.
+const passRunners = 6
+
+// reportAll has all companions report.
+func (r *rig) reportAll() {
+	for i := range passRunners {
+		labels := []string{fmt.Sprintf("r%d-1", i%3)}
+		if i%2 == 0 {
+			labels = append(labels, "big")
+		}
+		r.report(companionName(i), runnerName(i), func(report *protocol.RunnerReport) { report.Account.Labels = labels })
+	}
+}
+
+// endFirst has a runner report the end of the first of its runs, by name.
+func (r *rig) endFirst(id, how string) {
+	runner := r.d.runners[id]
+	for _, task := range slices.Sorted(maps.Keys(runner.live)) {
+		if run := runner.live[task]; !run.pending {
+			r.d.noteEnds(runner.session, []*protocol.RunEnd{{Number: runner.noted + 1, Task: task, Run: run.number, How: how}})
+			return
+		}
+	}
+}
+
+// TestPassBetweenTicksIsBounded checks that a pass between two ticks leaves the rest of a line whose steps
+// have to be looked at one by one, and that the tick looks at all.
+func TestPassBetweenTicksIsBounded(t *testing.T) {
+	r := newRig(t)
+	r.report("c0", "w0", func(report *protocol.RunnerReport) { report.Account.Labels = []string{"r1-1"} })
+	r.report("c1", "w1", func(report *protocol.RunnerReport) { report.Account.Labels = []string{"r2-1"} })
+	r.commit()
+	r.submit(1, "slow", &protocol.Stage{Count: 4, Cpu: 1000, MemMb: 1, EstimateMs: 60_000, Affinity: "r1-1"})
+	for i := range 3 * lookahead {
+		r.submit(2+i, "slow", &protocol.Stage{Count: 1, Cpu: 1000, MemMb: 1, EstimateMs: 600_000, Affinity: "r1-1"})
+	}
+	q := r.d.queues["svc"]
+	require.Len(t, q.steps, 3*lookahead, "the rack is full, and they wait for it")
+	last := q.inOrder()[3*lookahead-1]
+	last.since -= time.Hour // it waits for the rack no longer
+	r.d.fleet.Trouble(r.d.fleet.Runner("w1"), "j", false, r.now)
+	require.Nil(t, r.d.Entry(r.now))
+	r.commit()
+	require.Equal(t, "w1", r.runsOf()[last.step.TaskID(0)])
+}
--- a/internal/control/scheduler/queue.go
+++ b/internal/control/scheduler/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -10,273 +9,158 @@
 	"frosttide/internal/control/placement"
 )
 
-// queue holds the steps of a service that have tasks to start, in the order in which they are served.
+// queue holds the steps of a service that have tasks to start. Steps that ask for the same of a runner stand
+// in one line: where the first of them is blocked so are the others, and none of them needs to be looked at.
 type queue struct {
 	service string
-	waiting []waitingStep
-	known   map[*jobs.Step]bool
+	lines   map[shape]*line
+	steps   map[*jobs.Step]*waitingStep
 	reserve *placement.Reserve
 	running map[int]placement.Resources // what runs hold, by priority
 	fresh   bool                        // steps were added since the last pass
 }
 
+// shape is what the tasks of a line's steps have in common.
+type shape struct {
+	priority     int
+	demand       placement.Resources
+	requirement  string
+	affinity     string
+	antiAffinity int
+	gang         int // members, 0 for tasks that are placed one by one
+}
+
+// line is the steps of one shape, in the order in which they are served.
+type line struct {
+	shape shape
+	steps []*waitingStep
+	tasks int // that wait, as far as they have been counted
+}
+
 type waitingStep struct {
 	step      *jobs.Step
+	line      *line
 	want      *placement.Want // what its tasks ask of a runner
 	priority  int
 	since     time.Duration // when it became ready
 	objective objective
 	lateness  lateness
+	from      int // tasks before this one do not wait
+	counted   int // its tasks in the line's sum
 }
 
 // compare orders steps by priority; of equal ones those go first that can still be in time, the most
 // pressing before others.
-func (a waitingStep) compare(b waitingStep) int {
+func (a *waitingStep) compare(b *waitingStep) int {
 	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.objective.byMs, b.objective.byMs),
 		cmp.Compare(a.step.Job.Sequence, b.step.Job.Sequence), cmp.Compare(a.step.Occasion.Number, b.step.Occasion.Number), cmp.Compare(a.step.Number, b.step.Number))
 }
 
-// add puts a step in its place.
-func (q *queue) add(w waitingStep) {
-	q.fresh = true
-	if q.known[w.step] {
-		return
-	}
-	q.known[w.step] = true
-	at, _ := slices.BinarySearchFunc(q.waiting, w, waitingStep.compare)
-	q.waiting = slices.Insert(q.waiting, at, w)
-}
+// due tells whether a step has tasks that may be started. What it depends on stays done, so that only the end of
+// its job takes that back.
+func (a *waitingStep) due() bool { return a.step.Waiting > 0 && !a.step.Job.State.Final() }
 
-// reorder moves the steps that have become late since the last pass.
-func (q *queue) reorder(wallMs int64) {
-	changed := false
-	for i := range q.waiting {
-		w := &q.waiting[i]
-		if now := w.objective.lateness(wallMs); now != w.lateness {
-			w.lateness, changed = now, true
-		}
-	}
-	if changed {
-		slices.SortFunc(q.waiting, waitingStep.compare)
+// shape returns what a step's line is known by.
+func (a *waitingStep) shape() shape {
+	s := shape{priority: a.priority, demand: a.want.Demand, requirement: a.want.Requirement, affinity: a.want.Affinity, antiAffinity: a.want.AntiAffinity}
+	if a.want.Gang {
+		s.gang = len(a.step.Tasks)
 	}
+	return s
 }
 
-// place places what can be placed of all services. A queue is gone through when a step has come to it, or
-// when something has changed by which a blocked task may be placed; what turns on time alone waits for the
-// next tick.
-func (d *Scheduler) place() {
-	for _, s := range d.jobs.TakeReady() {
-		w := waitingStep{step: s, want: wantOf(s), priority: d.priority(s.Job), since: d.now, objective: d.objective(s)}
-		w.lateness = w.objective.lateness(d.wallMs)
-		d.queue(s.Job.Service).add(w)
-	}
-	all := d.timePassed || d.fleet.Changes() != d.placedAt
-	for _, service := range slices.Sorted(maps.Keys(d.queues)) {
-		if q := d.queues[service]; all || q.fresh {
-			d.placeQueue(q)
-		}
-	}
-	if all {
-		d.timePassed, d.placedAt = false, d.fleet.Changes()
-	}
+func newQueue(service string) *queue {
+	return &queue{service: service, lines: make(map[shape]*line), steps: make(map[*jobs.Step]*waitingStep), reserve: placement.NewReserve(),
+		running: make(map[int]placement.Resources)}
 }
 
-// queue returns the queue of a service.
-func (d *Scheduler) queue(service string) *queue {
-	q := d.queues[service]
-	if q == nil {
-		q = &queue{service: service, known: make(map[*jobs.Step]bool), reserve: placement.NewReserve(), running: make(map[int]placement.Resources)}
-		d.queues[service] = q
-	}
-	return q
-}
-
-// observe tells the reserve what each priority holds and waits for.
-func (q *queue) observe(now time.Duration) {
-	waiting := make(map[int]placement.Resources)
-	for i := 0; i < len(q.waiting); { // steps of a priority stand together
-		priority, sum := q.waiting[i].priority, placement.Resources{}
-		for ; i < len(q.waiting) && q.waiting[i].priority == priority; i++ {
-			if w := &q.waiting[i]; w.due() {
-				sum = sum.Plus(w.want.Demand.Times(w.step.Waiting))
-			}
-		}
-		waiting[priority] = sum
+// add puts a step in its place; one that waits already has more tasks waiting.
+func (q *queue) add(w *waitingStep) {
+	q.fresh = true
+	if known := q.steps[w.step]; known != nil {
+		known.from = 0
+		known.line.count(known)
+		return
 	}
-	for priority := range q.running {
-		waiting[priority] = waiting[priority].Plus(placement.Resources{})
-	}
-	for priority, resources := range waiting {
-		q.reserve.Observe(priority, q.running[priority], resources, now)
+	q.steps[w.step] = w
+	l := q.lines[w.shape()]
+	if l == nil {
+		l = &line{shape: w.shape()}
+		q.lines[l.shape] = l
 	}
+	w.line = l
+	at, _ := slices.BinarySearchFunc(l.steps, w, (*waitingStep).compare)
+	l.steps = slices.Insert(l.steps, at, w)
+	l.count(w)
 }
 
-// priority returns the priority of a job's queue; a queue that is gone comes last.
-func (d *Scheduler) priority(j *jobs.Job) int {
-	if r := d.config.Route(j.Queue); r != nil {
-		return r.Priority
+// count brings the line's sum up to date with a step.
+func (l *line) count(w *waitingStep) {
+	now := 0
+	if w.due() {
+		now = w.step.Waiting
 	}
-	return lastPriority
+	l.tasks += now - w.counted
+	w.counted = now
 }
 
-const lastPriority = 1 << 20
-
-// placeQueue offers the service's runners to its steps in order. Steps that ask for at least as much as
-// one that was blocked are passed over.
-func (d *Scheduler) placeQueue(q *queue) {
-	q.fresh = false
-	if len(q.waiting) == 0 {
-		return
-	}
-	q.observe(d.now)
-	if d.timePassed {
-		q.reorder(d.wallMs)
-	}
-	var blocked blockedDemands
-	kept := 0
-	for i := range q.waiting {
-		w := &q.waiting[i]
-		if w.due() {
-			d.placeStep(q, w, &blocked)
-		}
-		if !w.due() {
-			delete(q.known, w.step)
-			continue
+// sweep drops the steps that wait no longer and moves those that have become late. Unlike a pass it looks at
+// every step.
+func (q *queue) sweep(wallMs int64) {
+	for shape, l := range q.lines {
+		l.drop(q)
+		l.reorder(wallMs)
+		if len(l.steps) == 0 {
+			delete(q.lines, shape)
 		}
-		if kept < i {
-			q.waiting[kept] = *w
-		}
-		kept++
 	}
-	clear(q.waiting[kept:])
-	q.waiting = q.waiting[:kept]
 }
 
-// due tells whether a step has tasks that may be started. What it depends on stays done, so that only the end of
-// its job takes that back.
-func (a *waitingStep) due() bool { return a.step.Waiting > 0 && !a.step.Job.State.Final() }
-
-// blockedDemands are the demands that no runner had room for in this pass.
-type blockedDemands []placement.Want
-
-// covers tells whether a want asks for at least as much as one that was blocked.
-func (b blockedDemands) covers(w *placement.Want) bool {
-	for i := range b {
-		if b[i].Demand.Fits(w.Demand) && (b[i].Requirement == "" || b[i].Requirement == w.Requirement) {
-			return true
+// drop takes out of the line what waits no longer.
+func (l *line) drop(q *queue) {
+	l.steps = slices.DeleteFunc(l.steps, func(w *waitingStep) bool {
+		l.count(w)
+		if w.due() {
+			return false
 		}
-	}
-	return false
+		delete(q.steps, w.step)
+		return true
+	})
 }
 
-// placeStep starts as many of a step's waiting tasks as there is room for.
-func (d *Scheduler) placeStep(q *queue, w *waitingStep, blocked *blockedDemands) {
-	s := w.step
-	want := w.want
-	if blocked.covers(want) || !d.leavesRoom(q, w, want) {
-		return
-	}
-	if s.Stage.GetGang() {
-		d.placeGang(s, want)
-		return
-	}
-	want.Rack = ""
-	if d.waitsForRack(w, want) {
-		want.Rack = want.Affinity
-	}
-	for i := range s.Tasks {
-		if s.Tasks[i].Phase != jobs.Waiting {
-			continue
-		}
-		want.Avoid, want.LastAttempt = s.Tasks[i].LastFailed, s.Failures(i)+1 >= d.maxAttempts(s.Job.ID)
-		r := d.fleet.Pick(want, d.now)
-		if r == nil {
-			if want.AntiAffinity == 0 && want.Rack == "" {
-				*blocked = append(*blocked, *want)
-			}
-			return
-		}
-		d.start(s, i, s.NextRun(i), r, s.Tasks[i].Saved)
-		if !d.leavesRoom(q, w, want) {
-			return
+// reorder moves the steps that have become late.
+func (l *line) reorder(wallMs int64) {
+	changed := false
+	for _, w := range l.steps {
+		if now := w.objective.lateness(wallMs); now != w.lateness {
+			w.lateness, changed = now, true
 		}
 	}
-}
-
-// leavesRoom tells whether a task may be placed without taking what is kept for more urgent work.
-func (d *Scheduler) leavesRoom(q *queue, w *waitingStep, want *placement.Want) bool {
-	if w.step.Job.Live() == 0 && d.now-w.since > reservePatience {
-		return true
-	}
-	room := q.reserve.Room(w.priority)
-	return room == (placement.Resources{}) || want.Demand.Plus(room).Fits(d.fleet.FreeOf(q.service))
-}
-
-// reservePatience is how long a job that runs nothing waits for more urgent work that has not come; the
-// rules say that a job with room for it runs something after 3 s.
-const reservePatience = 1500 * time.Millisecond
-
-// waitsForRack tells whether a step's tasks had better wait a little for the rack where their data lies:
-// for a part of the time that the work would take longer elsewhere.
-func (d *Scheduler) waitsForRack(w *waitingStep, want *placement.Want) bool {
-	if want.Affinity == "" {
-		return false
+	if changed {
+		slices.SortFunc(l.steps, (*waitingStep).compare)
 	}
-	longer := time.Duration((d.cfg.FarFactor - 1) * float64(w.step.Stage.GetEstimateMs()) * float64(time.Millisecond))
-	return d.now-w.since < longer/2 && d.fleet.HasRack(want, want.Affinity)
 }
 
-// placeGang starts all tasks of a gang or none.
-func (d *Scheduler) placeGang(s *jobs.Step, want *placement.Want) {
-	if !s.GangIdle() {
-		return
-	}
-	want.Avoid = ""
-	names := make([]string, len(s.Tasks))
-	for i := range s.Tasks {
-		names[i] = s.TaskID(i)
-		want.Avoid = cmp.Or(want.Avoid, s.Tasks[i].LastFailed)
-	}
-	want.LastAttempt = s.Failures(0)+1 >= d.maxAttempts(s.Job.ID)
-	picked := d.fleet.PickGang(want, names, s.Stage.GetSameRack(), d.now)
-	if picked == nil && s.Stage.GetSameRack() {
-		picked = d.fleet.PickGang(want, names, false, d.now)
+// observe tells the reserve what each priority holds and waits for.
+func (q *queue) observe(now time.Duration) {
+	waiting := make(map[int]placement.Resources)
+	for shape, l := range q.lines {
+		waiting[shape.priority] = waiting[shape.priority].Plus(shape.demand.Times(l.tasks))
 	}
-	if picked == nil {
-		return
+	for priority := range q.running {
+		waiting[priority] = waiting[priority].Plus(placement.Resources{})
 	}
-	run, saved := s.NextRun(0), s.GangSaved()
-	for i, r := range picked {
-		d.start(s, i, run, r, saved)
+	for priority, resources := range waiting {
+		q.reserve.Observe(priority, q.running[priority], resources, now)
 	}
 }
 
-// wantOf returns what a step's tasks ask of a runner.
-func wantOf(s *jobs.Step) *placement.Want {
-	return &placement.Want{Service: s.Job.Service, Demand: demandOf(s.Stage), Requirement: s.Stage.GetRequirements(), Affinity: s.Stage.GetAffinity(),
-		AntiAffinity: int(s.Stage.GetAntiAffinity()), Group: groupOf(s), Gang: s.Stage.GetGang()}
-}
-
-// start notes a run; its order goes out once that is committed.
-func (d *Scheduler) start(s *jobs.Step, index int, run uint32, on *placement.Runner, saved string) {
-	task := s.TaskID(index)
-	d.fleet.Hold(on, task, demandOf(s.Stage), groupOf(s))
-	d.countRunning(s, 1)
-	d.jobs.Start(s, index, run, on.ID, d.wallMs)
-	r := d.runner(on.ID)
-	r.live[task] = liveRun{number: run, step: s, index: index, saved: saved, began: d.now, pending: true}
-	d.batch.add(on.ID, task)
-}
-
-// countRunning counts what a step's task holds, or holds no longer.
-func (d *Scheduler) countRunning(s *jobs.Step, by int) {
-	q, priority := d.queue(s.Job.Service), d.priority(s.Job)
-	q.running[priority] = q.running[priority].Plus(demandOf(s.Stage).Times(by))
-}
-
-// stopRuns has the runs stopped whose jobs have ended.
-func (d *Scheduler) stopRuns() {
-	for _, run := range d.jobs.TakeStopped() {
-		d.batch.drop(run.Runner, run.Task, run.Number)
+// inOrder returns the steps that wait, in the order in which they are served.
+func (q *queue) inOrder() []*waitingStep {
+	var out []*waitingStep
+	for _, l := range q.lines {
+		out = append(out, l.steps...)
 	}
+	slices.SortFunc(out, (*waitingStep).compare)
+	return out
 }
--- a/internal/control/scheduler/scale_bench_test.go
+++ b/internal/control/scheduler/scale_bench_test.go
@@ -51,7 +51,7 @@
 			Stages: []*protocol.Stage{{Count: stepWidth, Cpu: 100, MemMb: 100, EstimateMs: 1000}}}}}, func(string) bool { return false })
 	}
 	r.commit()
-	require.Greater(b, len(r.d.queues["svc"].waiting), size.waiting/stepWidth-2*size.runners)
+	require.Greater(b, len(r.d.queues["svc"].steps), size.waiting/stepWidth-2*size.runners)
 	return r
 }
 
--- a/internal/control/scheduler/status.go
+++ b/internal/control/scheduler/status.go
@@ -82,8 +82,8 @@
 func (d *Scheduler) waiting(wanted func(*jobs.Step) bool) (out []WaitStatus) {
 	for _, service := range slices.Sorted(maps.Keys(d.queues)) {
 		q := d.queues[service]
-		for i := range q.waiting {
-			if w := &q.waiting[i]; len(out) < mostWaiting && w.due() && wanted(w.step) {
+		for _, w := range q.inOrder() {
+			if len(out) < mostWaiting && w.due() && wanted(w.step) {
 				out = append(out, d.waitStatus(q, w))
 			}
 		}
@@ -116,7 +116,7 @@
 	switch {
 	case w.step.Stage.GetGang() && !w.step.GangIdle():
 		why = "members of the gang's last run have not ended: " + why
-	case o.Room > 0 && !d.leavesRoom(q, w, want):
+	case o.Room > 0 && !d.leavesRoom(q, w):
 		why = "room is kept for more urgent work: " + why
 	case o.Room > 0 && w.step.Stage.GetGang():
 		why = "there is room for some of the gang, not for all: " + why
