--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -155,6 +155,7 @@
 	if m.scheduler == nil {
 		return
 	}
+	m.out.Notes = append(m.out.Notes, m.scheduler.TakeNotes()...)
 	m.scheduler.Committed(now, m.replica.Committed())
 	for _, s := range m.scheduler.TakeSends() {
 		m.send(s.To, s.Message)
--- a/internal/control/scheduler/pass_test.go
+++ b/internal/control/scheduler/pass_test.go
@@ -162,3 +162,24 @@
 	r.commit()
 	require.Equal(t, "w1", r.runsOf()[last.step.TaskID(0)])
 }
+
+// TestLogTellsWhatWaits checks that the log is told of the step that has waited longest, now and then.
+func TestLogTellsWhatWaits(t *testing.T) {
+	r := newRig(t)
+	r.meet("c0", "w0")
+	r.submit(1, "slow", &protocol.Stage{Count: 1, Cpu: 4000, MemMb: 1, EstimateMs: 60_000})
+	r.submit(2, "slow", &protocol.Stage{Count: 3, Cpu: 3000, MemMb: 1, EstimateMs: 60_000})
+	require.Empty(t, r.d.TakeNotes())
+	told := 0
+	for range 100 {
+		r.now += 100 * time.Millisecond
+		r.report("c0", "w0")
+		r.commit()
+		for _, note := range r.d.TakeNotes() {
+			require.Contains(t, note, "3 tasks of step 0 of job 0000000000000002")
+			require.Contains(t, note, "1 are full")
+			told++
+		}
+	}
+	require.Equal(t, 2, told, "after 5 s and after 10 s")
+}
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -58,9 +58,11 @@
 	writes          *jobs.Writes // beside the jobs' own
 	replies         []*protocol.Reply
 	sends           []Send
-	batches         []batch // orders that wait for their entry to be committed
-	batch           batch   // orders of the entry that is being made
+	batches         []batch  // orders that wait for their entry to be committed
+	batch           batch    // orders of the entry that is being made
+	notes           []string // for the log
 	nextTidy        time.Duration
+	nextOverdue     time.Duration
 	placedAt        uint64 // the fleet's changes at the last pass over all queues
 	timePassed      bool   // since that pass
 }
@@ -118,6 +120,7 @@
 	d.now, d.wallMs, d.confirmed, d.timePassed = now, wallMs, max(d.confirmed, confirmed), true
 	d.jobs.Fall(wallMs)
 	d.tickSessions()
+	d.tellOverdue()
 	if now >= d.nextTidy {
 		d.nextTidy = now + time.Second
 		d.jobs.Forget(wallMs-d.cfg.StatusKept.Milliseconds(), forgetAtOnce)
