--- a/internal/config/source.go
+++ b/internal/config/source.go
@@ -151,10 +151,7 @@
 			values = put(values, "log."+flag, "", is, "--log-"+flag)
 		}
 	}
-	for _, v := range c.Telemetry.Told() {
-		values = append(values, v)
-	}
-	return c, values, nil
+	return c, append(values, c.Telemetry.Told()...), nil
 }
 
 // replaced tells whether the platform's file has a list that goes in the place of one of
--- a/internal/otlp/measures.go
+++ b/internal/otlp/measures.go
@@ -66,7 +66,7 @@
 			to.PutBool(string(kv.Key), kv.Value.AsBool())
 			continue
 		}
-		to.PutStr(string(kv.Key), kv.Value.Emit())
+		to.PutStr(string(kv.Key), kv.Value.String())
 	}
 }
 
--- a/internal/quorum/disk.go
+++ b/internal/quorum/disk.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/raft"
 	boltdb "github.com/hashicorp/raft-boltdb/v2"
 	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"frosttide/internal/recovery"
 )
@@ -144,7 +145,7 @@
 		}
 	}()
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait, ReadOnly: true, PreLoadFreelist: true})
-	if errors.Is(err, bbolt.ErrTimeout) {
+	if errors.Is(err, bolterrors.ErrTimeout) {
 		return fmt.Errorf("cluster: %s: %w", path, ErrInUse)
 	}
 	if err != nil {
--- a/internal/quorum/engine.go
+++ b/internal/quorum/engine.go
@@ -18,15 +18,6 @@
 	return c
 }
 
-// advertised has the engine name the address that others reach rather than the one listened on.
-type advertised struct {
-	*raft.NetworkTransport
-	addr raft.ServerAddress
-}
-
-// LocalAddr is where others reach the member.
-func (a advertised) LocalAddr() raft.ServerAddress { return a.addr }
-
 // engineLog has the engine's lines go to the log at debug level: while a member is away it
 // says so several times a second. What matters is said by this package.
 func engineLog(log *logrus.Entry) hclog.Logger {
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -135,7 +135,7 @@
 		kept = cfg.through(kept)
 	}
 	q.kept, q.stable = kept, newPatient(kept.stable, log)
-	r, err := raft.NewRaft(engineConfig(q.id, logger), q.machine, kept.logs, q.stable, kept.snaps, advertised{q.trans, q.addr})
+	r, err := raft.NewRaft(engineConfig(q.id, logger), q.machine, kept.logs, q.stable, kept.snaps, transport{q.trans, q.addr})
 	if err != nil {
 		q.trans.Close()
 		if q.disk != nil {
