Tell Prometheus of the control plane by a program of its own

frosttide-exporter asks the members when it is scraped; members keep no metrics library. The head counts tasks that were to be started, those that found no runner at once, runs started and ended, by service. Asking the API is a package of its own.

Fuzz targets for what carriers and companions receive and for the operator's configuration. The last found that a configuration with a number or text that is none in a part that nobody reads ("00", a wrong escape) was taken and handed out: the reader looks at values only when they are asked for.

--- a/cmd/frosttide-control/main_test.go
+++ b/cmd/frosttide-control/main_test.go
@@ -5,11 +5,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -22,7 +25,7 @@
 // wait bounds what a system is waited for; machines that run the tests may be slow.
 const wait = 60 * time.Second
 
-// programs are the two programs as they are built for an installation.
+// programs are the programs as they are built for an installation.
 var programs string
 
 func TestMain(m *testing.M) {
@@ -31,7 +34,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	build := exec.Command("go", "build", "-o", dir+"/", "frosttide/cmd/frosttide-control", "frosttide/cmd/frosttide-data")
+	build := exec.Command("go", "build", "-o", dir+"/", "frosttide/cmd/frosttide-control", "frosttide/cmd/frosttide-data", "frosttide/cmd/frosttide-exporter")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
 		os.Exit(1)
@@ -143,6 +146,13 @@
 		require.Contains(t, ok("runners"), "i-toy1")
 		require.Contains(t, ok("version"), "frosttide-control")
 	})
+	t.Run("metrics", func(t *testing.T) {
+		text := scrape(t, s)
+		for _, want := range []string{`frosttide_up{member="` + s.Cores[2].Control() + `"} 1`, "frosttide_config_version 1", `frosttide_jobs{state="completed"} 1`,
+			`frosttide_runners{service="toy",state="ready"} 2`, `frosttide_runs_ended_total{how="done",service="toy"} 4`, `frosttide_tasks_ready_total{service="toy"} 5`} {
+			require.Contains(t, text, want)
+		}
+	})
 	t.Run("config", func(t *testing.T) {
 		require.Contains(t, ok("config", "get"), `"previews"`)
 		file := filepath.Join(t.TempDir(), "config.json")
@@ -181,6 +191,53 @@
 	})
 }
 
+// scrape starts the exporter beside a system and returns what it tells.
+func scrape(t *testing.T, s *smallsystem.System) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	exporter := exec.Command(program("frosttide-exporter"), "-listen", address, "-at", s.Cores[0].Control()+","+s.Cores[1].Control()+","+s.Cores[2].Control())
+	require.NoError(t, exporter.Start())
+	var text string
+	require.True(t, smallsystem.Wait(wait, func() bool {
+		response, err := http.Get("http://" + address + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		text = string(body)
+		return err == nil && strings.Contains(text, "frosttide_fencing_token")
+	}), "the exporter tells nothing of the placement role: %s", text)
+	require.NoError(t, exporter.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, exporter.Wait())
+	return text
+}
+
+// TestExporterArguments checks that what can't be understood is said in a line.
+func TestExporterArguments(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		args   []string
+		status int
+		want   string
+	}{
+		{nil, 2, "-at has to name the core machines"},
+		{[]string{"-at", "127.0.0.1:1", "more"}, 2, "-at has to name"},
+		{[]string{"-at", "127.0.0.1:1", "-listen", "nowhere"}, 1, "-listen"},
+		{[]string{"-help"}, 0, "addresses of the core machines' API"},
+	} {
+		cmd := exec.Command(program("frosttide-exporter"), c.args...)
+		cmd.Env = append(os.Environ(), "FROSTTIDE_CONTROL=")
+		out, err := cmd.CombinedOutput()
+		require.NotNil(t, cmd.ProcessState, "%v", err)
+		require.Equal(t, c.status, cmd.ProcessState.ExitCode(), "%v: %s", c.args, out)
+		require.Contains(t, string(out), c.want)
+	}
+}
+
 // TestAllCoreMachinesLost restores a system of which one snapshot is left.
 func TestAllCoreMachinesLost(t *testing.T) {
 	t.Parallel()
--- /dev/null
+++ b/cmd/frosttide-exporter/main.go
@@ -0,0 +1,80 @@
+// Command frosttide-exporter tells Prometheus of a control plane: it asks the core machines when it is scraped.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"k8s.io/klog/v2"
+
+	"frosttide/internal/control/metrics"
+)
+
+// Exit statuses of the program.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// readTime bounds how long a scrape's request may take to come in.
+const readTime = 10 * time.Second
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stderr))
+}
+
+// run serves until the context ends and returns the exit status.
+func run(ctx context.Context, args []string, errOut io.Writer) int {
+	flags := flag.NewFlagSet("frosttide-exporter", flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	at := flags.String("at", os.Getenv("FROSTTIDE_CONTROL"), "`addresses` of the core machines' API, host:port, with commas between them")
+	listen := flags.String("listen", "127.0.0.1:9464", "`address` that Prometheus scrapes, host:port; /metrics is served")
+	klog.InitFlags(flags)
+	switch err := flags.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		return 0
+	case err != nil:
+		return exitUsage
+	case *at == "" || flags.NArg() > 0:
+		fmt.Fprintln(errOut, "frosttide-exporter: -at has to name the core machines; see -help")
+		return exitUsage
+	}
+	if err := serve(ctx, *listen, strings.Split(*at, ",")); err != nil {
+		fmt.Fprintln(errOut, "frosttide-exporter:", err)
+		return exitFailed
+	}
+	return 0
+}
+
+// serve answers scrapes until the context ends.
+func serve(ctx context.Context, address string, members []string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "-listen")
+	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(metrics.NewCollector(members))
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	server := &http.Server{Handler: mux, ReadTimeout: readTime}
+	context.AfterFunc(ctx, func() { server.Close() })
+	klog.InfoS("Serving", "address", l.Addr(), "members", members)
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "-listen")
+	}
+	return nil
+}
--- a/internal/control/cli/configure.go
+++ b/internal/control/cli/configure.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"frosttide/internal/control/apiclient"
 	"frosttide/internal/control/scheduler"
 	"frosttide/internal/nodefile"
 	"frosttide/internal/routeconfig"
@@ -50,7 +51,7 @@
 		return raw(c.out, body)
 	case slices.Equal(rest, []string{"history"}):
 		var list []scheduler.Change
-		if _, err := get(ctx, at, "/v1/config/history", &list); err != nil {
+		if _, err := apiclient.Get(ctx, at, "/v1/config/history", &list); err != nil {
 			return err
 		}
 		for _, change := range list {
@@ -68,18 +69,18 @@
 
 // currentConfig returns the configuration in force and its version, 0 before the first.
 func currentConfig(ctx context.Context, at string) ([]byte, uint64, error) {
-	a, err := ask(ctx, http.MethodGet, at, "/v1/config", "", nil)
+	a, err := apiclient.Ask(ctx, http.MethodGet, at, "/v1/config", "", nil)
 	if err != nil {
 		return nil, 0, err
 	}
-	if a.status == http.StatusNotFound {
+	if a.Status == http.StatusNotFound {
 		return []byte("{}"), 0, nil
 	}
-	if a.status != http.StatusOK {
-		return nil, 0, a.refusal()
+	if a.Status != http.StatusOK {
+		return nil, 0, a.Refusal()
 	}
 	var head struct{ Version uint64 }
-	return a.body, head.Version, errors.Wrap(json.Unmarshal(a.body, &head), "the configuration can't be read")
+	return a.Body, head.Version, errors.Wrap(json.Unmarshal(a.Body, &head), "the configuration can't be read")
 }
 
 func readFile(path string) ([]byte, error) {
@@ -102,12 +103,12 @@
 			return err
 		}
 	}
-	a, err := ask(ctx, http.MethodPut, at, "/v1/config", strconv.FormatUint(version, 10), body)
+	a, err := apiclient.Ask(ctx, http.MethodPut, at, "/v1/config", strconv.FormatUint(version, 10), body)
 	if err != nil {
 		return err
 	}
-	if a.status != http.StatusOK {
-		return a.refusal()
+	if a.Status != http.StatusOK {
+		return a.Refusal()
 	}
 	fmt.Fprintln(c.out, "the configuration is in force")
 	return nil
--- a/internal/control/cli/show.go
+++ b/internal/control/cli/show.go
@@ -11,6 +11,7 @@
 	"text/tabwriter"
 	"time"
 
+	"frosttide/internal/control/apiclient"
 	"frosttide/internal/control/replica"
 	"frosttide/internal/control/scheduler"
 	"frosttide/internal/protocol"
@@ -51,12 +52,12 @@
 		return usage("it takes flags only")
 	}
 	var m replica.Status
-	memberBody, err := get(ctx, s.at, "/v1/status", &m)
+	memberBody, err := apiclient.Get(ctx, s.at, "/v1/status", &m)
 	if err != nil {
 		return err
 	}
 	var p scheduler.Status
-	placementBody, placementErr := get(ctx, s.at, "/v1/scheduler", &p)
+	placementBody, placementErr := apiclient.Get(ctx, s.at, "/v1/scheduler", &p)
 	if s.json {
 		if placementErr != nil {
 			placementBody = []byte("null")
@@ -139,21 +140,12 @@
 	table.Flush()
 }
 
+// runnerState returns a runner's state, with the time that is left to one that is out of touch.
 func runnerState(r *scheduler.RunnerStatus) string {
-	switch {
-	case !r.InSession:
-		return fmt.Sprintf("out of touch, lost in %v", time.Duration(r.LostInMs)*time.Millisecond)
-	case r.Draining:
-		return "draining"
-	case r.Silent:
-		return "silent"
-	case r.Suspect:
-		return "suspect"
-	case !r.Usable:
-		return "not usable"
-	default:
-		return "ready"
+	if !r.InSession {
+		return fmt.Sprintf("%s, lost in %v", r.State(), time.Duration(r.LostInMs)*time.Millisecond)
 	}
+	return r.State()
 }
 
 func printWaiting(out io.Writer, waiting []scheduler.WaitStatus) {
@@ -173,7 +165,7 @@
 		return usage("it takes flags only")
 	}
 	var p scheduler.Status
-	if _, err := get(ctx, s.at, "/v1/scheduler", &p); err != nil {
+	if _, err := apiclient.Get(ctx, s.at, "/v1/scheduler", &p); err != nil {
 		return err
 	}
 	if s.json {
@@ -195,12 +187,12 @@
 	case len(rest) == 2 && rest[0] == "show":
 		return showJob(ctx, c, s, rest[1])
 	case len(rest) == 2 && rest[0] == "cancel":
-		a, err := ask(ctx, http.MethodDelete, s.at, "/v1/jobs/"+rest[1], "", nil)
+		a, err := apiclient.Ask(ctx, http.MethodDelete, s.at, "/v1/jobs/"+rest[1], "", nil)
 		if err != nil {
 			return err
 		}
-		if a.status != http.StatusOK {
-			return a.refusal()
+		if a.Status != http.StatusOK {
+			return a.Refusal()
 		}
 		fmt.Fprintf(c.out, "%s is canceled\n", rest[1])
 		return nil
@@ -211,7 +203,7 @@
 
 func listJobs(ctx context.Context, c *call, s shown) error {
 	var list []scheduler.JobStatus
-	body, err := get(ctx, s.at, "/v1/jobs", &list)
+	body, err := apiclient.Get(ctx, s.at, "/v1/jobs", &list)
 	if err != nil {
 		return err
 	}
@@ -235,7 +227,7 @@
 
 func showJob(ctx context.Context, c *call, s shown, id string) error {
 	var j scheduler.JobStatus
-	body, err := get(ctx, s.at, "/v1/jobs/"+id, &j)
+	body, err := apiclient.Get(ctx, s.at, "/v1/jobs/"+id, &j)
 	if err != nil {
 		return err
 	}
--- a/internal/control/scheduler/pass_test.go
+++ b/internal/control/scheduler/pass_test.go
@@ -183,3 +183,29 @@
 	}
 	require.Equal(t, 2, told, "after 5 s and after 10 s")
 }
+
+// TestCounters checks what is counted of a service's tasks.
+func TestCounters(t *testing.T) {
+	r := newRig(t)
+	r.meet("c0", "w0")
+	r.submit(1, "slow", &protocol.Stage{Count: 6, Cpu: 1000, MemMb: 1, EstimateMs: 60_000})
+	s := r.d.Status().Services["svc"]
+	require.EqualValues(t, 6, s.Ready)
+	require.EqualValues(t, 2, s.Blocked, "four have room")
+	require.EqualValues(t, 4, s.Started)
+	require.Equal(t, 2, s.WaitingTasks)
+	require.Equal(t, 1, s.WaitingSteps)
+	r.endFirst("w0", "failed")
+	r.endFirst("w0", "done")
+	r.commit()
+	s = r.d.Status().Services["svc"]
+	require.EqualValues(t, 7, s.Ready, "the one that failed is to be started again")
+	require.EqualValues(t, 6, s.Started)
+	require.Equal(t, map[string]uint64{"failed": 1, "done": 1}, s.Ended)
+	require.Equal(t, 1, s.WaitingTasks)
+	r.d.lose("w0")
+	r.commit()
+	s = r.d.Status().Services["svc"]
+	require.EqualValues(t, 4, s.Ended["lost"])
+	require.Equal(t, 5, s.WaitingTasks)
+}
--- a/internal/control/scheduler/place.go
+++ b/internal/control/scheduler/place.go
@@ -12,10 +12,12 @@
 // when something has changed by which a blocked task may be placed; what turns on time alone waits for the
 // next tick.
 func (d *Scheduler) place() {
-	for _, s := range d.jobs.TakeReady() {
+	ready := d.jobs.TakeReady()
+	added := make([]int, len(ready))
+	for i, s := range ready {
 		w := &waitingStep{step: s, want: wantOf(s), priority: d.priority(s.Job), since: d.now, objective: d.objective(s)}
 		w.lateness = w.objective.lateness(d.wallMs)
-		d.queue(s.Job.Service).add(w)
+		added[i] = d.queue(s.Job.Service).add(w)
 	}
 	all := d.timePassed || d.fleet.Changes() != d.placedAt
 	for _, service := range slices.Sorted(maps.Keys(d.queues)) {
@@ -26,6 +28,7 @@
 	if all {
 		d.timePassed, d.placedAt = false, d.fleet.Changes()
 	}
+	d.countBlocked(ready, added)
 }
 
 // queue returns the queue of a service.
@@ -72,6 +75,7 @@
 	task := s.TaskID(index)
 	d.fleet.Hold(on, task, demandOf(s.Stage), groupOf(s))
 	d.countRunning(s, 1)
+	d.countersOf(s.Job.Service).Started++
 	d.jobs.Start(s, index, run, on.ID, d.wallMs)
 	r := d.runner(on.ID)
 	r.live[task] = liveRun{number: run, step: s, index: index, saved: saved, began: d.now, pending: true}
--- a/internal/control/scheduler/queue.go
+++ b/internal/control/scheduler/queue.go
@@ -74,13 +74,12 @@
 		running: make(map[int]placement.Resources)}
 }
 
-// add puts a step in its place; one that waits already has more tasks waiting.
-func (q *queue) add(w *waitingStep) {
+// add puts a step in its place; one that waits already has more tasks waiting. It returns how many were added.
+func (q *queue) add(w *waitingStep) int {
 	q.fresh = true
 	if known := q.steps[w.step]; known != nil {
 		known.from = 0
-		known.line.count(known)
-		return
+		return known.line.count(known)
 	}
 	q.steps[w.step] = w
 	l := q.lines[w.shape()]
@@ -91,17 +90,19 @@
 	w.line = l
 	at, _ := slices.BinarySearchFunc(l.steps, w, (*waitingStep).compare)
 	l.steps = slices.Insert(l.steps, at, w)
-	l.count(w)
+	return l.count(w)
 }
 
-// count brings the line's sum up to date with a step.
-func (l *line) count(w *waitingStep) {
+// count brings the line's sum up to date with a step, and returns by how much the step's tasks have grown.
+func (l *line) count(w *waitingStep) (grown int) {
 	now := 0
 	if w.due() {
 		now = w.step.Waiting
 	}
+	grown = max(0, now-w.counted)
 	l.tasks += now - w.counted
 	w.counted = now
+	return grown
 }
 
 // sweep drops the steps that wait no longer and moves those that have become late. Unlike a pass it looks at
--- a/internal/control/scheduler/runners.go
+++ b/internal/control/scheduler/runners.go
@@ -105,6 +105,7 @@
 			d.jobs.End(name, run.number, id, jobs.EndLost, "", d.maxAttempts(name.Job), d.wallMs)
 		}
 		d.countRunning(run.step, -1)
+		d.countEnd(run.step, jobs.EndLost)
 		delete(r.live, task)
 		d.fleet.Release(r.account, task)
 	}
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -58,9 +58,10 @@
 	writes          *jobs.Writes // beside the jobs' own
 	replies         []*protocol.Reply
 	sends           []Send
-	batches         []batch  // orders that wait for their entry to be committed
-	batch           batch    // orders of the entry that is being made
-	notes           []string // for the log
+	batches         []batch              // orders that wait for their entry to be committed
+	batch           batch                // orders of the entry that is being made
+	counters        map[string]*Counters // by service
+	notes           []string             // for the log
 	nextTidy        time.Duration
 	nextOverdue     time.Duration
 	placedAt        uint64 // the fleet's changes at the last pass over all queues
@@ -74,7 +75,7 @@
 		return nil, err
 	}
 	d := &Scheduler{cfg: cfg, now: now, wallMs: wallMs, epoch: epoch, committed: index, confirmed: now, jobs: table, fleet: placement.NewFleet(),
-		queues: make(map[string]*queue), runners: make(map[string]*runner), sessions: make(map[string]*session), writes: &jobs.Writes{}}
+		queues: make(map[string]*queue), runners: make(map[string]*runner), counters: make(map[string]*Counters), sessions: make(map[string]*session), writes: &jobs.Writes{}}
 	if d.config, err = loadConfig(s); err != nil {
 		return nil, err
 	}
--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -180,6 +180,7 @@
 			continue
 		}
 		d.jobs.End(name, run.number, r.id, jobs.EndRefused, "", d.maxAttempts(name.Job), d.wallMs)
+		d.countEnd(run.step, jobs.EndRefused)
 		d.dropRun(r, ref.GetTask())
 	}
 }
@@ -195,6 +196,9 @@
 	if run, live := r.live[end.GetTask()]; live && run.number == end.GetRun() {
 		d.dropRun(r, end.GetTask())
 	}
+	if out.Counted {
+		d.countEnd(out.Step, how)
+	}
 	if out.Counted && (how == jobs.EndDone || how == jobs.EndFailed && first) {
 		d.fleet.Trouble(r.account, name.Job, how == jobs.EndFailed, d.now)
 	}
--- a/internal/control/scheduler/status.go
+++ b/internal/control/scheduler/status.go
@@ -11,11 +11,12 @@
 
 // Status is what an operator may want to know of the placement role, as it is answered in JSON.
 type Status struct {
-	Epoch         uint64         `json:"epoch"` // also the runners' fencing token
-	ConfigVersion uint64         `json:"config_version"`
-	Jobs          map[string]int `json:"jobs"` // by state
-	Runners       []RunnerStatus `json:"runners"`
-	Waiting       []WaitStatus   `json:"waiting"` // steps with tasks that wait, in the order in which they are served
+	Epoch         uint64                   `json:"epoch"` // also the runners' fencing token
+	ConfigVersion uint64                   `json:"config_version"`
+	Jobs          map[string]int           `json:"jobs"`     // by state
+	Services      map[string]ServiceStatus `json:"services"` // that have had tasks
+	Runners       []RunnerStatus           `json:"runners"`
+	Waiting       []WaitStatus             `json:"waiting"` // steps with tasks that wait, in the order in which they are served
 }
 
 // RunnerStatus is the account of a runner.
@@ -39,6 +40,24 @@
 	HeardMsAgo int64               `json:"heard_ms_ago,omitempty"`
 }
 
+// State names the state of a runner in a word or two.
+func (r *RunnerStatus) State() string {
+	switch {
+	case !r.InSession:
+		return "out of touch"
+	case r.Draining:
+		return "draining"
+	case r.Silent:
+		return "silent"
+	case r.Suspect:
+		return "suspect"
+	case !r.Usable:
+		return "not usable"
+	default:
+		return "ready"
+	}
+}
+
 // RunStatus is a run that may be under way on a runner.
 type RunStatus struct {
 	Task     string `json:"task"`
@@ -74,6 +93,7 @@
 	for _, id := range slices.Sorted(maps.Keys(d.runners)) {
 		s.Runners = append(s.Runners, d.runnerStatus(d.runners[id]))
 	}
+	s.Services = d.serviceStatuses()
 	s.Waiting = d.waiting(func(*jobs.Step) bool { return true })
 	return s
 }
--- /dev/null
+++ b/internal/data/companion/node_fuzz_test.go
@@ -0,0 +1,54 @@
+package companion
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"frosttide/internal/protocol"
+)
+
+// FuzzReceive has a companion with a runner that beats bear any message of another process.
+func FuzzReceive(f *testing.F) {
+	v := &protocol.View{Epoch: 5, Voters: []*protocol.Member{{Id: 1, Address: head}}, Chain: []uint64{1}}
+	for _, e := range []*protocol.Envelope{
+		{Body: &protocol.Envelope_RunnerOrders{RunnerOrders: &protocol.RunnerOrders{Epoch: 5, Sequence: 1, Session: 1, Runner: "i1", Companion: 100, Full: true, LeaseRound: 1, LeaseMs: 12000,
+			Runs: []*protocol.RunOrder{{Task: "a.0.0.0", Run: 1, Spec: "s"}}}}},
+		{Body: &protocol.Envelope_RunnerOrders{RunnerOrders: &protocol.RunnerOrders{Epoch: 5, Sequence: 1, Session: 1, Runner: "i1", Companion: 100, Drop: []*protocol.RunRef{{Task: "a.0.0.0", Run: 1}}}}},
+		{Body: &protocol.Envelope_RunnerOrders{RunnerOrders: &protocol.RunnerOrders{Epoch: 1 << 62, LeaseMs: 1 << 31, LeaseRound: 1 << 62}}},
+		{Body: &protocol.Envelope_Decided{Decided: &protocol.Decided{View: v}}},
+		{Body: &protocol.Envelope_Decided{Decided: &protocol.Decided{View: &protocol.View{Epoch: 1 << 62, Chain: []uint64{9}}}}},
+		{Body: &protocol.Envelope_Shuffle{Shuffle: &protocol.Shuffle{}}},
+		{Body: &protocol.Envelope_Rumor{Rumor: &protocol.Rumor{}}},
+		{Body: &protocol.Envelope_ConfigDelta{ConfigDelta: &protocol.ConfigDelta{}}},
+	} {
+		data, err := proto.Marshal(e)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var e protocol.Envelope
+		if proto.Unmarshal(data, &e) != nil {
+			return
+		}
+		const holdMax = 6 * time.Second
+		n := NewNode(Config{Incarnation: 100, HoldMax: holdMax, Contacts: []string{"seed"}, Seed: 1}, "self", 0)
+		n.Receive(0, head, &protocol.Envelope{Body: &protocol.Envelope_Decided{Decided: &protocol.Decided{View: v}}})
+		for i := range uint64(10) {
+			now := time.Duration(i) * 100 * time.Millisecond
+			answer := n.Machine.Beat(now, &Beat{Account: &protocol.RunnerAccount{Id: "i1"}, Sequence: i + 1})
+			if answer.Hold > holdMax {
+				t.Errorf("a hold of %v", answer.Hold)
+			}
+			if answer.Retry <= 0 {
+				t.Error("no time of the next beat")
+			}
+			n.Receive(now, head, &e)
+			n.Tick(now)
+			n.Turn(now)
+		}
+	})
+}
--- a/internal/routeconfig/document.go
+++ b/internal/routeconfig/document.go
@@ -4,6 +4,8 @@
 package routeconfig
 
 import (
+	"encoding/json"
+
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fastjson"
 )
@@ -55,6 +57,9 @@
 	if err != nil {
 		return nil, invalid("it can't be read: %v", err)
 	}
+	if !json.Valid(body) { // fastjson does not look into numbers and texts that nobody asks for
+		return nil, invalid("it can't be read: a number or a text in it is none")
+	}
 	top, err := value.Object()
 	if err != nil {
 		return nil, invalid("it is no object")
--- a/internal/routeconfig/table_test.go
+++ b/internal/routeconfig/table_test.go
@@ -40,16 +40,18 @@
 func TestInvalid(t *testing.T) {
 	table := apply(t, Empty(), first, false)
 	for name, body := range map[string]string{
-		"cut short":          first[:100],
-		"no object":          `[]`,
-		"no version":         `{"Routes":[]}`,
-		"version not above":  first,
-		"fraction":           strings.Replace(first, `"Version":5`, `"Version":5.5`, 1),
-		"unknown service":    strings.NewReplacer(`"Version":5`, `"Version":6`, `"Service":"s"`, `"Service":"t"`).Replace(first),
-		"no time-out":        strings.NewReplacer(`"Version":5`, `"Version":6`, `3000`, `0`).Replace(first),
-		"same place":         strings.NewReplacer(`"Version":5`, `"Version":6`, `/x/y/`, `/x/`).Replace(first),
-		"name stands twice":  strings.NewReplacer(`"Version":5`, `"Version":6`, `"Name":"a"`, `"Name":"b"`).Replace(first),
-		"routes are no list": `{"Version":6,"Routes":{}}`,
+		"cut short":             first[:100],
+		"no object":             `[]`,
+		"a number that is none": `{"Version":6,"Odd":{"a":00}}`,
+		"a text that is none":   `{"Version":6,"Odd":"\q"}`,
+		"no version":            `{"Routes":[]}`,
+		"version not above":     first,
+		"fraction":              strings.Replace(first, `"Version":5`, `"Version":5.5`, 1),
+		"unknown service":       strings.NewReplacer(`"Version":5`, `"Version":6`, `"Service":"s"`, `"Service":"t"`).Replace(first),
+		"no time-out":           strings.NewReplacer(`"Version":5`, `"Version":6`, `3000`, `0`).Replace(first),
+		"same place":            strings.NewReplacer(`"Version":5`, `"Version":6`, `/x/y/`, `/x/`).Replace(first),
+		"name stands twice":     strings.NewReplacer(`"Version":5`, `"Version":6`, `"Name":"a"`, `"Name":"b"`).Replace(first),
+		"routes are no list":    `{"Version":6,"Routes":{}}`,
 	} {
 		_, err := table.Apply([]byte(body), false)
 		require.True(t, errors.Is(err, ErrInvalid), name)
@@ -89,3 +91,24 @@
 	_, ok := Empty().Follow(delta)
 	require.False(t, ok)
 }
+
+// FuzzApply has any body be applied as a whole configuration and as a change of one: it is refused, or what it
+// leads to is read back as the same.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(strings.Replace(first, `"Version":5`, `"Version":6`, 1)), false)
+	f.Add([]byte(`{"Version":9,"Upsert":{"Routes":[{"Name":"c","Host":"h.example","PathPrefix":"/c/","TimeoutMs":1,"Service":"s"}]},"Remove":{"Routes":["a","none"]}}`), true)
+	f.Add([]byte(`{"Version":18446744073709551616}`), false)
+	f.Add([]byte(`{"Version":9,"Routes":[{}],"Services":[null],"Limits":[]}`), false)
+	f.Fuzz(func(t *testing.T, body []byte, patch bool) {
+		before, err := Empty().Apply([]byte(first), false)
+		require.NoError(t, err)
+		after, err := before.Table.Apply(body, patch)
+		if err != nil {
+			require.True(t, errors.Is(err, ErrInvalid), "%v", err)
+			return
+		}
+		again, err := Empty().Apply(after.Table.Document(), false)
+		require.NoError(t, err, "%s", after.Table.Document())
+		require.JSONEq(t, string(after.Table.Document()), string(again.Table.Document()))
+	})
+}
