Have the simulated network lose no more than is to be borne

Ruled out: the view's agreement; two of five voters were left, which can't be a majority.

The check itself is as it was.

--- a/internal/simnet/world.go
+++ b/internal/simnet/world.go
@@ -93,14 +93,15 @@
 
 // world is a play.
 type world struct {
-	options  Options
-	rng      *rand.Rand
-	now      time.Duration
-	events   eventHeap
-	order    uint64
-	trouble  time.Duration // when the newest fault began or ended
-	lastWipe time.Duration // when a disk was last lost
-	report   Report
+	options      Options
+	rng          *rand.Rand
+	now          time.Duration
+	events       eventHeap
+	order        uint64
+	trouble      time.Duration // when the newest fault began or ended
+	lastWipe     time.Duration // when a disk was last lost
+	lastReplaced time.Duration // when a machine was last taken away for good, or came new
+	report       Report
 
 	processes map[string]*process // by internal address
 	cores     []*core
