Keep what lines ask for side by side, and bound what is counted

Cause, found in review: the benchmark had all jobs ask for the same. A last attempt that AntiAffinity alone blocks no longer blocks others. Ends of a kind that the protocol does not have are counted as one, so that a runner can't grow the map.

--- a/internal/control/placement/pool.go
+++ b/internal/control/placement/pool.go
@@ -100,6 +100,19 @@
 	return Resources{}
 }
 
+// MostFree returns, of each resource by itself, the most that a runner of a service that takes work has free.
+func (f *Fleet) MostFree(service string) (most Resources) {
+	p := f.pools[service]
+	if p == nil {
+		return Resources{}
+	}
+	for _, r := range p.open {
+		free := r.Free()
+		most = Resources{CPU: max(most.CPU, free.CPU), MemMB: max(most.MemMB, free.MemMB), GPUs: max(most.GPUs, free.GPUs)}
+	}
+	return most
+}
+
 // HasRack tells whether a usable runner of a rack could take a task if it were empty.
 func (f *Fleet) HasRack(w *Want, rack string) bool {
 	return slices.ContainsFunc(f.Service(w.Service), func(r *Runner) bool { return r.Usable && r.Rack == rack && r.able(w) })
--- a/internal/control/scheduler/counters.go
+++ b/internal/control/scheduler/counters.go
@@ -28,9 +28,17 @@
 	return c
 }
 
+// otherEnd counts ends of a kind that the protocol does not have, so that a runner can't make up kinds without end.
+const otherEnd = "other"
+
 // countEnd counts the end of a run.
 func (d *Scheduler) countEnd(s *jobs.Step, how jobs.How) {
-	d.countersOf(s.Job.Service).Ended[string(how)]++
+	kind := otherEnd
+	switch how {
+	case jobs.EndDone, jobs.EndFailed, jobs.EndStopped, jobs.EndRefused, jobs.EndLost:
+		kind = string(how)
+	}
+	d.countersOf(s.Job.Service).Ended[kind]++
 }
 
 // countBlocked counts the tasks that were to be started and found no runner in the pass that followed.
@@ -62,8 +70,8 @@
 
 // tasks returns how many tasks wait, as far as they have been counted.
 func (q *queue) tasks() (sum int) {
-	for _, l := range q.lines {
-		sum += l.tasks
+	for _, e := range q.all {
+		sum += e.line.tasks
 	}
 	return sum
 }
--- a/internal/control/scheduler/gang.go
+++ b/internal/control/scheduler/gang.go
@@ -39,7 +39,7 @@
 	}
 	w.want.LastAttempt = w.want.LastAttempt && p.doubts
 	if w.want.AntiAffinity == 0 {
-		p.blocked = append(p.blocked, blockageOf(w))
+		p.note(blockageOf(w))
 	}
 	if w.want.LastAttempt {
 		return passed
--- a/internal/control/scheduler/pass.go
+++ b/internal/control/scheduler/pass.go
@@ -26,8 +26,9 @@
 type pass struct {
 	d       *Scheduler
 	queue   *queue
-	whole   bool // every step is looked at: time has passed
-	doubts  bool // some runner is distrusted
+	whole   bool                // every step is looked at: time has passed
+	doubts  bool                // some runner is distrusted
+	room    placement.Resources // no runner has more of any resource free
 	blocked []blockage
 	hasRack map[*line]bool // whether the rack that a line waits for is there
 }
@@ -63,6 +64,12 @@
 	return false
 }
 
+// note notes what was blocked, and how much is left of the room that others may find.
+func (p *pass) note(b blockage) {
+	p.blocked = append(p.blocked, b)
+	p.room = p.d.fleet.MostFree(p.queue.service)
+}
+
 // cursor is how far a pass has come in a line.
 type cursor struct {
 	line   *line
@@ -115,12 +122,14 @@
 	return &pass{d: d, queue: q, whole: d.timePassed, doubts: d.fleet.Doubts(q.service), hasRack: make(map[*line]bool)}
 }
 
-// run offers the service's runners to the steps in order.
+// run offers the service's runners to the steps in order. Lines that ask for more than any runner has free are not
+// looked into.
 func (p *pass) run() {
-	open := make(cursors, 0, len(p.queue.lines))
-	for _, l := range p.queue.lines {
-		if len(l.steps) > 0 {
-			open = append(open, &cursor{line: l})
+	p.room = p.d.fleet.MostFree(p.queue.service)
+	var open cursors
+	for i := range p.queue.all {
+		if e := &p.queue.all[i]; e.demand.Fits(p.room) && len(e.line.steps) > 0 {
+			open = append(open, &cursor{line: e.line})
 		}
 	}
 	heap.Init(&open)
@@ -137,6 +146,9 @@
 
 // visit places what can be placed of the step that is next in a line, and tells whether the line goes on.
 func (p *pass) visit(c *cursor) bool {
+	if !c.line.shape.demand.Fits(p.room) {
+		return false
+	}
 	w := c.next()
 	found := goOn
 	if w.due() {
@@ -232,10 +244,10 @@
 	case !p.doubts:
 		want.LastAttempt = false
 		return blocked
-	case want.LastAttempt && want.Avoid == "":
+	case want.LastAttempt && want.Avoid == "" && want.AntiAffinity == 0:
 		p.blocked = append(p.blocked, b)
 		return passed
-	case want.Avoid != "":
+	case want.LastAttempt || want.Avoid != "":
 		return passed
 	default:
 		return blocked
@@ -251,7 +263,7 @@
 			return passed // only for this step, whose tasks lie there already
 		}
 	}
-	p.blocked = append(p.blocked, blockageOf(w))
+	p.note(blockageOf(w))
 	if w.want.Rack != "" {
 		return passed
 	}
--- a/internal/control/scheduler/pass_test.go
+++ b/internal/control/scheduler/pass_test.go
@@ -93,7 +93,7 @@
 			for range rng.IntN(4) {
 				stages = append(stages, randomStage(rng))
 			}
-			queue := []string{"fast", "slow"}[rng.IntN(2)]
+			queue := []string{"fast", "slow", "once"}[rng.IntN(3)]
 			runner, how := runnerName(rng.IntN(passRunners)), []string{"done", "done", "failed"}[rng.IntN(3)]
 			after := time.Duration(rng.IntN(1500)) * time.Millisecond
 			for _, r := range pair {
@@ -203,6 +203,10 @@
 	require.EqualValues(t, 6, s.Started)
 	require.Equal(t, map[string]uint64{"failed": 1, "done": 1}, s.Ended)
 	require.Equal(t, 1, s.WaitingTasks)
+	r.endFirst("w0", "in a way of its own")
+	r.commit()
+	s = r.d.Status().Services["svc"]
+	require.EqualValues(t, 1, s.Ended[otherEnd])
 	r.d.lose("w0")
 	r.commit()
 	s = r.d.Status().Services["svc"]
--- a/internal/control/scheduler/queue.go
+++ b/internal/control/scheduler/queue.go
@@ -14,6 +14,8 @@
 type queue struct {
 	service string
 	lines   map[shape]*line
+	all     []lineEntry                 // the lines, in no order
+	waiting map[int]placement.Resources // what the lines' tasks ask for, by priority
 	steps   map[*jobs.Step]*waitingStep
 	reserve *placement.Reserve
 	running map[int]placement.Resources // what runs hold, by priority
@@ -30,8 +32,16 @@
 	gang         int // members, 0 for tasks that are placed one by one
 }
 
+// lineEntry is a line with what its tasks ask for. Where hardly two jobs ask for the same there are as many lines as
+// steps; what is known of a line without looking into it lies side by side.
+type lineEntry struct {
+	demand placement.Resources
+	line   *line
+}
+
 // line is the steps of one shape, in the order in which they are served.
 type line struct {
+	queue *queue
 	shape shape
 	steps []*waitingStep
 	tasks int // that wait, as far as they have been counted
@@ -70,7 +80,7 @@
 }
 
 func newQueue(service string) *queue {
-	return &queue{service: service, lines: make(map[shape]*line), steps: make(map[*jobs.Step]*waitingStep), reserve: placement.NewReserve(),
+	return &queue{service: service, lines: make(map[shape]*line), waiting: make(map[int]placement.Resources), steps: make(map[*jobs.Step]*waitingStep), reserve: placement.NewReserve(),
 		running: make(map[int]placement.Resources)}
 }
 
@@ -84,8 +94,9 @@
 	q.steps[w.step] = w
 	l := q.lines[w.shape()]
 	if l == nil {
-		l = &line{shape: w.shape()}
+		l = &line{queue: q, shape: w.shape()}
 		q.lines[l.shape] = l
+		q.all = append(q.all, lineEntry{demand: l.shape.demand, line: l})
 	}
 	w.line = l
 	at, _ := slices.BinarySearchFunc(l.steps, w, (*waitingStep).compare)
@@ -99,32 +110,38 @@
 	if w.due() {
 		now = w.step.Waiting
 	}
-	grown = max(0, now-w.counted)
-	l.tasks += now - w.counted
+	by := now - w.counted
+	if by == 0 {
+		return 0
+	}
+	l.tasks += by
 	w.counted = now
-	return grown
+	l.queue.waiting[l.shape.priority] = l.queue.waiting[l.shape.priority].Plus(l.shape.demand.Times(by))
+	return max(0, by)
 }
 
 // sweep drops the steps that wait no longer and moves those that have become late. Unlike a pass it looks at
 // every step.
 func (q *queue) sweep(wallMs int64) {
-	for shape, l := range q.lines {
-		l.drop(q)
-		l.reorder(wallMs)
-		if len(l.steps) == 0 {
-			delete(q.lines, shape)
+	q.all = slices.DeleteFunc(q.all, func(e lineEntry) bool {
+		e.line.drop()
+		e.line.reorder(wallMs)
+		if len(e.line.steps) > 0 {
+			return false
 		}
-	}
+		delete(q.lines, e.line.shape)
+		return true
+	})
 }
 
 // drop takes out of the line what waits no longer.
-func (l *line) drop(q *queue) {
+func (l *line) drop() {
 	l.steps = slices.DeleteFunc(l.steps, func(w *waitingStep) bool {
 		l.count(w)
 		if w.due() {
 			return false
 		}
-		delete(q.steps, w.step)
+		delete(l.queue.steps, w.step)
 		return true
 	})
 }
@@ -144,23 +161,21 @@
 
 // observe tells the reserve what each priority holds and waits for.
 func (q *queue) observe(now time.Duration) {
-	waiting := make(map[int]placement.Resources)
-	for shape, l := range q.lines {
-		waiting[shape.priority] = waiting[shape.priority].Plus(shape.demand.Times(l.tasks))
-	}
-	for priority := range q.running {
-		waiting[priority] = waiting[priority].Plus(placement.Resources{})
-	}
-	for priority, resources := range waiting {
+	for priority, resources := range q.waiting {
 		q.reserve.Observe(priority, q.running[priority], resources, now)
 	}
+	for priority, running := range q.running {
+		if _, known := q.waiting[priority]; !known {
+			q.reserve.Observe(priority, running, placement.Resources{}, now)
+		}
+	}
 }
 
 // inOrder returns the steps that wait, in the order in which they are served.
 func (q *queue) inOrder() []*waitingStep {
 	var out []*waitingStep
-	for _, l := range q.lines {
-		out = append(out, l.steps...)
+	for _, e := range q.all {
+		out = append(out, e.line.steps...)
 	}
 	slices.SortFunc(out, (*waitingStep).compare)
 	return out
--- a/internal/control/scheduler/scale_bench_test.go
+++ b/internal/control/scheduler/scale_bench_test.go
@@ -29,7 +29,7 @@
 }
 
 // busyFleet returns a scheduler whose fleet is full and has tasks waiting.
-func busyFleet(b *testing.B, size fleetSize) *rig {
+func busyFleet(b *testing.B, size fleetSize, uneven bool) *rig {
 	b.Helper()
 	r := &rig{t: b, store: store.New(), now: time.Hour, epoch: 1, replies: make(map[uint64]*protocol.ClientReply), ends: make(map[string]uint64)}
 	r.elect()
@@ -47,8 +47,12 @@
 		})
 	}
 	for i := range (size.running + size.waiting) / stepWidth {
+		stage := &protocol.Stage{Count: stepWidth, Cpu: 100, MemMb: 100, EstimateMs: 1000}
+		if uneven { // hardly two jobs ask for the same
+			stage.Cpu, stage.MemMb = 75+int64(i*7919%101), 50+int64(i*104729%997)
+		}
 		r.d.Request("client", &protocol.ClientRequest{Id: uint64(i + 100), Op: &protocol.ClientRequest_Submit{Submit: &protocol.Submit{Id: fmt.Sprintf("%016x", i+1), Queue: "slow", Spec: "s",
-			Stages: []*protocol.Stage{{Count: stepWidth, Cpu: 100, MemMb: 100, EstimateMs: 1000}}}}}, func(string) bool { return false })
+			Stages: []*protocol.Stage{stage}}}}, func(string) bool { return false })
 	}
 	r.commit()
 	require.Greater(b, len(r.d.queues["svc"].steps), size.waiting/stepWidth-2*size.runners)
@@ -58,16 +62,18 @@
 func companionName(i int) string { return fmt.Sprintf("c%d", i) }
 func runnerName(i int) string    { return fmt.Sprintf("w%d", i) }
 
-// eachSize measures a step on a busy fleet of each size.
+// eachSize measures a step on a busy fleet of each size, where all jobs ask for the same and where hardly two do.
 func eachSize(b *testing.B, step func(r *rig, size fleetSize, i int)) {
-	for _, size := range sizes {
-		b.Run(size.String(), func(b *testing.B) {
-			r := busyFleet(b, size)
-			b.ResetTimer()
-			for i := 0; b.Loop(); i++ {
-				step(r, size, i)
-			}
-		})
+	for _, uneven := range []bool{false, true} {
+		for _, size := range sizes {
+			b.Run(fmt.Sprintf("uneven=%v/%v", uneven, size), func(b *testing.B) {
+				r := busyFleet(b, size, uneven)
+				b.ResetTimer()
+				for i := 0; b.Loop(); i++ {
+					step(r, size, i)
+				}
+			})
+		}
 	}
 }
 
--- a/internal/control/scheduler/scheduler_test.go
+++ b/internal/control/scheduler/scheduler_test.go
@@ -14,7 +14,8 @@
 )
 
 const config = `{"Version":1,"Routes":[{"Name":"fast","Host":"h","PathPrefix":"/f/","TimeoutMs":3000,"TargetLatencyMs":800,"Priority":0,"Service":"svc","MaxAttempts":2,"Stretch":1.5},` +
-	`{"Name":"slow","Host":"h","PathPrefix":"/s/","TimeoutMs":3000,"TargetLatencyMs":4000,"Priority":2,"Service":"svc","MaxAttempts":2,"Stretch":4}],"Services":[{"Name":"svc"}]}`
+	`{"Name":"slow","Host":"h","PathPrefix":"/s/","TimeoutMs":3000,"TargetLatencyMs":4000,"Priority":2,"Service":"svc","MaxAttempts":2,"Stretch":4},` +
+	`{"Name":"once","Host":"h","PathPrefix":"/o/","TimeoutMs":3000,"TargetLatencyMs":4000,"Priority":2,"Service":"svc","MaxAttempts":1,"Stretch":4}],"Services":[{"Name":"svc"}]}`
 
 // rig is a scheduler whose chain commits when the test says so.
 type rig struct {
