--- a/internal/control/member/member_fuzz_test.go
+++ b/internal/control/member/member_fuzz_test.go
@@ -4,11 +4,10 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"frosttide/internal/control/replica"
 	"frosttide/internal/control/scheduler"
 	"frosttide/internal/protocol"
+	"frosttide/internal/protocol/protocoltest"
 )
 
 // serving returns a member that is alone and serves as the head.
@@ -36,7 +35,7 @@
 
 // FuzzReceive has a serving member bear any message of another process.
 func FuzzReceive(f *testing.F) {
-	for _, e := range []*protocol.Envelope{
+	protocoltest.Fuzz(f, []*protocol.Envelope{
 		{Body: &protocol.Envelope_Heartbeat{Heartbeat: &protocol.Heartbeat{Member: &protocol.Member{Id: 9, Address: "other"}, Epoch: 1}}},
 		{Body: &protocol.Envelope_Prepare{Prepare: &protocol.Prepare{Ballot: 1 << 20}}},
 		{Body: &protocol.Envelope_Accept{Accept: &protocol.Accept{}}},
@@ -46,22 +45,11 @@
 		{Body: &protocol.Envelope_Append{Append: &protocol.Append{Entries: []*protocol.Entry{{}}}}},
 		{Body: &protocol.Envelope_RunnerReport{RunnerReport: &protocol.RunnerReport{Account: &protocol.RunnerAccount{Id: "i"}}}},
 		{Body: &protocol.Envelope_ClientRequest{ClientRequest: &protocol.ClientRequest{Id: 1}}},
-	} {
-		data, err := proto.Marshal(e)
-		if err != nil {
-			f.Fatal(err)
-		}
-		f.Add(data)
-	}
-	f.Fuzz(func(t *testing.T, data []byte) {
-		var e protocol.Envelope
-		if proto.Unmarshal(data, &e) != nil {
-			return
-		}
+	}, func(t *testing.T, e *protocol.Envelope) {
 		m := serving(t)
 		for i := range 3 {
 			now := 2*time.Second + time.Duration(i)*300*time.Millisecond
-			m.Receive(now, "other", &e)
+			m.Receive(now, "other", e)
 			m.Tick(now, now.Milliseconds())
 			turn(m, now)
 		}
--- a/internal/data/carrier/node_fuzz_test.go
+++ b/internal/data/carrier/node_fuzz_test.go
@@ -4,14 +4,13 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"frosttide/internal/protocol"
+	"frosttide/internal/protocol/protocoltest"
 )
 
 // FuzzReceive has a carrier that waits for an answer bear any message of another process.
 func FuzzReceive(f *testing.F) {
-	for _, e := range []*protocol.Envelope{
+	protocoltest.Fuzz(f, []*protocol.Envelope{
 		{Body: &protocol.Envelope_ClientReply{ClientReply: &protocol.ClientReply{Id: 1, Status: 200, ConfigVersion: 3}}},
 		{Body: &protocol.Envelope_Decided{Decided: &protocol.Decided{View: &protocol.View{Epoch: 1 << 20, Voters: []*protocol.Member{{Id: 1, Address: "core"}}, Chain: []uint64{1}}}}},
 		{Body: &protocol.Envelope_Decided{Decided: &protocol.Decided{View: &protocol.View{Epoch: 1 << 20, Chain: []uint64{1}}}}},
@@ -19,23 +18,12 @@
 		{Body: &protocol.Envelope_Rumor{Rumor: &protocol.Rumor{}}},
 		{Body: &protocol.Envelope_RumorPull{RumorPull: &protocol.RumorPull{}}},
 		{Body: &protocol.Envelope_ConfigDelta{ConfigDelta: &protocol.ConfigDelta{}}},
-	} {
-		data, err := proto.Marshal(e)
-		if err != nil {
-			f.Fatal(err)
-		}
-		f.Add(data)
-	}
-	f.Fuzz(func(t *testing.T, data []byte) {
-		var e protocol.Envelope
-		if proto.Unmarshal(data, &e) != nil {
-			return
-		}
+	}, func(t *testing.T, e *protocol.Envelope) {
 		n := NewNode("self", 1, []string{"core"})
 		id := n.Ask(0, &protocol.ClientRequest{Op: &protocol.ClientRequest_ReadConfig{ReadConfig: &protocol.ReadConfig{}}}, true, time.Second)
 		answers := 0
 		for now := time.Duration(0); now < 3*time.Second; now += 300 * time.Millisecond {
-			n.Receive(now, "other", &e)
+			n.Receive(now, "other", e)
 			n.Tick(now)
 			_, outcomes := n.Turn(now)
 			for _, o := range outcomes {
--- a/internal/data/companion/node_fuzz_test.go
+++ b/internal/data/companion/node_fuzz_test.go
@@ -4,15 +4,14 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"frosttide/internal/protocol"
+	"frosttide/internal/protocol/protocoltest"
 )
 
 // FuzzReceive has a companion with a runner that beats bear any message of another process.
 func FuzzReceive(f *testing.F) {
 	v := &protocol.View{Epoch: 5, Voters: []*protocol.Member{{Id: 1, Address: head}}, Chain: []uint64{1}}
-	for _, e := range []*protocol.Envelope{
+	protocoltest.Fuzz(f, []*protocol.Envelope{
 		{Body: &protocol.Envelope_RunnerOrders{RunnerOrders: &protocol.RunnerOrders{Epoch: 5, Sequence: 1, Session: 1, Runner: "i1", Companion: 100, Full: true, LeaseRound: 1, LeaseMs: 12000,
 			Runs: []*protocol.RunOrder{{Task: "a.0.0.0", Run: 1, Spec: "s"}}}}},
 		{Body: &protocol.Envelope_RunnerOrders{RunnerOrders: &protocol.RunnerOrders{Epoch: 5, Sequence: 1, Session: 1, Runner: "i1", Companion: 100, Drop: []*protocol.RunRef{{Task: "a.0.0.0", Run: 1}}}}},
@@ -22,18 +21,7 @@
 		{Body: &protocol.Envelope_Shuffle{Shuffle: &protocol.Shuffle{}}},
 		{Body: &protocol.Envelope_Rumor{Rumor: &protocol.Rumor{}}},
 		{Body: &protocol.Envelope_ConfigDelta{ConfigDelta: &protocol.ConfigDelta{}}},
-	} {
-		data, err := proto.Marshal(e)
-		if err != nil {
-			f.Fatal(err)
-		}
-		f.Add(data)
-	}
-	f.Fuzz(func(t *testing.T, data []byte) {
-		var e protocol.Envelope
-		if proto.Unmarshal(data, &e) != nil {
-			return
-		}
+	}, func(t *testing.T, e *protocol.Envelope) {
 		const holdMax = 6 * time.Second
 		n := NewNode(Config{Incarnation: 100, HoldMax: holdMax, Contacts: []string{"seed"}, Seed: 1}, "self", 0)
 		n.Receive(0, head, &protocol.Envelope{Body: &protocol.Envelope_Decided{Decided: &protocol.Decided{View: v}}})
@@ -46,7 +34,7 @@
 			if answer.Retry <= 0 {
 				t.Error("no time of the next beat")
 			}
-			n.Receive(now, head, &e)
+			n.Receive(now, head, e)
 			n.Tick(now)
 			n.Turn(now)
 		}
