Hand state over in numbered pieces, installed by the digest of the whole

Cause: pieces carried no number, so that the receiver took the last one for the end whatever was missing (a member said installed with 1,736 of 2,000 items); syncRetry started the transfer over where a piece took longer than 250 ms; Install (700 ms) started another election round, which started the transfer over too. Ruled out: longer fixed times, which only move the size and speed at which it happens.

A member now tells the digests of what it holds, gets a window of the ranges that differ in numbered pieces, keeps what arrives and asks again for what still differs. It installs when the digest of what it holds is that of the source's whole state; what has arrived outlives views and sources. The window follows the link's speed, so that heartbeats are not held up. An install is given up when nothing gets on, not after a fixed time; members far behind are chosen for the chain last. A large state is written by the disk's own goroutine from an image, in several records; sizes of the file come from the file. A write that finishes while the file is replaced no longer counts for the new one's synced length.

Tests in replica/transfer_test.go: a lost piece, a follower without gaps, links of 4 to 1,000 Mbit/s, views that change in mid-transfer, a little difference in a large state, a stale member.

--- a/internal/control/host/disk.go
+++ b/internal/control/host/disk.go
@@ -10,10 +10,10 @@
 type disk struct {
 	file *journal.File
 	box  *mailbox.Box[replica.Write]
-	done func(sequence uint64, err error)
+	done func(sequence uint64, size int64, err error)
 }
 
-func newDisk(file *journal.File, done func(sequence uint64, err error)) *disk {
+func newDisk(file *journal.File, done func(sequence uint64, size int64, err error)) *disk {
 	d := &disk{file: file, box: mailbox.New[replica.Write](), done: done}
 	go d.run()
 	return d
@@ -30,12 +30,12 @@
 			count := together(queue)
 			group := queue[:count]
 			last := group[count-1].Sequence
-			if group[0].Rewrite {
-				failed = d.file.Rewrite(group[0].Data)
+			if group[0].Image != nil {
+				failed = d.file.Rewrite(group[0].Image)
 			} else if failed == nil {
 				failed = d.file.Write(join(group))
 			}
-			d.done(last, failed)
+			d.done(last, d.file.Size(), failed)
 			queue = queue[count:]
 		}
 	}
@@ -43,11 +43,11 @@
 
 // together returns how many writes from the first are done at once.
 func together(queue []replica.Write) int {
-	if queue[0].Rewrite {
+	if queue[0].Image != nil {
 		return 1
 	}
 	for i, w := range queue {
-		if w.Rewrite {
+		if w.Image != nil {
 			return i
 		}
 	}
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -65,8 +65,8 @@
 		return err
 	}
 	defer file.Close()
-	h.disk = newDisk(file, func(sequence uint64, err error) {
-		p.Do(func() { h.member.DiskDone(p.Now(), sequence, err) })
+	h.disk = newDisk(file, func(sequence uint64, size int64, err error) {
+		p.Do(func() { h.member.DiskDone(p.Now(), sequence, size, err) })
 	})
 	h.begin(state)
 	stop, err := h.serveAPI(settings.ListenAddrs.Control)
--- a/internal/control/journal/file.go
+++ b/internal/control/journal/file.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -19,8 +20,12 @@
 type File struct {
 	dir  string
 	file *os.File
+	size int64
 }
 
+// Size returns the file's length in bytes.
+func (f *File) Size() int64 { return f.size }
+
 // Load reads the file of a folder without changing anything, as of a member that may be running.
 func Load(dir string) (State, error) {
 	data, err := os.ReadFile(filepath.Join(dir, fileName))
@@ -83,6 +88,7 @@
 	if err := f.file.Truncate(good); err != nil {
 		return errors.Wrap(err, "journal: the torn end can't be cut off")
 	}
+	f.size = good
 	if _, err := f.file.Seek(good, 0); err != nil {
 		return errors.Wrap(err, "journal: the file has no end")
 	}
@@ -94,20 +100,23 @@
 
 // Write appends records and syncs them.
 func (f *File) Write(records []byte) error {
-	if _, err := f.file.Write(records); err != nil {
+	n, err := f.file.Write(records)
+	f.size += int64(n)
+	if err != nil {
 		return errors.Wrap(err, "journal: a write failed")
 	}
 	return errors.Wrap(f.file.Sync(), "journal: a sync failed")
 }
 
 // Rewrite replaces the whole file: a new one is written and synced, then takes the old one's name.
-func (f *File) Rewrite(whole []byte) error {
+func (f *File) Rewrite(whole io.WriterTo) error {
 	path := filepath.Join(f.dir, newName)
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "journal: the new file can't be made")
 	}
-	if err = write(file, whole); err == nil {
+	size, err := writeImage(file, whole)
+	if err == nil {
 		err = os.Rename(path, filepath.Join(f.dir, fileName))
 	}
 	if err != nil {
@@ -115,10 +124,19 @@
 		return errors.Wrap(err, "journal: the new file can't be put in place")
 	}
 	f.file.Close()
-	f.file = file
+	f.file, f.size = file, size
 	return f.syncFolder()
 }
 
+// writeImage writes a whole file and syncs it.
+func writeImage(file *os.File, whole io.WriterTo) (int64, error) {
+	size, err := whole.WriteTo(file)
+	if err != nil {
+		return size, err
+	}
+	return size, file.Sync()
+}
+
 func write(file *os.File, whole []byte) error {
 	if _, err := file.Write(whole); err != nil {
 		return err
--- a/internal/control/journal/journal.go
+++ b/internal/control/journal/journal.go
@@ -179,27 +179,3 @@
 	}
 	return nil
 }
-
-// Snapshot returns a whole file that holds a state.
-func Snapshot(s State) ([]byte, error) {
-	records := []struct {
-		kind Kind
-		body proto.Message
-	}{
-		{Identity, &protocol.IdentityRecord{Id: s.ID, Founder: s.Founder, Format: Format}},
-		{Accept, &protocol.AcceptRecord{View: s.Accepted}},
-		{Promise, &protocol.PromiseRecord{Ballot: s.Promised}},
-		{Install, &protocol.InstallRecord{Epoch: s.InstalledEpoch, Index: s.Index, Puts: s.Store.All()}},
-	}
-	var out []byte
-	for _, r := range records {
-		if r.kind == Accept && s.Accepted == nil {
-			continue
-		}
-		var err error
-		if out, err = Append(out, r.kind, 0, r.body); err != nil {
-			return nil, err
-		}
-	}
-	return out, nil
-}
--- a/internal/control/journal/journal_test.go
+++ b/internal/control/journal/journal_test.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -93,7 +94,7 @@
 	require.NoError(t, err)
 	require.Zero(t, s.ID)
 	whole, ends := file(t, 2)
-	require.NoError(t, f.Rewrite(whole[:ends[0]]))
+	require.NoError(t, f.Rewrite(bytes.NewReader(whole[:ends[0]])))
 	require.NoError(t, f.Write(whole[ends[0]:]))
 	require.NoError(t, f.Close())
 	f, s, err = Open(dir)
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -98,9 +98,9 @@
 	}
 }
 
-// DiskDone handles the end of a write.
-func (m *Member) DiskDone(now time.Duration, sequence uint64, err error) {
-	m.act(now, m.replica.DiskDone(now, sequence, err))
+// DiskDone handles the end of a write; size is how long the file is after it.
+func (m *Member) DiskDone(now time.Duration, sequence uint64, size int64, err error) {
+	m.act(now, m.replica.DiskDone(now, sequence, size, err))
 }
 
 // Tick lets time pass; wallMs is the time of day in ms from 1970.
--- a/internal/control/member/member_fuzz_test.go
+++ b/internal/control/member/member_fuzz_test.go
@@ -29,7 +29,7 @@
 // turn carries out a turn on a disk that syncs at once.
 func turn(m *Member, now time.Duration) {
 	for out := m.Turn(now); len(out.Writes) > 0; out = m.Turn(now) {
-		m.DiskDone(now, out.Writes[len(out.Writes)-1].Sequence, nil)
+		m.DiskDone(now, out.Writes[len(out.Writes)-1].Sequence, 0, nil)
 	}
 }
 
@@ -41,7 +41,7 @@
 		{Body: &protocol.Envelope_Accept{Accept: &protocol.Accept{}}},
 		{Body: &protocol.Envelope_Decided{Decided: &protocol.Decided{}}},
 		{Body: &protocol.Envelope_SyncRequest{SyncRequest: &protocol.SyncRequest{Epoch: 1, Install: true}}},
-		{Body: &protocol.Envelope_SyncReply{SyncReply: &protocol.SyncReply{Last: true}}},
+		{Body: &protocol.Envelope_SyncReply{SyncReply: &protocol.SyncReply{Count: 1}}},
 		{Body: &protocol.Envelope_Append{Append: &protocol.Append{Entries: []*protocol.Entry{{}}}}},
 		{Body: &protocol.Envelope_RunnerReport{RunnerReport: &protocol.RunnerReport{Account: &protocol.RunnerAccount{Id: "i"}}}},
 		{Body: &protocol.Envelope_ClientRequest{ClientRequest: &protocol.ClientRequest{Id: 1}}},
--- a/internal/control/replica/chain.go
+++ b/internal/control/replica/chain.go
@@ -24,7 +24,8 @@
 	toldBefore uint64        // last durable told to the successor
 	toldBehind uint64        // last durable told to the predecessor
 	followers  map[string]uint64
-	sync       syncing
+	followedAt time.Duration // outside the chain: when the tail was last heard of
+	nextProbe  time.Duration // when what may have been lost is repeated
 }
 
 // Append writes an entry as the serving head and returns its index; it fails where the member does not
@@ -133,6 +134,7 @@
 	if inChain && m.installedEpoch != a.GetEpoch() || !inChain && !m.chain.following {
 		return
 	}
+	m.chain.followedAt = m.now
 	if a.GetFirst() > m.index {
 		m.lacks(from, inChain)
 		return
@@ -230,10 +232,10 @@
 		return
 	}
 	m.tickSync()
-	if m.now < m.chain.sync.nextProbe || !m.chain.active {
+	if m.now < m.chain.nextProbe || !m.chain.active {
 		return
 	}
-	m.chain.sync.nextProbe = m.now + m.cfg.Timing.Heartbeat
+	m.chain.nextProbe = m.now + m.cfg.Timing.Heartbeat
 	if next := m.successor(); next != nil {
 		m.sendEntries(next.GetAddress(), m.chain.sent)
 	}
--- a/internal/control/replica/disk.go
+++ b/internal/control/replica/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -15,7 +16,7 @@
 	buffer   []byte // records not yet handed over
 	sequence uint64 // of the last write handed over
 	pending  []pendingWrite
-	size     int64 // of the file with all that was handed over
+	size     int64 // of the file with all that was handed over, about
 	synced   int64 // of the file up to the last finished write
 	failed   bool
 	retryAt  time.Duration
@@ -30,7 +31,8 @@
 	began     time.Duration
 	index     uint64 // last entry it covers
 	installed uint64 // installed epoch it covers
-	size      int64  // of the file after it
+	bytes     int64
+	image     bool
 }
 
 // afterSync is done once a write has finished.
@@ -42,6 +44,19 @@
 // meanWeight is how much a new sync counts in the mean.
 const meanWeight = 0.2
 
+// leastDiskRate is how many bytes a second a sound disk writes at least.
+const leastDiskRate = 16 << 20
+
+// timeFor returns what a sound disk may take for the bytes of a write, beside its sync.
+func timeFor(bytes int64) time.Duration {
+	return time.Duration(float64(bytes) / leastDiskRate * float64(time.Second))
+}
+
+// stalled tells whether the oldest write that is not finished takes longer than it should.
+func (d *disk) stalled(now, stall time.Duration) bool {
+	return len(d.pending) > 0 && now-d.pending[0].began > stall+timeFor(d.pending[0].bytes)
+}
+
 // lag returns the age of the oldest write that is not finished.
 func (d *disk) lag(now time.Duration) time.Duration {
 	if len(d.pending) == 0 {
@@ -86,7 +101,7 @@
 		return
 	}
 	m.disk.size += int64(len(m.disk.buffer))
-	m.hand(Write{Data: m.disk.buffer})
+	m.hand(Write{Data: m.disk.buffer}, int64(len(m.disk.buffer)))
 	m.disk.buffer = nil
 }
 
@@ -96,27 +111,23 @@
 // rewrite hands over the whole state as a new file; it covers what was recorded but not handed over.
 func (m *Machine) rewrite() {
 	m.disk.buffer = nil
-	whole, err := journal.Snapshot(journal.State{ID: m.cfg.Self.GetId(), Promised: m.promised, Accepted: m.accepted,
+	image := journal.NewImage(journal.State{ID: m.cfg.Self.GetId(), Promised: m.promised, Accepted: m.accepted,
 		InstalledEpoch: m.installedEpoch, Index: m.index, Store: m.store})
-	if err != nil {
-		m.fail(err)
-		return
-	}
-	m.disk.size = int64(len(whole))
+	m.disk.size = int64(image.Bytes())
 	m.disk.synced = 0
-	m.hand(Write{Data: whole, Rewrite: true})
+	m.hand(Write{Image: image}, m.disk.size)
 }
 
-func (m *Machine) hand(w Write) {
+func (m *Machine) hand(w Write, bytes int64) {
 	m.disk.sequence++
 	w.Sequence = m.disk.sequence
-	m.disk.pending = append(m.disk.pending, pendingWrite{sequence: w.Sequence, began: m.now, index: m.index, installed: m.installedEpoch, size: m.disk.size})
+	m.disk.pending = append(m.disk.pending, pendingWrite{sequence: w.Sequence, began: m.now, index: m.index, installed: m.installedEpoch, bytes: bytes, image: w.Image != nil})
 	m.actions.Writes = append(m.actions.Writes, w)
 }
 
 // DiskDone handles the end of a write. After a failed one nothing in the file is trusted: the member
-// acknowledges nothing until it has written its whole state anew.
-func (m *Machine) DiskDone(now time.Duration, sequence uint64, err error) Actions {
+// acknowledges nothing until it has written its whole state anew. size is how long the file is after the write.
+func (m *Machine) DiskDone(now time.Duration, sequence uint64, size int64, err error) Actions {
 	m.now = now
 	if err != nil {
 		if len(m.disk.pending) > 0 && sequence >= m.disk.pending[0].sequence {
@@ -127,10 +138,14 @@
 	for len(m.disk.pending) > 0 && m.disk.pending[0].sequence <= sequence {
 		w := m.disk.pending[0]
 		m.disk.pending = m.disk.pending[1:]
-		m.disk.meanSync += time.Duration(meanWeight * float64(now-w.began-m.disk.meanSync))
+		m.disk.meanSync += time.Duration(meanWeight * float64(now-w.began-timeFor(w.bytes)-m.disk.meanSync))
 		m.durable = max(m.durable, w.index)
 		m.disk.installedEpoch = max(m.disk.installedEpoch, w.installed)
-		m.disk.synced = w.size
+		m.transfer.progress++
+	}
+	m.disk.synced = size
+	if slices.ContainsFunc(m.disk.pending, func(w pendingWrite) bool { return w.image }) {
+		m.disk.synced = 0 // what finished is in the file that is being replaced
 	}
 	m.runAfter()
 	m.advance()
@@ -180,7 +195,7 @@
 
 // diskBad tells whether others should keep the state in the member's place.
 func (m *Machine) diskBad() bool {
-	return m.disk.failed || m.disk.lag(m.now) > m.cfg.Timing.DiskStall || m.disk.meanSync > m.cfg.Timing.DiskSlow
+	return m.disk.failed || m.disk.stalled(m.now, m.cfg.Timing.DiskStall) || m.disk.meanSync > m.cfg.Timing.DiskSlow
 }
 
 // recordEntry records an entry without its replies.
--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -16,6 +16,7 @@
 		Member: m.cfg.Self, Incarnation: m.cfg.Incarnation, Epoch: m.Epoch(), Promised: m.promised, InstalledEpoch: m.disk.installedEpoch,
 		Index: m.index, Suspects: m.suspectsEpoch(), Serving: m.Serving(), Leaving: m.leaving, Voter: m.isVoter(), Following: m.chain.following,
 		DiskLagMs: uint32(m.disk.lag(m.now) / time.Millisecond), DiskBad: m.diskBad(), WallMs: m.wall,
+		SyncProgress: m.transfer.progress,
 	}}}
 	told := map[string]bool{m.cfg.Self.GetAddress(): true}
 	tell := func(address string) {
@@ -49,6 +50,9 @@
 	if p.last != nil && p.last.GetIncarnation() != h.GetIncarnation() {
 		p.restarted = true
 	}
+	if m.view != nil && h.GetEpoch() == m.Epoch() && slices.Contains(m.view.GetChain(), id) && installsOn(p.last, h) {
+		m.installing = m.now
+	}
 	p.last, p.heard = h, m.now
 	m.sawBallot(max(h.GetPromised(), h.GetEpoch()))
 	if h.GetEpoch() > m.Epoch() {
@@ -64,6 +68,15 @@
 	m.prepareAgain(from, h)
 }
 
+// installsOn tells whether a member gets on with taking the state of its view: pieces arrive or writes finish, or
+// its disk is busy and sound.
+func installsOn(before, now *protocol.Heartbeat) bool {
+	if now.GetInstalledEpoch() == now.GetEpoch() {
+		return false
+	}
+	return before.GetSyncProgress() != now.GetSyncProgress() || now.GetDiskLagMs() > 0 && !now.GetDiskBad()
+}
+
 // prepareAgain asks a voter that has been heard of and has not promised: it may not have been there yet
 // when the round began.
 func (m *Machine) prepareAgain(from string, h *protocol.Heartbeat) {
@@ -93,7 +106,7 @@
 		return m.now-m.adopted > m.cfg.Timing.Suspect // it may never have been heard of before
 	}
 	p := m.peers[id]
-	installing := m.now-m.adopted < 2*m.cfg.Timing.Install
+	installing := m.now-m.installing < 2*m.cfg.Timing.Install
 	return p.restarted || p.last.GetDiskBad() && m.otherDiskGood(id) || !p.last.GetServing() && !installing
 }
 
@@ -238,7 +251,7 @@
 	switch {
 	case m.sealed() && m.now-m.highestAt > sealedPatience:
 		return "a chain member has promised a higher ballot"
-	case !m.chain.active && m.now-m.adopted > m.cfg.Timing.Install:
+	case !m.chain.active && m.now-m.installing > m.cfg.Timing.Install:
 		return "the chain does not take the state"
 	case m.chain.active && m.now-m.chain.movedAt > m.cfg.Timing.DiskStall && m.chain.committed < m.durable && m.spareDisk():
 		return "a chain member does not acknowledge"
--- a/internal/control/replica/install.go
+++ b/internal/control/replica/install.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/gammazero/deque"
 
@@ -13,24 +12,9 @@
 	"frosttide/internal/view"
 )
 
-// syncing is how a member takes the state of another.
-type syncing struct {
-	round     uint64 // of the newest request
-	askedAt   time.Duration
-	ranges    []uint32 // gathered from replies
-	items     []*protocol.Put
-	nextProbe time.Duration
-}
-
-const (
-	// syncRetry is how long a member waits for the state before it asks again.
-	syncRetry = 250 * time.Millisecond
-	// syncChunk bounds the bytes of one reply.
-	syncChunk = 256 << 10
-	// installInPlace bounds the bytes of a change of state that is appended to the file; a larger one is
-	// written as a new file.
-	installInPlace = 1 << 20
-)
+// installInPlace bounds the bytes of a change of state that is appended to the file; a larger one is written as
+// a new file.
+const installInPlace = 1 << 20
 
 // adopt takes an agreed view for the newest.
 func (m *Machine) adopt(v *protocol.View) {
@@ -39,7 +23,7 @@
 	}
 	m.stopReads()
 	m.sawBallot(v.GetEpoch())
-	m.view, m.adopted = v, m.now
+	m.view, m.adopted, m.installing = v, m.now, m.now
 	if m.accepted.GetEpoch() < v.GetEpoch() { // agreed without this member
 		m.promised = max(m.promised, v.GetEpoch())
 		m.accepted = v
@@ -51,9 +35,9 @@
 	for _, p := range m.peers {
 		p.restarted = false
 	}
-	m.chain = chain{committed: m.chain.committed, followers: make(map[string]uint64), movedAt: m.now, log: deque.Deque[*protocol.Entry]{}, sync: syncing{round: m.chain.sync.round}}
+	m.chain = chain{committed: m.chain.committed, followers: make(map[string]uint64), movedAt: m.now, log: deque.Deque[*protocol.Entry]{}}
 	m.confirms = confirms{at: m.now, round: m.confirms.round}
-	m.suspected, m.givenUp, m.next = 0, 0, 0
+	m.suspected, m.givenUp, m.next, m.transfer.retry = 0, 0, 0, 0
 	if m.announced && !m.isHead() {
 		m.announced = false
 		m.actions.Roles = append(m.actions.Roles, Role{Epoch: v.GetEpoch()})
@@ -89,91 +73,14 @@
 // becomeSource makes this member's state the one that the view begins with.
 func (m *Machine) becomeSource() {
 	m.installedEpoch = m.view.GetEpoch()
+	m.transfer.staged = nil
 	m.record(journal.Install, &protocol.InstallRecord{Epoch: m.installedEpoch, Index: m.index})
 	m.afterWrite(func() { m.considerInstalled() })
 }
 
-// requestSync asks the head, or outside the chain the tail, for what differs from its state.
-func (m *Machine) requestSync() {
-	from := view.Head(m.view)
-	if m.place() < 0 {
-		from = view.Tail(m.view)
-	}
-	s := &m.chain.sync
-	s.round++
-	s.askedAt, s.ranges, s.items = m.now, nil, nil
-	source := view.Find(m.view.GetVoters(), from)
-	m.send(source.GetAddress(), &protocol.Envelope{Body: &protocol.Envelope_SyncRequest{SyncRequest: &protocol.SyncRequest{
-		Epoch: m.Epoch(), Digests: m.store.Digests(), Round: s.round, Install: m.place() >= 0, Member: m.cfg.Self.GetId()}}})
-}
-
-// tickSync asks again where the state has not come.
-func (m *Machine) tickSync() {
-	needs := m.place() > 0 && m.installedEpoch != m.Epoch() || m.place() < 0 && !m.chain.following && (m.isVoterOf(m.view) || !m.isVoter())
-	if needs && m.now-m.chain.sync.askedAt > syncRetry {
-		m.requestSync()
-	}
-}
-
-func (m *Machine) onSyncRequest(from string, r *protocol.SyncRequest) {
-	if r.GetEpoch() > m.Epoch() {
-		m.earlySync[from] = r // the agreed view is still on its way to this member
-		return
-	}
-	if r.GetEpoch() != m.Epoch() || m.installedEpoch != m.Epoch() {
-		return
-	}
-	if r.GetInstall() != (m.isHead() && !m.chain.active) || !r.GetInstall() && !m.isTail() {
-		return // a chain member that lost its state again needs another view
-	}
-	if !r.GetInstall() {
-		if !m.chain.active {
-			return
-		}
-		m.chain.followers[from] = m.index
-	}
-	m.sendState(from, r)
-}
-
-// sendState sends the items of all ranges that differ, in pieces.
-func (m *Machine) sendState(to string, r *protocol.SyncRequest) {
-	piece := &protocol.SyncReply{Epoch: r.GetEpoch(), Round: r.GetRound(), Index: m.index}
-	size := 0
-	for _, number := range m.store.Differing(r.GetDigests()) {
-		piece.Ranges = append(piece.Ranges, number)
-		for _, item := range m.store.Range(number) {
-			piece.Items = append(piece.Items, item)
-			size += len(item.GetKey()) + len(item.GetValue())
-		}
-		if size > syncChunk {
-			m.send(to, &protocol.Envelope{Body: &protocol.Envelope_SyncReply{SyncReply: piece}})
-			piece, size = &protocol.SyncReply{Epoch: r.GetEpoch(), Round: r.GetRound(), Index: m.index}, 0
-		}
-	}
-	piece.Last = true
-	m.send(to, &protocol.Envelope{Body: &protocol.Envelope_SyncReply{SyncReply: piece}})
-}
-
-func (m *Machine) onSyncReply(_ string, r *protocol.SyncReply) {
-	s := &m.chain.sync
-	if r.GetEpoch() != m.Epoch() || r.GetRound() != s.round || m.promised > m.Epoch() {
-		return
-	}
-	s.ranges = append(s.ranges, r.GetRanges()...)
-	s.items = append(s.items, r.GetItems()...)
-	s.askedAt = m.now
-	if !r.GetLast() {
-		return
-	}
-	m.install(r.GetIndex())
-}
-
-// install takes over the state that was gathered. In the chain it is the state of the view.
+// install takes over the state that has arrived. In the chain it is the state of the view.
 func (m *Machine) install(index uint64) {
-	s := &m.chain.sync
-	puts, deletes := m.store.Repair(s.ranges, s.items)
-	s.round++ // a reply that comes twice is not taken twice
-	s.ranges, s.items = nil, nil
+	puts, deletes := m.takeStaged()
 	m.store.Apply(puts, deletes)
 	m.index = index
 	m.forgetDurable()
@@ -183,7 +90,7 @@
 		m.installedEpoch = m.Epoch()
 		m.chain.sent, m.chain.behind = index, 0
 	} else {
-		m.chain.following = true
+		m.chain.following, m.chain.followedAt = true, m.now
 	}
 	m.recordInstall(puts, deletes)
 	epoch := m.Epoch()
--- a/internal/control/replica/machine.go
+++ b/internal/control/replica/machine.go
@@ -23,7 +23,7 @@
 	Start      time.Duration // after the start in which a view may still be heard of
 	Round      time.Duration // after which an election round is given up
 	Gather     time.Duration // after a quorum for further promises
-	Install    time.Duration // in which the members of a new chain take its state
+	Install    time.Duration // in which members of a new chain that take its state have to get on
 	Confirm    time.Duration // between the head's confirmations
 	DiskStall  time.Duration // age of a write from which a disk counts as stalled
 	DiskSlow   time.Duration // mean sync from which a disk counts as slow
@@ -75,7 +75,7 @@
 type Write struct {
 	Sequence uint64
 	Data     []byte
-	Rewrite  bool
+	Image    *journal.Image // of a whole new file, nil where bytes are appended
 }
 
 // Role tells the application that it serves as the head, or no longer does.
@@ -121,12 +121,14 @@
 
 	view           *protocol.View // newest agreed view, nil before any is known
 	adopted        time.Duration
-	bootEpoch      uint64 // accepted before the process began
+	installing     time.Duration // when a member of the newest view's chain was last seen to get on with its state
+	bootEpoch      uint64        // accepted before the process began
 	installedEpoch uint64
 	index          uint64
 	durable        uint64 // last entry that is synced here
 
 	chain     chain
+	transfer  transfer
 	confirms  confirms
 	peers     map[uint64]*peer
 	joiners   map[uint64]*joiner
--- a/internal/control/replica/machine_test.go
+++ b/internal/control/replica/machine_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"frosttide/internal/control/journal"
 	"frosttide/internal/protocol"
@@ -21,10 +23,15 @@
 	members map[string]*node
 	events  []event
 	order   int
+	items   int // written by fill
 	faults  int // machines that are to be borne
 	cut     map[[2]string]bool
 	loss    float64
-	replies map[uint64]int // replies by the id of the request
+	drop    func(from, to string, e *protocol.Envelope) bool // messages that are lost, nil for none
+	rate    int                                              // bytes a second that each way between two members carries, 0 for no bound
+	free    map[[2]string]time.Duration                      // when the way between two members is free again
+	sent    map[[2]string]int                                // bytes of state sent on it
+	replies map[uint64]int                                   // replies by the id of the request
 	reads   map[uint64]bool
 }
 
@@ -56,7 +63,7 @@
 }
 
 func newClusterBearing(t *testing.T, seed uint64, founders, faults int) *cluster {
-	c := &cluster{t: t, faults: faults, rng: rand.New(rand.NewPCG(seed, 1)), members: make(map[string]*node), cut: make(map[[2]string]bool), replies: make(map[uint64]int), reads: make(map[uint64]bool)}
+	c := &cluster{t: t, faults: faults, rng: rand.New(rand.NewPCG(seed, 1)), members: make(map[string]*node), cut: make(map[[2]string]bool), free: make(map[[2]string]time.Duration), sent: make(map[[2]string]int), replies: make(map[uint64]int), reads: make(map[uint64]bool)}
 	var all []*protocol.Member
 	for i := range founders {
 		all = append(all, &protocol.Member{Id: uint64(i + 1), Number: uint32(i + 1), Address: fmt.Sprintf("m%d", i+1), Zone: fmt.Sprintf("z%d", i%3)})
@@ -149,8 +156,8 @@
 	n.queue, n.writing = nil, true
 	if failure == nil {
 		for _, w := range queue {
-			if w.Rewrite {
-				n.file, n.synced = append([]byte(nil), w.Data...), 0
+			if w.Image != nil {
+				n.file, n.synced = encoded(w.Image), 0
 			} else {
 				n.file = append(n.file, w.Data...)
 			}
@@ -164,13 +171,22 @@
 		if failure == nil {
 			n.synced = len(n.file)
 		}
-		c.do(n, n.DiskDone(c.now, queue[len(queue)-1].Sequence, failure))
+		c.do(n, n.DiskDone(c.now, queue[len(queue)-1].Sequence, int64(len(n.file)), failure))
 		if !n.writing {
 			c.startWrite(n)
 		}
 	})
 }
 
+// encoded returns the file that an image stands for.
+func encoded(i *journal.Image) []byte {
+	var out bytes.Buffer
+	if _, err := i.WriteTo(&out); err != nil {
+		panic(err)
+	}
+	return out.Bytes()
+}
+
 func (c *cluster) send(n *node, s Send) {
 	if c.rng.Float64() < c.loss {
 		return
@@ -179,8 +195,21 @@
 	if to == nil || c.cut[[2]string{n.address, s.To}] {
 		return
 	}
-	c.after(time.Duration(1000+c.rng.IntN(1000))*time.Microsecond, func() {
-		if to.up && !c.cut[[2]string{n.address, s.To}] {
+	way := [2]string{n.address, s.To}
+	if s.Message.GetSyncReply() != nil {
+		c.sent[way] += proto.Size(s.Message)
+	}
+	if c.drop != nil && c.drop(n.address, s.To, s.Message) {
+		return
+	}
+	delay := time.Duration(1000+c.rng.IntN(1000)) * time.Microsecond
+	if c.rate > 0 { // a link with a bandwidth keeps the order
+		c.free[way] = max(c.free[way], c.now) + time.Duration(float64(proto.Size(s.Message))/float64(c.rate)*float64(time.Second))
+		delay = c.free[way] - c.now + time.Millisecond
+	}
+	life := to.life
+	c.after(delay, func() {
+		if to.up && to.life == life && !c.cut[[2]string{n.address, s.To}] {
 			c.do(to, to.Receive(c.now, n.address, s.Message))
 		}
 	})
--- /dev/null
+++ b/internal/control/replica/transfer_test.go
@@ -0,0 +1,260 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"frosttide/internal/control/store"
+	"frosttide/internal/protocol"
+	"frosttide/internal/view"
+)
+
+const (
+	megabit   = 1_000_000 / 8 // bytes a second
+	megabyte  = 1 << 20
+	itemBytes = 1000
+)
+
+// fill writes items of itemBytes each, many to an entry, until the state has about a number of bytes more.
+func (c *cluster) fill(bytes int) {
+	c.t.Helper()
+	const perEntry = 100
+	for written := 0; written < bytes; {
+		h := c.head()
+		require.NotNil(c.t, h)
+		e := &protocol.Entry{}
+		for range perEntry {
+			c.items++
+			value := make([]byte, itemBytes)
+			copy(value, fmt.Sprintf("value %d", c.items))
+			e.Puts = append(e.Puts, &protocol.Put{Key: fmt.Sprintf("item%d", c.items), Value: value})
+			written += itemBytes
+		}
+		_, a, ok := h.Append(c.now, e)
+		require.True(c.t, ok)
+		c.do(h, a)
+		c.play(20 * time.Millisecond)
+	}
+	c.play(200 * time.Millisecond)
+}
+
+// cutOff cuts a member from all others.
+func (c *cluster) cutOff(n *node) {
+	for address := range c.members {
+		c.cut[[2]string{address, n.address}] = true
+		c.cut[[2]string{n.address, address}] = true
+	}
+}
+
+// outsider returns a living member outside the chain.
+func (c *cluster) outsider() *node {
+	for _, address := range []string{"m1", "m2", "m3", "m4", "m5"} {
+		if n := c.members[address]; n != nil && n.up && n.place() < 0 {
+			return n
+		}
+	}
+	return nil
+}
+
+// writesAgain plays until a write is answered and returns how long that took.
+func (c *cluster) writesAgain(id uint64, within time.Duration) time.Duration {
+	c.t.Helper()
+	began := c.now
+	for c.now-began < within {
+		if h := c.head(); h != nil && h.CanAppend() && c.replies[id] == 0 {
+			c.write(id)
+		}
+		c.play(50 * time.Millisecond)
+		if c.replies[id] > 0 {
+			return c.now - began
+		}
+	}
+	c.t.Fatalf("no write is answered within %v", within)
+	return 0
+}
+
+// sameState fails unless a member holds just what another does.
+func (c *cluster) sameState(a, b *node) {
+	c.t.Helper()
+	require.Equal(c.t, a.Store().Len(), b.Store().Len())
+	require.Equal(c.t, store.Combine(a.Store().Digests()), store.Combine(b.Store().Digests()))
+}
+
+// TestLostPieceIsAskedForAgain loses pieces of the state on its way to a member that joins the chain. It used to
+// say that it has installed the state with what had arrived; as the head it then lost what had been acknowledged.
+func TestLostPieceIsAskedForAgain(t *testing.T) {
+	for lost := range 8 {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			c := newCluster(t, 500+uint64(lost), 3)
+			c.play(time.Second)
+			behind := c.outsider()
+			c.cutOff(behind)
+			c.fill(2 * megabyte)
+			clear(c.cut)
+			pieces := 0
+			c.drop = func(_, _ string, e *protocol.Envelope) bool {
+				if e.GetSyncReply() == nil {
+					return false
+				}
+				pieces++
+				return pieces%8 == lost
+			}
+			holder := c.members[c.head().successor().GetAddress()]
+			c.stop(holder, true)
+			c.writesAgain(1, 20*time.Second)
+			require.Greater(t, pieces, 8)
+			c.sameState(c.head(), behind)
+			c.stop(c.head(), true)
+			c.start(holder)
+			c.writesAgain(2, 20*time.Second)
+			require.Equal(t, c.items+2, c.head().Store().Len())
+			c.checkKept()
+		})
+	}
+}
+
+// TestFollowerHasNoGaps loses a quarter of what is sent while a member outside the chain takes the state: it says
+// that it follows only with all of it.
+func TestFollowerHasNoGaps(t *testing.T) {
+	for seed := range uint64(10) {
+		c := newCluster(t, 520+seed, 3)
+		c.play(time.Second)
+		c.fill(megabyte)
+		behind := c.outsider()
+		c.stop(behind, true)
+		c.wipe(behind)
+		c.start(behind)
+		c.loss = 0.25
+		for range 200 {
+			c.play(50 * time.Millisecond)
+			if behind.chain.following && behind.Epoch() == c.head().Epoch() && behind.Index() == c.head().Index() {
+				c.sameState(c.head(), behind)
+			}
+		}
+		c.loss = 0
+		c.play(3 * time.Second)
+		require.True(t, behind.chain.following || behind.place() >= 0)
+		c.sameState(c.head(), behind)
+	}
+}
+
+// TestSlowLinks has members take their state over links of all speeds: a newcomer, and a member that the chain
+// needs. It used to start over where a piece took longer than syncRetry, or the whole longer than Install.
+func TestSlowLinks(t *testing.T) {
+	for _, megabits := range []int{4, 8, 16, 100, 1000} {
+		t.Run(fmt.Sprintf("newcomer at %d Mbit/s", megabits), func(t *testing.T) {
+			c := newCluster(t, 540, 3)
+			c.play(time.Second)
+			c.fill(2 * megabyte)
+			c.rate = megabits * megabit
+			c.members["m4"] = &node{address: "m4"}
+			c.start(c.members["m4"])
+			c.play(3*time.Second + 3*transferTime(2*megabyte, c.rate)/2)
+			require.Len(t, c.head().View().GetVoters(), 4)
+			c.sameState(c.head(), c.members["m4"])
+			require.Less(t, c.stateSentTo("m4"), 3*megabyte)
+		})
+		t.Run(fmt.Sprintf("member that the chain needs at %d Mbit/s", megabits), func(t *testing.T) {
+			c := newCluster(t, 541, 3)
+			c.play(time.Second)
+			behind := c.outsider()
+			c.cutOff(behind)
+			c.fill(4 * megabyte)
+			clear(c.cut)
+			c.rate = megabits * megabit
+			c.stop(c.members[c.head().successor().GetAddress()], true)
+			took := c.writesAgain(1, time.Minute)
+			require.Less(t, took, 1500*time.Millisecond+3*transferTime(4*megabyte, c.rate)/2)
+			require.Less(t, c.stateSentTo(behind.address), 6*megabyte)
+			c.checkKept()
+		})
+	}
+}
+
+func transferTime(bytes, rate int) time.Duration {
+	return time.Duration(float64(bytes) / float64(rate) * float64(time.Second))
+}
+
+// stateSentTo returns how many bytes of state were sent to a member.
+func (c *cluster) stateSentTo(address string) (bytes int) {
+	for way, sent := range c.sent {
+		if way[1] == address {
+			bytes += sent
+		}
+	}
+	return bytes
+}
+
+// TestTransferOutlivesViews changes the view in the middle of a transfer: what has arrived and still fits is not
+// sent again.
+func TestTransferOutlivesViews(t *testing.T) {
+	c := newCluster(t, 560, 5)
+	c.play(2 * time.Second)
+	c.fill(2 * megabyte)
+	c.rate = 8 * megabit
+	behind := c.outsider()
+	c.stop(behind, true)
+	c.wipe(behind)
+	c.start(behind)
+	for range 4 {
+		c.play(400 * time.Millisecond)
+		old := c.head()
+		require.NotNil(t, old)
+		c.stop(old, false)
+		c.play(time.Second)
+		c.start(old)
+	}
+	c.play(4 * time.Second)
+	c.sameState(c.head(), behind)
+	require.Less(t, c.stateSentTo(behind.address), 3*megabyte)
+}
+
+// TestStateGrowsWithWhatDiffers has a member of a large state come back with little missing, over a slow link.
+func TestStateGrowsWithWhatDiffers(t *testing.T) {
+	c := newCluster(t, 561, 3)
+	c.play(time.Second)
+	c.fill(8 * megabyte)
+	behind := c.outsider()
+	c.stop(behind, true)
+	for id := range uint64(20) {
+		c.write(id)
+		c.play(20 * time.Millisecond)
+	}
+	c.rate = 4 * megabit
+	c.start(behind)
+	c.play(3 * time.Second)
+	require.True(t, behind.chain.following)
+	c.sameState(c.head(), behind)
+	require.Less(t, c.stateSentTo(behind.address), megabyte/2, "20 of 1,024 ranges differ")
+}
+
+// TestStaleMemberDoesNotHoldWritesUp has the head's machine lost while a member is far behind: the others bear the
+// losses without it, so that writes go on before it has caught up.
+func TestStaleMemberDoesNotHoldWritesUp(t *testing.T) {
+	for seed := range uint64(10) {
+		c := newClusterBearing(t, 570+seed, 5, 1)
+		c.play(2 * time.Second)
+		behind := c.outsider()
+		c.cutOff(behind)
+		c.fill(2 * megabyte)
+		for range nearForTest {
+			h := c.head()
+			_, a, _ := h.Append(c.now, &protocol.Entry{Puts: []*protocol.Put{{Key: "k", Value: []byte("v")}}})
+			c.do(h, a)
+		}
+		c.play(time.Second)
+		c.rate = 4 * megabit
+		clear(c.cut)
+		c.stop(c.head(), true)
+		require.Less(t, c.writesAgain(1, 20*time.Second), 1500*time.Millisecond)
+		require.Negative(t, view.Place(c.head().View(), behind.id), "it would have to take the state first")
+		c.play(10 * time.Second)
+		c.checkKept()
+	}
+}
+
+// nearForTest is more entries than a member may be behind to be preferred in the chain.
+const nearForTest = 1100
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -4,6 +4,7 @@
 package store
 
 import (
+	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +17,7 @@
 
 // Store is the table. The zero value is not usable; see New.
 type Store struct {
+	watch   func(key string, before, after []byte)
 	items   map[string][]byte
 	ranges  [Ranges]map[string]struct{}
 	digests [Ranges]uint64
@@ -25,6 +27,15 @@
 // New returns an empty store.
 func New() *Store { return &Store{items: make(map[string][]byte)} }
 
+// Watch has f told of every item there is, and from then on of every change: before is nil for a new item,
+// after for one that is removed. There is one watcher.
+func (s *Store) Watch(f func(key string, before, after []byte)) {
+	for key, value := range s.items {
+		f(key, nil, value)
+	}
+	s.watch = f
+}
+
 // itemOverhead is about what the record of an item takes on disk besides key and value.
 const itemOverhead = 8
 
@@ -43,7 +54,11 @@
 // Put sets an item. The store keeps the value; the caller does not change it afterwards.
 func (s *Store) Put(key string, value []byte) {
 	r := rangeOf(key)
-	if old, ok := s.items[key]; ok {
+	old, ok := s.items[key]
+	if s.watch != nil {
+		s.watch(key, old, value)
+	}
+	if ok {
 		s.digests[r] -= digestOf(key, old)
 		s.bytes -= len(old)
 	} else {
@@ -64,6 +79,9 @@
 	if !ok {
 		return
 	}
+	if s.watch != nil {
+		s.watch(key, old, nil)
+	}
 	r := rangeOf(key)
 	s.digests[r] -= digestOf(key, old)
 	s.bytes -= len(old) + len(key) + itemOverhead
@@ -140,6 +158,35 @@
 	return items
 }
 
+// DigestOf returns the digest of a range that holds just the given items.
+func DigestOf(items []*protocol.Put) (digest uint64) {
+	for _, p := range items {
+		digest += digestOf(p.GetKey(), p.GetValue())
+	}
+	return digest
+}
+
+// Combine returns one digest of a whole state from those of its ranges.
+func Combine(digests []uint64) uint64 {
+	d := xxhash.New()
+	var number [8]byte
+	for _, one := range digests {
+		binary.LittleEndian.PutUint64(number[:], one)
+		_, _ = d.Write(number[:])
+	}
+	return d.Sum64()
+}
+
+// ByRange returns items by the ranges that they belong to.
+func ByRange(items []*protocol.Put) map[uint32][]*protocol.Put {
+	out := make(map[uint32][]*protocol.Put)
+	for _, p := range items {
+		r := uint32(rangeOf(p.GetKey()))
+		out[r] = append(out[r], p)
+	}
+	return out
+}
+
 // Repair returns the writes that make some ranges of this store hold just the given items.
 func (s *Store) Repair(ranges []uint32, items []*protocol.Put) (puts []*protocol.Put, deletes []string) {
 	wanted := make(map[string]struct{}, len(items))
--- a/internal/simnet/core.go
+++ b/internal/simnet/core.go
@@ -1,6 +1,7 @@
 package simnet
 
 import (
+	"bytes"
 	"fmt"
 	"time"
 
@@ -129,11 +130,11 @@
 	c.queue, c.writing = nil, true
 	if !failed {
 		for _, one := range queue {
-			if one.Rewrite {
+			if one.Image != nil {
 				if c.old == nil {
 					c.old = c.file[:c.synced]
 				}
-				c.file, c.synced = append([]byte(nil), one.Data...), 0
+				c.file, c.synced = encoded(one.Image), 0
 			} else {
 				c.file = append(c.file, one.Data...)
 			}
@@ -146,6 +147,15 @@
 	w.after(w.between(3*time.Millisecond, 9*time.Millisecond)+c.slow, func() { c.wrote(life, queue, failed, true) })
 }
 
+// encoded returns the file that an image stands for.
+func encoded(i *journal.Image) []byte {
+	var out bytes.Buffer
+	if _, err := i.WriteTo(&out); err != nil {
+		panic(err)
+	}
+	return out.Bytes()
+}
+
 // wrote handles the end of a sync.
 func (c *core) wrote(life int, queue []replica.Write, failed, synced bool) {
 	if !c.up || c.life != life {
@@ -160,7 +170,7 @@
 			err = errDisk
 		}
 		c.writing = false
-		c.member.DiskDone(c.world.clock(c.process), queue[len(queue)-1].Sequence, err)
+		c.member.DiskDone(c.world.clock(c.process), queue[len(queue)-1].Sequence, int64(len(c.file)), err)
 		if !c.writing {
 			c.write()
 		}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -163,15 +163,20 @@
 	return ranked
 }
 
-// spread picks the members behind the head: sound disks before others, zones that are not in the
-// chain yet before others, then by rank.
+// nearEntries is by how many entries a member may be behind the head's state to be taken for near: it has to take
+// the rest before anything is written.
+const nearEntries = 1024
+
+// spread picks the members behind the head: sound disks before others, members whose state is near before others,
+// zones that are not in the chain yet before others, then by rank.
 func spread(head Standing, rest []Standing, length int) (chain []uint64) {
 	rest = slices.Clone(rest)
 	zones := map[string]bool{head.Zone: true}
+	far := func(s Standing) bool { return s.Index+nearEntries < head.Index }
 	for len(chain) < length {
 		best := 0
 		for i, s := range rest {
-			better := cmp.Or(boolCompare(rest[best].DiskBad, s.DiskBad), boolCompare(zones[rest[best].Zone], zones[s.Zone]))
+			better := cmp.Or(boolCompare(rest[best].DiskBad, s.DiskBad), boolCompare(far(rest[best]), far(s)), boolCompare(zones[rest[best].Zone], zones[s.Zone]))
 			if better > 0 {
 				best = i
 			}
