A runner's leave says nothing of what it runs

Cause: leftAfter (400 ms) took a runner that had sent DELETE and was silent that long for ended; some take their leave first, run on for many seconds, and beat late, so that their tasks started elsewhere while they ran. Ruled out: a longer time, as nothing bounds how late a beat comes.

A runner that has taken its leave gets nothing more to start, and counts as ended as any other does: nobody listens at its address while it is silent, another runner beats there, or its longest hold has run out.

The companion's test that had a runner gone a second after its leave asserted the fault; it asks for the look now, and two new ones hold the rest.

--- a/internal/data/companion/head.go
+++ b/internal/data/companion/head.go
@@ -80,7 +80,7 @@
 	if r == nil || !m.silent(r) {
 		return
 	}
-	if m.now > r.holdUntil || r.left && m.now-max(r.leftAt, r.heard) > leftAfter {
+	if m.now > r.holdUntil {
 		m.giveUp(r)
 	}
 }
--- a/internal/data/companion/machine.go
+++ b/internal/data/companion/machine.go
@@ -84,8 +84,7 @@
 	ends      map[uint64]*protocol.RunEnd // listed and not noted by the head, by number
 	sentEnds  uint64                      // highest end sent to this head
 	holdUntil time.Duration               // when the newest hold surely has run out
-	left      bool
-	leftAt    time.Duration
+	left      bool // it has taken its leave and ends, now or many seconds later
 	probes    int // looks in this silence
 	refusals  int // of these, that found nobody listening
 }
@@ -108,13 +107,13 @@
 	silentAfter = 300 * time.Millisecond
 	silentRun   = 10 * time.Millisecond
 	silentMost  = 900 * time.Millisecond
-	// leftAfter is how long after its leave a runner that is silent has surely ended.
-	leftAfter = 400 * time.Millisecond
 	// probesRefused is how many looks at a silent runner have to find that nobody listens there until it
 	// counts as ended.
 	probesRefused = 2
-	// mostProbes bounds the looks in one silence.
-	mostProbes = 4
+	// mostProbes bounds the looks in one silence, mostProbesLeft those at a runner that has taken its leave and is
+	// about to end.
+	mostProbes     = 4
+	mostProbesLeft = 12
 	// clockSlack is how much slower than ours a runner's clock may be; the rules say 2%.
 	clockSlack = 0.03
 	// holdMargin is added to a hold's end.
@@ -229,7 +228,7 @@
 	}
 	a.Hold = min(m.cfg.HoldMax, left)
 	r.holdUntil = max(r.holdUntil, m.now+m.surely(a.Hold))
-	if !r.account.GetDraining() {
+	if !r.account.GetDraining() && !r.left {
 		for _, task := range slices.Sorted(maps.Keys(r.wanted)) {
 			m.startOrBar(r, r.wanted[task], &a)
 		}
@@ -244,20 +243,22 @@
 	return a
 }
 
-// Leave handles that the runner takes its leave: it ends, and what it runs with it.
+// Leave handles that the runner takes its leave. It may run on for many seconds and beat late meanwhile, so that the
+// leave alone says nothing of what it runs: it gets nothing more to start, and counts as ended as any other does.
 func (m *Machine) Leave(now time.Duration, id string) {
 	m.now = now
 	if m.runner == nil || m.runner.account.GetId() != id {
 		return
 	}
-	m.runner.left, m.runner.leftAt = true, now
+	m.runner.left = true
 	m.nextReport = 0
 }
 
 // Doubtful returns the id of a runner that has fallen silent and is to be looked at now.
 func (m *Machine) Doubtful(now time.Duration) (id string, ok bool) {
 	m.now = now
-	if r := m.runner; r == nil || !m.silent(r) || r.left || r.probes >= mostProbes {
+	r := m.runner
+	if r == nil || !m.silent(r) || r.probes >= mostProbes && !r.left || r.probes >= mostProbesLeft {
 		return "", false
 	}
 	m.runner.probes++
--- a/internal/data/companion/machine_test.go
+++ b/internal/data/companion/machine_test.go
@@ -236,7 +236,46 @@
 	r.m.Leave(r.now, "i1")
 	require.True(t, r.report().GetSilent())
 	r.now += time.Second
-	require.Contains(t, r.report().GetGone(), "i1", "it ends with its leave")
+	require.Empty(t, r.report().GetGone(), "it may run on")
+	r.m.Probed(r.now, "i1", true)
+	r.m.Probed(r.now, "i1", true)
+	require.Contains(t, r.report().GetGone(), "i1", "nobody listens there any more")
+}
+
+// TestLeaveIsNoEnd has a runner take its leave first and run on, with beats that come seconds late: what it runs
+// must not start elsewhere. It used to count as ended 400 ms after its leave.
+func TestLeaveIsNoEnd(t *testing.T) {
+	r := ready(t)
+	r.order(r.report(), false, []*protocol.RunOrder{run("t", 1), run("u", 1)})
+	r.beat("i1", listed("t", 1))
+	r.m.Leave(r.now, "i1")
+	for range 4 {
+		for range 8 { // 1.6 s and more without a beat
+			report := r.report()
+			require.Empty(t, report.GetGone())
+			require.True(t, report.GetSilent(), "it gets no more tasks")
+			r.order(report, false, nil)
+		}
+		require.Empty(t, r.beat("i1", listed("t", 1)).Start, "it is about to end")
+	}
+	id, doubtful := r.m.Doubtful(r.now + time.Second)
+	require.True(t, doubtful, "it is looked at until it has ended")
+	r.m.Probed(r.now+time.Second, id, true)
+	r.m.Probed(r.now+time.Second, id, true)
+	require.Contains(t, r.report().GetGone(), "i1")
+}
+
+// TestRunnerThatLeftAndCannotBeLookedAt counts as ended once its longest hold has surely run out.
+func TestRunnerThatLeftAndCannotBeLookedAt(t *testing.T) {
+	r := ready(t)
+	hold := r.beat("i1", listed("t", 1)).Hold
+	last := r.now
+	r.m.Leave(r.now, "i1")
+	for r.now < last+hold {
+		require.Empty(t, r.report().GetGone())
+	}
+	r.now += time.Second
+	require.Contains(t, r.report().GetGone(), "i1")
 }
 
 func TestLooksForTheHead(t *testing.T) {
--- a/internal/simnet/faults.go
+++ b/internal/simnet/faults.go
@@ -21,7 +21,7 @@
 	if w.options.CoreOnly {
 		return core
 	}
-	return append(core, w.killSide, w.freezeSide, w.cutSide, w.cutSideOneWay, w.killCarrier, w.crashRunner, w.restartRunner, w.drainRunner)
+	return append(core, w.killSide, w.freezeSide, w.cutSide, w.cutSideOneWay, w.killCarrier, w.crashRunner, w.restartRunner, w.drainRunner, w.leaveFirst, w.lateBeats)
 }
 
 // drawFaults draws the faults of a play.
@@ -298,3 +298,41 @@
 		})
 	}
 }
+
+// leaveFirst has a runner take its leave without having drained, run on and end.
+func (w *world) leaveFirst() (string, func()) {
+	s, d := w.anySide(), w.between(100*time.Millisecond, 9*time.Second)
+	late := w.rng.IntN(2) == 0
+	return fmt.Sprintf("the runner at %s takes its leave, runs on for %v (late beats: %v) and ends", s.address, d, late), func() {
+		r := s.runner
+		if !r.up {
+			return
+		}
+		if s.up {
+			w.run(s.process, func() { s.node.Machine.Leave(w.clock(s.process), r.id) })
+		}
+		if late {
+			r.lateUntil = w.now + d
+		}
+		w.while(d, func() {
+			if !r.up {
+				return
+			}
+			r.crash()
+			w.after(w.between(500*time.Millisecond, 3*time.Second), func() {
+				if s.runner == r {
+					s.newRunner()
+				}
+			})
+		})
+	}
+}
+
+// lateBeats has a runner's beats come seconds late.
+func (w *world) lateBeats() (string, func()) {
+	s, d := w.anySide(), w.between(time.Second, 8*time.Second)
+	return fmt.Sprintf("the beats of the runner at %s come up to %v late for %v", s.address, lateMost, d), func() {
+		s.runner.lateUntil = w.now + d
+		w.while(d, func() {})
+	}
+}
--- a/internal/simnet/play.go
+++ b/internal/simnet/play.go
@@ -13,6 +13,8 @@
 	// order, settleLeast at least.
 	settleTime  = 45 * time.Second
 	settleLeast = 8 * time.Second
+	// commitTime is what the head's newest entries may take to be committed: until then readers see the state before.
+	commitTime = time.Second
 	// askTime is how long the questions at the end may take.
 	askTime = 30 * time.Second
 	// mostShrinks bounds Shrink's search for a shorter list of faults, in plays.
@@ -41,11 +43,13 @@
 			f.do()
 		})
 	}
+	w.after(statesEvery, w.compareStates)
 	w.traffic()
 	w.play(o.Length + settleLeast)
 	for w.now < o.Length+settleTime && !w.idle() && len(w.report.Broken) == 0 {
 		w.play(w.now + time.Second)
 	}
+	w.play(w.now + commitTime)
 	if len(w.report.Broken) == 0 {
 		w.judge()
 	}
--- a/internal/simnet/side.go
+++ b/internal/simnet/side.go
@@ -18,6 +18,10 @@
 	answerTime = time.Second
 	saveEvery  = 2 * time.Second
 	farFactor  = 1.5
+	// lateMost is how late a beat may come.
+	lateMost = 3500 * time.Millisecond
+	// probePause is the pause between looks at a silent runner.
+	probePause = 100 * time.Millisecond
 	// leastRetry is the shortest pause between beats: shorter ones would only make plays longer.
 	leastRetry = 80 * time.Millisecond
 	// slowClock is how much slower a runner's clock may be.
@@ -34,6 +38,7 @@
 	node   *companion.Node
 	runner *runner
 	lives  int // of the runner
+	probed time.Duration
 }
 
 // runner runs tasks as it is told; it guards nothing.
@@ -46,6 +51,7 @@
 	slow       float64 // its clock's rate, up to slowClock slow
 	up         bool
 	draining   bool
+	lateUntil  time.Duration // until then its beats come up to lateMost late
 	drainAcked time.Duration
 	sequence   uint64
 	fence      uint64
@@ -98,7 +104,30 @@
 	s.node = companion.NewNode(companion.Config{Incarnation: w.rng.Uint64() >> 1, HoldMax: holdMax, Contacts: []string{coreAddress(0), coreAddress(1), coreAddress(2)},
 		Seed: w.rng.Uint64()}, s.address, w.clock(s.process))
 	s.turn()
-	w.repeat(s.process, 2*tickEvery, func() { s.node.Tick(w.clock(s.process)) })
+	w.repeat(s.process, 2*tickEvery, func() {
+		s.node.Tick(w.clock(s.process))
+		s.probe()
+	})
+}
+
+// probe looks whether a runner that has fallen silent is still there, as the companion's host does.
+func (s *side) probe() {
+	w := s.world
+	if w.now-s.probed < probePause {
+		return
+	}
+	id, doubtful := s.node.Machine.Doubtful(w.clock(s.process))
+	if !doubtful {
+		return
+	}
+	s.probed = w.now
+	life := s.life
+	w.after(w.between(0, time.Millisecond), func() {
+		refused := !s.runner.up
+		if s.up && s.life == life {
+			w.run(s.process, func() { s.node.Machine.Probed(w.clock(s.process), id, refused) })
+		}
+	})
 }
 
 // newRunner has a runner come up under a new id.
@@ -138,8 +167,12 @@
 	}
 	b.Finished = append(b.Finished, r.ends...)
 	sent, life := w.now, s.life
+	delay := w.between(50*time.Microsecond, 400*time.Microsecond)
+	if w.now < r.lateUntil {
+		delay = w.between(0, lateMost)
+	}
 	if s.up {
-		w.after(w.between(50*time.Microsecond, 400*time.Microsecond), func() {
+		w.after(delay, func() {
 			if !s.up || s.life != life {
 				return
 			}
