Explore schedules; find and mend what crosses on the simulated network

A member answers an attempt once. Read, and mended with a test: a member that left ended once it had heard of a view without it, before its successor in the chain had the state; it waits for that now, for three quarters of the grace time at the most. Views that can't be are dropped and counted. Members that are gone are forgotten.

--- a/cmd/frosttide-simulate/main.go
+++ b/cmd/frosttide-simulate/main.go
@@ -20,6 +20,7 @@
 	runners := flag.Int("runners", 8, "runners of a play")
 	length := flag.Duration("length", 30*time.Second, "virtual time in which faults strike")
 	trace := flag.Bool("trace", false, "print the whole trace of each play that breaks a rule")
+	stop := flag.Bool("stop", false, "stop at the first play that breaks a rule, without looking for a shorter one")
 	weaken := flag.Int("weaken", 0, "safety check to go without: 1 hold wait, 2 sync, 3 fence, 4 identity of a lost disk")
 	flag.Parse()
 	if flag.NArg() > 0 {
@@ -31,15 +32,15 @@
 		o.Runners, o.Length, o.Weaken = *runners, *length, simnet.Weakness(*weaken)
 		return o
 	}
-	if broken := run(options, *first, *count, *trace); broken > 0 {
+	if broken := run(options, *first, *count, *trace, *stop); broken > 0 {
 		fmt.Printf("%d of %d plays break a rule\n", broken, *count)
 		os.Exit(1)
 	}
 	fmt.Printf("%d plays, no rule broken\n", *count)
 }
 
-// run plays seeds side by side and returns how many broke a rule.
-func run(options func(uint64) simnet.Options, first, count uint64, whole bool) (broken int) {
+// run plays seeds side by side and returns how many broke a rule. With stop it ends at the first of them.
+func run(options func(uint64) simnet.Options, first, count uint64, whole, stop bool) (broken int) {
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	seeds := make(chan uint64)
@@ -50,6 +51,10 @@
 				if len(r.Broken) == 0 {
 					continue
 				}
+				if stop {
+					fmt.Printf("seed %d: %s\n", seed, r.Broken[0])
+					os.Exit(1)
+				}
 				text := describe(options(seed), r, whole)
 				mu.Lock()
 				broken++
--- /dev/null
+++ b/cmd/frosttide-weaken/main.go
@@ -0,0 +1,46 @@
+// Command frosttide-weaken takes each safety check of the cluster scheduler out of the source, one at a time, and
+// prints who finds it missing: the simulated network, the explorer of schedules, or nothing. It needs the
+// repository's source and the Go tools; it changes no file.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"time"
+
+	"frosttide/internal/lab/weaken"
+)
+
+func main() {
+	root := flag.String("root", ".", "the repository's root")
+	only := flag.String("only", "", "only the checks whose name holds this")
+	seeds := flag.Int("seeds", 500, "seeds of the simulated network")
+	stride := flag.Int("stride", 997, "the explorer plays each so manieth pair of departures")
+	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "frosttide-weaken: takes flags only")
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	missed := 0
+	for _, c := range weaken.Checks {
+		if !strings.Contains(c.Name, *only) || ctx.Err() != nil {
+			continue
+		}
+		f, err := weaken.Try(ctx, *root, c, weaken.Bounds{Seeds: *seeds, Stride: *stride})
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		if f.Finder == weaken.Nobody {
+			missed++
+		}
+		fmt.Printf("| %s | %s | %s | %v |\n", c.Name, f.Finder, f.Detail, f.Took.Round(time.Second))
+	}
+	fmt.Printf("%d found by nothing\n", missed)
+}
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -27,8 +27,9 @@
 	tickEvery = 20 * time.Millisecond
 	// openPause is the pause between tries to open the file of a disk that refuses.
 	openPause = 500 * time.Millisecond
-	// leaveTime is how long a process that ends waits for the others to go on without it.
-	leaveTime = time.Second
+	// leaveShare is the share of the grace time for which a process that ends waits for the others to have all that
+	// it has.
+	leaveShare = 0.75
 	// statusMargin is how much longer than asked for the state of a job is kept.
 	statusMargin = 10 * time.Second
 	// rackPrefix begins the labels that name racks.
@@ -170,11 +171,11 @@
 // leave ends the process once the others go on without it.
 func (h *Host) leave(end func()) {
 	began := h.process.Now()
+	most := max(time.Second, time.Duration(leaveShare*float64(nodefile.Seconds(h.process.Settings.Bounds.GraceS))))
 	h.member.Leave(began)
 	var look func()
 	look = func() {
-		status := h.member.Replica().Status()
-		if !slices.Contains(status.View.GetChain(), status.Self) || h.process.Now()-began > leaveTime {
+		if h.member.Replica().MayLeave() || h.process.Now()-began > most {
 			end()
 			return
 		}
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -46,6 +46,7 @@
 	scheduler   *scheduler.Scheduler // nil where this member does not serve as the head
 	gossip      *gossip.Machine
 	client      *chainclient.Client
+	recent      recent
 	views       views
 	reads       map[uint64]pendingRead
 	nextRead    uint64
--- a/internal/control/member/requests.go
+++ b/internal/control/member/requests.go
@@ -31,6 +31,9 @@
 
 // onRequest handles a client's request: writes where this member is the head, reads where it is the tail.
 func (m *Member) onRequest(now time.Duration, from string, r *protocol.ClientRequest) {
+	if r.GetAttempt() > 0 && m.recent.seen(attempt{id: r.GetId(), number: r.GetAttempt()}) {
+		return
+	}
 	v := m.replica.View()
 	switch {
 	case !isRead(r) && m.scheduler != nil && m.replica.Accepting(now):
--- a/internal/control/replica/agreement.go
+++ b/internal/control/replica/agreement.go
@@ -129,7 +129,7 @@
 		return
 	}
 	r.promises[p.GetMember()] = p
-	if a := p.GetAccepted(); a.GetEpoch() > r.base.GetEpoch() {
+	if a := p.GetAccepted(); a.GetEpoch() > r.base.GetEpoch() && view.Valid(a) {
 		r.base = a
 		r.change, r.settle = view.Change{}, false // they were meant for an older view
 		m.toOthers(view.Electorate(a), &protocol.Envelope{Body: &protocol.Envelope_Prepare{Prepare: &protocol.Prepare{Ballot: r.ballot}}})
@@ -199,6 +199,10 @@
 }
 
 func (m *Machine) onAccept(from string, a *protocol.Accept) {
+	if !view.Valid(a.GetView()) {
+		m.drop("a view to accept that can't be")
+		return
+	}
 	ballot := a.GetView().GetEpoch()
 	m.sawBallot(ballot)
 	answer := func(a *protocol.Accepted) {
--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -68,6 +68,18 @@
 	m.prepareAgain(from, h)
 }
 
+// peerKept is how long a member that votes no more is remembered after it was last heard of.
+const peerKept = time.Minute
+
+// forgetPeers drops what is known of members that are gone: each lost disk brings a new identity.
+func (m *Machine) forgetPeers() {
+	for id, p := range m.peers {
+		if m.now-p.heard > peerKept && view.Find(view.Electorate(m.accepted), id) == nil && view.Find(m.view.GetVoters(), id) == nil {
+			delete(m.peers, id)
+		}
+	}
+}
+
 // installsOn tells whether a member gets on with taking the state of its view: pieces arrive or writes finish, or
 // its disk is busy and sound.
 func installsOn(before, now *protocol.Heartbeat) bool {
--- a/internal/control/replica/install.go
+++ b/internal/control/replica/install.go
@@ -21,6 +21,10 @@
 	if v.GetEpoch() <= m.Epoch() {
 		return
 	}
+	if !view.Valid(v) {
+		m.drop("a view that can't be")
+		return
+	}
 	m.stopReads()
 	m.sawBallot(v.GetEpoch())
 	m.view, m.adopted, m.installing = v, m.now, m.now
--- a/internal/control/replica/machine.go
+++ b/internal/control/replica/machine.go
@@ -5,6 +5,7 @@
 package replica
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -137,9 +138,11 @@
 	beat      time.Duration // next heartbeat
 	suspected time.Duration // since when the head has been suspected, 0 while it is not
 	leaving   bool
-	announced bool  // the application has been told that the member serves as the head
-	wall      int64 // own time of day, ms from 1970
-	agreed    int64 // the time of day that the members agree on, 0 before there is one
+	dropped   uint64        // messages that could not be
+	nextDrop  time.Duration // when the next of them is noted in the log
+	announced bool          // the application has been told that the member serves as the head
+	wall      int64         // own time of day, ms from 1970
+	agreed    int64         // the time of day that the members agree on, 0 before there is one
 }
 
 // New returns a member with the state of its disk.
@@ -210,6 +213,16 @@
 	return m.take()
 }
 
+// MayLeave tells whether the others have all that this member has: a view without it in the chain is in force, whose
+// members have all installed its state.
+func (m *Machine) MayLeave() bool {
+	if m.view == nil {
+		return true
+	}
+	head := m.peers[view.Head(m.view)]
+	return m.place() < 0 && head != nil && head.last.GetServing() && head.last.GetEpoch() >= m.Epoch()
+}
+
 // Status is what an operator may want to know of a member.
 type Status struct {
 	View           *protocol.View   `json:"view"`
@@ -223,13 +236,14 @@
 	Following      bool             `json:"following"` // outside the chain: its state follows the tail's
 	DiskFailed     bool             `json:"disk_failed"`
 	DiskLagMs      int64            `json:"disk_lag_ms"`
+	Dropped        uint64           `json:"dropped"`   // messages that could not be, since the start
 	SilentMs       map[uint64]int64 `json:"silent_ms"` // for how long the other members have been silent
 }
 
 // Status returns the member's state.
 func (m *Machine) Status() Status {
 	s := Status{View: m.view, Self: m.cfg.Self.GetId(), Promised: m.promised, InstalledEpoch: m.installedEpoch, Index: m.index, Durable: m.durable,
-		Committed: m.chain.committed, Serving: m.Serving(), DiskFailed: m.disk.failed, Following: m.chain.following,
+		Committed: m.chain.committed, Serving: m.Serving(), DiskFailed: m.disk.failed, Following: m.chain.following, Dropped: m.dropped,
 		DiskLagMs: m.disk.lag(m.now).Milliseconds(), SilentMs: make(map[uint64]int64)}
 	for id, p := range m.peers {
 		s.SilentMs[id] = (m.now - p.heard).Milliseconds()
@@ -283,6 +297,7 @@
 	m.tickConfirms()
 	m.tickRound()
 	m.considerRound()
+	m.forgetPeers()
 	return m.take()
 }
 
@@ -291,6 +306,18 @@
 	m.actions.Sends = append(m.actions.Sends, Send{To: to, Message: e})
 }
 
+// dropNoteEvery is how often messages that could not be are told of in the log.
+const dropNoteEvery = 10 * time.Second
+
+// drop counts a message that could not be.
+func (m *Machine) drop(what string) {
+	m.dropped++
+	if m.now >= m.nextDrop {
+		m.nextDrop = m.now + dropNoteEvery
+		m.note(fmt.Sprintf("message dropped: what=%q dropped=%d", what, m.dropped))
+	}
+}
+
 // note queues a line for the log.
 func (m *Machine) note(text string) { m.actions.Notes = append(m.actions.Notes, text) }
 
--- a/internal/control/replica/transfer_test.go
+++ b/internal/control/replica/transfer_test.go
@@ -15,7 +15,7 @@
 const (
 	megabit   = 1_000_000 / 8 // bytes a second
 	megabyte  = 1 << 20
-	itemBytes = 1000
+	itemBytes = 4000
 )
 
 // fill writes items of itemBytes each, many to an entry, until the state has about a number of bytes more.
@@ -23,8 +23,7 @@
 	c.t.Helper()
 	const perEntry = 100
 	for written := 0; written < bytes; {
-		h := c.head()
-		require.NotNil(c.t, h)
+		h := c.awaitHead()
 		e := &protocol.Entry{}
 		for range perEntry {
 			c.items++
@@ -76,6 +75,16 @@
 	return 0
 }
 
+// awaitHead returns the member that serves, once there is one: each change of the view takes a moment.
+func (c *cluster) awaitHead() *node {
+	c.t.Helper()
+	for until := c.now + time.Second; c.head() == nil && c.now < until; {
+		c.play(tick)
+	}
+	require.NotNil(c.t, c.head(), "nobody serves for a second")
+	return c.head()
+}
+
 // sameState fails unless a member holds just what another does.
 func (c *cluster) sameState(a, b *node) {
 	c.t.Helper()
@@ -130,7 +139,7 @@
 		c.loss = 0.25
 		for range 200 {
 			c.play(50 * time.Millisecond)
-			if behind.chain.following && behind.Epoch() == c.head().Epoch() && behind.Index() == c.head().Index() {
+			if c.head() != nil && behind.chain.following && behind.Epoch() == c.head().Epoch() && behind.Index() == c.head().Index() {
 				c.sameState(c.head(), behind)
 			}
 		}
@@ -201,8 +210,7 @@
 	c.start(behind)
 	for range 4 {
 		c.play(400 * time.Millisecond)
-		old := c.head()
-		require.NotNil(t, old)
+		old := c.awaitHead()
 		c.stop(old, false)
 		c.play(time.Second)
 		c.start(old)
--- a/internal/control/scheduler/scheduler_test.go
+++ b/internal/control/scheduler/scheduler_test.go
@@ -555,3 +555,26 @@
 	r.now += time.Minute
 	require.False(t, known(later, time.Hour))
 }
+
+// TestReportsThatComeLate has reports come again after later ones: what they say of a runner that was there before, or
+// of runs that have ended, must not undo what the head has learned since.
+func TestReportsThatComeLate(t *testing.T) {
+	r := newRig(t)
+	r.meet("c1", "i1")
+	old := r.round
+	r.meet("c1", "i2")
+	id := r.submit(1, "fast", stage(1, 1000))
+	require.Len(t, r.started("c1"), 1)
+	before := r.d.Fleet()
+	require.NotNil(t, before)
+	late := func(round, incarnation uint64) {
+		r.d.Report(r.now, "c1", &protocol.RunnerReport{Incarnation: incarnation, LeaseRound: round, Gone: []string{"i2"}, Account: &protocol.RunnerAccount{Id: "i1", Service: "svc"}})
+		r.commit()
+		require.Contains(t, r.d.runners, "i2", "it is there and runs a task")
+		require.Contains(t, r.d.runners["i2"].live, id+".0.0.0")
+	}
+	late(old, 1)
+	r.report("c1", "i2", func(report *protocol.RunnerReport) { report.Incarnation = 2 })
+	r.commit()
+	late(r.round+1, 1) // of the process that was there before
+}
--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -24,9 +24,11 @@
 // session is a companion that speaks for its runner.
 type session struct {
 	address     string
-	number      uint64 // rises with each session
-	incarnation uint64 // of the companion
-	runner      string // id of its runner, empty before any is known
+	number      uint64   // rises with each session
+	incarnation uint64   // of the companion
+	runner      string   // id of its runner, empty before any is known
+	before      []uint64 // incarnations that spoke for this machine before, the newest last
+	round       uint64   // of the newest report
 	heard       time.Duration
 	leaseUntil  time.Duration // end of the newest lease
 	sequence    uint64        // of the newest orders
@@ -63,14 +65,17 @@
 func (d *Scheduler) Report(now time.Duration, from string, report *protocol.RunnerReport) {
 	d.now = now
 	s := d.sessions[from]
+	if d.outdated(s, report) {
+		return
+	}
 	if s == nil || s.incarnation != report.GetIncarnation() {
 		d.endSession(s)
 		d.lastSession++
-		s = &session{address: from, number: d.lastSession, incarnation: report.GetIncarnation()}
+		s = &session{address: from, number: d.lastSession, incarnation: report.GetIncarnation(), before: s.predecessors()}
 		d.sessions[from] = s
 		d.needWhole(s)
 	}
-	s.heard = now
+	s.heard, s.round = now, report.GetLeaseRound()
 	for _, id := range report.GetGone() {
 		d.lose(id)
 	}
@@ -85,6 +90,27 @@
 	d.answer(s, report)
 }
 
+// mostPredecessors bounds the incarnations that are remembered of a machine.
+const mostPredecessors = 8
+
+// predecessors returns the incarnations that spoke for a session's machine, its own included.
+func (s *session) predecessors() []uint64 {
+	if s == nil {
+		return nil
+	}
+	all := append(slices.Clone(s.before), s.incarnation)
+	return all[max(0, len(all)-mostPredecessors):]
+}
+
+// outdated tells whether a report comes after a later one of the same machine: what it says of the runner holds no
+// longer.
+func (d *Scheduler) outdated(s *session, report *protocol.RunnerReport) bool {
+	if s != nil && s.incarnation == report.GetIncarnation() {
+		return report.GetLeaseRound() <= s.round
+	}
+	return s != nil && slices.Contains(s.before, report.GetIncarnation())
+}
+
 // apply notes how far a companion has applied its orders. Later orders don't put the patience with the oldest
 // off: a companion that misses one applies none after it.
 func (s *session) apply(now time.Duration, seen uint64) {
--- a/internal/data/companion/head.go
+++ b/internal/data/companion/head.go
@@ -149,7 +149,10 @@
 	if !o.GetFull() && (!m.whole || o.GetSequence() > m.sequence+1) {
 		return // the whole set is sent again, as these are reported as not applied
 	}
-	m.sequence = max(m.sequence, o.GetSequence())
+	if o.GetSequence() <= m.sequence {
+		return // they came before, and later ones have been applied since
+	}
+	m.sequence = o.GetSequence()
 	m.apply(r, o)
 }
 
--- a/internal/data/companion/machine_test.go
+++ b/internal/data/companion/machine_test.go
@@ -324,3 +324,19 @@
 	require.Equal(t, "t", report.GetRefused()[0].GetTask())
 	require.Len(t, report.GetEnds(), 1)
 }
+
+// TestOrdersThatComeAgain has an older whole set come once more after a newer one.
+func TestOrdersThatComeAgain(t *testing.T) {
+	r := ready(t)
+	report := r.report()
+	r.order(report, true, []*protocol.RunOrder{run("old", 1)})
+	first := r.orders
+	r.order(report, true, []*protocol.RunOrder{run("new", 1)})
+	r.m.Orders(r.now, head, &protocol.RunnerOrders{Epoch: 5, Sequence: first, Session: 1, Runner: "i1", Companion: report.GetIncarnation(), Full: true,
+		Runs: []*protocol.RunOrder{run("old", 1)}})
+	a := r.beat("i1", listed("new", 1))
+	require.Empty(t, a.Start)
+	for _, stop := range a.Stop {
+		require.NotEqual(t, "new", stop.GetTask(), "it is wanted")
+	}
+}
--- a/internal/gossip/machine.go
+++ b/internal/gossip/machine.go
@@ -11,6 +11,7 @@
 
 	"frosttide/internal/protocol"
 	"frosttide/internal/routeconfig"
+	"frosttide/internal/view"
 )
 
 // Config says who a process is.
@@ -110,7 +111,7 @@
 // SetView notes a view that this process has learned of.
 func (m *Machine) SetView(now time.Duration, v *protocol.View) {
 	m.now = now
-	if v.GetEpoch() > m.view.GetEpoch() {
+	if v.GetEpoch() > m.view.GetEpoch() && view.Valid(v) {
 		m.view = v
 		m.spread("")
 	}
@@ -271,7 +272,7 @@
 
 func (m *Machine) onRumor(from string, r *protocol.Rumor) {
 	behind := r.GetConfigVersion() < m.config.Version || r.GetView().GetEpoch() < m.view.GetEpoch()
-	if r.GetView().GetEpoch() > m.view.GetEpoch() {
+	if r.GetView().GetEpoch() > m.view.GetEpoch() && view.Valid(r.GetView()) {
 		m.view = r.GetView()
 		m.spread(from)
 	}
--- /dev/null
+++ b/internal/lab/weaken/weaken_test.go
@@ -0,0 +1,22 @@
+package weaken
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestChecksApply has each check still stand in its source as it is taken out, under a name of its own.
+func TestChecksApply(t *testing.T) {
+	names := make(map[string]bool)
+	for _, c := range Checks {
+		require.NoError(t, Applies("../../..", c), c.Name)
+		require.False(t, names[c.Name], c.Name)
+		names[c.Name] = true
+	}
+	require.GreaterOrEqual(t, len(Checks), 20)
+}
+
+func TestTextThatIsNotThere(t *testing.T) {
+	require.ErrorIs(t, Applies("../../..", Check{Name: "none", File: viewFile, Was: "no such text"}), ErrSource)
+}
--- a/internal/simnet/client.go
+++ b/internal/simnet/client.go
@@ -139,6 +139,8 @@
 }
 
 const (
+	// bulkSpec is how much longer texts are than usual where they are long.
+	bulkSpec   = 3900
 	mostTries  = 4
 	clientWait = 2500 * time.Millisecond
 )
@@ -147,6 +149,9 @@
 func (w *world) newJob() *job {
 	j := &job{id: fmt.Sprintf("%016x", w.rng.Uint64()), occasions: 1, sentAt: w.now}
 	j.spec = "spec of " + j.id
+	if w.options.Bulk {
+		j.spec += strings.Repeat(".", bulkSpec)
+	}
 	j.queue = []string{"quick", "batch"}[w.rng.IntN(2)]
 	j.service = map[string]string{"quick": "cut", "batch": "render"}[j.queue]
 	kind := w.rng.IntN(10)
@@ -241,11 +246,32 @@
 func (c *client) follow(j *job) {
 	w := c.world
 	w.after(w.between(time.Second, 6*time.Second), func() { c.look(j, nil) })
+	if w.rng.IntN(15) == 0 {
+		w.after(w.between(0, 5*time.Second), func() { c.twin(j) })
+	}
 	if j.lasting() || w.rng.IntN(12) == 0 {
 		w.after(w.between(500*time.Millisecond, 8*time.Second), func() { c.cancel(j) })
 	}
 }
 
+// twin hands in another job under the ID of one that was accepted: by another queue, or with another text. Nobody may
+// acknowledge it, as it would never run.
+func (c *client) twin(j *job) {
+	w := c.world
+	other := j.submit()
+	if w.rng.IntN(2) == 0 {
+		other.Spec += " of another"
+	} else {
+		other.Queue = map[string]string{"quick": "batch", "batch": "quick"}[j.queue]
+	}
+	at := w.carriers[w.rng.IntN(len(w.carriers))]
+	at.ask(&protocol.ClientRequest{Op: &protocol.ClientRequest_Submit{Submit: other}}, false, clientWait, func(o chainclient.Outcome) {
+		if o.Reply.GetStatus() == http.StatusOK {
+			w.broken("LOST", "another job under the ID of %s is acknowledged", j.id)
+		}
+	})
+}
+
 // look asks for a job's state.
 func (c *client) look(j *job, then func(answered bool)) {
 	w := c.world
--- a/internal/simnet/core.go
+++ b/internal/simnet/core.go
@@ -33,7 +33,7 @@
 	gone    bool          // it was replaced for good
 	slow    time.Duration // added to each sync
 	clock   time.Duration // what its time of day is off by
-	answers map[uint64]func(status int)
+	answers map[uint64]func(reply *protocol.ClientReply)
 }
 
 func coreAddress(i int) string { return fmt.Sprintf("core%d", i) }
@@ -85,7 +85,7 @@
 	w.start(c.process)
 	w.check.noteClocks()
 	c.queue, c.writing = nil, false
-	c.answers = make(map[uint64]func(status int))
+	c.answers = make(map[uint64]func(reply *protocol.ClientReply))
 	contacts := []string{coreAddress(0), coreAddress(1), coreAddress(2)}
 	c.member = member.New(member.Config{
 		Replica: replica.Config{Self: &protocol.Member{Id: state.ID, Address: c.address, Control: c.address, Zone: fmt.Sprint(c.index % 3)}, Incarnation: w.rng.Uint64() >> 1,
@@ -116,7 +116,7 @@
 	for _, o := range out.Outcomes {
 		if answer := c.answers[o.ID]; answer != nil {
 			delete(c.answers, o.ID)
-			answer(int(o.Reply.GetStatus()))
+			answer(o.Reply)
 		}
 	}
 }
@@ -148,6 +148,14 @@
 	w.after(w.between(3*time.Millisecond, 9*time.Millisecond)+c.slow, func() { c.wrote(life, queue, failed, true) })
 }
 
+// ask has the control plane answer a request of this member's callers.
+func (c *core) ask(r *protocol.ClientRequest, read bool, answer func(reply *protocol.ClientReply)) {
+	w := c.world
+	w.run(c.process, func() {
+		c.answers[c.member.Ask(w.clock(c.process), r, read, orderWait)] = answer
+	})
+}
+
 // encoded returns the file that an image stands for.
 func encoded(i *journal.Image) []byte {
 	var out bytes.Buffer
--- a/internal/simnet/faults.go
+++ b/internal/simnet/faults.go
@@ -17,6 +17,7 @@
 	core := []func() (string, func()){
 		w.killCore, w.powerCore, w.wipeCore, w.powerAll, w.killAll, w.wipeAndPowerAll, w.replaceCore, w.freezeCore, w.cutCore, w.cutCoreHalf, w.slowDisk, w.failDisk, w.stepClock,
 		w.freezeHead, w.killHead, w.cutHead, w.cutHeadFromCore,
+		w.cutHalves, w.resetLinks, w.slowLinks, w.lateMessages, w.doubledMessages, w.quota, w.replaceTwo,
 	}
 	if w.options.CoreOnly {
 		return core
@@ -43,6 +44,8 @@
 }
 
 const (
+	// longCut is for how long machines of the core are cut off or stand still at most.
+	longCut = 20 * time.Second
 	// quietOneIn is how seldom a fault is preceded by a quiet time, of at most quietMost.
 	quietOneIn = 5
 	quietMost  = 15 * time.Second
@@ -131,7 +134,7 @@
 }
 
 func (w *world) freezeHead() (string, func()) {
-	d := w.between(500*time.Millisecond, 16*time.Second)
+	d := w.between(500*time.Millisecond, longCut)
 	return fmt.Sprintf("the head stands still for %v", d), func() { w.while(d, func() {}); w.freeze(w.head().process, d) }
 }
 
@@ -164,18 +167,18 @@
 }
 
 func (w *world) cutCore() (string, func()) {
-	c, d := w.anyCore(), w.between(time.Second, 7*time.Second)
+	c, d := w.anyCore(), w.between(time.Second, longCut)
 	return fmt.Sprintf("%s is cut from the core for %v", c.address, d), func() { w.cutAll(c.address, w.coreAddresses(), d, true, true) }
 }
 
 func (w *world) cutCoreHalf() (string, func()) {
-	c, d := w.anyCore(), w.between(time.Second, 7*time.Second)
+	c, d := w.anyCore(), w.between(time.Second, longCut)
 	in := w.rng.IntN(2) == 0
 	return fmt.Sprintf("%s is cut one way (in: %v) from the core for %v", c.address, in, d), func() { w.cutAll(c.address, w.coreAddresses(), d, in, !in) }
 }
 
 func (w *world) cutHeadFromCore() (string, func()) {
-	d := w.between(time.Second, 16*time.Second)
+	d := w.between(time.Second, longCut)
 	return fmt.Sprintf("the head is cut from the core for %v", d), func() { w.cutAll(w.head().address, w.coreAddresses(), d, true, true) }
 }
 
--- a/internal/simnet/operator.go
+++ b/internal/simnet/operator.go
@@ -44,6 +44,10 @@
 }
 
 const (
+	// mostRaced is how many other orders are under way at once at the most.
+	mostRaced = 7
+	// lateAgain is how late an order that was acknowledged comes again.
+	lateAgain = 25 * time.Second
 	orderWait = 900 * time.Millisecond
 	mostSends = 8
 )
@@ -72,11 +76,17 @@
 	if w.now > w.options.Length {
 		return
 	}
-	again := func(bool) { w.after(w.between(500*time.Millisecond, 3*time.Second), o.change) }
+	least, most := 500*time.Millisecond, 3*time.Second
+	if w.options.Changes {
+		least, most = 20*time.Millisecond, 150*time.Millisecond
+	}
+	again := func(bool) { w.after(w.between(least, most), o.change) }
 	one := o.draw()
 	switch w.rng.IntN(6) {
-	case 0: // a race: another change of the same version
-		o.send(o.draw(), func(bool) {})
+	case 0: // a race: others change the same version
+		for range 1 + w.rng.IntN(mostRaced) {
+			o.send(o.draw(), func(bool) {})
+		}
 	case 1:
 		one.invalid = true
 		one.body = slices.Clone(one.body[:len(one.body)/2])
@@ -114,9 +124,9 @@
 		lost := w.rng.IntN(6) == 0
 		w.run(c.process, func() {
 			id := c.member.Ask(w.clock(c.process), r, false, orderWait)
-			c.answers[id] = func(status int) {
+			c.answers[id] = func(reply *protocol.ClientReply) {
 				if !lost {
-					finish(status)
+					finish(int(reply.GetStatus()))
 				}
 			}
 		})
@@ -134,9 +144,12 @@
 			o.send(one, done)
 			return
 		}
+		if w.rng.IntN(4) == 0 && one.tries < mostSends { // and after others were taken
+			w.after(w.between(0, lateAgain), func() { o.send(one, func(bool) {}) })
+		}
 		done(true)
 	case http.StatusPreconditionFailed, http.StatusBadRequest:
-		if one.acked && o.ackedOn[one.match] == one && o.newest == one.version {
+		if one.acked {
 			w.broken("CONFIG", "order %d, which was acknowledged, is refused with %d", one.version, status)
 		}
 		if !one.acked && !one.unclear {
@@ -224,6 +237,31 @@
 	w.after(orderWait+100*time.Millisecond, func() { finish(0, false) })
 }
 
+// readAt reads the configuration at a member and checks it.
+func (o *operator) readAt(c *core) {
+	atLeast := o.newest
+	request := &protocol.ClientRequest{Op: &protocol.ClientRequest_ReadConfig{ReadConfig: &protocol.ReadConfig{}}}
+	c.ask(request, true, func(reply *protocol.ClientReply) {
+		if reply.GetStatus() == http.StatusOK {
+			o.checkRead(reply.GetBody(), atLeast)
+		}
+	})
+}
+
+// statusAt asks a member for the state of the placement role and checks that it is not an old one.
+func (o *operator) statusAt(c *core) {
+	atLeast := o.newest
+	request := &protocol.ClientRequest{Op: &protocol.ClientRequest_ReadStatus{ReadStatus: &protocol.ReadStatus{}}}
+	c.ask(request, false, func(reply *protocol.ClientReply) {
+		if reply.GetStatus() != http.StatusOK {
+			return
+		}
+		if version := uint64(fastjson.GetInt(reply.GetBody(), "config_version")); version < atLeast {
+			o.world.broken("CONFIG", "%s shows the state of version %d after %d was acknowledged", c.address, version, atLeast)
+		}
+	})
+}
+
 // checkRead checks a configuration that was read back.
 func (o *operator) checkRead(body []byte, atLeast uint64) uint64 {
 	w := o.world
--- a/internal/simnet/play.go
+++ b/internal/simnet/play.go
@@ -25,12 +25,13 @@
 // they allow.
 func Usual(seed uint64) Options {
 	cores := 3 + int(seed%5)
-	return Options{Seed: seed, Cores: cores, Runners: 8, Carriers: 2, Faults: 1 + int(seed/5)%((cores-1)/2), Length: 30 * time.Second}
+	return Options{Seed: seed, Cores: cores, Runners: 8, Carriers: 2, Faults: 1 + int(seed/5)%((cores-1)/2), Length: 30 * time.Second,
+		Changes: seed%9 == 4, Bulk: seed%4 == 1}
 }
 
 // Play plays once and returns what it came to.
 func Play(o Options) *Report {
-	w := &world{options: o, rng: rand.New(rand.NewPCG(o.Seed, 2)), processes: make(map[string]*process), cuts: make(map[link]time.Duration), arrives: make(map[link]time.Duration)}
+	w := &world{options: o, rng: rand.New(rand.NewPCG(o.Seed, 2)), processes: make(map[string]*process), cuts: make(map[link]time.Duration), arrives: make(map[link]time.Duration), network: newNetwork()}
 	w.check, w.operator = w.newChecker(), w.newOperator()
 	w.found()
 	for i, f := range w.drawFaults() {
@@ -44,6 +45,7 @@
 		})
 	}
 	w.after(statesEvery, w.compareStates)
+	w.after(2*time.Second, w.watch)
 	w.traffic()
 	w.play(o.Length + settleLeast)
 	for w.now < o.Length+settleTime && !w.idle() && len(w.report.Broken) == 0 {
--- a/internal/simnet/world.go
+++ b/internal/simnet/world.go
@@ -23,6 +23,8 @@
 	Length   time.Duration // in which clients send and faults strike
 	Skip     map[int]bool  // faults left out, by their number, for shorter traces
 	CoreOnly bool          // only machines of the control plane meet faults
+	Changes  bool          // the operator changes the configuration many times a second
+	Bulk     bool          // jobs have long texts, so that states go over in many pieces
 	Weaken   Weakness      // a safety check that is taken out, for tests of the checks
 	Trace    func(line string)
 }
@@ -110,6 +112,7 @@
 	carriers  []*carrierHost
 	cuts      map[link]time.Duration // cut links, until when
 	arrives   map[link]time.Duration // when the newest message arrives: links keep the order
+	network   network                // what ails it
 	clients   []*client
 	operator  *operator
 	check     *checker
@@ -130,13 +133,8 @@
 	turn    func() // carries out what messages have led to
 }
 
-const (
-	leastDelay = 300 * time.Microsecond
-	mostDelay  = 2500 * time.Microsecond
-	tickEvery  = 20 * time.Millisecond
-	// holdLimit is how long a cut may hold messages up until their link is given up and they are lost.
-	holdLimit = 1200 * time.Millisecond
-)
+// tickEvery is how often processes are told of the time.
+const tickEvery = 20 * time.Millisecond
 
 // after has something happen later.
 func (w *world) after(d time.Duration, do func()) {
@@ -159,31 +157,6 @@
 // clock returns the steady clock of a process.
 func (w *world) clock(p *process) time.Duration { return w.now - p.born }
 
-// send carries a message to another process.
-func (w *world) send(from *process, to string, e *protocol.Envelope) {
-	target := w.processes[to]
-	if target == nil {
-		return
-	}
-	l := link{from.address, to}
-	delay := w.between(leastDelay, mostDelay)
-	if until, cut := w.cuts[l]; cut && until > w.now {
-		if until-w.now > holdLimit || w.rng.IntN(2) == 0 {
-			return
-		}
-		delay += until - w.now
-	}
-	at := max(w.now+delay, w.arrives[l]+1)
-	w.arrives[l] = at
-	life := target.life
-	w.after(at-w.now, func() {
-		if !target.up || target.life != life {
-			return
-		}
-		w.run(target, func() { target.receive(from.address, e) })
-	})
-}
-
 // run has a process do something now, or once it is no longer frozen.
 func (w *world) run(p *process, do func()) {
 	if p.frozen {
@@ -247,11 +220,6 @@
 	})
 }
 
-// cut cuts one way between two processes for a time.
-func (w *world) cut(from, to string, d time.Duration) {
-	w.cuts[link{from, to}] = max(w.cuts[link{from, to}], w.now+d)
-}
-
 // troubled notes that a fault has begun or ended.
 func (w *world) troubled() { w.trouble = w.now }
 
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -64,6 +64,25 @@
 	return count >= Majority(len(voters))
 }
 
+// Valid tells whether a view that was agreed can be what it says: its voters and the members of its chain have
+// identities of their own, and all of the chain vote. Messages that say otherwise are dropped.
+func Valid(v *protocol.View) bool {
+	if v.GetEpoch() == 0 || len(v.GetChain()) == 0 {
+		return false
+	}
+	for i, m := range v.GetVoters() {
+		if m.GetId() == 0 || m.GetAddress() == "" || Find(v.GetVoters()[:i], m.GetId()) != nil {
+			return false
+		}
+	}
+	for i, id := range v.GetChain() {
+		if Find(v.GetVoters(), id) == nil || slices.Contains(v.GetChain()[:i], id) {
+			return false
+		}
+	}
+	return true
+}
+
 // Head returns the id of the chain's head, 0 where there is no chain.
 func Head(v *protocol.View) uint64 {
 	if len(v.GetChain()) == 0 {
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -102,3 +102,20 @@
 	require.Len(t, next.GetPrevious(), 3)
 	require.Len(t, Electorate(next), 4)
 }
+
+func TestValid(t *testing.T) {
+	voters := []*protocol.Member{{Id: 1, Address: "a"}, {Id: 2, Address: "b"}}
+	require.True(t, Valid(&protocol.View{Epoch: 1, Voters: voters, Chain: []uint64{2, 1}}))
+	for name, v := range map[string]*protocol.View{
+		"none":                 nil,
+		"no epoch":             {Voters: voters, Chain: []uint64{1}},
+		"no chain":             {Epoch: 1, Voters: voters},
+		"a chain of others":    {Epoch: 1, Voters: voters, Chain: []uint64{3}},
+		"one twice":            {Epoch: 1, Voters: voters, Chain: []uint64{1, 1}},
+		"a voter twice":        {Epoch: 1, Voters: append(voters[:2:2], voters[0]), Chain: []uint64{1}},
+		"a voter without name": {Epoch: 1, Voters: []*protocol.Member{{Address: "a"}}, Chain: []uint64{0}},
+		"nowhere":              {Epoch: 1, Voters: []*protocol.Member{{Id: 1}}, Chain: []uint64{1}},
+	} {
+		require.False(t, Valid(v), name)
+	}
+}
