--- a/internal/control/scheduler/requests.go
+++ b/internal/control/scheduler/requests.go
@@ -106,6 +106,10 @@
 		return http.StatusBadRequest, err.Error()
 	}
 	for name, item := range change.Items {
+		if item == nil {
+			d.writes.Delete(configPrefix + name)
+			continue
+		}
 		d.put(configPrefix+name, item)
 	}
 	d.put(configKey, change.Table.Record())
--- a/internal/routeconfig/table.go
+++ b/internal/routeconfig/table.go
@@ -33,6 +33,7 @@
 	Version uint64
 	Digest  uint64 // of all items, whatever their order
 	last    uint64 // highest position given
+	horizon uint64 // highest version of a removed item that is remembered no longer
 	items   map[string]*protocol.ConfigItem
 	routes  map[string]*Route
 	hosts   map[string][]*Route // by host, longest prefix first
@@ -118,7 +119,7 @@
 // Change is what an order does to a table.
 type Change struct {
 	Table *Table
-	Items map[string]*protocol.ConfigItem // set or removed, by key
+	Items map[string]*protocol.ConfigItem // set or removed, by key; nil where a removed one is forgotten
 }
 
 // Apply evaluates an order; it returns an error marked ErrInvalid where the result can't be.
@@ -153,10 +154,48 @@
 			c.Items[key] = &protocol.ConfigItem{Version: d.version}
 		}
 	}
+	horizon := t.forgetRemoved(c.Items)
 	c.Table = t.with(d.version, last, c.Items)
+	c.Table.horizon = horizon
 	return c, c.Table.check()
 }
 
+// mostRemoved bounds the removed items that are remembered, for those who follow from an older version. Who is
+// older still gets the whole.
+const mostRemoved = 1024
+
+// forgetRemoved has a change drop the removed items that are too many, the oldest first, and returns the highest
+// version of those that were ever dropped.
+func (t *Table) forgetRemoved(changed map[string]*protocol.ConfigItem) (horizon uint64) {
+	horizon = t.horizon
+	var removed []string
+	versionOf := func(key string) uint64 {
+		if item, ok := changed[key]; ok {
+			return item.GetVersion()
+		}
+		return t.items[key].GetVersion()
+	}
+	for key, item := range t.items {
+		if _, again := changed[key]; !again && len(item.GetJson()) == 0 {
+			removed = append(removed, key)
+		}
+	}
+	for key, item := range changed {
+		if len(item.GetJson()) == 0 {
+			removed = append(removed, key)
+		}
+	}
+	if len(removed) <= mostRemoved {
+		return horizon
+	}
+	slices.SortFunc(removed, func(a, b string) int { return cmp.Or(cmp.Compare(versionOf(a), versionOf(b)), cmp.Compare(a, b)) })
+	for _, key := range removed[:len(removed)-mostRemoved] {
+		horizon = max(horizon, versionOf(key))
+		changed[key] = nil
+	}
+	return horizon
+}
+
 // with returns the table with some items set or removed.
 func (t *Table) with(version, last uint64, changed map[string]*protocol.ConfigItem) *Table {
 	items := make(map[string]*protocol.ConfigItem, len(t.items)+len(changed))
@@ -164,9 +203,15 @@
 		items[key] = item
 	}
 	for key, item := range changed {
+		if item == nil {
+			delete(items, key)
+			continue
+		}
 		items[key] = item
 	}
-	return build(version, last, items)
+	next := build(version, last, items)
+	next.horizon = t.horizon
+	return next
 }
 
 // check tells why a configuration can't be in force.
@@ -232,6 +277,9 @@
 // Since returns what makes a table of an older version, with its digest, the present one, and whether
 // that is less than the whole. Removed items are kept for it.
 func (t *Table) Since(version uint64) *protocol.ConfigDelta {
+	if version < t.horizon {
+		version = 0
+	}
 	delta := &protocol.ConfigDelta{From: version, Version: t.Version, Digest: t.Digest}
 	for key, item := range t.items {
 		if item.GetVersion() > version {
@@ -263,10 +311,12 @@
 
 // Load returns the table of stored items.
 func Load(record *protocol.ConfigRecord, items map[string]*protocol.ConfigItem) *Table {
-	return build(record.GetVersion(), record.GetOrder(), items)
+	t := build(record.GetVersion(), record.GetOrder(), items)
+	t.horizon = record.GetHorizon()
+	return t
 }
 
 // Record returns what is stored beside the items.
 func (t *Table) Record() *protocol.ConfigRecord {
-	return &protocol.ConfigRecord{Version: t.Version, Order: t.last}
+	return &protocol.ConfigRecord{Version: t.Version, Order: t.last, Horizon: t.horizon}
 }
--- a/internal/routeconfig/table_test.go
+++ b/internal/routeconfig/table_test.go
@@ -112,3 +112,32 @@
 		require.JSONEq(t, string(after.Table.Document()), string(again.Table.Document()))
 	})
 }
+
+// TestRemovedItemsAreBounded adds and removes routes again and again: the table stays within its bound, and those who
+// follow from any version get the same table.
+func TestRemovedItemsAreBounded(t *testing.T) {
+	table := Empty()
+	apply := func(body string, patch bool) {
+		t.Helper()
+		c, err := table.Apply([]byte(body), patch)
+		require.NoError(t, err)
+		table = c.Table
+	}
+	apply(`{"Version":1,"Routes":[],"Services":[{"Name":"s"}]}`, false)
+	early := table
+	var middle *Table
+	for n := 2; n < 2+2*mostRemoved; n++ {
+		apply(fmt.Sprintf(`{"Version":%d,"Upsert":{"Routes":[{"Name":"r%d","Host":"h","PathPrefix":"/%d/","TimeoutMs":1,"Service":"s"}]},"Remove":{"Routes":["r%d"]}}`, n, n, n, n-1), true)
+		if n == 2+mostRemoved+mostRemoved/2 {
+			middle = table
+		}
+	}
+	require.LessOrEqual(t, len(table.items), mostRemoved+2)
+	for _, from := range []*Table{Empty(), early, middle, Load(table.Record(), table.items)} {
+		delta := table.Since(from.Version)
+		next, ok := from.Follow(delta)
+		require.True(t, ok)
+		require.Equal(t, table.Digest, next.Digest)
+		require.Equal(t, string(table.Document()), string(next.Document()))
+	}
+}
--- a/internal/smallsystem/system.go
+++ b/internal/smallsystem/system.go
@@ -182,6 +182,16 @@
 	<-m.done
 }
 
+// Pause has a machine's process stand still until Continue.
+func (s *System) Pause(m *Machine) error {
+	return errors.Wrap(m.cmd.Process.Signal(syscall.SIGSTOP), "small system: a process can't be stopped")
+}
+
+// Continue has a process that stands still go on.
+func (s *System) Continue(m *Machine) error {
+	return errors.Wrap(m.cmd.Process.Signal(syscall.SIGCONT), "small system: a process can't be continued")
+}
+
 // Terminate asks a machine's process to end and returns its exit status.
 func (s *System) Terminate(m *Machine) int {
 	_ = m.cmd.Process.Signal(syscall.SIGTERM)
