Have a head whose disk was slow be voted out, or go on

The head left it to the others to choose another one, which need its word for a majority; and its disk counted as slow for ever, as the mean of its syncs falls only with writes. Nothing was accepted any more. A head with a bad disk says that its place is vacant now, takes action itself after 2 s, and the mean halves each second without a write. TestSlowDiskOfTheHead fails without.

--- a/internal/control/replica/contact_test.go
+++ b/internal/control/replica/contact_test.go
@@ -104,3 +104,23 @@
 	h.DiskDone(c.now, before+1, 5000, nil)
 	require.EqualValues(t, 5000, h.Machine.disk.synced)
 }
+
+// TestSlowDiskOfTheHead makes the head's disk slow for a second while one of three voters is gone: the head alone could
+// not be voted out, went on with a promise that it had given to its own round, and nothing was accepted any more.
+func TestSlowDiskOfTheHead(t *testing.T) {
+	for seed := range uint64(30) {
+		c := newCluster(t, 640+seed, 3)
+		c.play(time.Second)
+		gone := c.outsider()
+		c.stop(gone, true)
+		c.wipe(gone)
+		c.start(gone) // it asks to join, which begins a round of the head's
+		c.play(time.Duration(seed) * 20 * time.Millisecond)
+		h := c.awaitHead()
+		h.slow = 917 * time.Millisecond
+		c.write(1)
+		c.play(1060 * time.Millisecond)
+		h.slow = 0
+		require.Less(t, c.writesAgain(100+seed, 20*time.Second), 6*time.Second)
+	}
+}
--- a/internal/control/replica/disk.go
+++ b/internal/control/replica/disk.go
@@ -21,6 +21,7 @@
 	failed   bool
 	retryAt  time.Duration
 	meanSync time.Duration
+	decayAt  time.Duration // when the mean counts for less, as nothing is written
 	after    []afterSync // what waits for a write
 
 	installedEpoch uint64 // on disk
@@ -184,8 +185,18 @@
 	m.disk.buffer, m.disk.pending, m.disk.after = nil, nil, nil
 }
 
+// meanKept is after how long without a write the mean of earlier ones counts for half: a disk that was slow once
+// would stay so for ever where nothing is written.
+const meanKept = time.Second
+
 // tickDisk tries to write the whole state anew after a failure.
 func (m *Machine) tickDisk() {
+	if len(m.disk.pending) > 0 {
+		m.disk.decayAt = m.now + meanKept
+	} else if m.now >= m.disk.decayAt {
+		m.disk.decayAt = m.now + meanKept
+		m.disk.meanSync /= 2
+	}
 	if !m.disk.failed || m.now < m.disk.retryAt {
 		return
 	}
--- a/internal/control/replica/election.go
+++ b/internal/control/replica/election.go
@@ -111,8 +111,8 @@
 // headLost tells whether the head of the newest view has to be replaced, as far as this member sees.
 func (m *Machine) headLost() bool {
 	id := view.Head(m.view)
-	if id == m.cfg.Self.GetId() {
-		return false
+	if id == m.cfg.Self.GetId() { // with a bad disk it would rather not be the head, and the others need its word for it
+		return m.chain.active && m.diskBad() && m.otherDiskGood(id)
 	}
 	if !m.alive(id) {
 		return m.now-m.adopted > m.cfg.Timing.Suspect // it may never have been heard of before
@@ -243,7 +243,7 @@
 
 // chainTrouble says why the chain can't go on as it is, empty where it can.
 func (m *Machine) chainTrouble() string {
-	if m.diskBad() && m.chain.active && m.otherDiskGood(m.cfg.Self.GetId()) {
+	if m.chain.active && m.diskBad() && m.otherDiskGood(m.cfg.Self.GetId()) && !(m.sealed() && m.now-m.highestAt > handOverPatience) {
 		return "" // the others choose another head
 	}
 	if m.headBefore() {
@@ -294,6 +294,9 @@
 const (
 	// sealedPatience is how long the head leaves the candidate of a higher ballot to end its round.
 	sealedPatience = 250 * time.Millisecond
+	// handOverPatience is how long a head with a bad disk, which can't go on as it is, waits for the others to choose
+	// another one.
+	handOverPatience = 2 * time.Second
 	// confirmLost is how long the head goes on without a majority that stands by its epoch.
 	confirmLost = time.Second
 	// diskPatience is how long a chain stays as it is before a slow disk is a reason for another.
