--- /dev/null
+++ b/internal/control/journal/journal_bench_test.go
@@ -0,0 +1,56 @@
+package journal
+
+import (
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"frosttide/internal/control/store"
+)
+
+// large returns a state of about a number of bytes, in items of 1,000.
+func large(bytes int) State {
+	const itemBytes = 1000
+	s := State{ID: 1, Store: store.New()}
+	for i := range bytes / itemBytes {
+		value := make([]byte, itemBytes)
+		copy(value, fmt.Sprint(i))
+		s.Store.Put(fmt.Sprintf("item%d", i), value)
+	}
+	return s
+}
+
+// BenchmarkRestart reads files of 1, 10 and 50 MB, as a member does that starts again.
+func BenchmarkRestart(b *testing.B) {
+	for _, megabytes := range []int{1, 10, 50} {
+		whole, err := Snapshot(large(megabytes << 20))
+		require.NoError(b, err)
+		b.Run(fmt.Sprintf("%dMB", megabytes), func(b *testing.B) {
+			b.SetBytes(int64(len(whole)))
+			for range b.N {
+				_, _, err := Read(whole)
+				require.NoError(b, err)
+			}
+		})
+	}
+}
+
+// BenchmarkImage takes the image of a state, which holds up the member, and writes it, which does not.
+func BenchmarkImage(b *testing.B) {
+	for _, megabytes := range []int{1, 10, 50} {
+		s := large(megabytes << 20)
+		b.Run(fmt.Sprintf("take/%dMB", megabytes), func(b *testing.B) {
+			for range b.N {
+				NewImage(s)
+			}
+		})
+		b.Run(fmt.Sprintf("write/%dMB", megabytes), func(b *testing.B) {
+			for range b.N {
+				_, err := NewImage(s).WriteTo(io.Discard)
+				require.NoError(b, err)
+			}
+		})
+	}
+}
--- a/internal/control/member/member_fuzz_test.go
+++ b/internal/control/member/member_fuzz_test.go
@@ -11,7 +11,7 @@
 )
 
 // serving returns a member that is alone and serves as the head.
-func serving(t *testing.T) *Member {
+func serving(t testing.TB) *Member {
 	t.Helper()
 	self := &protocol.Member{Id: 7, Number: 1, Address: "self", Control: "self"}
 	m := New(Config{Replica: replica.Config{Self: self, Incarnation: 1, Contacts: []string{"self"}, Timing: replica.DefaultTiming()},
--- a/internal/control/replica/machine_test.go
+++ b/internal/control/replica/machine_test.go
@@ -17,7 +17,9 @@
 
 // cluster plays members on a network in virtual time.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
+	quiet   bool                     // members' notes are not logged
+	longest map[string]time.Duration // by member, the longest real time that a message took; nil where it is not measured
 	rng     *rand.Rand
 	now     time.Duration
 	members map[string]*node
@@ -62,7 +64,7 @@
 	return newClusterBearing(t, seed, founders, 1)
 }
 
-func newClusterBearing(t *testing.T, seed uint64, founders, faults int) *cluster {
+func newClusterBearing(t testing.TB, seed uint64, founders, faults int) *cluster {
 	c := &cluster{t: t, faults: faults, rng: rand.New(rand.NewPCG(seed, 1)), members: make(map[string]*node), cut: make(map[[2]string]bool), free: make(map[[2]string]time.Duration), sent: make(map[[2]string]int), replies: make(map[uint64]int), reads: make(map[uint64]bool)}
 	var all []*protocol.Member
 	for i := range founders {
@@ -131,6 +133,9 @@
 		c.startWrite(n)
 	}
 	for _, text := range a.Notes {
+		if c.quiet {
+			break
+		}
 		c.t.Logf("%8.3f %s: %s", c.now.Seconds(), n.address, text)
 	}
 	for _, s := range a.Sends {
@@ -210,7 +215,12 @@
 	life := to.life
 	c.after(delay, func() {
 		if to.up && to.life == life && !c.cut[[2]string{n.address, s.To}] {
-			c.do(to, to.Receive(c.now, n.address, s.Message))
+			began := time.Now()
+			a := to.Receive(c.now, n.address, s.Message)
+			if c.longest != nil {
+				c.longest[s.To] = max(c.longest[s.To], time.Since(began))
+			}
+			c.do(to, a)
 		}
 	})
 }
--- a/internal/control/scheduler/scale_bench_test.go
+++ b/internal/control/scheduler/scale_bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -133,3 +135,25 @@
 func BenchmarkTakeOver(b *testing.B) {
 	eachSize(b, func(r *rig, _ fleetSize, _ int) { r.elect() })
 }
+
+// BenchmarkChanges evaluates changes of a configuration of 1,000 routes, one route at a time.
+func BenchmarkChanges(b *testing.B) {
+	const routes = 1000
+	r := &rig{t: b, store: store.New(), now: time.Hour, epoch: 1, replies: make(map[uint64]*protocol.ClientReply), ends: make(map[string]uint64)}
+	r.elect()
+	var all []string
+	for i := range routes {
+		all = append(all, fmt.Sprintf(`{"Name":"r%d","Host":"h","PathPrefix":"/%d/","TimeoutMs":3000,"Service":"svc","MaxAttempts":2,"Stretch":4}`, i, i))
+	}
+	whole := `{"Version":1,"Routes":[` + strings.Join(all, ",") + `],"Services":[{"Name":"svc"}]}`
+	require.EqualValues(b, http.StatusOK, r.ask(&protocol.ClientRequest{Op: &protocol.ClientRequest_Config{Config: &protocol.ConfigOrder{Body: []byte(whole)}}}).GetStatus())
+	version := uint64(1)
+	b.ResetTimer()
+	for range b.N {
+		version++
+		body := fmt.Sprintf(`{"Version":%d,"Upsert":{"Routes":[{"Name":"r%d","Host":"h","PathPrefix":"/%d/","TimeoutMs":%d,"Service":"svc","MaxAttempts":2,"Stretch":4}]}}`,
+			version, version%routes, version%routes, version)
+		order := &protocol.ConfigOrder{Patch: true, IfMatch: version - 1, Body: []byte(body)}
+		require.EqualValues(b, http.StatusOK, r.ask(&protocol.ClientRequest{Op: &protocol.ClientRequest_Config{Config: order}}).GetStatus())
+	}
+}
