--- a/internal/simnet/client.go
+++ b/internal/simnet/client.go
@@ -275,12 +275,13 @@
 // look asks for a job's state.
 func (c *client) look(j *job, then func(answered bool)) {
 	w := c.world
-	at := w.carriers[w.rng.IntN(len(w.carriers))]
+	at, began := w.carriers[w.rng.IntN(len(w.carriers))], w.now
 	at.ask(&protocol.ClientRequest{Op: &protocol.ClientRequest_ReadState{ReadState: &protocol.ReadState{Id: j.id, Queue: j.queue}}}, true, clientWait, func(o chainclient.Outcome) {
 		switch o.Reply.GetStatus() {
 		case http.StatusOK:
 			j.shown = strings.Trim(strings.TrimPrefix(string(o.Reply.GetBody()), `{"State":`), `"}`)
 			j.shownAt = w.now
+			w.record(Call{Kind: StateCall, Began: began, Ended: w.now, Job: j.id, State: j.shown})
 			w.check.shown(j)
 		case http.StatusGone:
 			w.check.shownGone(j)
--- a/internal/simnet/operator.go
+++ b/internal/simnet/operator.go
@@ -38,6 +38,7 @@
 	version uint64
 	body    []byte
 	invalid bool
+	number  int // of the order
 	acked   bool
 	tries   int
 	unclear bool // a try has had no answer
@@ -100,7 +101,7 @@
 	o.next = max(o.next, o.newest) + 1 + uint64(o.world.rng.IntN(3))
 	body := fmt.Appendf(nil, `{"Version":%d,"Upsert":{"Routes":[{"Name":"idle%d","Host":"h","PathPrefix":"/i%d/","TimeoutMs":%d,"Service":"cut"}]},"Remove":{"Routes":["idle%d"]}}`,
 		o.next, o.changes%5, o.changes%5, 1000+o.changes, (o.changes+2)%5)
-	return &order{patch: true, match: o.base, version: o.next, body: body}
+	return &order{patch: true, number: o.changes, match: o.base, version: o.next, body: body}
 }
 
 // send sends an order to some member, and again to another where the answer is not clear.
@@ -111,11 +112,13 @@
 		o.mayBe(one)
 	}
 	over := false
+	call := Call{Kind: OrderCall, Began: w.now, Order: one.number, Match: one.match, Version: one.version}
 	finish := func(status int) {
 		if over {
 			return
 		}
 		over = true
+		o.recordOrder(call, one, status)
 		o.answered(one, status, done)
 	}
 	c := w.cores[w.rng.IntN(len(w.cores))]
@@ -134,6 +137,26 @@
 	w.after(orderWait+100*time.Millisecond, func() { finish(0) })
 }
 
+// recordOrder keeps an order with its answer. Invalid ones, and answers that are not clear where nothing was sent, say
+// nothing.
+func (o *operator) recordOrder(call Call, one *order, status int) {
+	if one.invalid {
+		return
+	}
+	switch status {
+	case http.StatusOK:
+		call.Ended, call.Taken = o.world.now, true
+	case http.StatusPreconditionFailed:
+		call.Ended = o.world.now
+	}
+	o.world.record(call)
+}
+
+// recordRead keeps what a read has shown.
+func (o *operator) recordRead(began time.Duration, version uint64) {
+	o.world.record(Call{Kind: ReadCall, Began: began, Ended: o.world.now, Version: version})
+}
+
 // answered weighs the answer to an order.
 func (o *operator) answered(one *order, status int, done func(taken bool)) {
 	w := o.world
@@ -225,13 +248,14 @@
 			then(version, ok)
 		}
 	}
-	at := w.carriers[w.rng.IntN(len(w.carriers))]
+	at, began := w.carriers[w.rng.IntN(len(w.carriers))], w.now
 	at.ask(&protocol.ClientRequest{Op: &protocol.ClientRequest_ReadConfig{ReadConfig: &protocol.ReadConfig{}}}, true, orderWait, func(out chainclient.Outcome) {
 		if out.Reply.GetStatus() != http.StatusOK {
 			finish(0, false)
 			return
 		}
 		version := o.checkRead(out.Reply.GetBody(), atLeast)
+		o.recordRead(began, version)
 		finish(version, true)
 	})
 	w.after(orderWait+100*time.Millisecond, func() { finish(0, false) })
@@ -239,11 +263,11 @@
 
 // readAt reads the configuration at a member and checks it.
 func (o *operator) readAt(c *core) {
-	atLeast := o.newest
+	atLeast, began := o.newest, o.world.now
 	request := &protocol.ClientRequest{Op: &protocol.ClientRequest_ReadConfig{ReadConfig: &protocol.ReadConfig{}}}
 	c.ask(request, true, func(reply *protocol.ClientReply) {
 		if reply.GetStatus() == http.StatusOK {
-			o.checkRead(reply.GetBody(), atLeast)
+			o.recordRead(began, o.checkRead(reply.GetBody(), atLeast))
 		}
 	})
 }
--- a/internal/simnet/world.go
+++ b/internal/simnet/world.go
@@ -61,6 +61,7 @@
 	Accepted int      // jobs
 	Done     int      // jobs shown as completed
 	Starts   int
+	Calls    []Call // of operators, and of clients for their jobs' states
 }
 
 // event is something that happens at a time.
