--- /dev/null
+++ b/internal/control/journal/journal_rapid_test.go
@@ -0,0 +1,115 @@
+package journal
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"frosttide/internal/control/store"
+	"frosttide/internal/protocol"
+	_ "frosttide/internal/standin/fixeddraws"
+)
+
+// TestNoTornOrDamagedFileIsReadAsWhole tears or damages files at any place: what is read is the state after some of the
+// writes, all of those that were synced among them, or the file is said to be damaged.
+func TestNoTornOrDamagedFileIsReadAsWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		data, err := Snapshot(State{ID: 7, Store: store.New()})
+		require.NoError(t, err)
+		synced := len(data)
+		var ends []int // of writes; each is synced before the next but one
+		for i := range rapid.IntRange(1, 12).Draw(t, "writes") {
+			for range rapid.IntRange(1, 3).Draw(t, "records") {
+				e := &protocol.Entry{Index: uint64(i + 1), Puts: []*protocol.Put{{Key: fmt.Sprint("k", i), Value: rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "value")}}}
+				data, err = Append(data, Entry, int64(synced), e)
+				require.NoError(t, err)
+			}
+			if len(ends) > 0 {
+				synced = ends[len(ends)-1]
+			}
+			ends = append(ends, len(data))
+		}
+		torn := append([]byte(nil), data...)
+		if rapid.Bool().Draw(t, "damage") {
+			at := rapid.IntRange(0, len(torn)-1).Draw(t, "at")
+			torn[at] ^= byte(rapid.IntRange(1, 255).Draw(t, "bits"))
+			s, _, err := Read(torn)
+			if at < synced && err == nil {
+				// Nothing after it says that it had been synced: only the newest writes can be meant.
+				require.GreaterOrEqual(t, at, lastKnownSynced(data), "synced records are passed over in silence")
+			}
+			if err == nil {
+				require.LessOrEqual(t, s.Index, uint64(len(ends)))
+				requireState(t, s)
+			}
+			return
+		}
+		torn = torn[:rapid.IntRange(synced, len(torn)).Draw(t, "length")]
+		s, good, err := Read(torn)
+		require.NoError(t, err, "what was not synced may be torn")
+		require.LessOrEqual(t, good, len(torn))
+		requireState(t, s)
+		for i, end := range ends {
+			if end <= synced {
+				require.GreaterOrEqual(t, s.Index, uint64(i+1))
+			}
+		}
+	})
+}
+
+// lastKnownSynced returns how much of a file its own records say was synced.
+func lastKnownSynced(data []byte) (synced int) {
+	for at := 0; at < len(data); {
+		h, _, ok := next(data[at:])
+		if !ok {
+			break
+		}
+		synced = max(synced, int(h.synced))
+		at += headerLength + h.length
+	}
+	return synced
+}
+
+// requireState requires a state to be that after the first writes, however many.
+func requireState(t require.TestingT, s State) {
+	for i := range s.Index {
+		_, ok := s.Store.Get(fmt.Sprint("k", i))
+		require.True(t, ok, "write %d of %d is missing", i+1, s.Index)
+	}
+	require.Equal(t, int(s.Index), s.Store.Len())
+}
+
+// TestImagesAreWhole takes the image of any state, changes the state, and reads the image back as it was. No beginning
+// of its file but the whole holds all.
+func TestImagesAreWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := State{ID: 9, Index: 4, Store: store.New()}
+		for i := range rapid.IntRange(0, 30).Draw(t, "items") {
+			s.Store.Put(fmt.Sprint(i), make([]byte, rapid.IntRange(0, imageChunk/4).Draw(t, "length")))
+		}
+		want, items := store.Combine(s.Store.Digests()), s.Store.Len()
+		image := NewImage(s)
+		s.Store.Put("later", []byte("x"))
+		s.Store.Delete("0")
+		var out buffer
+		_, err := image.WriteTo(&out)
+		require.NoError(t, err)
+		back, good, err := Read(out.data)
+		require.NoError(t, err)
+		require.Equal(t, len(out.data), good)
+		require.Equal(t, want, store.Combine(back.Store.Digests()))
+		cut, _, err := Read(out.data[:rapid.IntRange(0, len(out.data)).Draw(t, "cut")])
+		require.True(t, err == nil || errors.Is(err, ErrDamaged))
+		require.LessOrEqual(t, cut.Store.Len(), items)
+	})
+}
+
+type buffer struct{ data []byte }
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.data = append(b.data, p...)
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/control/store/store_rapid_test.go
@@ -0,0 +1,55 @@
+package store
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "frosttide/internal/standin/fixeddraws"
+)
+
+// TestDigestsFollowItems changes two stores in any way: their digests are equal just where their items are, whatever
+// order they were written in, a watcher's account of them is right, and the ranges that differ make them equal.
+func TestDigestsFollowItems(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stores := [2]*Store{New(), New()}
+		watched := make(map[string]string)
+		stores[0].Watch(func(key string, before, after []byte) {
+			require.Equal(t, watched[key], string(before))
+			if after == nil {
+				delete(watched, key)
+				return
+			}
+			watched[key] = string(after)
+		})
+		for range rapid.IntRange(0, 60).Draw(t, "changes") {
+			s := stores[rapid.IntRange(0, 1).Draw(t, "store")]
+			key := fmt.Sprint("k", rapid.IntRange(0, 8).Draw(t, "key"))
+			if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+				s.Delete(key)
+			} else {
+				s.Put(key, fmt.Appendf(nil, "v%d", rapid.IntRange(0, 2).Draw(t, "value")))
+			}
+		}
+		equal := fmt.Sprint(stores[0].All()) == fmt.Sprint(stores[1].All())
+		require.Equal(t, equal, Combine(stores[0].Digests()) == Combine(stores[1].Digests()))
+		require.Len(t, watched, stores[0].Len())
+		for key, value := range watched {
+			got, ok := stores[0].Get(key)
+			require.True(t, ok)
+			require.Equal(t, value, string(got))
+		}
+		ranges := stores[1].Differing(stores[0].Digests())
+		require.Equal(t, equal, len(ranges) == 0)
+		for _, r := range ranges {
+			items := stores[1].Range(r)
+			require.Equal(t, stores[1].Digests()[r], DigestOf(items))
+			puts, deletes := stores[0].Repair([]uint32{r}, ByRange(items)[r])
+			stores[0].Apply(puts, deletes)
+		}
+		require.Equal(t, stores[1].Digests(), stores[0].Digests())
+		require.Equal(t, stores[1].Bytes(), stores[0].Bytes())
+	})
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -33,13 +33,18 @@
 	got := make(chan received, 10000)
 	cfg.Role = "test"
 	cfg.Incarnation = uint64(time.Now().UnixNano())
-	cfg.Handle = func(from string, e *protocol.Envelope) { got <- received{from, e.GetConfirm().GetRound()} }
+	cfg.Handle = handOn(got)
 	tr, err := Listen(cfg)
 	require.NoError(t, err)
 	t.Cleanup(tr.Close)
 	return tr, cfg.Address, got
 }
 
+// handOn hands on the rounds of what arrives.
+func handOn(got chan received) func(from string, e *protocol.Envelope) {
+	return func(from string, e *protocol.Envelope) { got <- received{from, e.GetConfirm().GetRound()} }
+}
+
 func message(id uint64) *protocol.Envelope {
 	return &protocol.Envelope{Body: &protocol.Envelope_Confirm{Confirm: &protocol.Confirm{Round: id}}}
 }
