--- a/internal/control/replica/disk.go
+++ b/internal/control/replica/disk.go
@@ -22,7 +22,7 @@
 	retryAt  time.Duration
 	meanSync time.Duration
 	decayAt  time.Duration // when the mean counts for less, as nothing is written
-	after    []afterSync // what waits for a write
+	after    []afterSync   // what waits for a write
 
 	installedEpoch uint64 // on disk
 }
