--- a/internal/simnet/faults.go
+++ b/internal/simnet/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -215,11 +216,15 @@
 	if w.rng.IntN(3) == 0 {
 		by = time.Hour
 	}
-	cores, who := []*core{c}, c.address
-	if w.rng.IntN(3) == 0 {
-		cores, who = w.cores, "all of the core"
+	all, who := w.rng.IntN(3) == 0, c.address
+	if all {
+		who = "all of the core"
 	}
 	return fmt.Sprintf("the time of day of %s is %v off for %v", who, by, d), func() {
+		cores := []*core{c}
+		if all { // whoever is part of it by then
+			cores = slices.Clone(w.cores)
+		}
 		for _, c := range cores {
 			c.clock = by
 			w.while(d, func() { c.clock = 0 })
