--- a/cmd/frosttide-weaken/main.go
+++ b/cmd/frosttide-weaken/main.go
@@ -19,7 +19,8 @@
 	root := flag.String("root", ".", "the repository's root")
 	only := flag.String("only", "", "only the checks whose name holds this")
 	seeds := flag.Int("seeds", 500, "seeds of the simulated network")
-	stride := flag.Int("stride", 997, "the explorer plays each so manieth pair of departures")
+	singles := flag.Int("singles", 1, "the explorer plays each so manieth departure")
+	pairs := flag.Int("pairs", 100_003, "and each so manieth pair of departures")
 	flag.Parse()
 	if flag.NArg() > 0 {
 		fmt.Fprintln(os.Stderr, "frosttide-weaken: takes flags only")
@@ -32,7 +33,7 @@
 		if !strings.Contains(c.Name, *only) || ctx.Err() != nil {
 			continue
 		}
-		f, err := weaken.Try(ctx, *root, c, weaken.Bounds{Seeds: *seeds, Stride: *stride})
+		f, err := weaken.Try(ctx, *root, c, weaken.Bounds{Seeds: *seeds, Singles: *singles, Pairs: *pairs})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
