Append nothing without contact; count only the chain's own progress

A head out of contact takes no requests; what it still decided by itself, as of timed work, was appended all the same and held in memory. What a member outside the chain takes in no longer puts off the chain's own patience.

--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -195,7 +195,7 @@
 
 // append has the scheduler's decisions written, and its orders sent once that is committed.
 func (m *Member) append(now time.Duration) {
-	if m.scheduler != nil && m.replica.CanAppend() {
+	if m.scheduler != nil && m.replica.CanAppend() && m.replica.Accepting(now) {
 		if e := m.scheduler.Entry(now); e != nil {
 			index, actions, _ := m.replica.Append(now, e)
 			m.scheduler.Appended(index)
--- a/internal/control/replica/transfer.go
+++ b/internal/control/replica/transfer.go
@@ -158,7 +158,9 @@
 	if m.stage(r) {
 		t.progress++
 		t.retry = 0
-		m.installing = m.now
+		if m.place() >= 0 {
+			m.installing = m.now
+		}
 	}
 	t.heardAt = m.now
 	if m.promised <= m.Epoch() && store.Combine(m.heldDigests()) == r.GetDigest() {
