--- a/internal/control/journal/image.go
+++ b/internal/control/journal/image.go
@@ -70,9 +70,12 @@
 	return written, err
 }
 
-// Snapshot returns a whole file that holds a state.
-func Snapshot(s State) ([]byte, error) {
+// Encode returns the whole file.
+func (i *Image) Encode() ([]byte, error) {
 	var out bytes.Buffer
-	_, err := NewImage(s).WriteTo(&out)
+	_, err := i.WriteTo(&out)
 	return out.Bytes(), err
 }
+
+// Snapshot returns a whole file that holds a state.
+func Snapshot(s State) ([]byte, error) { return NewImage(s).Encode() }
