--- a/cmd/frosttide-weaken/main.go
+++ b/cmd/frosttide-weaken/main.go
@@ -18,6 +18,7 @@
 func main() {
 	root := flag.String("root", ".", "the repository's root")
 	only := flag.String("only", "", "only the checks whose name holds this")
+	first := flag.Int("first", 0, "the first check, by its place in the list")
 	seeds := flag.Int("seeds", 500, "seeds of the simulated network")
 	singles := flag.Int("singles", 1, "the explorer plays each so manieth departure")
 	pairs := flag.Int("pairs", 100_003, "and each so manieth pair of departures")
@@ -28,20 +29,24 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	missed := 0
-	for _, c := range weaken.Checks {
-		if !strings.Contains(c.Name, *only) || ctx.Err() != nil {
+	missed, failed := 0, 0
+	for i, c := range weaken.Checks {
+		if i < *first || !strings.Contains(c.Name, *only) || ctx.Err() != nil {
 			continue
 		}
 		f, err := weaken.Try(ctx, *root, c, weaken.Bounds{Seeds: *seeds, Singles: *singles, Pairs: *pairs})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
+			failed++
+			continue
 		}
 		if f.Finder == weaken.Nobody {
 			missed++
 		}
 		fmt.Printf("| %s | %s | %s | %v |\n", c.Name, f.Finder, f.Detail, f.Took.Round(time.Second))
 	}
-	fmt.Printf("%d found by nothing\n", missed)
+	fmt.Printf("%d found by nothing, %d could not be tried\n", missed, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
 }
--- a/internal/lab/weaken/checks.go
+++ b/internal/lab/weaken/checks.go
@@ -24,7 +24,8 @@
 	{"the majority of the voters before a change", viewFile, "return majorityOf(v.GetVoters(), has) && (len(v.GetPrevious()) == 0 || majorityOf(v.GetPrevious(), has))",
 		"return majorityOf(v.GetVoters(), has)"},
 	{"the length of the chain", viewFile, "return min(voters, max(faults+1, voters-Majority(voters)+1))", "return 1"},
-	{"the newest state becomes the head", viewFile, "cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(b.Index, a.Index),", "cmp.Or("},
+	{"the newest state becomes the head", viewFile, "cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(b.Index, a.Index),",
+		"cmp.Or(0*cmp.Compare(class(a), class(b)), cmp.Compare(b.Index, a.Index),"},
 	{"the longest log becomes the head", viewFile, "cmp.Compare(b.Index, a.Index), ", ""},
 
 	{"a promise is on disk before it is told", agreementFile, "	m.afterWrite(func() {\n		if m.promised != ballot {", "	func(do func()) { do() }(func() {\n		if m.promised != ballot {"},
