--- a/internal/control/jobs/writes.go
+++ b/internal/control/jobs/writes.go
@@ -45,12 +45,6 @@
 	w.deletes[key] = struct{}{}
 }
 
-// Has tells whether an item is among those to be set.
-func (w *Writes) Has(key string) bool {
-	_, ok := w.puts[key]
-	return ok
-}
-
 // Empty tells whether there is nothing to write.
 func (w *Writes) Empty() bool { return len(w.puts) == 0 && len(w.deletes) == 0 }
 
