Keep the order of messages across links, by counting the links sent on

Cause: each link has a reader of its own.

A process counts the links that it sends on; its hello says the count. The receiver handles messages of one link of an address at a time, and from the first message of a link on drops what is still read from earlier ones (transport.inbound).

--- a/cmd/frosttide/operators.go
+++ b/cmd/frosttide/operators.go
@@ -9,6 +9,8 @@
 
 	"frosttide/internal/dispatcher/console"
 	"frosttide/internal/dispatcher/core"
+	"frosttide/internal/dispatcher/fleet/cluster"
+	"frosttide/internal/dispatcher/fleet/ledger"
 )
 
 // errNoMember is the error of a call that only a member of the cluster can execute.
@@ -41,20 +43,21 @@
 func (p *peers) operators(c *core.Core) console.Core { return operators{c, p} }
 
 // Exclude implements console.Core.
-func (o operators) Exclude(uid string, out bool, deadline time.Time, done func(error)) {
+func (o operators) Exclude(order console.Order, deadline time.Time, done func(error)) {
 	if o.peers == nil {
-		o.core.Exclude(uid, out, deadline, func(known bool) { done(unknownError(known)) })
+		o.core.Exclude(order.Worker, order.Out, deadline, func(known bool) { done(unknownError(known)) })
 		return
 	}
-	o.core.IsKnown(uid, func(known bool) {
+	o.core.IsKnown(order.Worker, func(known bool) {
 		m := o.peers.currentMember()
 		switch {
 		case m == nil:
 			done(errNoMember)
-		case !known && !m.IsExcluded(uid):
+		case !known && !m.IsExcluded(order.Worker):
 			done(console.ErrUnknown)
 		default:
-			m.Exclude(uid, out, "", deadline, func(err error) { done(harmlessRetry(err)) })
+			agreed := cluster.Order{Runner: order.Worker, Out: order.Out, ID: order.ID}
+			m.Exclude(agreed, deadline, func(err error) { done(orderError(err)) })
 		}
 	})
 }
@@ -67,10 +70,13 @@
 	return console.ErrUnknown
 }
 
-// harmlessRetry adds to an error, if there is one, that the call may be retried.
-func harmlessRetry(err error) error {
-	if err == nil {
+// orderError returns the console's form of an order's error, nil for none.
+func orderError(err error) error {
+	switch {
+	case err == nil:
 		return nil
+	case errors.Is(err, ledger.ErrUnclear):
+		return fmt.Errorf("%w: %w", console.ErrUnclear, err)
 	}
 	return fmt.Errorf("%w; nothing is lost by trying again", err)
 }
--- a/cmd/frosttide/shutdown.go
+++ b/cmd/frosttide/shutdown.go
@@ -19,6 +19,9 @@
 	maxGrace     = 3 * time.Second
 	graceMargin  = 700 * time.Millisecond
 	answerMargin = 300 * time.Millisecond
+	// exitMargin is how long before the platform ends the process the last state has to be
+	// stored: the rest is for telemetry.
+	exitMargin = 100 * time.Millisecond
 	// closeMargin is how long before the last response connections are closed that
 	// clients have not used since a newer process took over.
 	closeMargin = 600 * time.Millisecond
@@ -39,7 +42,8 @@
 // clients find another dispatcher, and returns when every request has its response
 // and the state is stored.
 func (p *process) drain(ctx context.Context) error {
-	deadline := time.Now().Add(time.Duration(p.grace.Load()) - answerMargin)
+	end := time.Now().Add(time.Duration(p.grace.Load()))
+	deadline := end.Add(-answerMargin)
 	if p.peers != nil {
 		p.peers.announceDrain(p.link.Succeeded())
 	}
@@ -51,6 +55,9 @@
 		p.front.HandOver(deadline.Add(-closeMargin))
 		p.front.StopBy(deadline)
 	} else {
+		if p.roster != nil {
+			p.roster.BeginShutdown()
+		}
 		p.front.StopBy(deadline)
 		time.Sleep(lingerTime)
 	}
@@ -61,7 +68,7 @@
 		p.gearman.drain(deadline)
 	}
 	if p.roster != nil {
-		p.roster.Close(time.Now().Add(finalSaveTimeout))
+		p.roster.Close(end.Add(-exitMargin))
 	}
 	p.log.Info("frosttide has answered everything and ends")
 	return nil
--- a/cmd/frosttide/storedstate.go
+++ b/cmd/frosttide/storedstate.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// finalSaveTimeout is how long storing the last state may take at the end of the
-	// process. With the time of telemetry it stays within answerMargin.
-	finalSaveTimeout = 200 * time.Millisecond
 	// outageTime is how long discovery has to be away for its next list to be doubted.
 	outageTime = 5 * time.Second
 	// probeRate is how many workers a dispatcher probes in a second.
--- a/internal/dispatcher/console/console.go
+++ b/internal/dispatcher/console/console.go
@@ -8,8 +8,11 @@
 package console
 
 import (
+	"cmp"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	stdlog "log"
 	"net"
@@ -34,16 +37,31 @@
 	responseMargin   = 150 * time.Millisecond
 	// maxCall bounds the body of a call, in bytes.
 	maxCall = 4 << 10
+	// maxOrderID bounds an order's ID, in bytes.
+	maxOrderID = 128
 )
 
 // ErrUnknown is the error of a call on a worker that nobody has.
 var ErrUnknown = errors.New("no runner has this id")
 
+// ErrUnclear is wrapped by the error of an order that may be in force all the same, or
+// come to be.
+var ErrUnclear = errors.New("unclear")
+
+// Order excludes a worker, or reinstates it.
+type Order struct {
+	Worker string // its uid
+	Out    bool   // exclude it; otherwise reinstate it
+	// ID names the order: sent again under its ID it has its effect once. It is drawn
+	// where the operator gives none.
+	ID string
+}
+
 // Core does what operators ask for.
 type Core interface {
-	// Exclude excludes a worker, or reinstates it with out false. It calls done with
-	// nil, with ErrUnknown, or with why it was not done, possibly after the deadline.
-	Exclude(uid string, out bool, deadline time.Time, done func(error))
+	// Exclude executes an order. It calls done with nil, with ErrUnknown, with an error
+	// that wraps ErrUnclear, or with why it was not done, possibly after the deadline.
+	Exclude(order Order, deadline time.Time, done func(error))
 }
 
 // Handlers answer the calls that the console passes on.
@@ -111,28 +129,33 @@
 func (c *Console) exclude(w http.ResponseWriter, r *http.Request, out bool) {
 	deadline := time.Now().Add(operationTimeout)
 	var call struct {
-		Host string `json:"host"`
+		Host  string `json:"host"`
+		Order string `json:"order"`
 	}
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCall))
 	if err == nil {
 		err = json.Unmarshal(text, &call)
 	}
-	if err != nil || call.Host == "" {
-		http.Error(w, `the body is to be {"host":"ID"}`, http.StatusBadRequest)
+	if err != nil || call.Host == "" || len(call.Order) > maxOrderID {
+		http.Error(w, `the body is to be {"host":"ID"}, with an "order" of at most 128 bytes if it is to be sent again`, http.StatusBadRequest)
 		return
 	}
+	order := Order{Worker: call.Host, Out: out, ID: cmp.Or(call.Order, rand.Text())}
 	result := make(chan error, 1)
-	c.core.Exclude(call.Host, out, deadline, func(err error) { result <- err })
+	c.core.Exclude(order, deadline, func(err error) { result <- err })
 	timer := time.NewTimer(time.Until(deadline.Add(responseMargin)))
 	defer timer.Stop()
 	select {
-	case err := <-result:
-		if errors.Is(err, ErrUnknown) {
-			http.Error(w, err.Error(), http.StatusNotFound)
-		} else if err != nil {
-			http.Error(w, "not done: "+err.Error(), http.StatusServiceUnavailable)
-		}
+	case err = <-result:
 	case <-timer.C:
-		http.Error(w, "not done, try again", http.StatusServiceUnavailable)
+		err = fmt.Errorf("%w: there is no answer in time", ErrUnclear)
+	}
+	switch {
+	case errors.Is(err, ErrUnknown):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, ErrUnclear):
+		http.Error(w, fmt.Sprintf("%s; send it again with \"order\":%q, and it has its effect once", err, order.ID), http.StatusGatewayTimeout)
+	case err != nil:
+		http.Error(w, "not done: "+err.Error(), http.StatusServiceUnavailable)
 	}
 }
--- a/internal/dispatcher/fleet/cluster/cluster.go
+++ b/internal/dispatcher/fleet/cluster/cluster.go
@@ -106,6 +106,7 @@
 	latestGeneration uint64               // the most restarts known to any member
 	ownRunners       map[string]ownRunner // the list from the own discovery, by UID
 	excluded         map[string]bool
+	exclusionFiles   *exclusionWriter
 	logIndex         uint64                  // last applied entry on a runner
 	agreedAhead      map[string]uint64       // committed entries that the log has not brought here yet, by runner
 	startWatermark   *mark.Watermark         // the watermark at the start; nil for none
@@ -139,31 +140,36 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Cluster{cfg: cfg, log: log, dispatcher: dispatcher, port: port, mailbox: mailbox.New[func(*Cluster)](), ctx: ctx, cancel: cancel, source: cfg.Source, peers: map[string]*peer{},
-		store: replica.New(replica.DefaultBounds()), ownRunners: map[string]ownRunner{}, publishedHealth: map[string]healthReport{}, excluded: map[string]bool{}, agreedAhead: map[string]uint64{}, startedAt: time.Now(), clock: newMemberClock(),
+		store: replica.New(replica.DefaultBounds()), ownRunners: map[string]ownRunner{}, publishedHealth: map[string]healthReport{}, excluded: map[string]bool{}, exclusionFiles: newExclusionWriter(cfg.Dir, cfg.WatermarkDir, log), agreedAhead: map[string]uint64{}, startedAt: time.Now(), clock: newMemberClock(),
 		unseenAddrs: refusedAddrs{refused: map[string]bool{}}, compareNow: make(chan struct{}, 1)}
-	meta := members.Meta{Site: cfg.Site, Build: cfg.Build, Epoch: uint64(c.startedAt.UnixMilli())}
 	restate, err := c.restoreExclusions()
 	if err != nil {
 		cancel()
 		port.Close()
 		return nil, err
 	}
-	if c.startWatermark != nil {
-		meta.KnownIndex = c.startWatermark.Index
+	disk, meta, err := c.openDisk()
+	if err != nil {
+		cancel()
+		port.Close()
+		return nil, err
 	}
 	if c.members, err = members.New(members.Config{Name: cfg.Name, Seeds: cfg.Join, Meta: meta}, port, (*membershipSink)(c), log); err != nil {
+		if disk != nil {
+			disk.Close()
+		}
 		cancel()
 		port.Close()
 		return nil, err
 	}
-	if c.quorum, err = quorum.Open(quorum.Config{Name: cfg.Name, Dir: cfg.Dir, Voters: cfg.Voters, LastIndex: c.lastIndexOf, KnownIndex: meta.KnownIndex, InitialEntries: restate, OnInitialEntries: c.removeRestateFile}, port, c.members.Alive, (*logSink)(c), log); err != nil {
+	if c.quorum, err = quorum.Open(quorum.Config{Name: cfg.Name, Disk: disk, Voters: cfg.Voters, LastIndex: c.lastIndexOf, InitialEntries: restate, OnInitialEntries: c.removeRestateFile}, port, c.members.Alive, (*logSink)(c), log); err != nil {
 		cancel()
 		c.members.Close()
 		port.Close()
 		return nil, err
 	}
 	c.serveCalls()
-	for _, run := range []func(context.Context){c.run, c.compare, c.dialUnseen, c.members.Run, c.quorum.Run} {
+	for _, run := range []func(context.Context){c.run, c.compare, c.dialUnseen, c.members.Run, c.quorum.Run, c.exclusionFiles.run} {
 		c.goroutines.Add(1)
 		go func() {
 			defer c.goroutines.Done()
@@ -174,6 +180,27 @@
 	return c, nil
 }
 
+// openDisk opens the disk of the member's log, nil for a member that keeps none, and returns what the member publishes
+// about itself from its first message on.
+func (c *Cluster) openDisk() (disk *quorum.Disk, meta members.Meta, err error) {
+	meta = members.Meta{Site: c.cfg.Site, Build: c.cfg.Build, Epoch: uint64(c.startedAt.UnixMilli())}
+	if c.startWatermark != nil {
+		meta.KnownIndex = c.startWatermark.Index
+	}
+	if c.cfg.Dir == "" {
+		return nil, meta, nil
+	}
+	if disk, err = quorum.OpenDisk(c.cfg.Dir, meta.KnownIndex, c.log); err != nil {
+		return nil, meta, err
+	}
+	meta.Disk = disk.ID()
+	if meta.Log, err = disk.Begun(); err != nil {
+		disk.Close()
+		return nil, meta, err
+	}
+	return disk, meta, nil
+}
+
 // Close ends the membership. With farewell the departure is announced to the others; without it a
 // successor process takes the member's place at once. Close takes up to about closeTimeout for
 // each part.
--- a/internal/dispatcher/fleet/cluster/exclusionfile.go
+++ b/internal/dispatcher/fleet/cluster/exclusionfile.go
@@ -42,17 +42,14 @@
 	return uids, nil
 }
 
-// storeExclusions stores the exclusions atomically, beside the log and, with the log's index, in
-// the watermark's folder. A failure is logged only: the log has them.
+// storeExclusions has the exclusions stored with the log's index. A failure is logged only: the log
+// has them.
 func (c *Cluster) storeExclusions(index uint64) {
-	uids := slices.Sorted(maps.Keys(c.excluded))
-	err := writeUIDs(c.cfg.Dir, excludedFile, uids)
+	state := mark.Watermark{Index: index, Out: slices.Sorted(maps.Keys(c.excluded))}
 	if c.cfg.WatermarkDir != "" {
-		err = errors.Join(err, mark.Write(c.cfg.WatermarkDir, mark.Watermark{Log: c.quorum.LogName(), Index: index, Out: uids}))
-	}
-	if err != nil {
-		c.log.WithError(err).Warn("which runners are left out was not kept on disk; the log has it")
+		state.Log = c.quorum.LogName()
 	}
+	c.exclusionFiles.put(state)
 }
 
 // writeUIDs stores UIDs atomically in a file; it does nothing without a folder.
--- a/internal/dispatcher/fleet/cluster/exclusions.go
+++ b/internal/dispatcher/fleet/cluster/exclusions.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -37,7 +38,7 @@
 	c.carryOut(d, applied) // a watermark past the own log would make the disk look outdated
 }
 
-// carryOut changes the exclusion at the dispatcher, and stores it with the log's index.
+// carryOut changes the exclusion at the dispatcher, and has it stored with the log's index.
 func (c *Cluster) carryOut(d ledger.Done, index uint64) {
 	out := d.Op == ledger.Exclude
 	if c.excluded[d.UID] == out {
@@ -48,8 +49,8 @@
 	} else {
 		delete(c.excluded, d.UID)
 	}
-	c.storeExclusions(index)
 	c.dispatcher.Exclude(d.UID, out, time.UnixMilli(d.At))
+	c.storeExclusions(index)
 }
 
 // reconcileExclusions includes the runners that were excluded at the start and are not any more,
@@ -119,12 +120,12 @@
 	return out
 }
 
-// Propose writes an entry through whichever member leads, waiting for a leader until ctx ends.
-// Errors: errNameTaken and quorum.ErrLost, wrapped, mean that nothing was written; after others
-// the entry may still be committed, and proposing it again under its ID is safe.
+// Propose writes an entry through whichever member leads, waiting for a leader until ctx ends. After
+// an error that wraps ledger.ErrUnclear the entry may still be committed; after any other nothing was
+// written, nor will be.
 func (c *Cluster) Propose(ctx context.Context, e ledger.Entry) (ledger.Done, error) {
 	if e.ID == "" {
-		e.ID = fmt.Sprintf("%s-%x-%x", c.cfg.Name, c.startedAt.UnixMilli(), rand.Uint64())
+		e.ID = c.newEntryID()
 	}
 	if c.nameTaken.Load() {
 		return ledger.Done{}, errNameTaken
@@ -133,48 +134,106 @@
 		return ledger.Done{}, err
 	}
 	e.By, e.At = c.cfg.Name, c.now()
-	var err error
+	var unclear error // of the first attempt after which the entry may be committed
+	err := error(quorum.ErrNoLeader)
 	for ctx.Err() == nil {
 		var d ledger.Done
-		if c.quorum.IsLeader() {
-			d, err = c.quorum.Propose(ctx, e)
-		} else {
-			d, err = c.forward(ctx, e)
+		d, err = c.proposeOnce(ctx, e)
+		if err == nil {
+			return d, nil
+		}
+		if unclear == nil && errors.Is(err, ledger.ErrUnclear) {
+			unclear = err
 		}
-		if err == nil || !errors.Is(err, quorum.ErrNoLeader) && !errors.Is(err, quorum.ErrForming) {
-			return d, err
+		if !errors.Is(err, quorum.ErrNoLeader) && !errors.Is(err, quorum.ErrForming) {
+			break
 		}
 		select { // a leader may be elected in time
 		case <-ctx.Done():
-		case <-time.After(20 * time.Millisecond):
+		case <-time.After(proposeInterval):
 		}
 	}
-	return ledger.Done{}, err
+	return ledger.Done{}, cmp.Or(unclear, err)
 }
 
-// errNotYetInForce is returned for a committed entry that is not known to be applied here.
-var errNotYetInForce = errors.New("it is agreed on, and not known to be in force here yet")
+// proposeInterval is the interval between attempts to have an entry written.
+const proposeInterval = 20 * time.Millisecond
+
+// proposeOnce proposes an entry here if this member leads, else at the leader.
+func (c *Cluster) proposeOnce(ctx context.Context, e ledger.Entry) (ledger.Done, error) {
+	if !c.quorum.IsLeader() {
+		return c.forward(ctx, e)
+	}
+	return c.quorum.Propose(ctx, e)
+}
 
-// Exclude excludes a runner at all members, or includes it again, and calls done with the result
-// at about the deadline at the latest.
-func (c *Cluster) Exclude(uid string, out bool, why string, deadline time.Time, done func(error)) {
+// newEntryID draws an ID that no other entry has.
+func (c *Cluster) newEntryID() string {
+	return fmt.Sprintf("%s-%x-%x", c.cfg.Name, c.startedAt.UnixMilli(), rand.Uint64())
+}
+
+// orderIDPrefix begins the IDs of entries whose rest an operator has chosen.
+const orderIDPrefix = "order/"
+
+// Order is what an operator asks for.
+type Order struct {
+	Runner string // its UID
+	Out    bool   // exclude it; otherwise include it again
+	Why    string
+	// ID names the order: sent again under its ID it has its effect once, at whichever member.
+	// One is drawn where it is empty.
+	ID string
+}
+
+// Exclude excludes a runner at all members, or includes it again, and calls done with the result at
+// about the deadline at the latest. After an error that wraps ledger.ErrUnclear the order
+// may be in force; it can be sent again under its ID.
+func (c *Cluster) Exclude(order Order, deadline time.Time, done func(error)) {
+	if order.ID == "" {
+		order.ID = c.newEntryID()
+	}
 	go func() {
 		ctx, cancel := context.WithDeadline(context.Background(), deadline)
 		defer cancel()
-		op := ledger.Include
-		if out {
-			op = ledger.Exclude
-		}
-		d, err := c.Propose(ctx, ledger.Entry{Op: op, UID: uid, Why: why})
-		if err == nil {
-			if _, ok := query(ctx, c, func(c *Cluster) bool { c.applyAhead(d, c.quorum.State().Index); return true }); !ok {
-				err = errNotYetInForce
-			}
-		}
-		done(err)
+		done(c.execute(ctx, order))
 	}()
 }
 
+// The reasons for which a committed order is not acknowledged.
+var (
+	errNotYetInForce = fmt.Errorf("%w: it is agreed on, and not known to be in force here yet", ledger.ErrUnclear)
+	errNotYetStored  = fmt.Errorf("%w: it is agreed on and in force here, and not kept on this member's disk yet", ledger.ErrUnclear)
+)
+
+// execute executes an order: it is committed, in force here, and kept here so that it is in force
+// from the next start on.
+func (c *Cluster) execute(ctx context.Context, order Order) error {
+	op := ledger.Include
+	if order.Out {
+		op = ledger.Exclude
+	}
+	d, err := c.Propose(ctx, ledger.Entry{ID: orderIDPrefix + order.ID, Op: op, UID: order.Runner, Why: order.Why})
+	if err != nil {
+		return err
+	}
+	if d.Refused != "" {
+		return errors.New(d.Refused)
+	}
+	stored, ok := query(ctx, c, func(c *Cluster) <-chan struct{} {
+		c.applyAhead(d, c.quorum.State().Index)
+		return c.exclusionFiles.stored()
+	})
+	if !ok {
+		return errNotYetInForce
+	}
+	select {
+	case <-stored:
+		return nil
+	case <-ctx.Done():
+		return errNotYetStored
+	}
+}
+
 // IsExcluded reports whether the log excludes a runner.
 func (c *Cluster) IsExcluded(uid string) bool {
 	s := c.quorum.State()
--- a/internal/dispatcher/fleet/ledger/ledger.go
+++ b/internal/dispatcher/fleet/ledger/ledger.go
@@ -51,6 +51,10 @@
 	Flow *statetable.Command `json:"flow,omitempty"`
 }
 
+// ErrUnclear is wrapped by the errors of a proposal after which its entry may be committed, now or
+// later. Proposing it again under its ID is safe: it has its effect once.
+var ErrUnclear = errors.New("it may be in force, or come to be")
+
 // Validate returns why the entry is invalid, nil if it is valid.
 func (e *Entry) Validate() error {
 	if e.ID == "" || e.Op == "" {
--- a/internal/dispatcher/fleet/quorum/close.go
+++ b/internal/dispatcher/fleet/quorum/close.go
@@ -33,7 +33,7 @@
 	}
 	q.transport.Close()
 	if q.disk != nil {
-		if err := q.disk.close(); err != nil {
+		if err := q.disk.Close(); err != nil {
 			q.log.WithError(err).Warn("the log's file was not closed")
 		}
 	}
--- a/internal/dispatcher/fleet/quorum/disk.go
+++ b/internal/dispatcher/fleet/quorum/disk.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	boltdb "github.com/hashicorp/raft-boltdb/v2"
+	"github.com/sirupsen/logrus"
 	"go.etcd.io/bbolt"
 	bolterrors "go.etcd.io/bbolt/errors"
 
@@ -31,20 +32,46 @@
 	lockTimeout = time.Second
 )
 
-// disk is a member's folder, with an ID drawn when the folder is created. A member that returns
+// Disk is a member's folder, with an ID drawn when the folder is created. A member that returns
 // without its disk has another ID and is another voter: its vote must not count for the one that
 // acknowledged entries on the lost disk.
-type disk struct {
+//
+// A member opens its disk before it is heard of, so that the first that others hear of it says
+// which disk it has: they judge its vote by that.
+type Disk struct {
 	id    string
 	logs  *boltdb.BoltStore
 	snaps raft.SnapshotStore
 }
 
+// OpenDisk opens a member's folder; known is the index that its log has reached according to the
+// watermark that the member keeps elsewhere, 0 if unknown. The caller passes the disk to Open or
+// closes it. It returns ErrInUse, wrapped, while another process of the member holds the folder.
+func OpenDisk(dir string, known uint64, log *logrus.Entry) (*Disk, error) {
+	d, aside, err := openDisk(dir, known, engineLog(log))
+	if err != nil {
+		return nil, err
+	}
+	if aside != "" {
+		log.WithField("aside", aside).Error("this member's log can't be used; it is set aside and the member joins as a new one")
+	}
+	return d, nil
+}
+
+// ID returns the disk's ID.
+func (d *Disk) ID() string { return d.id }
+
+// Begun reports whether the disk's log has an entry.
+func (d *Disk) Begun() (bool, error) {
+	last, err := d.lastIndex()
+	return last > 0, err
+}
+
 // openDisk opens a folder. A folder that is damaged, or older than what the member has
 // acknowledged (its log ends before index known), is renamed and replaced by an empty one;
 // setAside is then the new path with the reason. An outdated disk must not vote, since it has
 // forgotten its votes and entries.
-func openDisk(dir string, known uint64, log hclog.Logger) (d *disk, setAside string, err error) {
+func openDisk(dir string, known uint64, log hclog.Logger) (d *Disk, setAside string, err error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, "", fmt.Errorf("cluster: %w", err)
 	}
@@ -78,7 +105,7 @@
 
 // openFolder opens a folder, creating its files if it is empty. A corruptError says that it is
 // damaged.
-func openFolder(dir string, log hclog.Logger) (*disk, error) {
+func openFolder(dir string, log hclog.Logger) (*Disk, error) {
 	id, err := diskID(dir)
 	if err != nil {
 		return nil, err
@@ -100,7 +127,7 @@
 		logs.Close()
 		return nil, err
 	}
-	return &disk{id: id, logs: logs, snaps: snaps}, nil
+	return &Disk{id: id, logs: logs, snaps: snaps}, nil
 }
 
 // diskID returns the folder's ID, and creates it if the folder is empty.
@@ -202,7 +229,7 @@
 }
 
 // checkCurrent returns a corruptError if the log ends before index known.
-func (d *disk) checkCurrent(known uint64) error {
+func (d *Disk) checkCurrent(known uint64) error {
 	last, err := d.lastIndex()
 	if err != nil {
 		return err
@@ -214,7 +241,7 @@
 }
 
 // lastIndex returns the last index of the log or its snapshots, 0 for an empty folder.
-func (d *disk) lastIndex() (uint64, error) {
+func (d *Disk) lastIndex() (uint64, error) {
 	last, err := d.logs.LastIndex()
 	if err != nil {
 		return 0, fmt.Errorf("cluster: %w", err)
@@ -225,4 +252,5 @@
 	return last, nil
 }
 
-func (d *disk) close() error { return d.logs.Close() }
+// Close closes the folder's files.
+func (d *Disk) Close() error { return d.logs.Close() }
--- a/internal/dispatcher/fleet/quorum/quorum.go
+++ b/internal/dispatcher/fleet/quorum/quorum.go
@@ -74,13 +74,10 @@
 // Config configures a member's part in the log.
 type Config struct {
 	Name   string
-	Dir    string   // folder of the member's log; empty for a follower in memory
+	Disk   *Disk    // of the member's log; nil for a follower in memory
 	Voters []string // names of the voting members
 	// LastIndex asks another member for the last index of its log, 0 for an empty log.
 	LastIndex func(ctx context.Context, addr string) (last uint64, err error)
-	// KnownIndex is the index that the log has reached according to the watermark that the member
-	// keeps elsewhere; 0 if unknown.
-	KnownIndex uint64
 	// InitialEntries are written first to a log that an operator starts anew here;
 	// OnInitialEntries is called once they are committed.
 	InitialEntries   []ledger.Entry
@@ -101,7 +98,7 @@
 	cfg         Config
 	log         *logrus.Entry
 	sink        Sink
-	disk        *disk // nil without a folder
+	disk        *Disk // nil for a follower in memory
 	stores      stores
 	stable      *retryingStore
 	id          raft.ServerID
@@ -115,25 +112,19 @@
 }
 
 // Open opens a member's part in the log. alive returns the live members and is called from any
-// goroutine. It returns ErrInUse, wrapped, while another process of the member holds the folder.
+// goroutine. Open takes over the disk, and closes it where it fails.
 func Open(cfg Config, port *clusterport.Port, alive func() []members.Info, sink Sink, log *logrus.Entry) (*Quorum, error) {
 	q := &Quorum{cfg: cfg, log: log, sink: sink, alive: alive, absentSince: map[raft.ServerID]time.Time{}}
 	logger := engineLog(log)
 	q.machine = &machine{applied: sink.Applied, restored: sink.Restored}
 	var kept stores
 	id := noDiskID
-	if cfg.Dir == "" {
+	if cfg.Disk == nil {
 		memory := raft.NewInmemStore()
 		kept = stores{memory, memory, raft.NewInmemSnapshotStore()}
 		q.id = raft.ServerID(cfg.Name)
 	} else {
-		d, aside, err := openDisk(cfg.Dir, cfg.KnownIndex, logger)
-		if err != nil {
-			return nil, err
-		}
-		if aside != "" {
-			log.WithField("aside", aside).Error("this member's log can't be used; it is set aside and the member joins as a new one")
-		}
+		d := cfg.Disk
 		q.disk, kept, id = d, stores{d.logs, d.logs, d.snaps}, d.id
 		q.id = raft.ServerID(cfg.Name + "/" + d.id)
 	}
@@ -148,7 +139,7 @@
 	if err != nil {
 		q.transport.Close()
 		if q.disk != nil {
-			q.disk.close()
+			q.disk.Close()
 		}
 		return nil, fmt.Errorf("cluster: %w", err)
 	}
--- a/internal/dispatcher/fleet/quorum/recover.go
+++ b/internal/dispatcher/fleet/quorum/recover.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return found, err
 	}
-	defer d.close()
+	defer d.Close()
 	id := raft.ServerID(name + "/" + d.id)
 	m := &machine{applied: func(ledger.Done) {}, restored: func(_, _ ledger.State) {}}
 	addrs, trans := raft.NewInmemTransport(serverAddress(d.id, addr))
@@ -78,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	defer d.close()
+	defer d.Close()
 	id := raft.ServerID(name + "/" + d.id)
 	at, trans := raft.NewInmemTransport(serverAddress(d.id, addr))
 	defer trans.Close()
--- a/internal/dispatcher/fleet/workflow/front/front.go
+++ b/internal/dispatcher/fleet/workflow/front/front.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 
 	"frosttide/internal/dispatcher/core"
+	"frosttide/internal/dispatcher/fleet/ledger"
 	"frosttide/internal/dispatcher/fleet/workflow/executor"
 	"frosttide/internal/dispatcher/fleet/workflow/flow"
 	"frosttide/internal/dispatcher/fleet/workflow/statetable"
@@ -145,8 +146,8 @@
 	flow.Fenced:     http.StatusConflict,
 }
 
-// writeResult answers 200 for no error, the refusal's status and text, or 503 if the outcome is
-// unknown.
+// writeResult answers 200 for no error, the refusal's status and text, or 503 if the call was not
+// executed, or its outcome is not known.
 func writeResult(w http.ResponseWriter, err error) {
 	var refusal *flow.Refusal
 	switch {
@@ -154,6 +155,8 @@
 		w.WriteHeader(http.StatusOK)
 	case errors.As(err, &refusal):
 		http.Error(w, refusal.Text, cmp.Or(statusOfKind[refusal.Kind], http.StatusConflict))
+	case errors.Is(err, ledger.ErrUnclear):
+		http.Error(w, err.Error()+"; nothing is lost by trying again", http.StatusServiceUnavailable)
 	default:
 		http.Error(w, "not done: "+err.Error()+"; nothing is lost by trying again", http.StatusServiceUnavailable)
 	}
--- a/internal/dispatcher/roster/gather.go
+++ b/internal/dispatcher/roster/gather.go
@@ -102,6 +102,17 @@
 	return rosterstore.Node{UID: uid, Entry: entry, Confirmed: last.at, By: last.by, ColdFrom: r.coldSince[uid]}
 }
 
+// BeginShutdown takes that the dispatcher shuts down as planned, and has the state written, with that, while the last
+// jobs are answered: a disk that is slow then has more time than Close may take.
+func (r *Roster) BeginShutdown() {
+	r.box.Put(func(r *Roster) {
+		r.stopping = true
+		if r.writer != nil {
+			r.gather()
+		}
+	})
+}
+
 // Close stores the last state and returns when it is on disk, at the deadline at the latest. The roster has to be
 // running.
 func (r *Roster) Close(deadline time.Time) {
--- a/internal/dispatcher/roster/load.go
+++ b/internal/dispatcher/roster/load.go
@@ -30,6 +30,10 @@
 	if downtime := r.now - s.Saved; s.Ended && downtime > 0 { // not above 0 if the wall clock was set back
 		policy.PlannedDowntime = downtime
 	}
+	if !s.Ended {
+		r.log.WithField("saved", (r.now - s.Saved).Round(time.Millisecond).String()).
+			Warn("the stored state is from no planned end: the process did not end as planned, or its disk was too slow; runners may be cold")
+	}
 	r.standings = rosterpolicy.New(policy, r.now, stored, seed)
 	r.fullUpdates = rosterpolicy.NewFullUpdatePolicy(r.cfg.Policy, true)
 	r.fullUpdates.Failed(r.now)
--- a/internal/testkit/lab/faults/flows.go
+++ b/internal/testkit/lab/faults/flows.go
@@ -71,6 +71,15 @@
 		}
 		from := time.Now()
 		got, text := send()
+		if want == strconv.Itoa(http.StatusOK) { // a step that was not taken is sent again
+			_ = r.until(func() error { // the last answer is judged below
+				if got != http.StatusServiceUnavailable {
+					return nil
+				}
+				got, text = send()
+				return errors.New(text)
+			})
+		}
 		r.says(id, "step", n, from, got == http.StatusOK)
 		if want != "any" && !slices.Contains(strings.Split(want, ","), strconv.Itoa(got)) {
 			return fmt.Errorf("it was answered %d %s", got, text)
@@ -108,7 +117,11 @@
 		r.flows[id] = &begun{id: id}
 	}
 	from := time.Now()
-	_, err = r.post(m, "/api/workflow/"+w[1], string(text))
+	if want == "done" {
+		err = r.postUntilDone(m, "/api/workflow/"+w[1], string(text))
+	} else {
+		_, err = r.post(m, "/api/workflow/"+w[1], string(text))
+	}
 	r.says(id, w[1], 0, from, err == nil)
 	if (err == nil) != (want == "done") && want != "any" {
 		return fmt.Errorf("it came to %v", err)
--- a/internal/testkit/lab/faults/run.go
+++ b/internal/testkit/lab/faults/run.go
@@ -96,6 +96,7 @@
 	reels    map[string]*reel
 	mu       sync.Mutex // guards jobs and answered
 	jobs     int
+	orders   int             // of operators so far
 	answered map[string]bool // keyed jobs whose first client has its answer
 	sending  sync.WaitGroup  // clients of jobs that nobody waits for
 }
--- a/internal/testkit/lab/simulatedmembers/simulatedmembers.go
+++ b/internal/testkit/lab/simulatedmembers/simulatedmembers.go
@@ -227,6 +227,6 @@
 		by = time.Now().Add(writeTime)
 	}
 	done := make(chan error, 1)
-	open[turn%len(open)].Cluster.Exclude(uid, out, "", by, func(err error) { done <- err })
+	open[turn%len(open)].Cluster.Exclude(cluster.Order{Runner: uid, Out: out}, by, func(err error) { done <- err })
 	return <-done
 }
--- a/internal/transport/connect.go
+++ b/internal/transport/connect.go
@@ -33,7 +33,24 @@
 		t.removeUnreachable(l)
 		return
 	}
-	t.serveLink(l, s)
+	t.running.Go(func() { t.writeLoop(l, s) })
+	if from, err := t.receiveHello(l, s); err == nil {
+		t.readLoop(l, s, from)
+	}
+	t.removeLink(l)
+}
+
+// receiveHello receives the hello of the other end of a dialed link.
+func (t *Transport) receiveHello(l *link, s stream) (*inbound, error) {
+	first, err := s.Recv()
+	if err != nil {
+		return nil, err
+	}
+	hello := first.GetHello()
+	if hello == nil {
+		return nil, errNoHello
+	}
+	return t.openInbound(l, hello), nil
 }
 
 // attachConnection gives a dialed link its connection. It returns false where the link has ended meanwhile, or the other
@@ -63,10 +80,11 @@
 		return errNoHello
 	}
 	l := newLink(hello.GetAddress())
-	l.incarnation.Store(hello.GetIncarnation())
 	l.closeConnection = func() { in.Close() }
+	from := t.openInbound(l, hello)
 	t.adoptLink(l)
-	t.serveLink(l, in)
+	t.running.Go(func() { t.writeLoop(l, in) })
+	t.readLoop(l, in, from)
 	return nil
 }
 
@@ -85,7 +103,7 @@
 		}
 		t.running.Go(current.terminate) // closing a connection may block, which the lock must not
 	}
-	t.links[l.address] = l
+	t.sendOn(l)
 }
 
 // removeLink terminates and forgets a link, so that the next message to its process starts another.
@@ -102,10 +120,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.deleteLink(l) {
+		t.forgetDialFailures()
 		t.dialFailures[l.address] = time.Now()
 	}
 }
 
+// forgetDialFailures forgets the failures that are older than dialBackoff where many are known. The caller holds the
+// transport's lock.
+func (t *Transport) forgetDialFailures() {
+	if len(t.dialFailures) < maxRememberedPeers {
+		return
+	}
+	for address, at := range t.dialFailures {
+		if time.Since(at) >= dialBackoff {
+			delete(t.dialFailures, address)
+		}
+	}
+}
+
 // deleteLink forgets a link, and returns false if another has taken its place. The caller holds the transport's lock.
 func (t *Transport) deleteLink(l *link) bool {
 	if t.links[l.address] != l {
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -21,6 +21,10 @@
 	incarnation atomic.Uint64 // of the other process, 0 before its hello
 	dialing     bool          // there is no connection yet; guarded by the transport's lock
 
+	sendGeneration uint64 // counts the links that this process sends on, from 1; 0 for one that it only reads
+	generation     uint64 // the same of the other process, from its hello; used by the reader only
+	superseded     bool   // another link of the address has handed over after this one; guarded by inbound
+
 	wakeup    chan struct{} // has an element where messages may be queued
 	done      chan struct{} // closed by terminate
 	closeOnce sync.Once
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -17,26 +17,27 @@
 // flusher is implemented by the library's streams that collect messages until they are flushed.
 type flusher interface{ RawFlush() error }
 
-// serveLink reads and writes the stream of a link until it breaks.
-func (t *Transport) serveLink(l *link, s stream) {
-	t.running.Go(func() { t.writeLoop(l, s) })
-	t.readLoop(l, s)
-	t.removeLink(l)
-}
-
-// readLoop passes the messages of a stream to the handler, until it breaks.
-func (t *Transport) readLoop(l *link, s stream) {
+// readLoop passes the messages of a link whose hello has come to the handler, until its stream breaks or a later link of
+// the other process has taken its place.
+func (t *Transport) readLoop(l *link, s stream, from *inbound) {
+	defer t.removeLink(l)
+	defer t.closeInbound(from)
 	for {
 		e, err := s.Recv()
 		if err != nil {
 			return
 		}
 		l.touch()
-		if h := e.GetHello(); h != nil {
-			l.incarnation.Store(h.GetIncarnation())
+		if e.GetHello() != nil { // the first one counts
 			continue
 		}
-		t.cfg.Handle(l.address, e)
+		replaced, handled := from.handOver(l, func() { t.cfg.Handle(l.address, e) })
+		if !handled {
+			return
+		}
+		if replaced != nil {
+			t.running.Go(replaced.terminate) // closing a connection may block
+		}
 	}
 }
 
@@ -44,7 +45,7 @@
 // ends or is idle.
 func (t *Transport) writeLoop(l *link, s stream) {
 	defer l.terminate()
-	hello := &protocol.Hello{Address: t.cfg.Address, Role: t.cfg.Role, Incarnation: t.cfg.Incarnation}
+	hello := &protocol.Hello{Address: t.cfg.Address, Role: t.cfg.Role, Incarnation: t.cfg.Incarnation, Generation: l.sendGeneration}
 	if err := s.Send(&protocol.Envelope{Body: &protocol.Envelope_Hello{Hello: hello}}); err != nil {
 		return
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -33,8 +33,8 @@
 	Address     string // internal address that the process listens on, host:port
 	Role        string // as in protocol.Hello
 	Incarnation uint64 // of this process; differs from those of earlier ones at the address
-	// Handle is called with each message that arrives from the process at an internal address, by one goroutine for each
-	// link, in the order of that link's messages. It must not block for long, and not call Close.
+	// Handle is called with each message that arrives from the process at an internal address, one at a time for each
+	// address and in the order in which they were sent. It must not block for long, and not call Close.
 	Handle func(from string, e *protocol.Envelope)
 	// Dial opens a connection; nil stands for TCP over IPv4.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -51,6 +51,8 @@
 	mu           sync.Mutex
 	links        map[string]*link     // that messages are sent on, by the other process's address
 	dialFailures map[string]time.Time // of the newest dials that failed, by address
+	inbound      map[string]*inbound  // what is read, by the other process's address
+	generation   uint64               // of the newest link that messages were sent on
 }
 
 // Listen opens the process's internal address and serves it until Close. The error for an address in use wraps
@@ -66,7 +68,7 @@
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &Transport{cfg: cfg, listener: listener, ctx: ctx, cancel: cancel, links: make(map[string]*link), dialFailures: make(map[string]time.Time)}
+	t := &Transport{cfg: cfg, listener: listener, ctx: ctx, cancel: cancel, links: make(map[string]*link), dialFailures: make(map[string]time.Time), inbound: make(map[string]*inbound)}
 	mux := drpcmux.New()
 	if err := protocol.DRPCRegisterPeer(mux, (*peerService)(t)); err != nil {
 		cancel()
@@ -137,6 +139,14 @@
 	}
 }
 
+// sendOn makes a link the one that messages to its process are sent on. The caller holds the transport's lock and has
+// terminated the one before.
+func (t *Transport) sendOn(l *link) {
+	t.generation++
+	l.sendGeneration = t.generation
+	t.links[l.address] = l
+}
+
 // linkTo returns the link to a process, and dials one if there is none. It returns nil after Close, and for dialBackoff
 // after a failed dial.
 func (t *Transport) linkTo(address string) *link {
@@ -150,7 +160,7 @@
 	}
 	l := newLink(address)
 	l.dialing = true
-	t.links[address] = l
+	t.sendOn(l)
 	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout)
 	l.closeConnection = cancel
 	t.running.Go(func() { t.dialLink(ctx, l) })
