--- a/internal/transport/doc.go
+++ b/internal/transport/doc.go
@@ -5,9 +5,9 @@
 // a connection.
 //
 // Guarantees and limits:
-//   - delivery is at most once, and in order while a link stands; a link that breaks loses what is in flight and queued, and
-//     its last messages may be handled interleaved with the first ones of the link that replaces it, as each link has
-//     a reader of its own;
+//   - delivery is at most once and in order, across links too: a process counts the links that it sends on, its hello says
+//     the count, and once a message of a link has been handled, none of an earlier link is (inbound). A link that breaks
+//     loses what is in flight, queued, or not yet handled at the receiver;
 //   - Send never blocks: a message to an unreachable process is dropped, and a link whose queue is full is terminated, so
 //     that the other end notices the loss;
 //   - the kernel closes a connection whose bytes stay unacknowledged for userTimeout; one that is idle for idleTimeout is
@@ -17,5 +17,5 @@
 //
 // A Transport is safe for concurrent use. It owns a goroutine that accepts connections and two for each link, which read
 // and write it; Close waits for the end of all of them. Config.Handle is called by the reading ones, concurrently for
-// different links.
+// different addresses.
 package transport
