--- a/cmd/frosttide-simulate/main.go
+++ b/cmd/frosttide-simulate/main.go
@@ -19,7 +19,7 @@
 	flag.DurationVar(&s.length, "length", 30*time.Second, "virtual time in which faults strike")
 	flag.BoolVar(&s.fullTrace, "trace", false, "print the whole trace of each run that violates a rule")
 	flag.BoolVar(&s.stopAtFirst, "stop", false, "stop at the first run that violates a rule, without looking for a shorter one")
-	flag.IntVar((*int)(&s.missingCheck), "weaken", 0, "safety check to go without: 1 hold wait, 2 sync, 3 fence, 4 identity of a lost disk")
+	flag.IntVar((*int)(&s.missingCheck), "weaken", 0, "safety check to go without: 1 hold wait, 2 sync, 3 fence, 4 identity of a lost disk, 5 order of links")
 	flag.Parse()
 	if flag.NArg() > 0 {
 		fmt.Fprintln(os.Stderr, "frosttide-simulate: takes flags only")
--- a/internal/dispatcher/fleet/cluster/exclusionwriter.go
+++ b/internal/dispatcher/fleet/cluster/exclusionwriter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -23,6 +24,8 @@
 	pending chan struct{} // closed once next is stored; nil for no next
 	writing chan struct{} // closed at the end of the write in progress; nil for none
 	wake    chan struct{} // holds one token if there is a next
+
+	failed *mark.Watermark // the newest state, if its write has failed; used by run only
 }
 
 // newExclusionWriter returns a writer to the folders; its run method has to be called.
@@ -59,20 +62,30 @@
 	return nothing
 }
 
-// run writes until ctx ends, and then what is left.
+// run writes until ctx ends, and then what is left. What could not be written is tried again.
 func (w *exclusionWriter) run(ctx context.Context) {
 	for {
+		var retry <-chan time.Time
+		if w.failed != nil {
+			retry = time.After(exclusionRetryInterval)
+		}
 		select {
 		case <-ctx.Done():
 			w.writeNext()
 			return
 		case <-w.wake:
 			w.writeNext()
+		case <-retry:
+			w.writeAgain()
 		}
 	}
 }
 
-// writeNext writes the newest state, if there is one that was not written.
+// exclusionRetryInterval is the interval between attempts to store the exclusions.
+const exclusionRetryInterval = 250 * time.Millisecond
+
+// writeNext writes the newest state, if there is one that was not written. Those who wait for it go on where that
+// fails: the log has it.
 func (w *exclusionWriter) writeNext() {
 	w.mu.Lock()
 	state, done := w.next, w.pending
@@ -82,7 +95,10 @@
 		return
 	}
 	if err := w.write(state); err != nil {
-		w.log.WithError(err).Warn("which runners are left out was not kept on disk; the log has it")
+		w.log.WithError(err).Warn("which runners are left out was not kept on disk; the log has it, and it is tried again")
+		w.failed = &state
+	} else {
+		w.failed = nil
 	}
 	w.mu.Lock()
 	w.writing = nil
@@ -90,6 +106,14 @@
 	close(done)
 }
 
+// writeAgain writes the state whose write has failed last.
+func (w *exclusionWriter) writeAgain() {
+	if w.write(*w.failed) == nil {
+		w.log.Info("which runners are left out is kept on disk again")
+		w.failed = nil
+	}
+}
+
 // write stores the exclusions atomically, beside the log and, with the log's index, in the watermark's folder.
 func (w *exclusionWriter) write(state mark.Watermark) error {
 	err := writeUIDs(w.dir, excludedFile, state.Out)
--- a/internal/testkit/lab/faults/await.go
+++ b/internal/testkit/lab/faults/await.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"frosttide/internal/dispatcher/fleet/cluster"
 	"frosttide/internal/dispatcher/fleet/members"
+	"frosttide/internal/dispatcher/fleet/recovery/mark"
 	"frosttide/internal/dispatcher/fleet/recovery/stage"
 )
 
@@ -87,7 +89,7 @@
 			if _, out := got.State.Excluded[w[1]]; out != (w[0] == "out") {
 				return fmt.Errorf("at %s it is out: %t", m.name, out)
 			}
-			return nil
+			return m.keeps(w[1], w[0] == "out")
 		})
 	case "drained", "served":
 		who, err := at(3)
@@ -201,6 +203,18 @@
 	return fmt.Errorf("%q can't be awaited", w[0])
 }
 
+// keeps returns an error unless the watermark on a member's disk has a runner excluded, or not.
+func (m *member) keeps(uid string, out bool) error {
+	kept, err := mark.Read(filepath.Join(m.dir, watermarkDir))
+	if err != nil || kept == nil {
+		return fmt.Errorf("%s keeps %v: %w", m.name, kept, err)
+	}
+	if slices.Contains(kept.Out, uid) != out {
+		return fmt.Errorf("%s keeps that these are out: %v", m.name, kept.Out)
+	}
+	return nil
+}
+
 // reached tells whether a member is at a stage or past it, by their names.
 func reached(is, want string) bool {
 	for s := stage.Full; ; s-- {
--- a/internal/testkit/lab/faults/script.go
+++ b/internal/testkit/lab/faults/script.go
@@ -23,7 +23,7 @@
 //	settings LINE                       a further line of [recovery] in the members' settings
 //	await leader [among WHO]            one of them leads by its own word and a majority's
 //	await members N at WHO              those see N members alive
-//	await out|in RUNNER at WHO          those leave the runner out by the log, or do not
+//	await out|in RUNNER at WHO          those leave the runner out by the log, or do not, and have that on disk
 //	await drained|served RUNNER at WHO  those send it nothing, or something
 //	await level                         the jobs a second that are served, over 3 s under load
 //	await full SECONDS TIMES            95 of 100 of it again, in each of five seconds, within so many
--- a/internal/testkit/lab/faults/settings.go
+++ b/internal/testkit/lab/faults/settings.go
@@ -7,6 +7,9 @@
 	"strings"
 )
 
+// watermarkDir is a member's folder for what it keeps apart from its log.
+const watermarkDir = "apart"
+
 func (f *fleet) settings(m *member) string {
 	var voters, join []string
 	for _, o := range f.members[:f.voters] {
@@ -22,7 +25,7 @@
 	cluster := ""
 	if !f.alone {
 		cluster = fmt.Sprintf("[cluster]\nlisten = %q\nadvertise = %q\njoin = [%s]\nvoters = [%s]\ndir = %q\ndiscovery = \"one\"\n[recovery]\nkeep = %q\n%s",
-			f.net.real[m.i], f.net.public[m.i], strings.Join(join, ", "), strings.Join(voters, ", "), filepath.Join(m.dir, "log"), filepath.Join(m.dir, "apart"), f.extra)
+			f.net.real[m.i], f.net.public[m.i], strings.Join(join, ", "), strings.Join(voters, ", "), filepath.Join(m.dir, "log"), filepath.Join(m.dir, watermarkDir), f.extra)
 		if f.flows {
 			cluster += "[workflow]\nenabled = true\n"
 		}
--- a/internal/testkit/lab/faults/steps.go
+++ b/internal/testkit/lab/faults/steps.go
@@ -55,7 +55,7 @@
 		return os.RemoveAll(logDir)
 	case "lose":
 		r.watch.forget(m.name)
-		return errors.Join(os.RemoveAll(logDir), os.RemoveAll(filepath.Join(m.dir, "apart")))
+		return errors.Join(os.RemoveAll(logDir), os.RemoveAll(filepath.Join(m.dir, watermarkDir)))
 	case "keep":
 		to := filepath.Join(m.dir, "kept")
 		return errors.Join(os.RemoveAll(to), os.CopyFS(to, os.DirFS(logDir))) // in an earlier copy's place
--- a/internal/testkit/simnet/networkfaults.go
+++ b/internal/testkit/simnet/networkfaults.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -117,9 +119,7 @@
 		var again func()
 		again = func() {
 			sim.recordFault()
-			for address := range sim.processes {
-				sim.reset(c.address, address)
-			}
+			sim.resetAll(c.address)
 			if times--; times > 0 {
 				sim.after(sim.randomDuration(time.Millisecond, 700*time.Millisecond), again)
 			}
@@ -128,6 +128,19 @@
 	}}
 }
 
+// resetAll resets all connections of a process.
+func (sim *simulation) resetAll(address string) {
+	if !sim.options.BufferedResets {
+		for other := range sim.processes {
+			sim.reset(address, other)
+		}
+		return
+	}
+	for _, other := range slices.Sorted(maps.Keys(sim.processes)) { // each draws
+		sim.resetBuffered(address, other)
+	}
+}
+
 // limitBandwidth draws a bandwidth of the links within the control plane.
 func (sim *simulation) limitBandwidth() fault {
 	megabits, d := []int{1, 4, 16, 100}[sim.rng.IntN(4)], sim.randomDuration(3*time.Second, 20*time.Second)
--- a/internal/testkit/simnet/simnet.go
+++ b/internal/testkit/simnet/simnet.go
@@ -28,6 +28,7 @@
 	CoreOnly              bool // only machines of the control plane meet faults
 	FrequentConfigChanges bool // the operator changes the configuration many times a second
 	LargeSpecs            bool // jobs have long specs, so that state transfers take many chunks
+	BufferedResets        bool // what a receiver had buffered of a link that is reset may be handled for a while
 
 	SkipFaults   map[int]bool      // faults that are left out, by their number in Report.Faults
 	MissingCheck MissingCheck      // a safety check that the simulation goes without
@@ -45,6 +46,7 @@
 	NoSync                            // disks report a sync that they have not done
 	NoFencing                         // orders of a former head carry the newest epoch
 	NoNewIdentity                     // a member that has lost its disk comes back under its old identity
+	NoLinkOrder                       // what was buffered of a link that is reset is handled after messages of the next one
 )
 
 // Violation is a rule that was violated.
@@ -93,6 +95,7 @@
 		Length:                30 * time.Second,
 		FrequentConfigChanges: seed%9 == 4,
 		LargeSpecs:            seed%4 == 1,
+		BufferedResets:        seed%2 == 1,
 	}
 }
 
