--- a/internal/dispatcher/console/console.go
+++ b/internal/dispatcher/console/console.go
@@ -136,8 +136,12 @@
 	if err == nil {
 		err = json.Unmarshal(text, &call)
 	}
-	if err != nil || call.Host == "" || len(call.Order) > maxOrderID {
-		http.Error(w, `the body is to be {"host":"ID"}, with an "order" of at most 128 bytes if it is to be sent again`, http.StatusBadRequest)
+	if err != nil || call.Host == "" {
+		http.Error(w, `the body is to be {"host":"ID"}`, http.StatusBadRequest)
+		return
+	}
+	if len(call.Order) > maxOrderID {
+		http.Error(w, fmt.Sprintf("an order has %d bytes at the most", maxOrderID), http.StatusBadRequest)
 		return
 	}
 	order := Order{Worker: call.Host, Out: out, ID: cmp.Or(call.Order, rand.Text())}
