--- a/cmd/frosttide/harness_test.go
+++ b/cmd/frosttide/harness_test.go
@@ -132,6 +132,11 @@
 // handler responds to each call as the test says.
 func (d *discovery) handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-d.closed: // its connections are being closed; an answer would be a service's that is up
+			panic(http.ErrAbortHandler)
+		default:
+		}
 		if given := d.given.Load(); given != nil && r.URL.RawQuery == "" && !d.silent.Load() {
 			fmt.Fprintln(w, *given) // what a process asks that begins with that list
 			return
@@ -386,6 +391,18 @@
 	}
 }
 
+// log returns what the process has logged so far.
+func (d *dispatcher) log() string {
+	for {
+		select {
+		case line := <-d.lines:
+			d.logLines = append(d.logLines, line)
+		default:
+			return strings.Join(d.logLines, "\n")
+		}
+	}
+}
+
 // response is what a client got, or the error in place of it.
 type response struct {
 	Status int
--- a/cmd/frosttide/state_test.go
+++ b/cmd/frosttide/state_test.go
@@ -408,11 +408,12 @@
 	for _, off := range idle {
 		off()
 	}
+	older := d
 	d = startWith(t, disc.URL, 1024, nil, fresh)
 	for _, r := range runners {
 		d.serveRunner(r)
 	}
-	served := 0
+	served, refusals := 0, map[string]int{}
 	for round := range 10 { // ten at a time, half of what the runners do at once
 		var all []<-chan response
 		for i := range 10 {
@@ -423,12 +424,15 @@
 			all = append(all, submit(d.job(class, fmt.Sprintf("after-%d-%d", round, i))))
 		}
 		for _, got := range all {
-			if a := await(t, got, "answer"); a.Status == 200 {
+			a := await(t, got, "answer")
+			if a.Status == 200 {
 				served++
+				continue
 			}
+			refusals[fmt.Sprintf("%d %s %v", a.Status, strings.TrimSpace(a.Body), a.Err)]++
 		}
 	}
 	if served < 100 {
-		t.Errorf("%d of 100 jobs were served after a planned restart", served)
+		t.Errorf("%d of 100 jobs were served after a planned restart, others got %v; log:\n%s\nlog of the older process:\n%s", served, refusals, d.log(), older.log())
 	}
 }
--- a/internal/dispatcher/roster/roster_test.go
+++ b/internal/dispatcher/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -63,6 +64,50 @@
 
 func (c *fakeCore) RoutesReplaced(routes []core.Route) { c.lists = append(c.lists, routes) }
 func (c *fakeCore) Restore(core.Snapshot)              {}
+func (c *fakeCore) Snapshot(to func(core.Snapshot))    { to(core.Snapshot{}) }
+
+// fakeTable is a table that holds one runner.
+type fakeTable struct{ Table }
+
+func (fakeTable) Snapshot(to func(discovery string, list []byte)) {
+	to("d", []byte(`{"rev":1,"all":true,"targets":[{"uid":"s-1"}]}`))
+}
+
+// TestPlannedEndIsStoredAtItsBeginning has a process be killed before the last state of its planned end is written: what
+// was written when that began says that it is one.
+func TestPlannedEndIsStoredAtItsBeginning(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	path := t.TempDir()
+	dir, err := rosterstore.Open(path, "n0", 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	writer := rosterstore.NewWriter(dir, time.Hour, logrus.NewEntry(log))
+	cfg := Config{Name: "n0", WriteInterval: time.Hour, Classes: func() []string { return nil }}
+	r := New(cfg, &fakeCore{}, fakeTable{}, nil, writer, nil, logrus.NewEntry(log))
+	r.RoutesReplaced([]core.Route{{UID: "s-1", Addr: "a", Member: decision.Member{State: decision.Ready}}})
+	r.Start()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go r.Run(ctx)
+	r.BeginShutdown()
+	reader, err := rosterstore.Open(path, "n0", 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for by := time.Now().Add(20 * time.Second); ; <-time.After(time.Millisecond) {
+		s, err := reader.Load(func(string, error) {})
+		if err == nil && s != nil && s.Ended && len(s.Nodes) == 1 {
+			break
+		}
+		if time.Now().After(by) {
+			t.Fatalf("stored is %+v, %v", s, err)
+		}
+	}
+	cancel()
+	writer.Close(time.Now().Add(20 * time.Second))
+}
 
 // TestStartReplacesRoutes has the core of a process that starts from a stored list hold the list when Start returns,
 // before the first job comes and whenever the actor is scheduled.
