--- a/cmd/frosttide-mutate/main.go
+++ b/cmd/frosttide-mutate/main.go
@@ -1,5 +1,5 @@
 // Command frosttide-mutate takes each safety check of the cluster scheduler out of the source, one at a time, and prints
-// who detects that it is missing: the simulated network, the explorer of schedules, or nothing. It needs the repository's
+// who detects that it is missing: the package's tests, the simulated network, the explorer of schedules, or nothing. It needs the repository's
 // source and the Go tools; it changes no file. It exits with status 1 if any check could not be tried, 2 for mistakes in
 // the arguments.
 package main
--- a/internal/testkit/lab/mutate/mutate.go
+++ b/internal/testkit/lab/mutate/mutate.go
@@ -1,6 +1,6 @@
 // Package mutate tests the tests of the cluster scheduler's safety by mutation: it takes safety checks out of the source,
-// one at a time, and tells whether the simulated network or the explorer of schedules detects that the check is
-// missing. The programs have no switches for it: the mutation is made in a copy of the source file, which the compiler is given
+// one at a time, and tells whether the package's tests, the simulated network or the explorer of schedules detects that the
+// check is missing. The programs have no switches for it: the mutation is made in a copy of the source file, which the compiler is given
 // in the file's place, so that no file of the repository changes.
 //
 // The program frosttide-mutate runs all Mutations. The functions are safe for concurrent use; each run works in a folder
@@ -32,6 +32,7 @@
 
 // The detectors, in the order in which they are tried.
 const (
+	DetectedByTests      Detector = "unit test"
 	DetectedBySimulation Detector = "simulated network"
 	DetectedByExplorer   Detector = "explorer"
 	Undetected           Detector = "nothing"
@@ -66,6 +67,10 @@
 	if err != nil {
 		return result, err
 	}
+	if detail, detected := runTests(ctx, root, overlay, m); detected {
+		result.Detector, result.Detail, result.Duration = DetectedByTests, detail, time.Since(started)
+		return result, ctx.Err()
+	}
 	simulator := filepath.Join(dir, "simulate")
 	build := exec.CommandContext(ctx, "go", "build", "-overlay", overlay, "-o", simulator, "./cmd/frosttide-simulate")
 	build.Dir = root
@@ -78,7 +83,19 @@
 		result.Detector, result.Detail = DetectedByExplorer, detail
 	}
 	result.Duration = time.Since(started)
-	return result, nil
+	return result, ctx.Err()
+}
+
+// runTests runs the tests of the package in which the check is missing, but for the explorer, and tells whether any
+// fails; the detail is its name. A package that can't be built detects nothing: the simulator's build says why.
+func runTests(ctx context.Context, root, overlay string, m Mutation) (detail string, detected bool) {
+	test := exec.CommandContext(ctx, "go", "test", "-overlay", overlay, "-count=1", "-failfast", "-skip", "^TestExplore", "-timeout", "10m", "./"+filepath.Dir(m.File))
+	test.Dir = root
+	out, err := test.CombinedOutput()
+	if err == nil || strings.Contains(string(out), "[build failed]") {
+		return "", false
+	}
+	return firstLine(out, "--- FAIL: "), true
 }
 
 // simulate runs a simulator and tells whether it detects anything.
