--- a/internal/testkit/lab/faults/await.go
+++ b/internal/testkit/lab/faults/await.go
@@ -15,192 +15,270 @@
 	"frosttide/internal/dispatcher/fleet/recovery/stage"
 )
 
+// waits are the waits of scripts, by the word after "await". Each is passed the words from there on.
+var waits = map[string]func(*runner, []string) error{
+	"leader":  (*runner).awaitLeader,
+	"begun":   (*runner).awaitBegun,
+	"members": (*runner).awaitMembers,
+	"sharers": (*runner).awaitSharers,
+	"stage":   (*runner).awaitStage,
+	"trip":    (*runner).awaitTrip,
+	"out":     (*runner).awaitExclusion,
+	"in":      (*runner).awaitExclusion,
+	"drained": (*runner).awaitDrained,
+	"served":  (*runner).awaitServed,
+	"many":    (*runner).awaitManyUndone,
+	"ganged":  (*runner).awaitGanged,
+	"flow":    (*runner).awaitFlowPhase,
+	"taken":   (*runner).awaitTaken,
+	"sent":    (*runner).awaitSent,
+	"known":   (*runner).awaitKnown,
+	"jobs":    (*runner).awaitJobs,
+	"few":     (*runner).awaitFew,
+	"level":   (*runner).awaitLevel,
+	"full":    (*runner).awaitFull,
+	"equal":   (*runner).awaitEqual,
+	"log":     (*runner).awaitLog,
+}
+
 // await waits for what the words say.
 func (r *runner) await(w []string) error {
-	at := func(i int) ([]*member, error) {
-		if len(w) <= i {
-			return r.running(), nil
-		}
-		return r.who(w[i])
+	wait := waits[w[0]]
+	if wait == nil {
+		return fmt.Errorf("%q can't be awaited", w[0])
 	}
-	switch w[0] {
-	case "leader":
-		who, err := at(2)
-		if err != nil {
-			return err
-		}
-		return r.led(who)
-	case "begun":
-		return r.each(r.running(), func(m *member, got cluster.Report) error {
-			if len(got.Log.Voters) < r.fleet.voters || got.Log.Leader == "" || got.Log.Applied < got.Log.Last {
-				return fmt.Errorf("%s has voters %v, leader %q, applied %d of %d", m.name, got.Log.Voters, got.Log.Leader, got.Log.Applied, got.Log.Last)
-			}
-			return nil
-		})
-	case "members":
-		n, err := strconv.Atoi(w[1])
-		if err != nil {
-			return err
-		}
-		who, err := at(3)
-		if err != nil {
-			return err
-		}
-		return r.each(who, func(m *member, got cluster.Report) error {
-			if alive(got) != n {
-				return fmt.Errorf("%s sees %d members", m.name, alive(got))
-			}
-			return nil
-		})
-	case "sharers", "stage":
-		who, err := at(len(w) - 1)
-		if err != nil {
-			return err
+	return wait(r, w)
+}
+
+// whoAt returns the members that a word names, those that run where there is none.
+func (r *runner) whoAt(w []string, i int) ([]*member, error) {
+	if len(w) <= i {
+		return r.running(), nil
+	}
+	return r.who(w[i])
+}
+
+// eachAt waits until the reports of the members that a word names are as wanted.
+func (r *runner) eachAt(w []string, i int, ok func(*member, cluster.Report) error) error {
+	who, err := r.whoAt(w, i)
+	if err != nil {
+		return err
+	}
+	return r.each(who, ok)
+}
+
+func (r *runner) awaitLeader(w []string) error {
+	who, err := r.whoAt(w, 2)
+	if err != nil {
+		return err
+	}
+	return r.led(who)
+}
+
+func (r *runner) awaitBegun([]string) error {
+	return r.each(r.running(), func(m *member, got cluster.Report) error {
+		if len(got.Log.Voters) < r.fleet.voters || got.Log.Leader == "" || got.Log.Applied < got.Log.Last {
+			return fmt.Errorf("%s has voters %v, leader %q, applied %d of %d", m.name, got.Log.Voters, got.Log.Leader, got.Log.Applied, got.Log.Last)
 		}
-		return r.each(who, func(m *member, got cluster.Report) error {
-			if got.Rejoin == nil || w[0] == "sharers" && strconv.Itoa(got.Rejoin.Sharers) != w[1] || w[0] == "stage" && !reached(got.Rejoin.Stage, w[1]) {
-				return fmt.Errorf("%s is %+v", m.name, got.Rejoin)
-			}
-			return nil
-		})
-	case "trip":
-		ms, err := strconv.Atoi(w[1])
-		if err != nil {
-			return err
+		return nil
+	})
+}
+
+func (r *runner) awaitMembers(w []string) error {
+	n, err := strconv.Atoi(w[1])
+	if err != nil {
+		return err
+	}
+	return r.eachAt(w, 3, func(m *member, got cluster.Report) error {
+		if alive(got) != n {
+			return fmt.Errorf("%s sees %d members", m.name, alive(got))
 		}
-		who, err := at(3)
-		if err != nil {
-			return err
+		return nil
+	})
+}
+
+func (r *runner) awaitSharers(w []string) error {
+	return r.eachAt(w, len(w)-1, func(m *member, got cluster.Report) error {
+		if got.Rejoin == nil || strconv.Itoa(got.Rejoin.Sharers) != w[1] {
+			return fmt.Errorf("%s is %+v", m.name, got.Rejoin)
 		}
-		return r.each(who, func(m *member, got cluster.Report) error {
-			for _, i := range got.Members {
-				if i.Status == members.Alive && i.Name != m.name && i.RTT < time.Duration(ms)*time.Millisecond {
-					return fmt.Errorf("from %s to %s it is %s", m.name, i.Name, i.RTT)
-				}
-			}
-			return nil
-		})
-	case "out", "in":
-		who, err := at(3)
-		if err != nil {
-			return err
+		return nil
+	})
+}
+
+func (r *runner) awaitStage(w []string) error {
+	return r.eachAt(w, len(w)-1, func(m *member, got cluster.Report) error {
+		if got.Rejoin == nil || !reached(got.Rejoin.Stage, w[1]) {
+			return fmt.Errorf("%s is %+v", m.name, got.Rejoin)
 		}
-		return r.each(who, func(m *member, got cluster.Report) error {
-			if _, out := got.State.Excluded[w[1]]; out != (w[0] == "out") {
-				return fmt.Errorf("at %s it is out: %t", m.name, out)
+		return nil
+	})
+}
+
+func (r *runner) awaitTrip(w []string) error {
+	ms, err := strconv.Atoi(w[1])
+	if err != nil {
+		return err
+	}
+	return r.eachAt(w, 3, func(m *member, got cluster.Report) error {
+		for _, i := range got.Members {
+			if i.Status == members.Alive && i.Name != m.name && i.RTT < time.Duration(ms)*time.Millisecond {
+				return fmt.Errorf("from %s to %s it is %s", m.name, i.Name, i.RTT)
 			}
-			return m.keeps(w[1], w[0] == "out")
-		})
-	case "drained", "served":
-		who, err := at(3)
-		if err != nil {
-			return err
-		}
-		if w[0] == "served" {
-			return r.serves(who, w[1])
 		}
-		return r.drains(who, w[1])
-	case "many":
-		within, err := time.ParseDuration(w[1])
-		if err != nil {
-			return err
+		return nil
+	})
+}
+
+func (r *runner) awaitExclusion(w []string) error {
+	return r.eachAt(w, 3, func(m *member, got cluster.Report) error {
+		if _, out := got.State.Excluded[w[1]]; out != (w[0] == "out") {
+			return fmt.Errorf("at %s it is out: %t", m.name, out)
 		}
-		return r.awaitMany(within)
-	case "ganged":
-		within, err := time.ParseDuration(w[2])
-		if err != nil {
-			return err
+		return m.keeps(w[1], w[0] == "out")
+	})
+}
+
+func (r *runner) awaitDrained(w []string) error {
+	who, err := r.whoAt(w, 3)
+	if err != nil {
+		return err
+	}
+	return r.drains(who, w[1])
+}
+
+func (r *runner) awaitServed(w []string) error {
+	who, err := r.whoAt(w, 3)
+	if err != nil {
+		return err
+	}
+	return r.serves(who, w[1])
+}
+
+func (r *runner) awaitManyUndone(w []string) error {
+	within, err := time.ParseDuration(w[1])
+	if err != nil {
+		return err
+	}
+	return r.awaitMany(within)
+}
+
+func (r *runner) awaitGanged(w []string) error {
+	within, err := time.ParseDuration(w[2])
+	if err != nil {
+		return err
+	}
+	if err := r.ganged(w[1], within); err != nil || len(w) < 4 {
+		return err
+	}
+	most, err := strconv.Atoi(w[3])
+	if n := r.fleet.runners.copied(); err == nil && n > most {
+		err = fmt.Errorf("%d copies were sent", n)
+	}
+	return err
+}
+
+func (r *runner) awaitFlowPhase(w []string) error {
+	who, err := r.whoAt(w, 4)
+	if err != nil {
+		return err
+	}
+	return r.awaitFlow(w[1], w[2], who)
+}
+
+func (r *runner) awaitTaken(w []string) error {
+	n, err := strconv.Atoi(w[2])
+	if err != nil {
+		return err
+	}
+	return r.until(func() error {
+		if len(r.fleet.runners.zones(undoKey(w[1], n))) == 0 {
+			return errors.New("no runner has had it")
 		}
-		if err := r.ganged(w[1], within); err != nil || len(w) < 4 {
-			return err
+		return nil
+	})
+}
+
+func (r *runner) awaitSent(w []string) error {
+	return r.until(func() error {
+		if len(r.fleet.runners.zones(w[1])) == 0 {
+			return errors.New("no runner has it")
 		}
-		most, err := strconv.Atoi(w[3])
-		if n := r.fleet.runners.copied(); err == nil && n > most {
-			err = fmt.Errorf("%d copies were sent", n)
+		return nil
+	})
+}
+
+func (r *runner) awaitKnown(w []string) error {
+	return r.until(func() error {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !r.answered[w[1]] && len(r.fleet.runners.zones(w[1])) == 0 {
+			return errors.New("no runner has it, nor its client an answer")
 		}
+		return nil
+	})
+}
+
+func (r *runner) awaitJobs(w []string) error {
+	n, err := strconv.Atoi(w[1])
+	if err != nil {
 		return err
-	case "flow":
-		who, err := at(4)
-		if err != nil {
-			return err
-		}
-		return r.awaitFlow(w[1], w[2], who)
-	case "taken":
-		n, err := strconv.Atoi(w[2])
-		if err != nil {
-			return err
+	}
+	begin := r.fleet.runners.count()
+	return r.until(func() error {
+		if sent := r.fleet.runners.count() - begin; sent < n {
+			return fmt.Errorf("%d of them", sent)
 		}
-		return r.until(func() error {
-			if len(r.fleet.runners.zones(undoKey(w[1], n))) == 0 {
-				return errors.New("no runner has had it")
-			}
-			return nil
-		})
-	case "sent":
-		return r.until(func() error {
-			if len(r.fleet.runners.zones(w[1])) == 0 {
-				return errors.New("no runner has it")
-			}
-			return nil
-		})
-	case "known":
-		return r.until(func() error {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			if !r.answered[w[1]] && len(r.fleet.runners.zones(w[1])) == 0 {
-				return errors.New("no runner has it, nor its client an answer")
-			}
-			return nil
-		})
-	case "jobs":
-		n, err := strconv.Atoi(w[1])
-		begin := r.fleet.runners.count()
-		return errors.Join(err, r.until(func() error {
-			if sent := r.fleet.runners.count() - begin; sent < n {
-				return fmt.Errorf("%d of them", sent)
+		return nil
+	})
+}
+
+func (r *runner) awaitFew(w []string) error {
+	who, err := r.whoAt(w, 3)
+	if err != nil {
+		return err
+	}
+	most, err := strconv.Atoi(w[4])
+	if err != nil {
+		return err
+	}
+	return r.few(who[0], strings.Split(w[1], ","), most)
+}
+
+func (r *runner) awaitLevel([]string) error {
+	r.faultAt = time.Time{}
+	return r.level()
+}
+
+func (r *runner) awaitFull(w []string) error {
+	if len(w) != 3 {
+		return errors.New("two numbers are wanted")
+	}
+	return r.full(w[1:])
+}
+
+func (r *runner) awaitEqual(w []string) error {
+	who, err := r.whoAt(w, 2)
+	if err != nil {
+		return err
+	}
+	return r.equal(who)
+}
+
+func (r *runner) awaitLog(w []string) error {
+	text := strings.Join(w[1:len(w)-2], " ")
+	who, err := r.who(w[len(w)-1])
+	if err != nil {
+		return err
+	}
+	return r.until(func() error {
+		for _, m := range who {
+			if m.log == nil || !m.log.has(text) {
+				return fmt.Errorf("%s has not said it", m.name)
 			}
-			return nil
-		}))
-	case "few":
-		who, err := at(3)
-		if err != nil {
-			return err
 		}
-		most, err := strconv.Atoi(w[4])
-		if err != nil {
-			return err
-		}
-		return r.few(who[0], strings.Split(w[1], ","), most)
-	case "level":
-		r.faultAt = time.Time{}
-		return r.level()
-	case "full":
-		if len(w) != 3 {
-			return errors.New("two numbers are wanted")
-		}
-		return r.full(w[1:])
-	case "equal":
-		who, err := at(2)
-		if err != nil {
-			return err
-		}
-		return r.equal(who)
-	case "log":
-		text := strings.Join(w[1:len(w)-2], " ")
-		who, err := r.who(w[len(w)-1])
-		if err != nil {
-			return err
-		}
-		return r.until(func() error {
-			for _, m := range who {
-				if m.log == nil || !m.log.has(text) {
-					return fmt.Errorf("%s has not said it", m.name)
-				}
-			}
-			return nil
-		})
-	}
-	return fmt.Errorf("%q can't be awaited", w[0])
+		return nil
+	})
 }
 
 // keeps returns an error unless the watermark on a member's disk has a runner excluded, or not.
