--- a/cmd/frosttide-mutate/main.go
+++ b/cmd/frosttide-mutate/main.go
@@ -20,6 +20,7 @@
 	root := flag.String("root", ".", "the repository's root")
 	only := flag.String("only", "", "only the checks whose name holds this")
 	first := flag.Int("first", 0, "the first check, by its place in the list")
+	count := flag.Int("count", len(mutate.Mutations), "how many checks from there on")
 	var bounds mutate.Bounds
 	flag.IntVar(&bounds.Seeds, "seeds", 500, "seeds of the simulated network")
 	flag.IntVar(&bounds.Singles, "singles", 1, "the explorer tries one of so many single departures")
@@ -33,7 +34,7 @@
 	defer stop()
 	var chosen []mutate.Mutation
 	for i, m := range mutate.Mutations {
-		if i >= *first && strings.Contains(m.Name, *only) {
+		if i >= *first && i < *first+*count && strings.Contains(m.Name, *only) {
 			chosen = append(chosen, m)
 		}
 	}
--- /dev/null
+++ b/internal/control/replica/chain_test.go
@@ -0,0 +1,123 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"frosttide/internal/protocol"
+	"frosttide/internal/view"
+)
+
+// servingChain returns a cluster of three with a committed write, its head and the chain's other member.
+func servingChain(t *testing.T) (c *cluster, head, tail *node) {
+	t.Helper()
+	c = newCluster(t, 41, 3)
+	c.play(time.Second)
+	require.True(t, c.write(1))
+	c.play(100 * time.Millisecond)
+	head = c.head()
+	require.NotNil(t, head)
+	for _, m := range c.members {
+		if m.id == view.Tail(head.View()) {
+			tail = m
+		}
+	}
+	require.NotNil(t, tail)
+	require.NotEqual(t, head, tail)
+	return c, head, tail
+}
+
+// appendMessage returns entries of an epoch after an index, with the first index given apart.
+func appendMessage(epoch, first uint64, indexes ...uint64) *protocol.Envelope {
+	a := &protocol.Append{Epoch: epoch, First: first}
+	for _, index := range indexes {
+		a.Entries = append(a.Entries, &protocol.Entry{Index: index, Puts: []*protocol.Put{{Key: "k", Value: []byte("v")}}})
+	}
+	return &protocol.Envelope{Body: &protocol.Envelope_Append{Append: a}}
+}
+
+// TestEntriesThatAreNotTaken sends the tail entries that it must not take: its state stays as it is.
+func TestEntriesThatAreNotTaken(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		before     func(c *cluster, tail *node)
+		message    func(epoch, index uint64) *protocol.Envelope
+		wantTaken  bool
+		wantResend bool
+	}{
+		{name: "the next entry", message: func(epoch, index uint64) *protocol.Envelope { return appendMessage(epoch, index, index+1) }, wantTaken: true},
+		{name: "an older epoch", message: func(epoch, index uint64) *protocol.Envelope { return appendMessage(epoch-1, index, index+1) }},
+		{name: "a newer epoch", message: func(epoch, index uint64) *protocol.Envelope { return appendMessage(epoch+1, index, index+1) }},
+		{
+			name:    "an epoch that it has promised to leave",
+			before:  func(c *cluster, tail *node) { tail.Receive(c.now, proposer, prepareMessage(numberAbove(tail))) },
+			message: func(epoch, index uint64) *protocol.Envelope { return appendMessage(epoch, index, index+1) },
+		},
+		{
+			name:    "before the state of the view is installed",
+			before:  func(_ *cluster, tail *node) { tail.installedEpoch-- },
+			message: func(epoch, index uint64) *protocol.Envelope { return appendMessage(epoch, index, index+1) },
+		},
+		{name: "a gap within the message", message: func(epoch, index uint64) *protocol.Envelope { return appendMessage(epoch, index, index+2) }},
+		{name: "a gap before the message", message: func(epoch, index uint64) *protocol.Envelope { return appendMessage(epoch, index+1, index+2) }, wantResend: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, head, tail := servingChain(t)
+			epoch, index := tail.Epoch(), tail.Index()
+			if tc.before != nil {
+				tc.before(c, tail)
+			}
+			actions := tail.Receive(c.now, head.address, tc.message(epoch, index))
+			want := index
+			if tc.wantTaken {
+				want++
+			}
+			require.Equal(t, want, tail.Index())
+			resend := false
+			for _, s := range actions.Sends {
+				resend = resend || s.To == head.address && s.Message.GetAppendAck().GetResend()
+			}
+			require.Equal(t, tc.wantResend, resend)
+		})
+	}
+}
+
+// TestAcknowledgementsThatDoNotCount sends the head acknowledgements of an entry that its successor has not synced.
+func TestAcknowledgementsThatDoNotCount(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		fromSuccessor bool
+		epochOffset   uint64
+		wantCommitted bool
+	}{
+		{name: "the successor's", fromSuccessor: true, wantCommitted: true},
+		{name: "another member's"},
+		{name: "of another epoch", fromSuccessor: true, epochOffset: 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, head, tail := servingChain(t)
+			index, actions, ok := head.Append(c.now, &protocol.Entry{Puts: []*protocol.Put{{Key: "k", Value: []byte("v")}}})
+			require.True(t, ok)
+			c.finish(head, actions.Writes)
+			require.Less(t, head.Committed(), index)
+			from := "another"
+			if tc.fromSuccessor {
+				from = tail.address
+			}
+			ack := &protocol.AppendAck{Epoch: head.Epoch() + tc.epochOffset, Durable: index, Index: index}
+			head.Receive(c.now, from, &protocol.Envelope{Body: &protocol.Envelope_AppendAck{AppendAck: ack}})
+			require.Equal(t, tc.wantCommitted, head.Committed() >= index)
+		})
+	}
+}
+
+// TestHeadThatHasPromisedAppendsNothing has the head promise another proposer's number.
+func TestHeadThatHasPromisedAppendsNothing(t *testing.T) {
+	c, head, _ := servingChain(t)
+	require.True(t, head.CanAppend())
+	head.Receive(c.now, proposer, prepareMessage(numberAbove(head)))
+	_, _, ok := head.Append(c.now, &protocol.Entry{})
+	require.False(t, ok)
+}
