--- a/internal/control/replica/chain_test.go
+++ b/internal/control/replica/chain_test.go
@@ -84,6 +84,29 @@
 	}
 }
 
+// TestFollowerTakesNoEntriesOfAnotherEpoch sends a member outside the chain the next entry in epochs that are not its own.
+func TestFollowerTakesNoEntriesOfAnotherEpoch(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		epoch func(own uint64) uint64
+		want  bool
+	}{
+		{"its own", func(own uint64) uint64 { return own }, true},
+		{"an older one", func(own uint64) uint64 { return own - 1 }, false},
+		{"a newer one", func(own uint64) uint64 { return own + 1 }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, _, tail := servingChain(t)
+			outside := c.memberOutsideChain()
+			require.NotNil(t, outside)
+			require.True(t, outside.chain.following)
+			index := outside.Index()
+			outside.Receive(c.now, tail.address, appendMessage(tc.epoch(outside.Epoch()), index, index+1))
+			require.Equal(t, tc.want, outside.Index() == index+1)
+		})
+	}
+}
+
 // TestAcknowledgementsThatDoNotCount sends the head acknowledgements of an entry that its successor has not synced.
 func TestAcknowledgementsThatDoNotCount(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/control/replica/confirm_test.go
+++ b/internal/control/replica/confirm_test.go
@@ -22,11 +22,20 @@
 		answer    func(epoch, sequence, other uint64) *protocol.Envelope // nil for none
 		wantReady bool
 	}{
-		{"a majority", func(epoch, sequence, other uint64) *protocol.Envelope { return confirmedMessage(epoch, sequence, other, true) }, true},
+		{"a majority", func(epoch, sequence, other uint64) *protocol.Envelope {
+			return confirmedMessage(epoch, sequence, other, true)
+		}, true},
 		{"nobody else", nil, false},
-		{"a refusal", func(epoch, sequence, other uint64) *protocol.Envelope { return confirmedMessage(epoch, sequence, other, false) }, false},
-		{"an answer to an earlier request", func(epoch, sequence, other uint64) *protocol.Envelope { return confirmedMessage(epoch, sequence-1, other, true) }, false},
-		{"of another epoch", func(epoch, sequence, other uint64) *protocol.Envelope { return confirmedMessage(epoch+1, sequence, other, true) }, false},
+		{"a refusal", func(epoch, sequence, other uint64) *protocol.Envelope {
+			return confirmedMessage(epoch, sequence, other, false)
+		}, false},
+		{"an answer to an earlier request", func(epoch, sequence, other uint64) *protocol.Envelope {
+			return confirmedMessage(epoch, sequence-1, other, true)
+		}, false},
+		{"an entry's commit", func(epoch, _, _ uint64) *protocol.Envelope { return appendMessage(epoch, 0) }, false},
+		{"of another epoch", func(epoch, sequence, other uint64) *protocol.Envelope {
+			return confirmedMessage(epoch+1, sequence, other, true)
+		}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c, head, tail := servingChain(t)
--- a/internal/control/scheduler/sessions_test.go
+++ b/internal/control/scheduler/sessions_test.go
@@ -91,3 +91,20 @@
 	h.commit()
 	requireIgnored(h.reportNumber+1, 1) // of an earlier incarnation
 }
+
+// TestLeaseCountsFromTheConfirmation has a head whose epoch was last confirmed some time ago grant a lease: it ends when one
+// granted at the confirmation would.
+func TestLeaseCountsFromTheConfirmation(t *testing.T) {
+	h := newHarness(t)
+	h.register("a", "i1")
+	confirmed := h.now
+	const since = 5 * time.Second
+	h.now += since
+	h.scheduler.Tick(h.now, h.wall(), confirmed)
+	h.report("a", "i1")
+	h.collect()
+	granted := h.orders["a"][len(h.orders["a"])-1]
+	require.Positive(t, granted.GetLeaseMs())
+	require.LessOrEqual(t, time.Duration(granted.GetLeaseMs())*time.Millisecond, h.scheduler.cfg.Lease-since)
+	require.LessOrEqual(t, h.scheduler.sessions["a"].leaseExpiry, confirmed+h.scheduler.cfg.Lease)
+}
--- a/internal/data/agent/machine_test.go
+++ b/internal/data/agent/machine_test.go
@@ -388,3 +388,16 @@
 		require.NotEqual(t, "new", stop.GetTask(), "the run is desired")
 	}
 }
+
+// TestDelayedHeartbeatIsIgnored has a heartbeat arrive after a later one: it neither ends a run that the later one lists nor
+// brings back one that it does not.
+func TestDelayedHeartbeatIsIgnored(t *testing.T) {
+	r := newSyncedRig(t)
+	r.change(r.report(), []*protocol.RunOrder{order("t", 1)})
+	r.heartbeat("i1", running("t", 1))
+	r.sequence -= 2
+	delayed := r.heartbeat("i1", running("old", 3))
+	require.Empty(t, delayed.Stop, "its lists are out of date")
+	r.sequence++
+	require.Empty(t, r.heartbeat("i1", running("t", 1)).Start)
+}
