Deliver reports of runners that came before their member was known to be alive

Cause: a serving runner is passed to the dispatcher only if the member that reported it is alive; a report that was merged before the membership had heard of that member was passed over for good.

--- a/internal/dispatcher/fleet/cluster/merge.go
+++ b/internal/dispatcher/fleet/cluster/merge.go
@@ -64,9 +64,19 @@
 	return true
 }
 
+// redeliver has the serving runners that a member has reported be delivered, now that it is known to be alive: deliver
+// has passed over what was merged before.
+func (c *Cluster) redeliver(member string) {
+	for _, f := range c.store.All(replica.Runner) {
+		if f.By == member && f.Scope == c.source && f.State == replica.Serving {
+			c.undelivered = append(c.undelivered, f)
+		}
+	}
+}
+
 // deliver passes newly merged facts on runners to the dispatcher. Draining and removed runners are
 // passed on at any age; a serving runner only if the member that reported it is alive, because the
-// report may otherwise be obsolete.
+// report may otherwise be obsolete. Those of a member that becomes alive later come by redeliver.
 func (c *Cluster) deliver() {
 	if len(c.undelivered) == 0 {
 		return
--- a/internal/dispatcher/fleet/cluster/sinks.go
+++ b/internal/dispatcher/fleet/cluster/sinks.go
@@ -12,8 +12,11 @@
 // membershipSink receives the membership's events from memberlist's goroutines.
 type membershipSink Cluster
 
-// Joined logs a member that is new or has returned.
-func (s *membershipSink) Joined(i members.Info) { s.memberLog(i).Info("member joined") }
+// Joined logs a member that is new or has returned, and has its reports on runners delivered.
+func (s *membershipSink) Joined(i members.Info) {
+	s.memberLog(i).Info("member joined")
+	s.mailbox.Put(func(c *Cluster) { c.redeliver(i.Name) })
+}
 
 // Changed logs a member's new metadata.
 func (s *membershipSink) Changed(i members.Info) { s.memberLog(i).Debug("member changed") }
