Keep runners that an older list of discovery's lacks until that is confirmed

What callers saw: 503 for half of the jobs after a planned restart, although all runners served. Cause: a full list was taken at once whatever its version. One that is older than the list in force, as a discovery sends that ends, restarts from a copy or is replaced by a standby, removed every runner that had joined since. Runners that were drained since stay drained. The first changes of a watch that lead to a lower version end it and the full list is asked for, also without a change of address; a full list that comes beside a complete watch and is older than what that sent has no effect.

--- a/internal/dispatcher/routetable/call.go
+++ b/internal/dispatcher/routetable/call.go
@@ -19,7 +19,7 @@
 	errNoUpdate        = errors.New("the list could not be read")
 	errWatchTimedOut   = errors.New("discovery has fallen silent")
 	errResponseTimeout = errors.New("discovery did not answer in time")
-	errVersionsDiffer  = errors.New("the new discovery counts its versions otherwise")
+	errVersionsDiffer  = errors.New("discovery counts its versions otherwise")
 )
 
 // call is one request to discovery, whose response a goroutine of its own reads. Except for lastContact its
@@ -66,8 +66,7 @@
 func (t *Table) contacted(c *call, heartbeat bool) {
 	if heartbeat && c.watch {
 		t.post(c, func(t *Table) {
-			c.complete = true
-			t.caughtUp()
+			t.callComplete(c)
 		})
 	}
 	c.lastContact.Store(int64(t.now()))
@@ -78,15 +77,26 @@
 	if c.ctx.Err() != nil {
 		return // the call has been cancelled
 	}
-	if c.watch && t.relocated && !update.Full && update.Version != nil && *update.Version < t.version {
-		c.cancel(errVersionsDiffer)
-		return
+	if update.Version != nil && *update.Version < t.version {
+		if c.watch && !c.complete && !update.Full {
+			c.cancel(errVersionsDiffer)
+			return
+		}
+		if !c.watch && t.watchComplete {
+			return // the watch has sent what this list lacks
+		}
 	}
 	if err := t.apply(update); err != nil {
 		c.cancel(err)
 		return
 	}
+	t.callComplete(c)
+}
+
+// callComplete records that a call has sent all that discovery had.
+func (t *Table) callComplete(c *call) {
 	c.complete = true
+	t.watchComplete = t.watchComplete || c.watch
 	t.caughtUp()
 }
 
--- a/internal/dispatcher/routetable/relocation.go
+++ b/internal/dispatcher/routetable/relocation.go
@@ -1,7 +1,6 @@
 package routetable
 
 import (
-	"context"
 	"time"
 
 	"frosttide/decision"
@@ -9,8 +8,8 @@
 	"frosttide/internal/dispatcher/core"
 )
 
-// A discovery that a reload names may lag behind the previous one: its first updates are older and list runners as
-// serving that the previous one had drained or removed. Such a runner stays drained until the new discovery has
+// A discovery that a reload names may lag behind the previous one, and one that restarts behind itself: its first updates
+// are older and list runners as serving that were drained or removed before. Such a runner stays drained until the new discovery has
 // reached the version of the previous one, reports a later start of the runner, or has had the time within which
 // everything counts as notified.
 
@@ -42,12 +41,16 @@
 	d[r.UID] = r.StartedAt
 }
 
-// keepPreviousDiscovery keeps the state of a discovery whose address is about to change. The context is that of the
-// calls to the new address.
-func (t *Table) keepPreviousDiscovery(callsContext context.Context) {
+// keepPreviousDiscovery keeps the state of a discovery whose address is about to change.
+func (t *Table) keepPreviousDiscovery() {
 	if !t.versionKnown || t.pushed {
 		return // versions that are unknown, or an agent's own, can't be compared with another discovery's
 	}
+	t.keepDrained()
+}
+
+// keepDrained has runners that are drained or removed stay so while discovery may be older than the list in force.
+func (t *Table) keepDrained() {
 	previous := &previousDiscovery{version: t.version, drained: t.drained}
 	if t.previous != nil { // the discovery that is left had not caught up with its own predecessor
 		previous.version = max(previous.version, t.previous.version)
@@ -58,7 +61,7 @@
 	t.previous, t.drained = previous, drainedRunners{}
 	time.AfterFunc(previousDiscoveryTimeout, func() {
 		t.box.Put(func(t *Table) {
-			if callsContext.Err() == nil {
+			if t.previous == previous {
 				t.dropPreviousDiscovery()
 			}
 		})
--- a/internal/dispatcher/routetable/routetable.go
+++ b/internal/dispatcher/routetable/routetable.go
@@ -86,6 +86,7 @@
 	versionKnown   bool // version is this discovery's own, so that a watch may start from it
 	watchRequested bool // the decision module has asked for a watch
 	watching       bool // there is a watch, a call that leads to one, or a time at which it starts
+	watchComplete  bool // there is a watch that has sent every change up to now
 	callsContext   context.Context
 	cancelCalls    context.CancelFunc // ends all calls to the address
 	pushed         bool               // the address is an agent's
@@ -98,6 +99,7 @@
 	drained   drainedRunners           // by what the address has sent
 	previous  *previousDiscovery       // nil once the address's own entries have effect
 	gossiped  map[string]gossipedEntry // by uid
+	older     *olderList               // nil unless discovery has to confirm the removals of an older list
 
 	firstResult       chan struct{} // see FirstResult
 	signalFirstResult func()        // closes it
@@ -222,7 +224,7 @@
 		// All dispatchers of a shared discovery move now, so its queue is long, and a full list takes many times
 		// the place of a watch in it. Hence the versions are taken to go on, as all discoveries serve one
 		// catalogue, unless the first update shows otherwise.
-		t.keepPreviousDiscovery(t.callsContext)
+		t.keepPreviousDiscovery()
 		t.versionKnown = t.versionKnown && !t.alwaysFull && !t.pushed
 		t.addr, t.watching, t.failures, t.relocated = addr, false, 0, true
 		clear(t.gossiped) // ordered by the versions of the old address
@@ -251,6 +253,7 @@
 // resetCalls cancels all calls and makes the context of those to come.
 func (t *Table) resetCalls() {
 	t.cancelCalls()
+	t.watchComplete = false
 	t.client.CloseIdleConnections()
 	t.callsContext, t.cancelCalls = context.WithCancel(context.Background())
 }
--- a/internal/dispatcher/routetable/update.go
+++ b/internal/dispatcher/routetable/update.go
@@ -67,13 +67,22 @@
 		return errNoVersion
 	}
 	version := *update.Version
+	older := t.isOlder(version)
 	versionReset := update.Full && !t.relocated && version < t.version
-	t.relocated = false
 	if versionReset { // gossiped entries are ordered by versions that are no more
 		clear(t.gossiped)
+		if !t.pushed { // what an agent sends has effect at once
+			t.keepDrained()
+		}
+	}
+	t.relocated = false
+	routes, updated, full := t.applyEntries(version, update, older)
+	if full {
+		t.older = nil
+	} else if !update.Full {
+		missing, removed := t.removeMissing(version, routes)
+		routes, updated = append(routes, missing...), append(updated, removed...)
 	}
-	routes, updated, allRead := t.applyEntries(version, update)
-	full := update.Full && allRead
 	t.version, t.versionKnown = version, true
 	maps.DeleteFunc(t.gossiped, func(_ string, gossip gossipedEntry) bool { return gossip.version <= t.version })
 	if full {
@@ -92,17 +101,18 @@
 
 // applyEntries stores the entries of an update. It returns the routes for the sink, which differ from discovery's
 // entries where a newer one was gossiped or the previous discovery had drained a runner, the entries as they are
-// for onUpdate, and whether all could be read.
-func (t *Table) applyEntries(version uint64, update membershipUpdate) (routes []core.Route, updated []UpdatedEntry, allRead bool) {
+// for onUpdate, and whether they replace the list: a full update does unless one of its entries can't be read, or it is
+// older than the list in force and lacks some of that.
+func (t *Table) applyEntries(version uint64, update membershipUpdate, older bool) (routes []core.Route, updated []UpdatedEntry, replaces bool) {
 	routes = make([]core.Route, 0, len(update.Entries))
 	texts := map[string]json.RawMessage{}
-	allRead = true
+	replaces = update.Full
 	for _, text := range update.Entries {
 		text = compact(text)
 		route, err := t.parseEntry(text)
 		if err != nil {
 			t.log.WithError(err).Warn("list entry skipped")
-			allRead = false
+			replaces = false
 			continue
 		}
 		if t.onUpdate != nil {
@@ -123,9 +133,12 @@
 			delete(t.entries, route.UID)
 		}
 	}
-	if update.Full && allRead {
+	if replaces && older && t.keepMissing(texts) {
+		replaces = false
+	}
+	if replaces {
 		clear(t.entries)
 	}
 	maps.Copy(t.entries, texts)
-	return routes, updated, allRead
+	return routes, updated, replaces
 }
--- a/internal/dispatcher/routetable/watch.go
+++ b/internal/dispatcher/routetable/watch.go
@@ -25,7 +25,7 @@
 	}
 	t.watching = true
 	t.startCall("?watch=1&from="+strconv.FormatUint(t.version, 10), true, func(t *Table, err error) error {
-		t.watching = false
+		t.watching, t.watchComplete = false, false
 		if errors.Is(err, errVersionsDiffer) {
 			t.versionKnown = false
 			t.fetchThenWatch()
