Store a planned end also when discovery lists no runner at that moment

What callers saw: after a planned restart half of the jobs were refused, as the new process logged 'the stored state is from no planned end' and took warm runners for cold. Cause: an empty list is never stored, so a planned end during one stored nothing, and the state before it said that the process had not ended as planned. Change: the last state that had runners is stored again as that of a planned end, with its runners confirmed until they were removed. TestPlannedEndWithEmptyList failed before (nothing was stored).

--- a/internal/dispatcher/roster/discovery.go
+++ b/internal/dispatcher/roster/discovery.go
@@ -86,6 +86,9 @@
 		listed[route.UID] = true
 	}
 	known, missing := r.countMissing(listed)
+	if r.fullUpdates.UnreachableSince() == 0 {
+		r.confirmListed()
+	}
 	r.lastContact = r.now
 	if r.fullUpdates.Judge(r.now, known, missing) == rosterpolicy.Doubted {
 		r.log.WithFields(logrus.Fields{"listed": len(routes), "known": known, "lacks": missing}).
@@ -124,6 +127,9 @@
 
 // removeMissing removes all runners that an accepted full list lacks.
 func (r *Roster) removeMissing(listed map[string]bool) {
+	if len(listed) == 0 {
+		r.confirmLastSnapshot()
+	}
 	for uid := range r.routes {
 		if !listed[uid] {
 			r.forget(uid)
@@ -177,8 +183,8 @@
 	}
 }
 
-// confirmListed records, when discovery stops answering, that the runners which it has listed were confirmed until now: its
-// watch would have told of a change.
+// confirmListed records, when discovery stops answering or lists other runners, that those which it has listed were
+// confirmed until now: its watch would have told of a change.
 func (r *Roster) confirmListed() {
 	for uid := range r.routes {
 		if _, stored := r.entries[uid]; !stored {
--- a/internal/dispatcher/roster/gather.go
+++ b/internal/dispatcher/roster/gather.go
@@ -24,11 +24,27 @@
 // write passes a generation to the writer.
 func (r *Roster) write(discovery string, list []byte, known core.Snapshot) {
 	r.gathering = false
-	if s := r.snapshot(discovery, list, known); s != nil {
+	s := r.snapshot(discovery, list, known)
+	if s == nil && r.stopping {
+		s = r.endedSnapshot()
+	}
+	if s != nil {
+		r.lastSnapshot = s
 		r.writer.Put(s)
 	}
 }
 
+// endedSnapshot returns the last state that had runners as that of a planned shutdown, nil for none: discovery may have
+// sent an empty list at the end, and the next process must not take those runners for cold.
+func (r *Roster) endedSnapshot() *rosterstore.Snapshot {
+	if r.lastSnapshot == nil {
+		return nil
+	}
+	s := *r.lastSnapshot
+	s.Saved, s.Ended = r.now, true
+	return &s
+}
+
 // snapshot returns the state as it is stored, nil if there is no runner: an empty list never replaces a stored one.
 func (r *Roster) snapshot(discovery string, list []byte, known core.Snapshot) *rosterstore.Snapshot {
 	var current struct {
@@ -102,6 +118,22 @@
 	return rosterstore.Node{UID: uid, Entry: entry, Confirmed: last.at, By: last.by, WarmingUpSince: r.warmingUpSince[uid]}
 }
 
+// confirmLastSnapshot records in the last state that has runners until when each of them was confirmed. It is called before
+// a full list removes all of them.
+func (r *Roster) confirmLastSnapshot() {
+	if r.lastSnapshot == nil {
+		return
+	}
+	s := *r.lastSnapshot
+	s.Nodes = slices.Clone(s.Nodes) // the writer may still read the others
+	for i, node := range s.Nodes {
+		if last, ok := r.confirmations[node.UID]; ok {
+			s.Nodes[i].Confirmed, s.Nodes[i].By = last.at, last.by
+		}
+	}
+	r.lastSnapshot = &s
+}
+
 // BeginShutdown takes that the dispatcher shuts down as planned, and has the state written, with that, while the last
 // jobs are answered: a disk that is slow then has more time than Close may take.
 func (r *Roster) BeginShutdown() {
--- a/internal/dispatcher/roster/roster.go
+++ b/internal/dispatcher/roster/roster.go
@@ -100,6 +100,7 @@
 	doubtedUIDs    map[string]bool            // the runners of the doubted full list
 	refetchAt      time.Duration              // when another full list is requested; 0 for never
 	writeAt        time.Duration              // when the state may be written next
+	lastSnapshot   *rosterstore.Snapshot      // the last one that has runners; nil for none
 	gathering      bool                       // state is being gathered for a write
 	stopping       bool                       // the dispatcher is shutting down as planned
 	dirty          bool                       // more than ages and figures has changed since the last write
--- a/internal/dispatcher/roster/roster_test.go
+++ b/internal/dispatcher/roster/roster_test.go
@@ -180,3 +180,43 @@
 		t.Errorf("stored is %+v, answered at %v; want %v", s.Nodes, s.Answered, confirmedAt)
 	}
 }
+
+// TestPlannedEndWithEmptyList guards runners from being taken for cold when discovery lists none as a planned shutdown begins.
+func TestPlannedEndWithEmptyList(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	path := t.TempDir()
+	dir, err := rosterstore.Open(path, "n0", 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	writer := rosterstore.NewWriter(dir, 0, logrus.NewEntry(log))
+	r := New(Config{Name: "n0", Classes: func() []string { return nil }}, &fakeCore{}, nil, nil, writer, nil, logrus.NewEntry(log))
+	r.started = true
+	listedAt := r.clock()
+	emptyAt, endedAt := listedAt+time.Hour, listedAt+time.Hour+time.Second
+	listed, empty := []byte(`{"rev":42,"all":true,"targets":[{"uid":"s-1"}]}`), []byte(`{"rev":43,"all":true,"targets":[]}`)
+	at := func(now time.Duration, list []byte, event func()) {
+		r.now = now
+		event()
+		for _, message := range r.box.Drain(nil) {
+			message(r)
+		}
+		r.write("d", list, core.Snapshot{})
+	}
+	at(listedAt, listed, func() {
+		r.RoutesReplaced([]core.Route{{UID: "s-1", Addr: "a", Member: decision.Member{State: decision.Ready}}})
+	})
+	at(emptyAt, empty, func() { r.RoutesReplaced(nil) })
+	r.stopping = true
+	at(endedAt, empty, func() {})
+	writer.Close(time.Now().Add(20 * time.Second))
+	reader, err := rosterstore.Open(path, "n0", 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := reader.Load(func(string, error) {})
+	if err != nil || s == nil || !s.Ended || s.Saved != endedAt || len(s.Nodes) != 1 || s.Nodes[0].Confirmed != emptyAt {
+		t.Errorf("stored is %+v, %v; want a planned end at %v with a runner confirmed until %v", s, err, endedAt, emptyAt)
+	}
+}
