End a dispatcher's drain before the platform's grace does, whatever clients do

Cause: every request has its answer by 3.4 s, and then the drain waited for connections to close, for 250 ms and 600 ms after the last activity, without heeding the end of the grace. Change: the drain ends 200 ms before the grace. It closes what is open then, fails only if a request has no response, and the state is stored in either case.

--- a/cmd/frosttide/shutdown.go
+++ b/cmd/frosttide/shutdown.go
@@ -22,6 +22,9 @@
 	// exitMargin is how long before the platform ends the process the last state has to be
 	// stored: the rest is for telemetry.
 	exitMargin = 100 * time.Millisecond
+	// drainMargin is how long before the platform ends the process it no longer waits for
+	// clients to close connections on which everything is answered.
+	drainMargin = 200 * time.Millisecond
 	// closeMargin is how long before the last response connections are closed that
 	// clients have not used since a newer process took over.
 	closeMargin = 600 * time.Millisecond
@@ -40,7 +43,8 @@
 
 // drain ends the service: it hands everything over to a newer process, or lets
 // clients find another dispatcher, and returns when every request has its response
-// and the state is stored.
+// and the state is stored, shortly before the platform may end the process at the
+// latest. It fails if a request has no response then.
 func (p *process) drain(ctx context.Context) error {
 	end := time.Now().Add(time.Duration(p.grace.Load()))
 	deadline := end.Add(-answerMargin)
@@ -61,15 +65,18 @@
 		p.front.StopBy(deadline)
 		time.Sleep(lingerTime)
 	}
-	if err := p.front.Drain(ctx); err != nil {
-		return err
-	}
+	drainCtx, cancel := context.WithDeadline(ctx, end.Add(-drainMargin))
+	defer cancel()
+	err := p.front.Drain(drainCtx)
 	if p.gearman != nil {
 		p.gearman.drain(deadline)
 	}
 	if p.roster != nil {
 		p.roster.Close(end.Add(-exitMargin))
 	}
+	if err != nil {
+		return err
+	}
 	p.log.Info("frosttide has answered everything and ends")
 	return nil
 }
--- a/internal/dispatcher/ingress/drain_test.go
+++ b/internal/dispatcher/ingress/drain_test.go
@@ -107,6 +107,43 @@
 	requireJobAnswered(t, client)
 }
 
+// TestDrainEndsWithItsContext guards the grace that the platform gives: a drain went on waiting for connections on which no
+// response was owed.
+func TestDrainEndsWithItsContext(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		sent    string
+		open    int64 // requests that are being handled
+		wantErr bool
+	}{
+		{"a request that does not come whole", oneJob[:8], 0, false},
+		{"a request without a response", oneJob[:8], 1, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			front := newDrainFront()
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			served := make(chan error, 1)
+			go func() { served <- front.Serve(listener) }()
+			client, err := net.Dial("tcp4", listener.Addr().String())
+			require.NoError(t, err)
+			defer client.Close()
+			_, err = io.WriteString(client, tc.sent)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return front.listener.retireIdle(false) == 1 }, 10*time.Second, time.Millisecond)
+			front.activeRequests.Store(tc.open)
+			ctx, cancel := context.WithTimeout(t.Context(), acceptDelay)
+			defer cancel()
+			began := time.Now()
+			err = front.Drain(ctx)
+			require.Equal(t, tc.wantErr, err != nil, "Drain returned %v", err)
+			require.Less(t, time.Since(began), requestTimeout)
+			require.NoError(t, <-served)
+			require.Zero(t, front.listener.count())
+		})
+	}
+}
+
 // TestDrainBeforeServing checks that a front that does not serve yet drains at once.
 func TestDrainBeforeServing(t *testing.T) {
 	require.NoError(t, newDrainFront().Drain(t.Context()))
