Leave a connection that was sent to the newer process to it; wait for jobs in transit

Cause, of three: a connection that the newer process had been sent and had not answered for in time was answered 502 by the older one, while the newer one read it later, ran its job to the end and answered too. A report on a job that was on its way was refused after 500 ms by both processes, also where the other had applied it; a runner repeats a report ten times at most, so its last one was lost. And a job that was released as the newer process ended got 502, though no one else had it. Change: what was written to the link is the newer process's, which reads it to the end, also once the older one has ended; only what was not written, was refused, or was sent to a process that ended is answered here. A report waits up to 2 s for the process that holds its job. A released job that can't move goes on here. An error of the link is no longer taken for an impossible count of bytes. Also: a drain closed a connection that had just been made, as others had been quiet for 125 ms; each has 125 ms now, as a client whose request crossed a close sends it once more and no further.

--- a/cmd/frosttide/shutdown.go
+++ b/cmd/frosttide/shutdown.go
@@ -56,7 +56,7 @@
 	}
 	if p.link.Succeeded() {
 		p.listener.Close()
-		p.front.HandOver(deadline.Add(-closeMargin))
+		p.front.HandOver(deadline.Add(-closeMargin), deadline)
 		p.front.StopBy(deadline)
 	} else {
 		if p.roster != nil {
--- a/internal/dispatcher/handover/link.go
+++ b/internal/dispatcher/handover/link.go
@@ -33,6 +33,9 @@
 	// state or without.
 	dialTimeout  = time.Second
 	stateTimeout = 2 * time.Second
+	// transferAnswerTimeout is how long the newer process may take to say whether it
+	// serves a connection that it has been sent.
+	transferAnswerTimeout = time.Second
 	// maxPath is the longest path, in bytes, that surely fits into the address of a
 	// unix socket.
 	maxPath = 100
@@ -174,7 +177,7 @@
 // Ready notifies the older process that this one serves, and waits until it knows: its
 // SIGTERM comes with the platform's next check.
 func (l *Link) Ready() {
-	if p := l.current(); p != nil && !p.request(message{Ready: true}, time.Now().Add(dialTimeout)) {
+	if p := l.current(); p != nil && p.request(message{Ready: true}, time.Now().Add(dialTimeout)) != taken {
 		l.log.Warn("the older process does not say that it knows of this one")
 	}
 }
@@ -256,12 +259,13 @@
 // the job, by the deadline. What came from there is never passed back.
 func (l *Link) ForwardReport(ev core.JobEvent, deadline time.Time) bool {
 	p := l.current()
-	return p != nil && p.request(message{Event: &ev}, deadline)
+	return p != nil && p.request(message{Event: &ev}, deadline) == taken
 }
 
 // TransferConn passes a client's connection to the other process, with what has been
-// read from it, and reports whether that serves it, by the deadline. The caller still
-// has to close its own copy.
+// read from it, and reports whether that serves it, by the deadline. A connection that
+// the other process has been sent and does not answer for is its own as well: it reads it
+// later, also once this process has ended. The caller still has to close its own copy.
 func (l *Link) TransferConn(c net.Conn, request []byte, m *core.MovedRequest, deadline time.Time) bool {
 	p := l.current()
 	if p == nil {
@@ -273,7 +277,14 @@
 		return false
 	}
 	defer s.close()
-	return p.request(message{Client: &client{Request: request, Moved: m}, socket: s}, deadline)
+	switch p.request(message{Client: &client{Request: request, Moved: m}, socket: s}, deadline) {
+	case taken:
+		return true
+	case refused:
+		return false
+	default:
+		return s.close() && !p.ended.Load()
+	}
 }
 
 // Close ends the link. It removes the socket unless that is a newer process's.
--- a/internal/dispatcher/handover/peer.go
+++ b/internal/dispatcher/handover/peer.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,7 @@
 	scanner *bufio.Scanner
 	mailbox *mailbox.Box[message] // messages to write
 	serving atomic.Bool           // it has said that it serves
+	ended   atomic.Bool           // it has closed the link, as its process has ended
 	done    chan struct{}         // closed at the link's end
 	once    sync.Once
 
@@ -78,9 +80,9 @@
 	})
 }
 
-// writeLoop writes the messages of the mailbox, and heartbeats, until the link ends.
+// writeLoop writes the messages of the mailbox, and heartbeats, until the link ends. Where
+// the other process has closed it, readLoop reads what that has sent before.
 func (p *peer) writeLoop() {
-	defer p.end()
 	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	var mail []message
@@ -97,6 +99,9 @@
 		for _, m := range mail {
 			if err := p.writeMessage(m); err != nil {
 				p.link.log.WithError(err).Debug("link ends")
+				if !errors.Is(err, syscall.EPIPE) && !errors.Is(err, syscall.ECONNRESET) {
+					p.end()
+				}
 				return
 			}
 		}
@@ -159,6 +164,7 @@
 		m, err := p.readMessage(time.Now().Add(silenceTimeout))
 		if err != nil {
 			p.link.log.WithError(err).Debug("link ends")
+			p.ended.Store(errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET))
 			return
 		}
 		p.handle(m)
@@ -188,9 +194,18 @@
 	p.mailbox.Put(message{Number: request.Number, Took: took})
 }
 
-// request sends a request and reports whether the other process took what it carries,
-// by the deadline.
-func (p *peer) request(m message, deadline time.Time) bool {
+// outcome is what became of a request to the other process.
+type outcome uint8
+
+const (
+	unanswered outcome = iota // by the deadline, or the link has ended before
+	taken                     // the other process has taken what the request carries
+	refused                   // it has not
+)
+
+// request sends a request and returns what became of it by the deadline. One that carries
+// a connection is waited for no longer than transferAnswerTimeout once it was sent.
+func (p *peer) request(m message, deadline time.Time) outcome {
 	took := make(chan bool, 1)
 	p.mu.Lock()
 	p.lastNumber++
@@ -205,13 +220,25 @@
 	p.mailbox.Put(m)
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
-	select {
-	case ok := <-took:
-		return ok
-	case <-timer.C:
-	case <-p.done:
+	tick := time.NewTicker(transferAnswerTimeout)
+	defer tick.Stop()
+	for {
+		select {
+		case ok := <-took:
+			if ok {
+				return taken
+			}
+			return refused
+		case <-tick.C:
+			if m.socket != nil && m.socket.isSent() {
+				return unanswered
+			}
+		case <-timer.C:
+			return unanswered
+		case <-p.done:
+			return unanswered
+		}
 	}
-	return false
 }
 
 // resolve passes on the response to a request, if somebody still waits for it.
--- a/internal/dispatcher/handover/socket.go
+++ b/internal/dispatcher/handover/socket.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -15,8 +16,9 @@
 // socket is a copy of a connection's descriptor on its way to another process. Its
 // maker closes it.
 type socket struct {
-	mu sync.Mutex
-	fd int // -1 when it is closed
+	mu   sync.Mutex
+	fd   int  // -1 when it is closed
+	sent bool // the other process gets it, unless it ends before it has read it
 }
 
 // duplicate makes a copy of a connection's descriptor. The connection may be wrapped.
@@ -58,17 +60,26 @@
 	if err == nil && n < len(line) {
 		_, err = to.Write(line[n:])
 	}
+	s.sent = err == nil
 	return err
 }
 
-// close closes the copy.
-func (s *socket) close() {
+// isSent reports whether the copy was sent.
+func (s *socket) isSent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
+// close closes the copy, which is not sent any more, and reports whether it was.
+func (s *socket) close() (sent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fd >= 0 {
 		syscall.Close(s.fd)
 		s.fd = -1
 	}
+	return s.sent
 }
 
 // descriptorReader reads a link and keeps the descriptors that come beside the bytes,
@@ -88,10 +99,13 @@
 			r.fds = append(r.fds, fds...)
 		}
 	}
-	if n == 0 && err == nil {
-		return 0, net.ErrClosed
+	switch {
+	case err != nil:
+		return max(n, 0), err // n is -1 after an error of the system
+	case n == 0:
+		return 0, io.EOF
 	}
-	return n, err
+	return n, nil
 }
 
 // nextConn returns the connection that came first and has not been returned. Without
--- a/internal/dispatcher/ingress/callbacks.go
+++ b/internal/dispatcher/ingress/callbacks.go
@@ -59,21 +59,46 @@
 }
 
 // deliver passes a report to the process that holds the job, and reports whether
-// that has it. With one process nobody waits for that. With two, the worker has to
-// repeat a report on a job of the other process which that has not taken.
+// that has it. With one process nobody waits for that. With two, the job may be on
+// its way from one to the other, so it is tried again for a while; after that the
+// worker has to repeat the report.
 func (f *Front) deliver(report core.JobEvent) bool {
-	if !f.peer.Linked() {
-		f.core.Report(report, func(bool) {})
-		return true
+	deadline := f.reportDeadline()
+	for {
+		if !f.peer.Linked() {
+			f.core.Report(report, func(bool) {})
+			return true
+		}
+		if f.deliverHere(report, deadline) || f.peer.ForwardReport(report, deadline) {
+			return true
+		}
+		if time.Until(deadline) < reportRetryInterval {
+			return false
+		}
+		time.Sleep(reportRetryInterval)
 	}
-	deadline := time.Now().Add(forwardTimeout)
+}
+
+// reportDeadline returns until when a report that comes now may be delivered: before
+// the process has to have answered everything.
+func (f *Front) reportDeadline() time.Time {
+	deadline := time.Now().Add(reportTimeout)
+	if answerBy := f.answerBy.Load(); answerBy != nil && answerBy.Before(deadline) {
+		return *answerBy
+	}
+	return deadline
+}
+
+// deliverHere passes a report to this process's core, and reports whether that holds
+// the job.
+func (f *Front) deliverHere(report core.JobEvent, deadline time.Time) bool {
 	held := make(chan bool, 1)
 	f.core.Report(report, func(here bool) { held <- here })
 	timeout := time.NewTimer(time.Until(deadline))
 	defer timeout.Stop()
 	select {
 	case here := <-held:
-		return here || f.peer.ForwardReport(report, deadline)
+		return here
 	case <-timeout.C:
 		return false
 	}
--- a/internal/dispatcher/ingress/conn_test.go
+++ b/internal/dispatcher/ingress/conn_test.go
@@ -78,8 +78,8 @@
 		retire func(*connListener)
 		isNew  bool // nothing has been read from the connection before
 	}{
-		{"planned end", func(l *connListener) { l.retireIdle(true) }, false},
-		{"planned end of a new one", func(l *connListener) { l.retireIdle(true) }, true},
+		{"planned end", func(l *connListener) { l.retireIdle(time.Now()) }, false},
+		{"planned end of a new one", func(l *connListener) { l.retireIdle(time.Now()) }, true},
 		{"past the limit", func(l *connListener) { l.setMaxOpen(0) }, false},
 	} {
 		retired := func(t *testing.T) (*connListener, *scriptedConn, *conn, <-chan readResult) {
@@ -116,7 +116,7 @@
 			if at, _ := scripted.state(); time.Until(at) < requestTimeout/2 {
 				t.Errorf("the rest of the request has until %v from now", time.Until(at))
 			}
-			if partial := l.retireIdle(true); partial != 1 {
+			if partial := l.retireIdle(time.Now()); partial != 1 {
 				t.Errorf("%d requests have begun, want 1", partial)
 			}
 			if _, closed := scripted.state(); closed {
--- a/internal/dispatcher/ingress/drain.go
+++ b/internal/dispatcher/ingress/drain.go
@@ -28,11 +28,12 @@
 
 // HandOver leaves all jobs to a newer process, also those that come on the
 // connections that are open. The caller has closed the listener. It returns when no
-// connection is left, when the newer process has ended, or at the deadline. A kept
-// connection is handed over with its next request, not before, so that no request
-// crosses its close.
-func (f *Front) HandOver(deadline time.Time) {
-	f.handOverBy.Store(&deadline)
+// connection is left, when the newer process has ended, or at the deadline; a
+// connection that is on its way then has until answered. A kept connection is
+// handed over with its next request, not before, so that no request crosses its
+// close.
+func (f *Front) HandOver(deadline, answered time.Time) {
+	f.answerBy.Store(&answered)
 	close(f.handingOver)
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
@@ -69,13 +70,11 @@
 // while, or the context ends.
 func (f *Front) awaitQuiet(ctx context.Context, tick <-chan time.Time) {
 	for lastActive := time.Now(); ; {
-		quiet := time.Since(lastActive)
-		includeNew := quiet > newConnWait
-		partial := f.listener.retireIdle(includeNew)
+		partial := f.listener.retireIdle(newConnsSince(lastActive))
 		if f.activeRequests.Load() > 0 || partial > 0 {
 			lastActive = time.Now()
 		}
-		if f.listener.count() == 0 || quiet >= drainQuiet {
+		if f.listener.count() == 0 || time.Since(lastActive) >= drainQuiet {
 			return
 		}
 		select {
@@ -86,12 +85,21 @@
 	}
 }
 
+// newConnsSince returns since when new connections must have sent nothing to be
+// retired: for newConnWait each, and none while there is activity on others.
+func newConnsSince(lastActive time.Time) time.Time {
+	if time.Since(lastActive) <= newConnWait {
+		return time.Time{}
+	}
+	return time.Now().Add(-newConnWait)
+}
+
 // awaitClosed waits until the requests on the last connections are answered and these
 // have ended, or the context ends. net/http keeps a connection half open for half a
 // second, so that a response that its client has not read yet is not lost to a reset.
 func (f *Front) awaitClosed(ctx context.Context, tick <-chan time.Time) {
 	for lastActive := time.Now(); f.listener.count() > 0 && time.Since(lastActive) < closeTimeout; {
-		f.listener.retireIdle(time.Since(lastActive) > newConnWait)
+		f.listener.retireIdle(newConnsSince(lastActive))
 		if f.activeRequests.Load() > 0 {
 			lastActive = time.Now()
 		}
--- a/internal/dispatcher/ingress/drain_test.go
+++ b/internal/dispatcher/ingress/drain_test.go
@@ -130,7 +130,7 @@
 			defer client.Close()
 			_, err = io.WriteString(client, tc.sent)
 			require.NoError(t, err)
-			require.Eventually(t, func() bool { return front.listener.retireIdle(false) == 1 }, 10*time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return front.listener.retireIdle(time.Time{}) == 1 }, 10*time.Second, time.Millisecond)
 			front.activeRequests.Store(tc.open)
 			ctx, cancel := context.WithTimeout(t.Context(), acceptDelay)
 			defer cancel()
@@ -144,6 +144,22 @@
 	}
 }
 
+// TestRetireIdleSparesNewest guards a client that sends once more on a new connection, as a drain's close has crossed its
+// request: the new connection was closed as well, as others had been quiet for long enough.
+func TestRetireIdleSparesNewest(t *testing.T) {
+	listener := &connListener{maxOpen: 2}
+	_, earlier := connPair(t)
+	_, later := connPair(t)
+	first := listener.admit(earlier, nil, nil)
+	since := time.Now()
+	second := listener.admit(later, nil, nil)
+	listener.retireIdle(since)
+	require.True(t, first.isRetired())
+	require.False(t, second.isRetired())
+	require.Zero(t, newConnsSince(time.Now()))
+	require.WithinDuration(t, time.Now().Add(-newConnWait), newConnsSince(time.Now().Add(-drainQuiet)), newConnWait/2)
+}
+
 // TestDrainBeforeServing checks that a front that does not serve yet drains at once.
 func TestDrainBeforeServing(t *testing.T) {
 	require.NoError(t, newDrainFront().Drain(t.Context()))
--- a/internal/dispatcher/ingress/ingress.go
+++ b/internal/dispatcher/ingress/ingress.go
@@ -45,8 +45,15 @@
 	// crowdedRetryAfter is when a client may retry that was rejected past the limit
 	// of open jobs.
 	crowdedRetryAfter = 500 * time.Millisecond
-	// forwardTimeout is how long a report may take to the process that holds its job.
-	forwardTimeout = 500 * time.Millisecond
+	// reportTimeout is how long a report may wait for a process that holds its job. A
+	// worker repeats a report that is not taken, but only a few times.
+	reportTimeout = 2 * time.Second
+	// reportRetryInterval is the time between two attempts to deliver a report on a
+	// job that no process holds: the job may be on its way from one to the other.
+	reportRetryInterval = 100 * time.Millisecond
+	// rejectionTimeout is how long the response may take to a client that could not
+	// be handed over.
+	rejectionTimeout = 500 * time.Millisecond
 	// summaryInterval is the time between two logged summaries of what was turned
 	// away; one without anything is left out.
 	summaryInterval = 10 * time.Second
@@ -150,7 +157,7 @@
 	draining    atomic.Bool               // each response ends its connection
 	stopBy      atomic.Pointer[time.Time] // when everything has to be answered; nil before the planned end
 	handingOver chan struct{}             // closed when all jobs go to a newer process
-	handOverBy  atomic.Pointer[time.Time] // until when they do; nil before
+	answerBy    atomic.Pointer[time.Time] // until when each of them has an outcome; nil before
 }
 
 // New makes a front that does not serve yet.
--- a/internal/dispatcher/ingress/jobs.go
+++ b/internal/dispatcher/ingress/jobs.go
@@ -153,13 +153,10 @@
 			if m == nil {
 				continue // its response is on the way
 			}
-			if !f.transfer(w, r, m, job.Body) {
-				f.endRecord(m.Record, trace.Failed, "hand_over", http.StatusBadGateway)
-				f.counts.Failed(job.Class)
-				w.Header().Set("Connection", "close")
-				http.Error(w, "the job failed", http.StatusBadGateway)
+			if f.transfer(w, r, m, job.Body) {
+				return
 			}
-			return
+			f.core.Adopt(job, m, pending) // the newer process has ended
 		}
 	}
 }
--- a/internal/dispatcher/ingress/listener.go
+++ b/internal/dispatcher/ingress/listener.go
@@ -159,21 +159,24 @@
 	l.evict(nil)
 }
 
-// retireIdle ends the connections that are idle between requests, and with
-// includeNew those that have sent nothing yet. It returns how many have begun a
-// request that is not whole.
-func (l *connListener) retireIdle(includeNew bool) (partial int) {
+// retireIdle ends the connections that are idle between requests, and those that
+// have sent nothing since a time. It returns how many have begun a request that is
+// not whole.
+func (l *connListener) retireIdle(newSince time.Time) (partial int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	classes := []int{idleClients, idleRunners}
-	if includeNew {
-		classes = append(classes, newConns)
-	}
-	for _, class := range classes {
+	for _, class := range []int{idleClients, idleRunners} {
 		for l.evictable[class].Len() > 0 {
 			l.evictable[class].Front().Value.(*conn).retire()
 		}
 	}
+	for e := l.evictable[newConns].Front(); e != nil; e = l.evictable[newConns].Front() {
+		c := e.Value.(*conn)
+		if c.listedAt.After(newSince) { // the longest quiet is first
+			break
+		}
+		c.retire()
+	}
 	return l.evictable[partialRequests].Len()
 }
 
--- a/internal/dispatcher/ingress/nextrequest_test.go
+++ b/internal/dispatcher/ingress/nextrequest_test.go
@@ -42,7 +42,7 @@
 	if at, _ := scripted.state(); time.Until(at) > requestTimeout {
 		t.Errorf("the rest of the request has until %v from now", time.Until(at))
 	}
-	require.Equal(t, 1, l.retireIdle(true), "a request has begun")
+	require.Equal(t, 1, l.retireIdle(time.Now()), "a request has begun")
 	require.False(t, c.isRetired(), "a request has begun")
 	scripted.returns <- "OST / HTTP/1.1\r\n\r\n"
 	_, err = c.Read(make([]byte, 64))
--- a/internal/dispatcher/ingress/parse_test.go
+++ b/internal/dispatcher/ingress/parse_test.go
@@ -47,7 +47,7 @@
 	f := New(Config{}, nil, nil, nil, logrus.NewEntry(logrus.New()))
 	now := time.Now()
 	end := now.Add(3 * time.Second)
-	f.handOverBy.Store(&end)
+	f.answerBy.Store(&end)
 	for name, tc := range map[string]struct{ deadline, want time.Time }{
 		"the process ends first":        {now.Add(time.Minute), end},
 		"the job's deadline ends first": {now.Add(time.Second), now.Add(time.Second)},
--- a/internal/dispatcher/ingress/transfer.go
+++ b/internal/dispatcher/ingress/transfer.go
@@ -12,6 +12,10 @@
 	"frosttide/internal/dispatcher/trace"
 )
 
+// transferMargin is how long before the end of all answers a transfer without an outcome fails, so that its client still
+// gets a response.
+const transferMargin = 100 * time.Millisecond
+
 // handsOver reports whether all jobs go to a newer process now.
 func (f *Front) handsOver() bool {
 	select {
@@ -65,20 +69,14 @@
 		status, result = http.StatusServiceUnavailable, trace.Refused
 	}
 	f.endRecord(m.Record, result, "hand_over", status)
-	_ = c.SetWriteDeadline(time.Now().Add(forwardTimeout))
+	_ = c.SetWriteDeadline(time.Now().Add(rejectionTimeout))
 	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 }
 
-// transferDeadline returns when a job has to be at the newer process: before its own
-// deadline, and while this process goes on. Forwarded reports have less time: on a
-// busy machine, of 200 connections handed over at once, some took more than their
-// 500 ms, and failed while the newer process went on with them. A newer process that
-// stalls ends the link.
+// transferDeadline returns when a job has to be at the newer process: before its own deadline, and while this process
+// can still respond to its client. A newer process that stalls ends the link.
 func (f *Front) transferDeadline(m *core.MovedRequest) time.Time {
-	deadline := time.Now().Add(forwardTimeout)
-	if until := f.handOverBy.Load(); until != nil && until.After(deadline) {
-		deadline = *until
-	}
+	deadline := f.answerBy.Load().Add(-transferMargin)
 	if jobDeadline := monotime.Time(m.Deadline); jobDeadline.Before(deadline) {
 		return jobDeadline
 	}
--- /dev/null
+++ b/internal/dispatcher/ingress/transfer_test.go
@@ -0,0 +1,160 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"frosttide/internal/dispatcher/core"
+)
+
+// newerPeer is a newer process that serves until it ends.
+type newerPeer struct {
+	Peer
+	mu       sync.Mutex
+	ended    bool
+	forwards int // reports passed on
+}
+
+func (p *newerPeer) Linked() bool { return p.Succeeded() }
+
+func (p *newerPeer) Succeeded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.ended
+}
+
+// end ends the newer process.
+func (p *newerPeer) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+}
+
+// ForwardReport implements Peer: the newer process has the job from the third report on.
+func (p *newerPeer) ForwardReport(core.JobEvent, time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forwards++
+	return p.forwards >= 3
+}
+
+// holdingCore holds every job until the test has it served. A release happens at once.
+type holdingCore struct {
+	Core
+	mu        sync.Mutex
+	ingress   map[string]core.Ingress
+	released  int
+	adopted   int
+	onRelease func()
+}
+
+func (c *holdingCore) Submit(job *core.Job, in core.Ingress) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ingress[job.ID] = in
+}
+
+func (c *holdingCore) Release(job *core.Job, done func(*core.MovedRequest)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ingress[job.ID] == nil {
+		done(nil)
+		return
+	}
+	delete(c.ingress, job.ID)
+	c.released++
+	if c.onRelease != nil {
+		c.onRelease()
+	}
+	done(&core.MovedRequest{Attempts: []core.MovedAttempt{{UID: "s-1"}}})
+}
+
+func (c *holdingCore) Adopt(job *core.Job, _ *core.MovedRequest, in core.Ingress) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.adopted++
+	c.ingress[job.ID] = in
+}
+
+func (c *holdingCore) Report(_ core.JobEvent, held func(bool)) { held(false) }
+
+func (c *holdingCore) ClientLeft(*core.Job) {}
+
+// counts returns how many jobs are held, and how many were released and adopted.
+func (c *holdingCore) counts() (held, released, adopted int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.ingress), c.released, c.adopted
+}
+
+// serveAll serves all jobs that are held.
+func (c *holdingCore) serveAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, in := range c.ingress {
+		in.Respond(core.Response{Verdict: core.Served, Result: []byte("result")})
+		delete(c.ingress, id)
+	}
+}
+
+// startHoldingFront starts a front and has clients send a job each, and returns once the core holds all of them.
+func startHoldingFront(t *testing.T, jobs *holdingCore, peer Peer, clients int) (front *Front, responses <-chan int) {
+	t.Helper()
+	cfg := Config{Classes: []Class{{Name: "a"}}, MaxSlots: 8, MaxJobs: clients, MaxConnections: clients, Recorder: noRecorder{}}
+	front = New(cfg, jobs, peer, noCounts{}, logrus.NewEntry(logrus.New()))
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = front.Serve(listener) }()
+	t.Cleanup(func() { _ = front.server.Close() })
+	statuses := make(chan int, clients)
+	for i := range clients {
+		client, err := net.Dial("tcp4", listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { client.Close() })
+		_, err = io.WriteString(client, strings.Replace(oneJob, "Trace-Id: one", fmt.Sprintf("Trace-Id: job-%d", i), 1))
+		require.NoError(t, err)
+		go func() {
+			response, err := http.ReadResponse(bufio.NewReader(client), nil)
+			if err != nil {
+				statuses <- 0 // the newer process has it, or nobody
+				return
+			}
+			statuses <- response.StatusCode
+		}()
+	}
+	requireEventually(t, func() bool { held, _, _ := jobs.counts(); return held == clients })
+	return front, statuses
+}
+
+func requireEventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, 20*time.Second, time.Millisecond)
+}
+
+// TestNewerProcessEndsAtRelease guards a client from 502 where the newer process ends when its job has been released.
+func TestNewerProcessEndsAtRelease(t *testing.T) {
+	peer := &newerPeer{}
+	jobs := &holdingCore{ingress: map[string]core.Ingress{}, onRelease: peer.end}
+	front, responses := startHoldingFront(t, jobs, peer, 1)
+	front.HandOver(time.Now().Add(time.Hour), time.Now().Add(time.Hour))
+	requireEventually(t, func() bool { held, _, adopted := jobs.counts(); return held == 1 && adopted == 1 })
+	jobs.serveAll()
+	require.Equal(t, http.StatusOK, <-responses)
+}
+
+// TestReportOnJobInTransit guards jobs whose runner reports while they are on their way to the newer process: the report
+// was refused, and a runner repeats it only ten times.
+func TestReportOnJobInTransit(t *testing.T) {
+	front := New(Config{}, &holdingCore{}, &newerPeer{}, noCounts{}, logrus.NewEntry(logrus.New()))
+	require.True(t, front.deliver(core.JobEvent{ID: "one"}))
+}
