Compare versions only with a discovery that counts them alike; leave a hung newer process no connection

A discovery that answers a watch with changes to a lower version counts otherwise, so its full list is not held against the version in force (TestReload). A newer process that says nothing on the link any more gets no connection left to it (TestSuccessorFails/stopped). A report on a job that neither process knows is answered after 500 ms, as the job may be on its way (TestUpgrade).

--- a/internal/dispatcher/handover/link.go
+++ b/internal/dispatcher/handover/link.go
@@ -264,8 +264,9 @@
 
 // TransferConn passes a client's connection to the other process, with what has been
 // read from it, and reports whether that serves it, by the deadline. A connection that
-// the other process has been sent and does not answer for is its own as well: it reads it
-// later, also once this process has ended. The caller still has to close its own copy.
+// the other process has been sent and does not answer for is its own as well while the
+// link lasts: it reads it later, also once this process has ended. The caller still has to
+// close its own copy.
 func (l *Link) TransferConn(c net.Conn, request []byte, m *core.MovedRequest, deadline time.Time) bool {
 	p := l.current()
 	if p == nil {
@@ -283,7 +284,7 @@
 	case refused:
 		return false
 	default:
-		return s.close() && !p.ended.Load()
+		return s.close() && p.alive()
 	}
 }
 
--- a/internal/dispatcher/handover/peer.go
+++ b/internal/dispatcher/handover/peer.go
@@ -30,15 +30,15 @@
 // peer is the other process of the dispatcher. Each wait on it is bounded, and
 // whatever it does other than speak in time ends the link.
 type peer struct {
-	link    *Link
-	conn    *net.UnixConn
-	reader  *descriptorReader
-	scanner *bufio.Scanner
-	mailbox *mailbox.Box[message] // messages to write
-	serving atomic.Bool           // it has said that it serves
-	ended   atomic.Bool           // it has closed the link, as its process has ended
-	done    chan struct{}         // closed at the link's end
-	once    sync.Once
+	link        *Link
+	conn        *net.UnixConn
+	reader      *descriptorReader
+	scanner     *bufio.Scanner
+	mailbox     *mailbox.Box[message] // messages to write
+	serving     atomic.Bool           // it has said that it serves
+	lastContact atomic.Int64          // when it was heard of last, in ns since 1970
+	done        chan struct{}         // closed at the link's end
+	once        sync.Once
 
 	mu         sync.Mutex
 	lastNumber uint64
@@ -164,9 +164,9 @@
 		m, err := p.readMessage(time.Now().Add(silenceTimeout))
 		if err != nil {
 			p.link.log.WithError(err).Debug("link ends")
-			p.ended.Store(errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET))
 			return
 		}
+		p.lastContact.Store(time.Now().UnixNano())
 		p.handle(m)
 	}
 }
@@ -204,9 +204,10 @@
 )
 
 // request sends a request and returns what became of it by the deadline. One that carries
-// a connection is waited for no longer than transferAnswerTimeout once it was sent.
+// a connection is waited for no longer than transferAnswerTimeout if the other process
+// goes on.
 func (p *peer) request(m message, deadline time.Time) outcome {
-	took := make(chan bool, 1)
+	took, begun := make(chan bool, 1), time.Now().UnixNano()
 	p.mu.Lock()
 	p.lastNumber++
 	m.Number = p.lastNumber
@@ -230,7 +231,7 @@
 			}
 			return refused
 		case <-tick.C:
-			if m.socket != nil && m.socket.isSent() {
+			if m.socket != nil && m.socket.isSent() && p.lastContact.Load() > begun {
 				return unanswered
 			}
 		case <-timer.C:
@@ -241,6 +242,16 @@
 	}
 }
 
+// alive reports whether the link has not ended.
+func (p *peer) alive() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // resolve passes on the response to a request, if somebody still waits for it.
 func (p *peer) resolve(number uint64, took bool) {
 	p.mu.Lock()
--- a/internal/dispatcher/ingress/callbacks.go
+++ b/internal/dispatcher/ingress/callbacks.go
@@ -64,7 +64,7 @@
 // worker has to repeat the report.
 func (f *Front) deliver(report core.JobEvent) bool {
 	deadline := f.reportDeadline()
-	for {
+	for lastAttempt := time.Now().Add(transitTime - reportRetryInterval); ; {
 		if !f.peer.Linked() {
 			f.core.Report(report, func(bool) {})
 			return true
@@ -72,7 +72,7 @@
 		if f.deliverHere(report, deadline) || f.peer.ForwardReport(report, deadline) {
 			return true
 		}
-		if time.Until(deadline) < reportRetryInterval {
+		if time.Now().After(lastAttempt) || time.Until(deadline) < reportRetryInterval {
 			return false
 		}
 		time.Sleep(reportRetryInterval)
--- a/internal/dispatcher/ingress/ingress.go
+++ b/internal/dispatcher/ingress/ingress.go
@@ -48,8 +48,10 @@
 	// reportTimeout is how long a report may wait for a process that holds its job. A
 	// worker repeats a report that is not taken, but only a few times.
 	reportTimeout = 2 * time.Second
-	// reportRetryInterval is the time between two attempts to deliver a report on a
-	// job that no process holds: the job may be on its way from one to the other.
+	// transitTime is how long a report waits where neither process holds its job, as
+	// that may be on its way from one to the other, and reportRetryInterval the time
+	// between two attempts to deliver it.
+	transitTime         = 500 * time.Millisecond
 	reportRetryInterval = 100 * time.Millisecond
 	// rejectionTimeout is how long the response may take to a client that could not
 	// be handed over.
--- a/internal/dispatcher/routetable/call.go
+++ b/internal/dispatcher/routetable/call.go
@@ -78,7 +78,7 @@
 		return // the call has been cancelled
 	}
 	if update.Version != nil && *update.Version < t.version {
-		if c.watch && !c.complete && !update.Full {
+		if c.watch && !update.Full && (t.relocated || !c.complete) {
 			c.cancel(errVersionsDiffer)
 			return
 		}
--- a/internal/dispatcher/routetable/watch.go
+++ b/internal/dispatcher/routetable/watch.go
@@ -27,7 +27,7 @@
 	t.startCall("?watch=1&from="+strconv.FormatUint(t.version, 10), true, func(t *Table, err error) error {
 		t.watching, t.watchComplete = false, false
 		if errors.Is(err, errVersionsDiffer) {
-			t.versionKnown = false
+			t.version, t.versionKnown = 0, false // the next full list can't be compared with the one in force
 			t.fetchThenWatch()
 			return nil
 		}
