Tell a job that is on its way from one that no process knows

A core now says which jobs it has released: only reports on these wait. The answer on the link has one more field, which an earlier program ignores.

--- a/internal/dispatcher/core/api.go
+++ b/internal/dispatcher/core/api.go
@@ -164,6 +164,16 @@
 	decision.Member
 }
 
+// ReportResult is whether a process holds the job that a report is on.
+type ReportResult uint8
+
+// The results.
+const (
+	NotHeld ReportResult = iota // the job is unknown, or has its response
+	Held
+	Moving // the process has released the job to another one, which may not hold it yet
+)
+
 // JobState is what a worker reports of a job.
 type JobState uint8
 
--- a/internal/dispatcher/core/core.go
+++ b/internal/dispatcher/core/core.go
@@ -59,6 +59,7 @@
 	awaitingAdmission map[*Job]bool                    // jobs held back or looked up in the outcome store, whose clients are still there
 	heldBack          *heldBackJobs                    // nil once discovery has answered
 	releasing         map[*request]func(*MovedRequest) // requests that will go to another process
+	released          map[string]bool                  // the IDs of those that have gone, at the end of this process
 	stopAt            time.Duration                    // when the process may be ended; 0 before StopBy
 
 	// Workers.
@@ -113,6 +114,7 @@
 		byID:              map[string]*request{},
 		awaitingAdmission: map[*Job]bool{},
 		releasing:         map[*request]func(*MovedRequest){},
+		released:          map[string]bool{},
 
 		workers:         map[string]*worker{},
 		workersByNumber: map[decision.WorkerID]*worker{},
--- a/internal/dispatcher/core/handover.go
+++ b/internal/dispatcher/core/handover.go
@@ -135,6 +135,7 @@
 			continue
 		}
 		delete(c.releasing, r)
+		c.released[r.job.ID] = true
 		r.record = nil // the other process goes on with it
 		c.closeRequest(r)
 		c.addEvent(decision.Event{Type: decision.RequestCanceled, Request: r.id})
--- a/internal/dispatcher/core/reports.go
+++ b/internal/dispatcher/core/reports.go
@@ -2,16 +2,27 @@
 
 import "frosttide/decision"
 
-// Report takes a worker's report on a job, and passes to held whether the job is
-// open in this process. A report that names no attempt that is out, such as a
+// Report takes a worker's report on a job, and passes to held whether this process
+// holds the job. A report that names no attempt that is out, such as a
 // repeated one or one on a canceled attempt, changes nothing.
-func (c *Core) Report(ev JobEvent, held func(bool)) {
+func (c *Core) Report(ev JobEvent, held func(ReportResult)) {
 	c.mailbox.Put(func(c *Core) {
-		held(c.byID[ev.ID] != nil)
+		held(c.reportResult(ev.ID))
 		c.handleReport(ev)
 	})
 }
 
+// reportResult returns whether this process holds the job of a report.
+func (c *Core) reportResult(id string) ReportResult {
+	switch {
+	case c.byID[id] != nil:
+		return Held
+	case c.released[id]:
+		return Moving
+	}
+	return NotHeld
+}
+
 // handleReport finds the attempt that a report is on.
 func (c *Core) handleReport(ev JobEvent) {
 	r := c.byID[ev.ID]
--- a/internal/dispatcher/gearman/server.go
+++ b/internal/dispatcher/gearman/server.go
@@ -33,7 +33,7 @@
 type Core interface {
 	Submit(*core.Job, core.Ingress)
 	ClientLeft(*core.Job)
-	Report(ev core.JobEvent, took func(bool))
+	Report(ev core.JobEvent, held func(core.ReportResult))
 	AttemptAccepted(core.AttemptRef, core.Delivery)
 	AttemptEnded(core.AttemptRef, decision.Outcome, []float32, core.Delivery)
 	AttemptRecalled(ref core.AttemptRef, known bool)
--- a/internal/dispatcher/gearman/session_test.go
+++ b/internal/dispatcher/gearman/session_test.go
@@ -47,13 +47,13 @@
 	recorder.called[ref]++
 }
 
-func (recorder *recordingCore) Report(ev core.JobEvent, took func(bool)) {
+func (recorder *recordingCore) Report(ev core.JobEvent, held func(core.ReportResult)) {
 	recorder.mu.Lock()
 	defer recorder.mu.Unlock()
 	if ev.State == core.JobDone || ev.State == core.JobFailed {
 		recorder.ends[recorder.byID[ev.ID]] = append(recorder.ends[recorder.byID[ev.ID]], "reported")
 	}
-	took(true)
+	held(core.Held)
 }
 
 func (recorder *recordingCore) RoutesChanged(routes []core.Route) {
--- a/internal/dispatcher/gearman/workers.go
+++ b/internal/dispatcher/gearman/workers.go
@@ -290,7 +290,7 @@
 // report passes an event of a job to the core.
 func (x *session) report(r *run, ev core.JobEvent) {
 	ev.ID, ev.From = r.attempt.Job.ID, x.worker.uid
-	x.server.core.Report(ev, func(bool) {})
+	x.server.core.Report(ev, func(core.ReportResult) {})
 }
 
 // handleWorkerUpdate handles a worker's packet about its job. It refuses one about a job that the
--- a/internal/dispatcher/handover/link.go
+++ b/internal/dispatcher/handover/link.go
@@ -47,7 +47,7 @@
 	Snapshot(to func(core.Snapshot))
 	Restore(core.Snapshot)
 	ApplyExclusion(core.Exclusion)
-	Report(ev core.JobEvent, held func(bool))
+	Report(ev core.JobEvent, held func(core.ReportResult))
 }
 
 // RouteTable is the list of workers as the link uses it. It does not block.
@@ -255,11 +255,20 @@
 	}
 }
 
-// ForwardReport passes a report to the other process and reports whether that held
-// the job, by the deadline. What came from there is never passed back.
-func (l *Link) ForwardReport(ev core.JobEvent, deadline time.Time) bool {
+// ForwardReport passes a report to the other process and returns whether that held the
+// job, by the deadline. What came from there is never passed back.
+func (l *Link) ForwardReport(ev core.JobEvent, deadline time.Time) core.ReportResult {
 	p := l.current()
-	return p != nil && p.request(message{Event: &ev}, deadline) == taken
+	if p == nil {
+		return core.NotHeld
+	}
+	switch p.request(message{Event: &ev}, deadline) {
+	case taken:
+		return core.Held
+	case moving:
+		return core.Moving
+	}
+	return core.NotHeld
 }
 
 // TransferConn passes a client's connection to the other process, with what has been
--- a/internal/dispatcher/handover/messages.go
+++ b/internal/dispatcher/handover/messages.go
@@ -29,6 +29,7 @@
 	Event     *core.JobEvent  `json:"event,omitempty"`  // a report on a job that the sender doesn't hold
 	Number    uint64          `json:"number,omitempty"` // of a request on the link, and of the response to it
 	Took      bool            `json:"took,omitempty"`   // the response
+	Moving    bool            `json:"moving,omitempty"` // in it: the job was released to the receiver, or is about to come
 	Client    *client         `json:"client,omitempty"` // a connection, whose descriptor comes beside the line
 
 	socket *socket // the descriptor of Client, at the sender
--- a/internal/dispatcher/handover/peer.go
+++ b/internal/dispatcher/handover/peer.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"frosttide/internal/dispatcher/core"
 	"frosttide/internal/mailbox"
 )
 
@@ -42,7 +43,7 @@
 
 	mu         sync.Mutex
 	lastNumber uint64
-	pending    map[uint64]chan bool // requests without a response
+	pending    map[uint64]chan outcome // requests without a response
 }
 
 // newPeer makes the peer on a connection, which belongs to the peer from then on.
@@ -55,7 +56,7 @@
 		scanner: bufio.NewScanner(reader),
 		mailbox: mailbox.New[message](),
 		done:    make(chan struct{}),
-		pending: map[uint64]chan bool{},
+		pending: map[uint64]chan outcome{},
 	}
 	p.scanner.Buffer(nil, maxMessage)
 	return p
@@ -180,12 +181,12 @@
 	case m.Exclusion != nil:
 		p.link.core.ApplyExclusion(*m.Exclusion)
 	case m.Event != nil:
-		p.link.core.Report(*m.Event, func(held bool) { p.respond(m, held) })
+		p.link.core.Report(*m.Event, func(h core.ReportResult) { p.respondToReport(m, h) })
 	case m.Client != nil:
 		c, err := p.reader.nextConn()
 		p.respond(m, err == nil && p.link.adopt(c, m.Client.Request, m.Client.Moved))
 	case m.Number > 0:
-		p.resolve(m.Number, m.Took)
+		p.resolve(m)
 	}
 }
 
@@ -194,6 +195,11 @@
 	p.mailbox.Put(message{Number: request.Number, Took: took})
 }
 
+// respondToReport responds to a report that the other process has passed on.
+func (p *peer) respondToReport(request message, h core.ReportResult) {
+	p.mailbox.Put(message{Number: request.Number, Took: h == core.Held, Moving: h == core.Moving})
+}
+
 // outcome is what became of a request to the other process.
 type outcome uint8
 
@@ -201,17 +207,18 @@
 	unanswered outcome = iota // by the deadline, or the link has ended before
 	taken                     // the other process has taken what the request carries
 	refused                   // it has not
+	moving                    // it has not, as the job of the report is on its way here
 )
 
 // request sends a request and returns what became of it by the deadline. One that carries
 // a connection is waited for no longer than transferAnswerTimeout if the other process
 // goes on.
 func (p *peer) request(m message, deadline time.Time) outcome {
-	took, begun := make(chan bool, 1), time.Now().UnixNano()
+	answer, begun := make(chan outcome, 1), time.Now().UnixNano()
 	p.mu.Lock()
 	p.lastNumber++
 	m.Number = p.lastNumber
-	p.pending[m.Number] = took
+	p.pending[m.Number] = answer
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
@@ -225,11 +232,8 @@
 	defer tick.Stop()
 	for {
 		select {
-		case ok := <-took:
-			if ok {
-				return taken
-			}
-			return refused
+		case result := <-answer:
+			return result
 		case <-tick.C:
 			if m.socket != nil && m.socket.isSent() && p.lastContact.Load() > begun {
 				return unanswered
@@ -253,11 +257,18 @@
 }
 
 // resolve passes on the response to a request, if somebody still waits for it.
-func (p *peer) resolve(number uint64, took bool) {
+func (p *peer) resolve(response message) {
+	result := refused
+	switch {
+	case response.Took:
+		result = taken
+	case response.Moving:
+		result = moving
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if waiting := p.pending[number]; waiting != nil {
-		waiting <- took
-		delete(p.pending, number) // the channel has room for one
+	if waiting := p.pending[response.Number]; waiting != nil {
+		waiting <- result
+		delete(p.pending, response.Number) // the channel has room for one
 	}
 }
--- a/internal/dispatcher/ingress/callbacks.go
+++ b/internal/dispatcher/ingress/callbacks.go
@@ -59,20 +59,24 @@
 }
 
 // deliver passes a report to the process that holds the job, and reports whether
-// that has it. With one process nobody waits for that. With two, the job may be on
-// its way from one to the other, so it is tried again for a while; after that the
-// worker has to repeat the report.
+// that has it. With one process nobody waits for that. With two, it is tried again
+// while the job is on its way from one to the other; where neither has it the worker
+// has to repeat the report.
 func (f *Front) deliver(report core.JobEvent) bool {
-	deadline := f.reportDeadline()
-	for lastAttempt := time.Now().Add(transitTime - reportRetryInterval); ; {
+	for deadline := f.reportDeadline(); ; {
 		if !f.peer.Linked() {
-			f.core.Report(report, func(bool) {})
+			f.core.Report(report, func(core.ReportResult) {})
 			return true
 		}
-		if f.deliverHere(report, deadline) || f.peer.ForwardReport(report, deadline) {
+		here := f.deliverHere(report, deadline)
+		if here == core.Held {
 			return true
 		}
-		if time.Now().After(lastAttempt) || time.Until(deadline) < reportRetryInterval {
+		there := f.peer.ForwardReport(report, deadline)
+		if there == core.Held {
+			return true
+		}
+		if here != core.Moving && there != core.Moving || time.Until(deadline) < reportRetryInterval {
 			return false
 		}
 		time.Sleep(reportRetryInterval)
@@ -89,17 +93,17 @@
 	return deadline
 }
 
-// deliverHere passes a report to this process's core, and reports whether that holds
+// deliverHere passes a report to this process's core, and returns whether that holds
 // the job.
-func (f *Front) deliverHere(report core.JobEvent, deadline time.Time) bool {
-	held := make(chan bool, 1)
-	f.core.Report(report, func(here bool) { held <- here })
+func (f *Front) deliverHere(report core.JobEvent, deadline time.Time) core.ReportResult {
+	held := make(chan core.ReportResult, 1)
+	f.core.Report(report, func(here core.ReportResult) { held <- here })
 	timeout := time.NewTimer(time.Until(deadline))
 	defer timeout.Stop()
 	select {
 	case here := <-held:
 		return here
 	case <-timeout.C:
-		return false
+		return core.NotHeld
 	}
 }
--- a/internal/dispatcher/ingress/ingress.go
+++ b/internal/dispatcher/ingress/ingress.go
@@ -48,10 +48,8 @@
 	// reportTimeout is how long a report may wait for a process that holds its job. A
 	// worker repeats a report that is not taken, but only a few times.
 	reportTimeout = 2 * time.Second
-	// transitTime is how long a report waits where neither process holds its job, as
-	// that may be on its way from one to the other, and reportRetryInterval the time
-	// between two attempts to deliver it.
-	transitTime         = 500 * time.Millisecond
+	// reportRetryInterval is the time between two attempts to deliver a report on a
+	// job that is on its way from one process to the other.
 	reportRetryInterval = 100 * time.Millisecond
 	// rejectionTimeout is how long the response may take to a client that could not
 	// be handed over.
@@ -68,7 +66,7 @@
 	ClientLeft(*core.Job)
 	Release(job *core.Job, done func(*core.MovedRequest))
 	Adopt(*core.Job, *core.MovedRequest, core.Ingress)
-	Report(ev core.JobEvent, held func(bool))
+	Report(ev core.JobEvent, held func(core.ReportResult))
 	StopBy(deadline time.Time)
 }
 
@@ -78,9 +76,9 @@
 	Linked() bool
 	// Succeeded reports whether the other process is newer, and serves.
 	Succeeded() bool
-	// ForwardReport passes a report on and reports whether the other process held
-	// its job, by a deadline.
-	ForwardReport(ev core.JobEvent, deadline time.Time) bool
+	// ForwardReport passes a report on and returns whether the other process held its
+	// job, by a deadline.
+	ForwardReport(ev core.JobEvent, deadline time.Time) core.ReportResult
 	// TransferConn passes a client's connection on, with what was read from it, and
 	// reports whether the other process serves it, by a deadline.
 	TransferConn(c net.Conn, request []byte, m *core.MovedRequest, deadline time.Time) bool
--- a/internal/dispatcher/ingress/transfer_test.go
+++ b/internal/dispatcher/ingress/transfer_test.go
@@ -41,11 +41,13 @@
 }
 
 // ForwardReport implements Peer: the newer process has the job from the third report on.
-func (p *newerPeer) ForwardReport(core.JobEvent, time.Time) bool {
+func (p *newerPeer) ForwardReport(core.JobEvent, time.Time) core.ReportResult {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.forwards++
-	return p.forwards >= 3
+	if p.forwards++; p.forwards < 3 {
+		return core.NotHeld
+	}
+	return core.Held
 }
 
 // holdingCore holds every job until the test has it served. A release happens at once.
@@ -56,6 +58,7 @@
 	released  int
 	adopted   int
 	onRelease func()
+	holding   core.ReportResult // of jobs that reports are on
 }
 
 func (c *holdingCore) Submit(job *core.Job, in core.Ingress) {
@@ -86,7 +89,7 @@
 	c.ingress[job.ID] = in
 }
 
-func (c *holdingCore) Report(_ core.JobEvent, held func(bool)) { held(false) }
+func (c *holdingCore) Report(_ core.JobEvent, held func(core.ReportResult)) { held(c.holding) }
 
 func (c *holdingCore) ClientLeft(*core.Job) {}
 
@@ -155,6 +158,8 @@
 // TestReportOnJobInTransit guards jobs whose runner reports while they are on their way to the newer process: the report
 // was refused, and a runner repeats it only ten times.
 func TestReportOnJobInTransit(t *testing.T) {
-	front := New(Config{}, &holdingCore{}, &newerPeer{}, noCounts{}, logrus.NewEntry(logrus.New()))
-	require.True(t, front.deliver(core.JobEvent{ID: "one"}))
+	for holding, want := range map[core.ReportResult]bool{core.Moving: true, core.NotHeld: false} {
+		front := New(Config{}, &holdingCore{holding: holding}, &newerPeer{}, noCounts{}, logrus.NewEntry(logrus.New()))
+		require.Equal(t, want, front.deliver(core.JobEvent{ID: "one"}))
+	}
 }
