--- a/cmd/frosttide/state_test.go
+++ b/cmd/frosttide/state_test.go
@@ -369,16 +369,7 @@
 	return (&discovery{watches: make(chan *watch, 64), closed: make(chan struct{})}).serveAt(t, addr)
 }
 
-// TestPlannedRestart guards clients while discovery is down and the dispatcher is restarted
-// as planned: runners that were warm are warm, so that a fleet's usual load is served at once,
-// of a class that was served before as of one that never was.
-//
-// What happened: in some runs half of the jobs were refused. Why: the stand-in for discovery, while it was closed, answered
-// with an empty list, which had the dispatcher forget its runners; and a runner whose probe was not answered in time, on a busy
-// machine, was withheld and then taken for cold. The log shows the latter: "a stored runner is judged ... why=silent",
-// then "fresh, possibly cold". And what was stored said, once discovery was down, that runners were confirmed for the last time when
-// they were listed; more than 5 s later they counted as cold, and one to six jobs were refused, with the reason "no_token" in a trial
-// build's log. docs/incidents/warm-runners-taken-for-cold.md has the runs that tell the three apart.
+// TestPlannedRestart guards the fleet's usual load from refusals after a planned restart while discovery is down.
 func TestPlannedRestart(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
