Close the listener before a drain ends, also while clients keep coming

Cause: clients that have nowhere else to go connect anew after each response. As long as their jobs overlap, the drain finds activity, and its end found the listener open and a request just read. Evidence: the failed run's log has '1 requests have no response: context deadline exceeded' 3.50 s after SIGTERM, and the job was sent 3 ms before. Change: the listener closes 250 ms before the drain's end at the latest. TestDrainAnswersWhileClientsCome fails without, 5 of 5.

--- a/internal/dispatcher/ingress/drain.go
+++ b/internal/dispatcher/ingress/drain.go
@@ -13,6 +13,9 @@
 	newConnWait = drainQuiet / 2
 	// drainPoll is the time between two looks at what is open.
 	drainPoll = drainQuiet / 25
+	// settleTime is how long before the end of a drain the listener closes at the latest:
+	// clients that have nowhere else to go connect anew after each response.
+	settleTime = 250 * time.Millisecond
 	// closeTimeout is how long connections may take to end once their responses are
 	// written: net/http's own wait for the client to read, and some more.
 	closeTimeout = 600 * time.Millisecond
@@ -55,7 +58,9 @@
 	f.draining.Store(true)
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
-	f.awaitQuiet(ctx, tick.C)
+	quietCtx, cancel := beforeDeadline(ctx, settleTime)
+	defer cancel()
+	f.awaitQuiet(quietCtx, tick.C)
 	f.listener.closeListener() // connections accepted before are still served
 	f.adopted.refuse()
 	f.awaitClosed(ctx, tick.C)
@@ -66,6 +71,15 @@
 	return nil
 }
 
+// beforeDeadline returns a context that ends some time before another one's deadline,
+// if that has one.
+func beforeDeadline(ctx context.Context, by time.Duration) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(ctx, deadline.Add(-by))
+	}
+	return context.WithCancel(ctx)
+}
+
 // awaitQuiet waits until no connection is open, or none has begun a request for a
 // while, or the context ends.
 func (f *Front) awaitQuiet(ctx context.Context, tick <-chan time.Time) {
--- a/internal/dispatcher/ingress/drain_test.go
+++ b/internal/dispatcher/ingress/drain_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +13,8 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+
+	"frosttide/internal/dispatcher/core"
 )
 
 // slowListener returns one connection, long after the kernel has accepted it, as the thread that accepts may be
@@ -144,6 +147,45 @@
 	}
 }
 
+// delayedCore serves each job after a while, so that with a few clients some job is always open.
+type delayedCore struct{ immediateCore }
+
+func (c *delayedCore) Submit(_ *core.Job, in core.Ingress) {
+	time.AfterFunc(drainPoll+rand.N(drainPoll), func() { in.Respond(core.Response{Verdict: core.Served, Result: []byte("result")}) })
+}
+
+// TestDrainAnswersWhileClientsCome guards the requests of clients that connect anew after each response for as long as the
+// listener is open: the drain ended at its deadline with some of them unanswered.
+func TestDrainAnswersWhileClientsCome(t *testing.T) {
+	front := newDrainFront()
+	front.core = &delayedCore{}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(listener) }()
+	var clients sync.WaitGroup
+	for range 8 {
+		clients.Go(func() {
+			for {
+				client, err := net.Dial("tcp4", listener.Addr().String())
+				if err != nil {
+					return // the listener is closed
+				}
+				_, _ = io.WriteString(client, oneJob)
+				_, _ = io.Copy(io.Discard, client)
+				client.Close()
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return front.activeRequests.Load() == 8 }, 10*time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*settleTime)
+	defer cancel()
+	require.NoError(t, front.Drain(ctx))
+	require.NoError(t, ctx.Err(), "the drain has taken all its time")
+	require.NoError(t, <-served)
+	clients.Wait()
+}
+
 // TestRetireIdleSparesNewest guards a client that sends once more on a new connection, as a drain's close has crossed its
 // request: the new connection was closed as well, as others had been quiet for long enough.
 func TestRetireIdleSparesNewest(t *testing.T) {
