Give a newer process three seconds of silence before its connections are answered here

Cause: a newer process that takes connections over on a busy machine says nothing for two seconds at times. The link ended then, and each connection on its way was answered 502, which the newer process read later all the same. Change: the link ends after three seconds of silence; a connection that was sent is left to a process that has been heard of since, at the end of all answers too. A hung process is still told apart (TestSuccessorFails/stopped, TestTransferFails).

--- a/internal/dispatcher/handover/link.go
+++ b/internal/dispatcher/handover/link.go
@@ -273,9 +273,9 @@
 
 // TransferConn passes a client's connection to the other process, with what has been
 // read from it, and reports whether that serves it, by the deadline. A connection that
-// the other process has been sent and does not answer for is its own as well while the
-// link lasts: it reads it later, also once this process has ended. The caller still has to
-// close its own copy.
+// the other process has been sent and does not answer for is its own as well if that has
+// been heard of since: it reads it later, also once this process has ended. The caller
+// still has to close its own copy.
 func (l *Link) TransferConn(c net.Conn, request []byte, m *core.MovedRequest, deadline time.Time) bool {
 	p := l.current()
 	if p == nil {
@@ -287,14 +287,8 @@
 		return false
 	}
 	defer s.close()
-	switch p.request(message{Client: &client{Request: request, Moved: m}, socket: s}, deadline) {
-	case taken:
-		return true
-	case refused:
-		return false
-	default:
-		return s.close() && p.alive()
-	}
+	result := p.request(message{Client: &client{Request: request, Moved: m}, socket: s}, deadline)
+	return result == taken || result == sent
 }
 
 // Close ends the link. It removes the socket unless that is a newer process's.
--- a/internal/dispatcher/handover/peer.go
+++ b/internal/dispatcher/handover/peer.go
@@ -18,9 +18,10 @@
 
 const (
 	// heartbeatInterval is the time between two heartbeats of a side, and
-	// silenceTimeout how long a side may say nothing.
+	// silenceTimeout how long a side may say nothing. On a busy machine a process that
+	// takes connections over may be silent for two seconds.
 	heartbeatInterval = 400 * time.Millisecond
-	silenceTimeout    = 2 * time.Second
+	silenceTimeout    = 3 * time.Second
 	// maxMessage bounds a message, in bytes: the whole list of a large fleet.
 	maxMessage = 4 << 20
 )
@@ -208,6 +209,7 @@
 	taken                     // the other process has taken what the request carries
 	refused                   // it has not
 	moving                    // it has not, as the job of the report is on its way here
+	sent                      // it has been sent what the request carries, and goes on
 )
 
 // request sends a request and returns what became of it by the deadline. One that carries
@@ -230,15 +232,19 @@
 	defer timer.Stop()
 	tick := time.NewTicker(transferAnswerTimeout)
 	defer tick.Stop()
+	isSent := func() bool { return m.socket != nil && m.socket.isSent() && p.lastContact.Load() > begun }
 	for {
 		select {
 		case result := <-answer:
 			return result
 		case <-tick.C:
-			if m.socket != nil && m.socket.isSent() && p.lastContact.Load() > begun {
-				return unanswered
+			if isSent() {
+				return sent
 			}
 		case <-timer.C:
+			if isSent() {
+				return sent
+			}
 			return unanswered
 		case <-p.done:
 			return unanswered
@@ -246,16 +252,6 @@
 	}
 }
 
-// alive reports whether the link has not ended.
-func (p *peer) alive() bool {
-	select {
-	case <-p.done:
-		return false
-	default:
-		return true
-	}
-}
-
 // resolve passes on the response to a request, if somebody still waits for it.
 func (p *peer) resolve(response message) {
 	result := refused
--- a/internal/dispatcher/handover/socket.go
+++ b/internal/dispatcher/handover/socket.go
@@ -71,15 +71,14 @@
 	return s.sent
 }
 
-// close closes the copy, which is not sent any more, and reports whether it was.
-func (s *socket) close() (sent bool) {
+// close closes the copy, which is not sent any more.
+func (s *socket) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fd >= 0 {
 		syscall.Close(s.fd)
 		s.fd = -1
 	}
-	return s.sent
 }
 
 // descriptorReader reads a link and keeps the descriptors that come beside the bytes,
--- a/internal/dispatcher/handover/transfer_test.go
+++ b/internal/dispatcher/handover/transfer_test.go
@@ -69,6 +69,7 @@
 	go peer.writeLoop()
 	go peer.readLoop()
 	client, server := clientPair(t)
+	time.AfterFunc(transferTimeout/2, func() { _, _ = io.WriteString(newer, "{}\n") }) // a heartbeat
 	require.True(t, link.TransferConn(server, []byte("request"), &core.MovedRequest{}, time.Now().Add(transferTimeout)))
 	server.Close() // this process's copy
 	link.Close()
@@ -97,6 +98,10 @@
 		begin func(older *peer, newer *net.UnixConn)
 	}{
 		{"not written yet", func(*peer, *net.UnixConn) {}},
+		{"the other process says nothing any more", func(older *peer, _ *net.UnixConn) {
+			go older.writeLoop()
+			go older.readLoop()
+		}},
 		{"the other process has ended", func(older *peer, newer *net.UnixConn) {
 			go older.writeLoop()
 			go func() {
