Refuse a configuration whose texts can't be kept as JSON

What operators saw: an order with a control character in a name or text was taken, and the configuration read afterwards was no JSON. Cause: fastjson quotes such texts as Go does, with escapes that JSON does not have. Change: an order is refused where an item's form would be no JSON. FuzzApply passes for 50,000 inputs.

--- a/internal/routeconfig/document.go
+++ b/internal/routeconfig/document.go
@@ -122,8 +122,11 @@
 func (d *document) parseMember(name string, v *fastjson.Value) error {
 	kind, ok := memberKinds[name]
 	if !ok {
-		d.items = append(d.items, documentItem{key: string(MemberKind) + name, json: v.MarshalTo(nil)})
-		return nil
+		var arena fastjson.Arena
+		if !json.Valid(arena.NewString(name).MarshalTo(nil)) {
+			return invalidf("%q: %v", name, errTextNotKept)
+		}
+		return d.addItem(MemberKind, name, v)
 	}
 	entries, err := v.Array()
 	if err != nil {
@@ -136,8 +139,24 @@
 			return invalidf("%s: name %q is missing or stands twice", name, itemName)
 		}
 		names[itemName] = true
-		d.items = append(d.items, documentItem{key: string(kind) + itemName, json: entry.MarshalTo(nil)})
+		if err := d.addItem(kind, itemName, entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// errTextNotKept is the reason for which an item is refused whose form would be no JSON: fastjson quotes texts with
+// control characters as Go does, and so writes escapes that JSON does not have.
+var errTextNotKept = errors.New("a text has characters that can't be kept")
+
+// addItem adds an item in the form in which it is kept.
+func (d *document) addItem(kind Kind, name string, v *fastjson.Value) error {
+	text := v.MarshalTo(nil)
+	if !json.Valid(text) {
+		return invalidf("%q: %v", name, errTextNotKept)
 	}
+	d.items = append(d.items, documentItem{key: string(kind) + name, json: text})
 	return nil
 }
 
--- a/internal/routeconfig/table_test.go
+++ b/internal/routeconfig/table_test.go
@@ -155,6 +155,8 @@
 	f.Add([]byte(`{"Version":9,"Upsert":{"Routes":[{"Name":"c","Host":"h.example","PathPrefix":"/c/","TimeoutMs":1,"Service":"s"}]},"Remove":{"Routes":["a","none"]}}`), true)
 	f.Add([]byte(`{"Version":18446744073709551616}`), false)
 	f.Add([]byte(`{"Version":9,"Routes":[{}],"Services":[null],"Limits":[]}`), false)
+	f.Add([]byte("{\"Version\":7,\"Upsert\":{\"Route\xb1.\xbe\xbc\\t\":[]}}"), true) // a name that was kept in a form that is no JSON
+	f.Add([]byte(`{"Version":9,"Other":{"text":"\u0007"}}`), false)
 	f.Fuzz(func(t *testing.T, body []byte, patch bool) {
 		change, err := applyDocument(t, Empty(), sample).Apply(body, patch)
 		if err != nil {
