Store the state of a planned end at once, also right after another write

Callers: where a planned end began within state.every (1 s) of another write and the process was killed before its end, the next start found a state from no planned end and took warm runners for cold.

Cause: the writer leaves an interval between two writes, and the state of the beginning shutdown waited for it like any other. It passes only where the shutdown begins before the roster's first turn, which writes a first generation; a busy machine has that turn come first.

Change: Writer.PutUrgent ends the wait between two writes; the roster uses it for every state of a planned end.

Test: TestPlannedEndIsStoredSoonAfterAWrite waits for the first generation and then begins the shutdown. The existing test is unchanged.

--- a/internal/dispatcher/roster/gather.go
+++ b/internal/dispatcher/roster/gather.go
@@ -28,8 +28,13 @@
 	if s == nil && r.stopping {
 		s = r.endedSnapshot()
 	}
-	if s != nil {
-		r.lastSnapshot = s
+	if s == nil {
+		return
+	}
+	r.lastSnapshot = s
+	if s.Ended {
+		r.writer.PutUrgent(s)
+	} else {
 		r.writer.Put(s)
 	}
 }
--- a/internal/dispatcher/roster/roster_test.go
+++ b/internal/dispatcher/roster/roster_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
 
 	"frosttide/decision"
 	"frosttide/internal/dispatcher/core"
@@ -111,6 +112,39 @@
 	writer.Close(time.Now().Add(20 * time.Second))
 }
 
+// TestPlannedEndIsStoredSoonAfterAWrite guards runners from being taken for cold when a planned shutdown begins within the
+// write interval of another write, and the process is killed before it ends.
+func TestPlannedEndIsStoredSoonAfterAWrite(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	path := t.TempDir()
+	dir, err := rosterstore.Open(path, "n0", 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	writer := rosterstore.NewWriter(dir, time.Hour, logrus.NewEntry(log))
+	cfg := Config{Name: "n0", WriteInterval: time.Hour, Classes: func() []string { return nil }}
+	r := New(cfg, &fakeCore{}, fakeTable{}, nil, writer, nil, logrus.NewEntry(log))
+	r.RoutesReplaced([]core.Route{{UID: "s-1", Addr: "a", Member: decision.Member{State: decision.Ready}}})
+	r.Start()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go r.Run(ctx)
+	require.Eventually(t, func() bool { return writer.Written() == 1 }, 20*time.Second, time.Millisecond)
+	r.BeginShutdown()
+	reader, err := rosterstore.Open(path, "n0", 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := func() bool {
+		s, err := reader.Load(func(string, error) {})
+		return err == nil && s != nil && s.Ended && len(s.Nodes) == 1
+	}
+	require.Eventually(t, ended, 20*time.Second, time.Millisecond)
+	cancel()
+	writer.Close(time.Now().Add(20 * time.Second))
+}
+
 // TestStartReplacesRoutes has the core of a process that starts from a stored list hold the list when Start returns,
 // before the first job comes and whenever the actor is scheduled.
 func TestStartReplacesRoutes(t *testing.T) {
--- a/internal/dispatcher/rosterstore/writer.go
+++ b/internal/dispatcher/rosterstore/writer.go
@@ -11,8 +11,8 @@
 const slowWrite = 5 * time.Second
 
 // Writer writes snapshots on a goroutine of its own, one at a time. Of the snapshots that come during a write, or
-// within the interval after one, only the newest is written. Its methods may be called from any goroutine, and none but
-// Close blocks.
+// within the interval after one, only the newest is written; one that is urgent ends the interval. Its methods may be
+// called from any goroutine, and none but Close blocks.
 type Writer struct {
 	dir      *Dir
 	interval time.Duration
@@ -23,14 +23,21 @@
 	closed  bool
 	written int
 
-	wake    chan struct{} // holds one token if there is a snapshot, or the writer is closed
-	closing chan struct{} // closed by Close: ends the wait between two writes
-	done    chan struct{} // closed when the goroutine has ended
+	wake   chan struct{} // holds one token if there is a snapshot, or the writer is closed
+	urgent chan struct{} // holds one token if the wait between two writes is to end
+	done   chan struct{} // closed when the goroutine has ended
 }
 
 // NewWriter starts a writer that leaves at least an interval between two writes. It has to be closed.
 func NewWriter(dir *Dir, interval time.Duration, log *logrus.Entry) *Writer {
-	w := &Writer{dir: dir, interval: interval, log: log, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{})}
+	w := &Writer{
+		dir:      dir,
+		interval: interval,
+		log:      log,
+		wake:     make(chan struct{}, 1),
+		urgent:   make(chan struct{}, 1),
+		done:     make(chan struct{}),
+	}
 	go w.run()
 	return w
 }
@@ -42,19 +49,23 @@
 		w.next = s
 	}
 	w.mu.Unlock()
-	w.signal()
+	signal(w.wake)
+}
+
+// PutUrgent hands over a snapshot like Put, and has it written without waiting for the interval.
+func (w *Writer) PutUrgent(s *Snapshot) {
+	w.Put(s)
+	signal(w.urgent)
 }
 
 // Close has the last snapshot written and returns when it is, or at the deadline: a disk that hangs does not delay the
 // shutdown of the process.
 func (w *Writer) Close(deadline time.Time) {
 	w.mu.Lock()
-	if !w.closed {
-		w.closed = true
-		close(w.closing)
-	}
+	w.closed = true
 	w.mu.Unlock()
-	w.signal()
+	signal(w.wake)
+	signal(w.urgent)
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
@@ -64,10 +75,11 @@
 	}
 }
 
-func (w *Writer) signal() {
+// signal puts a token into a channel that holds one at most.
+func signal(token chan<- struct{}) {
 	select {
-	case w.wake <- struct{}{}:
-	default: // the goroutine is to wake up already
+	case token <- struct{}{}:
+	default: // there is one already
 	}
 }
 
@@ -100,7 +112,7 @@
 		timer := time.NewTimer(w.interval)
 		select {
 		case <-timer.C:
-		case <-w.closing:
+		case <-w.urgent:
 			timer.Stop()
 		}
 	}
