Keep a report whose job is on its way when the other process has ended

Cause: with no other process linked, a report was passed to the core without waiting for what it says, and answered 204. But a link ends before the last jobs that came on it are read from their connections, and a job that was released to a newer process that has just ended is not back at once. The core knew no such job and dropped the report, so that the job waited for it until its deadline. Evidence: the link ended at 29.855 s, the job's last report came at 28.463 s and was tried again, the job was adopted at 30.024 s, the report was answered 204, and the job failed by its deadline at 32.591 s, accepted and never reported.

The link is looked at before the count: it ends behind its last connection.

--- a/internal/dispatcher/ingress/callbacks.go
+++ b/internal/dispatcher/ingress/callbacks.go
@@ -58,31 +58,46 @@
 	http.Error(w, "no process holds the job now", http.StatusServiceUnavailable)
 }
 
-// deliver passes a report to the process that holds the job, and reports whether
-// that has it. With one process nobody waits for that. With two, it is tried again
-// while the job is on its way from one to the other; where neither has it the worker
-// has to repeat the report.
+// deliver passes a report to the process that holds the job, and reports whether the
+// worker is done with it. With one process nobody waits for that. A report is tried
+// again while its job may be on its way from one process to the other, also once the
+// other one has ended; where neither of two has the job the worker has to repeat it.
 func (f *Front) deliver(report core.JobEvent) bool {
-	for deadline := f.reportDeadline(); ; {
-		if !f.peer.Linked() {
+	for deadline := f.reportDeadline(); ; time.Sleep(reportRetryInterval) {
+		linked := f.peer.Linked()
+		awaitsJobs := f.listener.awaitsJobs() // asked after the link, which ends behind the last job
+		if !linked && !awaitsJobs && !f.handOverBegun() {
 			f.core.Report(report, func(core.ReportResult) {})
 			return true
 		}
-		here := f.deliverHere(report, deadline)
-		if here == core.Held {
+		switch f.offer(report, deadline) {
+		case core.Held:
 			return true
+		case core.NotHeld:
+			if linkEnded := linked && !f.peer.Linked(); !awaitsJobs && !linkEnded {
+				return !linked
+			}
 		}
-		there := f.peer.ForwardReport(report, deadline)
-		if there == core.Held {
-			return true
-		}
-		if here != core.Moving && there != core.Moving || time.Until(deadline) < reportRetryInterval {
+		if time.Until(deadline) < reportRetryInterval {
 			return false
 		}
-		time.Sleep(reportRetryInterval)
 	}
 }
 
+// offer passes a report to this process's core, and where that does not hold the job
+// to the other process. It returns whether one of them holds it.
+func (f *Front) offer(report core.JobEvent, deadline time.Time) core.ReportResult {
+	here := f.deliverHere(report, deadline)
+	if here == core.Held {
+		return core.Held
+	}
+	there := f.peer.ForwardReport(report, deadline)
+	if there == core.NotHeld {
+		return here
+	}
+	return there
+}
+
 // reportDeadline returns until when a report that comes now may be delivered: before
 // the process has to have answered everything.
 func (f *Front) reportDeadline() time.Time {
--- a/internal/dispatcher/ingress/conn.go
+++ b/internal/dispatcher/ingress/conn.go
@@ -41,6 +41,7 @@
 	awaitingResponse bool          // a whole request is on it that has no response yet
 	pipelined        bool          // data has come behind the last request
 	nextBegun        bool          // the next request has begun; the time for its rest is not set yet
+	inTransit        bool          // its first request was sent to a worker, and this process's core does not have it yet
 	closed           bool
 }
 
@@ -124,6 +125,7 @@
 		c.listener.open--
 		c.unretire()
 		c.dequeue()
+		c.endTransit()
 	}
 	return c.Conn.Close()
 }
@@ -137,6 +139,22 @@
 	}
 }
 
+// jobPassed records that the core has the job on the connection.
+func (c *conn) jobPassed() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.endTransit()
+}
+
+// endTransit records that the job on the connection is no longer on its way to the
+// core. The caller holds the listener's lock.
+func (c *conn) endTransit() {
+	if c.inTransit {
+		c.inTransit = false
+		c.listener.inTransit--
+	}
+}
+
 // enqueue adds the connection to a class of those that may be evicted. The caller
 // holds the listener's lock.
 func (c *conn) enqueue(class int) {
--- a/internal/dispatcher/ingress/jobs.go
+++ b/internal/dispatcher/ingress/jobs.go
@@ -58,6 +58,7 @@
 	} else {
 		f.core.Submit(job, response)
 	}
+	c.jobPassed()
 	f.await(w, r, c, job, response, onVerdict)
 }
 
--- a/internal/dispatcher/ingress/listener.go
+++ b/internal/dispatcher/ingress/listener.go
@@ -45,6 +45,7 @@
 	ended     bool // nothing more is accepted
 	open      int
 	retiring  int                        // those of them that were retired and have not ended yet
+	inTransit int                        // those of them with a job of another process that the core does not have yet
 	evictable [idleRunners + 1]list.List // of *conn by class, the longest quiet first
 }
 
@@ -94,6 +95,10 @@
 	if len(read) == 0 {
 		admitted.enqueue(newConns)
 	}
+	if moved != nil && len(moved.Attempts) > 0 {
+		admitted.inTransit = true
+		l.inTransit++
+	}
 	l.open++
 	l.evict(admitted)
 	return admitted
@@ -187,6 +192,14 @@
 	return l.open
 }
 
+// awaitsJobs reports whether a job that another process has sent to a worker is on
+// its way to the core.
+func (l *connListener) awaitsJobs() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inTransit > 0
+}
+
 // adoptedListener is the listener of the connections that another process hands
 // over.
 type adoptedListener struct {
--- a/internal/dispatcher/ingress/nextrequest_test.go
+++ b/internal/dispatcher/ingress/nextrequest_test.go
@@ -121,6 +121,8 @@
 func (noPeer) Linked() bool    { return false }
 func (noPeer) Succeeded() bool { return false }
 
+func (noPeer) ForwardReport(core.JobEvent, time.Time) core.ReportResult { return core.NotHeld }
+
 // noCounts counts nothing.
 type noCounts struct{}
 
--- a/internal/dispatcher/ingress/transfer.go
+++ b/internal/dispatcher/ingress/transfer.go
@@ -16,16 +16,20 @@
 // gets a response.
 const transferMargin = 100 * time.Millisecond
 
-// handsOver reports whether all jobs go to a newer process now.
-func (f *Front) handsOver() bool {
+// handOverBegun reports whether all jobs were to go to a newer process. That may have
+// ended since.
+func (f *Front) handOverBegun() bool {
 	select {
 	case <-f.handingOver:
-		return f.peer.Succeeded()
+		return true
 	default:
 		return false
 	}
 }
 
+// handsOver reports whether all jobs go to a newer process now.
+func (f *Front) handsOver() bool { return f.handOverBegun() && f.peer.Succeeded() }
+
 // transfer hands a client's connection and its request over to the newer process.
 // It reports whether nothing more is owed to the client here.
 func (f *Front) transfer(w http.ResponseWriter, r *http.Request, m *core.MovedRequest, body []byte) bool {
--- a/internal/dispatcher/ingress/transfer_test.go
+++ b/internal/dispatcher/ingress/transfer_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"frosttide/internal/dispatcher/core"
+	"frosttide/internal/dispatcher/monotime"
 )
 
 // newerPeer is a newer process that serves until it ends.
@@ -155,6 +156,68 @@
 	require.Equal(t, http.StatusOK, <-responses)
 }
 
+// adoptingCore holds the jobs that it has adopted, and has those served that reports say are done.
+type adoptingCore struct{ holdingCore }
+
+func (c *adoptingCore) Report(event core.JobEvent, held func(core.ReportResult)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	in := c.ingress[event.ID]
+	if in == nil {
+		held(core.NotHeld)
+		return
+	}
+	held(core.Held)
+	delete(c.ingress, event.ID)
+	in.Respond(core.Response{Verdict: core.Served, Result: event.Result})
+}
+
+// TestReportBeforeAdoptedJob guards a job from 502 whose last report comes when the older process has ended and the newer one
+// has its connection, but has not read the job on it: the report was answered 204 and dropped.
+func TestReportBeforeAdoptedJob(t *testing.T) {
+	jobs := &adoptingCore{holdingCore{ingress: map[string]core.Ingress{}}}
+	cfg := Config{Classes: []Class{{Name: "a"}}, MaxSlots: 8, MaxJobs: 1, MaxConnections: 8, Recorder: noRecorder{}}
+	front := New(cfg, jobs, noPeer{}, noCounts{}, logrus.NewEntry(logrus.New()))
+	client, server := connPair(t)
+	moved := &core.MovedRequest{Deadline: monotime.Of(time.Now().Add(time.Hour)), Attempts: []core.MovedAttempt{{UID: "s-1"}}}
+	require.True(t, front.Adopt(server, []byte(oneJob), moved))
+	delivered := make(chan bool, 1)
+	go func() { delivered <- front.deliver(core.JobEvent{ID: "one", State: core.JobDone}) }()
+	select {
+	case <-delivered:
+		t.Fatal("the report is taken while the job is on its way")
+	case <-time.After(2 * reportRetryInterval):
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = front.Serve(listener) }()
+	t.Cleanup(func() { _ = front.server.Close() })
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.True(t, <-delivered)
+}
+
+// TestReportOnReturningJob guards a job that was released to a newer process, which has ended, and is not back yet: a report on
+// it was answered 204 and dropped.
+func TestReportOnReturningJob(t *testing.T) {
+	for holding, want := range map[core.ReportResult]bool{core.Moving: false, core.NotHeld: true, core.Held: true} {
+		front := New(Config{}, &holdingCore{holding: holding}, noPeer{}, noCounts{}, logrus.NewEntry(logrus.New()))
+		front.HandOver(time.Now(), time.Now().Add(reportRetryInterval*3/2))
+		require.Equal(t, want, front.deliver(core.JobEvent{ID: "one"}), holding)
+	}
+}
+
+// TestTransitEndsWithConnection guards reports on unknown jobs from waiting for a job whose client has left.
+func TestTransitEndsWithConnection(t *testing.T) {
+	listener := &connListener{maxOpen: 8}
+	_, server := connPair(t)
+	adopted := listener.admit(server, []byte(oneJob), &core.MovedRequest{Attempts: []core.MovedAttempt{{UID: "s-1"}}})
+	require.True(t, listener.awaitsJobs())
+	adopted.Close()
+	require.False(t, listener.awaitsJobs())
+}
+
 // TestReportOnJobInTransit guards jobs whose runner reports while they are on their way to the newer process: the report
 // was refused, and a runner repeats it only ten times.
 func TestReportOnJobInTransit(t *testing.T) {
