Apply a report as soon as its job comes from the older process

Cause: a report at the newer process that found no job there waited for the older process's answer, up to 2 s on a busy machine, and did not see that the job came meanwhile. And one that the older process passed on was answered "not here" while the connection with the job had come and was not read yet; the older process asked again every 100 ms, over the link on which the connections wait. Evidence: a job adopted at 52.628 s, 0.24 s after its last report had begun to wait there; the report was refused at 54.537 s, and the job failed by its deadline at 54.879 s.

Change: the front tells waiting reports of the job that its core gets (arrivals). A report ends its wait for the other process then, and one that is passed on waits for the job at the newer process instead of being asked for again.

--- a/cmd/frosttide/process.go
+++ b/cmd/frosttide/process.go
@@ -221,7 +221,8 @@
 func (p *process) makeLink() {
 	path := handover.Path(os.TempDir(), p.cfg.Listen)
 	adopt := func(c net.Conn, read []byte, m *core.MovedRequest) bool { return p.front.Adopt(c, read, m) }
-	p.link = handover.New(path, p.core, p.table, p.setProcessCount, adopt, p.part("handover"))
+	report := func(ev core.JobEvent, held func(core.ReportResult)) { p.front.ReportForwarded(ev, held) }
+	p.link = handover.New(path, p.core, p.table, p.setProcessCount, adopt, report, p.part("handover"))
 	p.onClose(p.link.Close)
 	p.core.SetExclusionHook(func(e core.Exclusion) {
 		p.link.Exclude(e)
--- a/internal/dispatcher/handover/link.go
+++ b/internal/dispatcher/handover/link.go
@@ -47,7 +47,6 @@
 	Snapshot(to func(core.Snapshot))
 	Restore(core.Snapshot)
 	ApplyExclusion(core.Exclusion)
-	Report(ev core.JobEvent, held func(core.ReportResult))
 }
 
 // RouteTable is the list of workers as the link uses it. It does not block.
@@ -60,6 +59,10 @@
 // from it, and reports whether it will be served.
 type Adopt func(c net.Conn, request []byte, m *core.MovedRequest) bool
 
+// Report takes a report that the other process has passed on, and passes to held whether
+// this one holds the job. It does not block.
+type Report func(ev core.JobEvent, held func(core.ReportResult))
+
 // Link is this process's side. Its peer is the older process at first and the newer
 // one later.
 type Link struct {
@@ -67,6 +70,7 @@
 	routeTable     RouteTable
 	onProcessCount func(processes int)
 	adopt          Adopt
+	report         Report
 	log            *logrus.Entry
 	path           string
 
@@ -86,8 +90,8 @@
 
 // New makes a link without a peer. It calls onProcessCount with the number of
 // processes of the dispatcher, 1 or 2, whenever that changes.
-func New(path string, c Core, routeTable RouteTable, onProcessCount func(processes int), adopt Adopt, log *logrus.Entry) *Link {
-	return &Link{core: c, routeTable: routeTable, onProcessCount: onProcessCount, adopt: adopt, log: log, path: path}
+func New(path string, c Core, routeTable RouteTable, onProcessCount func(processes int), adopt Adopt, report Report, log *logrus.Entry) *Link {
+	return &Link{core: c, routeTable: routeTable, onProcessCount: onProcessCount, adopt: adopt, report: report, log: log, path: path}
 }
 
 // address returns the address of a unix socket, and for a path that is too long for
--- a/internal/dispatcher/handover/peer.go
+++ b/internal/dispatcher/handover/peer.go
@@ -182,7 +182,7 @@
 	case m.Exclusion != nil:
 		p.link.core.ApplyExclusion(*m.Exclusion)
 	case m.Event != nil:
-		p.link.core.Report(*m.Event, func(h core.ReportResult) { p.respondToReport(m, h) })
+		p.link.report(*m.Event, func(h core.ReportResult) { p.respondToReport(m, h) })
 	case m.Client != nil:
 		c, err := p.reader.nextConn()
 		p.respond(m, err == nil && p.link.adopt(c, m.Client.Request, m.Client.Moved))
--- a/internal/dispatcher/handover/transfer_test.go
+++ b/internal/dispatcher/handover/transfer_test.go
@@ -36,7 +36,7 @@
 func newTestLink(c *net.UnixConn, adopt Adopt) (*Link, *peer) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	l := New("", nil, nil, func(int) {}, adopt, logrus.NewEntry(log))
+	l := New("", nil, nil, func(int) {}, adopt, nil, logrus.NewEntry(log))
 	l.peer = newPeer(l, c)
 	return l, l.peer
 }
--- a/internal/dispatcher/ingress/ingress.go
+++ b/internal/dispatcher/ingress/ingress.go
@@ -141,6 +141,7 @@
 	server   *http.Server
 	listener *connListener
 	adopted  *adoptedListener
+	arrivals arrivals
 
 	// Settings that a reload may change.
 	classes atomic.Pointer[[]Class]
--- a/internal/dispatcher/ingress/jobs.go
+++ b/internal/dispatcher/ingress/jobs.go
@@ -54,14 +54,20 @@
 	}
 	response := make(pendingResponse, 1)
 	if len(moved.Attempts) > 0 {
-		f.core.Adopt(job, moved, response)
+		f.adoptJob(c, job, moved, response)
 	} else {
 		f.core.Submit(job, response)
 	}
-	c.jobPassed()
 	f.await(w, r, c, job, response, onVerdict)
 }
 
+// adoptJob has the core go on with a job that was sent to workers before.
+func (f *Front) adoptJob(c *conn, job *core.Job, moved *core.MovedRequest, response pendingResponse) {
+	f.core.Adopt(job, moved, response)
+	c.jobPassed()
+	f.arrivals.notify(job.ID)
+}
+
 // readJob reads the headers and the body of a job. It responds to what is
 // malformed itself, and then returns false.
 func (f *Front) readJob(w http.ResponseWriter, r *http.Request, c *conn, record *trace.Record) (*core.Job, bool) {
@@ -157,7 +163,7 @@
 			if f.transfer(w, r, m, job.Body) {
 				return
 			}
-			f.core.Adopt(job, m, pending) // the newer process has ended
+			f.adoptJob(c, job, m, pending) // the newer process has ended
 		}
 	}
 }
--- a/internal/dispatcher/ingress/transfer_test.go
+++ b/internal/dispatcher/ingress/transfer_test.go
@@ -175,27 +175,92 @@
 // TestReportBeforeAdoptedJob guards a job from 502 whose last report comes when the older process has ended and the newer one
 // has its connection, but has not read the job on it: the report was answered 204 and dropped.
 func TestReportBeforeAdoptedJob(t *testing.T) {
-	jobs := &adoptingCore{holdingCore{ingress: map[string]core.Ingress{}}}
-	cfg := Config{Classes: []Class{{Name: "a"}}, MaxSlots: 8, MaxJobs: 1, MaxConnections: 8, Recorder: noRecorder{}}
-	front := New(cfg, jobs, noPeer{}, noCounts{}, logrus.NewEntry(logrus.New()))
-	client, server := connPair(t)
-	moved := &core.MovedRequest{Deadline: monotime.Of(time.Now().Add(time.Hour)), Attempts: []core.MovedAttempt{{UID: "s-1"}}}
-	require.True(t, front.Adopt(server, []byte(oneJob), moved))
+	front, client, serve := adoptOneJob(t, noPeer{})
 	delivered := make(chan bool, 1)
-	go func() { delivered <- front.deliver(core.JobEvent{ID: "one", State: core.JobDone}) }()
+	go func() { delivered <- front.deliverReport(core.JobEvent{ID: "one", State: core.JobDone}) }()
 	select {
 	case <-delivered:
 		t.Fatal("the report is taken while the job is on its way")
 	case <-time.After(2 * reportRetryInterval):
 	}
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	go func() { _ = front.Serve(listener) }()
-	t.Cleanup(func() { _ = front.server.Close() })
+	serve()
+	requireServed(t, client)
+	require.True(t, <-delivered)
+}
+
+// adoptOneJob returns a front that has adopted the connection of a client whose job was sent to a runner, and does not
+// read it before serve is called.
+func adoptOneJob(t *testing.T, peer Peer) (front *Front, client net.Conn, serve func()) {
+	t.Helper()
+	jobs := &adoptingCore{holdingCore{ingress: map[string]core.Ingress{}}}
+	cfg := Config{Classes: []Class{{Name: "a"}}, MaxSlots: 8, MaxJobs: 1, MaxConnections: 8, Recorder: noRecorder{}}
+	front = New(cfg, jobs, peer, noCounts{}, logrus.NewEntry(logrus.New()))
+	client, server := connPair(t)
+	moved := &core.MovedRequest{Deadline: monotime.Of(time.Now().Add(time.Hour)), Attempts: []core.MovedAttempt{{UID: "s-1"}}}
+	require.True(t, front.Adopt(server, []byte(oneJob), moved))
+	return front, client, func() {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() { _ = front.Serve(listener) }()
+		t.Cleanup(func() { _ = front.server.Close() })
+	}
+}
+
+// requireServed checks that a client gets its result.
+func requireServed(t *testing.T, client net.Conn) {
+	t.Helper()
 	response, err := http.ReadResponse(bufio.NewReader(client), nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// silentPeer is an older process that answers no report in time.
+type silentPeer struct{ Peer }
+
+func (silentPeer) Linked() bool    { return true }
+func (silentPeer) Succeeded() bool { return false }
+
+func (silentPeer) ForwardReport(_ core.JobEvent, deadline time.Time) core.ReportResult {
+	time.Sleep(time.Until(deadline))
+	return core.NotHeld
+}
+
+// TestReportAppliedOnArrival guards a job from 502 whose last report waits for the older process's answer while the job comes:
+// it was applied only after that answer, for which the older process may take seconds.
+func TestReportAppliedOnArrival(t *testing.T) {
+	front, client, serve := adoptOneJob(t, silentPeer{})
+	delivered := make(chan bool, 1)
+	began := time.Now()
+	go func() { delivered <- front.deliverReport(core.JobEvent{ID: "one", State: core.JobDone}) }()
+	time.Sleep(reportRetryInterval)
+	serve()
+	requireServed(t, client)
 	require.True(t, <-delivered)
+	require.Less(t, time.Since(began), reportTimeout)
+}
+
+// TestForwardedReportAwaitsJob guards a job whose last report the older process passes on while the job is on its way here.
+func TestForwardedReportAwaitsJob(t *testing.T) {
+	front, client, serve := adoptOneJob(t, silentPeer{})
+	results := make(chan core.ReportResult, 1)
+	front.ReportForwarded(core.JobEvent{ID: "one", State: core.JobDone}, func(result core.ReportResult) { results <- result })
+	select {
+	case result := <-results:
+		t.Fatalf("the report is answered with %v while the job is on its way", result)
+	case <-time.After(2 * reportRetryInterval):
+	}
+	serve()
+	requireServed(t, client)
+	require.Equal(t, core.Held, <-results)
+}
+
+// TestForwardedReportOnUnknownJob checks that a report on a job that no process has is answered at once.
+func TestForwardedReportOnUnknownJob(t *testing.T) {
+	front := New(Config{}, &holdingCore{holding: core.NotHeld}, silentPeer{}, noCounts{}, logrus.NewEntry(logrus.New()))
+	results := make(chan core.ReportResult, 1)
+	front.ReportForwarded(core.JobEvent{ID: "one"}, func(result core.ReportResult) { results <- result })
+	require.Equal(t, core.NotHeld, <-results)
+	require.Empty(t, front.arrivals.waiting)
 }
 
 // TestReportOnReturningJob guards a job that was released to a newer process, which has ended, and is not back yet: a report on
@@ -204,7 +269,7 @@
 	for holding, want := range map[core.ReportResult]bool{core.Moving: false, core.NotHeld: true, core.Held: true} {
 		front := New(Config{}, &holdingCore{holding: holding}, noPeer{}, noCounts{}, logrus.NewEntry(logrus.New()))
 		front.HandOver(time.Now(), time.Now().Add(reportRetryInterval*3/2))
-		require.Equal(t, want, front.deliver(core.JobEvent{ID: "one"}), holding)
+		require.Equal(t, want, front.deliverReport(core.JobEvent{ID: "one"}), holding)
 	}
 }
 
@@ -223,6 +288,6 @@
 func TestReportOnJobInTransit(t *testing.T) {
 	for holding, want := range map[core.ReportResult]bool{core.Moving: true, core.NotHeld: false} {
 		front := New(Config{}, &holdingCore{holding: holding}, &newerPeer{}, noCounts{}, logrus.NewEntry(logrus.New()))
-		require.Equal(t, want, front.deliver(core.JobEvent{ID: "one"}))
+		require.Equal(t, want, front.deliverReport(core.JobEvent{ID: "one"}))
 	}
 }
