Look at the connection before a runner's silence is believed

Cause: net/http's ResponseHeaderTimeout looks at its timer, not at the connection. A process that gets a fraction of a core has responses in the kernel, or read and not handled, for more than the second that a worker has, and takes the worker for silent.

Change: the exchange has a timer of its own (acceptance), which goes on where something has come for the request, read or not; the attempt's own deadline bounds it. Probes keep their second by their context.

--- /dev/null
+++ b/internal/dispatcher/egress/acceptance_test.go
@@ -0,0 +1,93 @@
+package egress
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"frosttide/decision"
+	"frosttide/internal/dispatcher/core"
+)
+
+// lateConn is a connection whose reader gets nothing before a time, whatever has come.
+type lateConn struct {
+	*net.TCPConn
+	readableAt time.Time
+}
+
+func (c lateConn) Read(p []byte) (int, error) {
+	time.Sleep(time.Until(c.readableAt))
+	return c.TCPConn.Read(p)
+}
+
+// attemptRecorder records how one attempt goes on.
+type attemptRecorder struct {
+	Reporter
+	accepted chan struct{}
+	ended    chan decision.Outcome
+}
+
+func (r attemptRecorder) AttemptAccepted(core.AttemptRef, core.Delivery) { close(r.accepted) }
+
+func (r attemptRecorder) AttemptEnded(_ core.AttemptRef, outcome decision.Outcome, _ []float32, _ core.Delivery) {
+	r.ended <- outcome
+}
+
+// sendLate sends an attempt to a worker, on a connection that is first read some time after it was made.
+func sendLate(t *testing.T, worker http.HandlerFunc, delay time.Duration) attemptRecorder {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: worker}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	dial := func(network, addr string, deadline time.Time) (net.Conn, error) {
+		c, err := dialNet(network, addr, deadline)
+		if err != nil {
+			return nil, err
+		}
+		return lateConn{c.(*net.TCPConn), time.Now().Add(delay)}, nil
+	}
+	fleet := NewFleet(Config{ConnectTimeout: time.Second, MaxSockets: 8, OnSent: func(int) {}, Dial: dial}, logrus.NewEntry(log))
+	recorder := attemptRecorder{accepted: make(chan struct{}), ended: make(chan decision.Outcome, 1)}
+	fleet.SetReporter(recorder)
+	backend := fleet.Open(1, "s-1", listener.Addr().String())
+	t.Cleanup(backend.Close)
+	job := &core.Job{ID: "one", Method: http.MethodPost, Resource: "/", Body: []byte("body")}
+	backend.Send(core.Attempt{Job: job, Deadline: time.Now().Add(20 * time.Second)})
+	return recorder
+}
+
+// TestAcceptanceReadLate guards a job whose runner has accepted it in time from failing because this process reads that late.
+func TestAcceptanceReadLate(t *testing.T) {
+	t.Parallel()
+	recorder := sendLate(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusAccepted) }, acceptTimeout*3/2)
+	select {
+	case <-recorder.accepted:
+	case outcome := <-recorder.ended:
+		t.Errorf("the attempt has ended with outcome %v", outcome)
+	}
+}
+
+// TestSilentWorker checks that an attempt ends where the worker says nothing in time.
+func TestSilentWorker(t *testing.T) {
+	t.Parallel()
+	over := make(chan struct{})
+	defer close(over)
+	began := time.Now()
+	recorder := sendLate(t, func(http.ResponseWriter, *http.Request) { <-over }, 0)
+	select {
+	case <-recorder.accepted:
+		t.Error("the attempt is accepted")
+	case outcome := <-recorder.ended:
+		require.Equal(t, decision.TimedOut, outcome)
+		require.GreaterOrEqual(t, time.Since(began), acceptTimeout)
+	}
+}
--- a/internal/dispatcher/egress/conn.go
+++ b/internal/dispatcher/egress/conn.go
@@ -21,6 +21,7 @@
 	mu        sync.Mutex
 	authorize func() error // called once before the next byte is written; nil for nobody
 	awaiting  bool         // a request has begun on it since it was last assigned
+	answered  bool         // something has come since then
 	stray     bool         // something came on it that no request asked for
 	lastRead  time.Time    // when something last came
 	closed    bool
@@ -32,7 +33,7 @@
 func (c *conn) assign(authorize func() error) (quiet time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.authorize, c.awaiting = authorize, false
+	c.authorize, c.awaiting, c.answered = authorize, false, false
 	c.notifyWatcher()
 	if c.lastRead.IsZero() {
 		return neverRead
@@ -68,6 +69,7 @@
 	if n > 0 {
 		c.mu.Lock()
 		c.lastRead = time.Now()
+		c.answered = c.answered || c.awaiting
 		c.stray = c.stray || !c.awaiting
 		c.notifyWatcher()
 		c.mu.Unlock()
@@ -114,6 +116,15 @@
 	return stray || readable(c.Conn)
 }
 
+// heardWithin reports whether something has come on the connection for the request on it
+// within a period, or waits to be read.
+func (c *conn) heardWithin(period time.Duration) bool {
+	c.mu.Lock()
+	heard := c.answered && time.Since(c.lastRead) < period
+	c.mu.Unlock()
+	return heard || readable(c.Conn)
+}
+
 // readable reports whether a connection has something to read, its end included. It
 // does not block.
 func readable(c net.Conn) bool {
--- a/internal/dispatcher/egress/delivery.go
+++ b/internal/dispatcher/egress/delivery.go
@@ -44,6 +44,7 @@
 	header     http.Header
 	advertised time.Duration // time that is stated to the worker, set in onConnected
 	conn       atomic.Pointer[conn]
+	acceptance *acceptance
 
 	writeFailed atomic.Bool           // the transport says that it could not write everything
 	reused      atomic.Bool           // it goes out on a connection that was used before
@@ -65,7 +66,11 @@
 // deliverOnce sends an attempt on one connection. Unusable says that a pooled one
 // could not be used, so that nothing was written.
 func (b *backend) deliverOnce(ctx context.Context, transport *http.Transport, addr string, a core.Attempt) (res result, unusable bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	e := &exchange{attempt: a, log: b.log, body: sentBody{data: a.Job.Body}}
+	e.acceptance = newAcceptance(&e.conn, cancel)
+	defer e.acceptance.end()
 	defer func() {
 		if res.report.Reused = e.reused.Load(); e.body.ended.Load() {
 			res.report.Bytes = len(a.Job.Body)
@@ -97,6 +102,7 @@
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			e.writeFailed.Store(info.Err != nil)
 			if info.Err == nil {
+				e.acceptance.begin()
 				onSent(a.Job.Class)
 			}
 		},
@@ -186,7 +192,7 @@
 	// On a connection that has gone silent nothing would come before the deadline.
 	// The transport has closed it, which cancels the attempt. The kernel's own
 	// report that a connection has timed out is a break like others.
-	if timedOut(err) && !errors.Is(err, syscall.ETIMEDOUT) {
+	if e.acceptance.expired.Load() || timedOut(err) && !errors.Is(err, syscall.ETIMEDOUT) {
 		return result{outcome: decision.TimedOut, pooledConnBroke: e.reused.Load()}
 	}
 	return result{outcome: decision.ConnReset, pooledConnBroke: e.reused.Load()}
--- a/internal/dispatcher/egress/fleet.go
+++ b/internal/dispatcher/egress/fleet.go
@@ -110,7 +110,6 @@
 		// The dispatcher closes an idle connection before the worker does: a request
 		// written at the moment when the worker closes would end as a reset.
 		IdleConnTimeout:        f.cfg.IdleTimeout * 3 / 4,
-		ResponseHeaderTimeout:  acceptTimeout,
 		MaxResponseHeaderBytes: 16 << 10,
 		ReadBufferSize:         2 << 10,
 		WriteBufferSize:        2 << 10,
--- a/internal/dispatcher/egress/requests.go
+++ b/internal/dispatcher/egress/requests.go
@@ -36,6 +36,8 @@
 func (b *backend) probe(transport *http.Transport, addr string, deadline time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	ctx, cancelSilent := context.WithTimeout(ctx, acceptTimeout)
+	defer cancelSilent()
 	path := "/ping"
 	if b.fleet.cfg.LoadReports {
 		path = "/_load"
