Close a hand-over's unused connections a second before the last response

Platform: on a busy machine an older process ended up to 3.9 s after SIGTERM, past the 3.7 s after which it is killed (TestBusyRestart: 1 of 128 runs, eight at once beside four simulators).

Change: closeMargin is 1 s, not 0.6 s, so that the hand-over ends after 2.4 s. A client still has longer to use its connection than at an end without a newer process (2 s).

TestBusyRestart, same load: 0 of 60 runs failed.

--- a/cmd/frosttide/shutdown.go
+++ b/cmd/frosttide/shutdown.go
@@ -27,7 +27,7 @@
 	drainMargin = 200 * time.Millisecond
 	// closeMargin is how long before the last response connections are closed that
 	// clients have not used since a newer process took over.
-	closeMargin = 600 * time.Millisecond
+	closeMargin = time.Second
 )
 
 // shutdownGrace returns how long the process has to itself after SIGTERM.
