Accept pending connections before a drain closes the listener

Cause: the kernel makes connections without the process. Those that the goroutine that accepts had not got to when the listener was closed were reset.

Change: closeListener accepts what is pending itself, directly before the close, and the front serves it like connections that are handed over. A socket that the platform holds keeps its connections for the next process and is left alone. What is left are the microseconds between the last accept and the close. The scheduler's gateways close connections without a request at once in any case, and their clients may send again: nothing changes there.

Test: TestDrainServesPendingConnections failed before (connection reset by peer) and passes, three times under the race detector.

--- a/internal/dispatcher/ingress/drain.go
+++ b/internal/dispatcher/ingress/drain.go
@@ -61,7 +61,9 @@
 	quietCtx, cancel := beforeDeadline(ctx, settleTime)
 	defer cancel()
 	f.awaitQuiet(quietCtx, tick.C)
-	f.listener.closeListener() // connections accepted before are still served
+	for _, c := range f.listener.closeListener() { // connections accepted before are still served
+		f.serveAdmitted(c)
+	}
 	f.adopted.refuse()
 	f.awaitClosed(ctx, tick.C)
 	_ = f.server.Close() // nothing comes on connections that are still open
--- a/internal/dispatcher/ingress/drain_test.go
+++ b/internal/dispatcher/ingress/drain_test.go
@@ -110,6 +110,48 @@
 	requireJobAnswered(t, client)
 }
 
+// lateListener accepts nothing before it is closed, as the goroutine that accepts may get no time.
+type lateListener struct {
+	*net.TCPListener
+	closed context.Context
+	cancel context.CancelFunc
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	<-l.closed.Done()
+	return nil, net.ErrClosed
+}
+
+func (l lateListener) Close() error {
+	defer l.cancel()
+	return l.TCPListener.Close()
+}
+
+// TestDrainServesPendingConnections guards a client whose connection is made in the moment in which a drain closes the listener: the
+// kernel reset it.
+func TestDrainServesPendingConnections(t *testing.T) {
+	front := newDrainFront()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	closed, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { served <- front.Serve(lateListener{listener.(*net.TCPListener), closed, cancel}) }()
+	client, err := net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	_, err = io.WriteString(client, oneJob)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		front.listener.mu.Lock()
+		defer front.listener.mu.Unlock()
+		return front.listener.Listener != nil
+	}, 10*time.Second, time.Millisecond)
+	require.NoError(t, front.Drain(t.Context()))
+	require.NoError(t, <-served)
+	requireJobAnswered(t, client)
+}
+
 // TestDrainEndsWithItsContext guards the grace that the platform gives: a drain went on waiting for connections on which no
 // response was owed.
 func TestDrainEndsWithItsContext(t *testing.T) {
--- a/internal/dispatcher/ingress/listener.go
+++ b/internal/dispatcher/ingress/listener.go
@@ -64,15 +64,23 @@
 }
 
 // closeListener closes the listener, if there is one yet, and waits until each
-// connection that was accepted is counted.
-func (l *connListener) closeListener() {
+// connection that was accepted is counted. It returns the connections that it has
+// accepted itself, as they were still pending.
+func (l *connListener) closeListener() []*conn {
+	var pending []net.Conn
 	l.mu.Lock()
 	l.ended = true
 	if l.Listener != nil {
+		pending = acceptPending(l.Listener)
 		_ = l.Listener.Close() // nothing is accepted any more in either case
 	}
 	l.mu.Unlock()
 	l.accepting.Wait()
+	var admitted []*conn
+	for _, c := range pending {
+		admitted = append(admitted, l.admit(c, nil, nil))
+	}
+	return admitted
 }
 
 // Accept implements net.Listener.
@@ -201,7 +209,7 @@
 }
 
 // adoptedListener is the listener of the connections that another process hands
-// over.
+// over, and of those that were pending when the listener closed.
 type adoptedListener struct {
 	listener *connListener
 	conns    chan net.Conn
--- a/internal/dispatcher/ingress/transfer.go
+++ b/internal/dispatcher/ingress/transfer.go
@@ -91,9 +91,14 @@
 // with the request that was read from it there. It reports whether the connection
 // will be served; if not, it closes it.
 func (f *Front) Adopt(c net.Conn, request []byte, m *core.MovedRequest) bool {
-	admitted := f.listener.admit(c, request, m)
-	if !f.adopted.offer(admitted) {
-		admitted.Close()
+	return f.serveAdmitted(f.listener.admit(c, request, m))
+}
+
+// serveAdmitted has a connection be served that the server has not accepted itself. It
+// reports whether that will be; if not, it closes the connection.
+func (f *Front) serveAdmitted(c *conn) bool {
+	if !f.adopted.offer(c) {
+		c.Close()
 		return false
 	}
 	return true
