Take over a job that runs already past the limit of open jobs

Callers: at an upgrade a newer process that had as many open jobs as it may have answered 503, "refused, try again", to a job that the older one had sent to a runner: a client that sends it again has it run twice. Found by reading.

Cause: the limit was applied to jobs on connections that are handed over like to new ones. It protects the sockets for workers' reports; the handed-over connection has its socket already.

Change: a job that was sent to a worker before is not refused for the limit. One that no worker got still is.

Test: TestAdoptedJobPastLimit failed before (503) and passes, twice under the race detector.

--- a/internal/dispatcher/ingress/conn.go
+++ b/internal/dispatcher/ingress/conn.go
@@ -155,6 +155,10 @@
 	}
 }
 
+// sentBefore reports whether another process has sent the request on the connection to
+// a worker.
+func (c *conn) sentBefore() bool { return c.transferred != nil && len(c.transferred.Attempts) > 0 }
+
 // enqueue adds the connection to a class of those that may be evicted. The caller
 // holds the listener's lock.
 func (c *conn) enqueue(class int) {
--- a/internal/dispatcher/ingress/jobs.go
+++ b/internal/dispatcher/ingress/jobs.go
@@ -29,7 +29,7 @@
 	f.counts.Pending(1)
 	defer f.counts.Pending(-1)
 	defer f.openJobs.Add(-1)
-	if f.openJobs.Add(1) > f.maxJobs.Load() {
+	if f.openJobs.Add(1) > f.maxJobs.Load() && !c.sentBefore() {
 		f.rejectCrowded(w, job.Class, record)
 		return
 	}
--- a/internal/dispatcher/ingress/listener.go
+++ b/internal/dispatcher/ingress/listener.go
@@ -103,7 +103,7 @@
 	if len(read) == 0 {
 		admitted.enqueue(newConns)
 	}
-	if moved != nil && len(moved.Attempts) > 0 {
+	if admitted.sentBefore() {
 		admitted.inTransit = true
 		l.inTransit++
 	}
--- a/internal/dispatcher/ingress/transfer_test.go
+++ b/internal/dispatcher/ingress/transfer_test.go
@@ -206,6 +206,16 @@
 	}
 }
 
+// TestAdoptedJobPastLimit guards a client from 503, "try again", for a job that runs already: the process that took it over
+// was at its limit of open jobs.
+func TestAdoptedJobPastLimit(t *testing.T) {
+	front, client, serve := adoptOneJob(t, noPeer{})
+	front.SetLimits(0, 8)
+	go front.deliverReport(core.JobEvent{ID: "one", State: core.JobDone})
+	serve()
+	requireServed(t, client)
+}
+
 // requireServed checks that a client gets its result.
 func requireServed(t *testing.T, client net.Conn) {
 	t.Helper()
