Have TestSettings' first runner accept its job before the reloads

The test was wrong about time: its first job stayed unaccepted at a runner for the test's 17 reloads, and a runner has a second to accept a job (acceptTimeout). The dispatcher then recalled the job, as it should, and the test's runner did not answer that: "no second hop of the job that was open".

Now a first job is accepted at once, is open through all 17 reloads, is reported as failed after them and must be run again by the other runner. A second job is sent before the last of the refused reloads and not accepted before the one that takes its class away; that it is run again is checked as before. Every other check is as it was; the figures count the additional job. New are the checks of which job the second hops are.

--- a/cmd/frosttide/daily_test.go
+++ b/cmd/frosttide/daily_test.go
@@ -429,8 +429,8 @@
 	disc := newDiscovery(t)
 	d := start(t, disc.URL, 1024, a.entry())
 	w := await(t, disc.watches, "watch")
-	open := submit(d.job("render", "x1"))
-	h := await(t, a.requests, "hop")
+	accepted := submit(d.job("render", "x0"))
+	await(t, a.requests, "hop").reply(202, "")
 	w.lines <- list(42, false, b.entry())
 	d.awaitLog("target=s-2")
 	file := fmt.Sprintf(d.cfg, strings.TrimPrefix(disc.URL, "http://"))
@@ -447,17 +447,25 @@
 		}
 		t.Fatalf("want %v reloads and %v errors, figures %v", reloads, errors, d.figures())
 	}
-	for _, bad := range []struct{ was, is string }{
+	bad := []struct{ was, is string }{
 		{file, ""}, {file, file[:len(file)-1]}, {file, file + "x"}, {file, "[]"},
 		{`"send-cap":4`, `"send-cap":0`}, {`"send-cap":4`, `"send-cap":"4"`}, {`"send-cap":4,`, ``}, {`"send-cap":4`, `"send-cap":null`},
 		{`"give-up":20000000,"worth":1}`, `"give-up":-5,"worth":1}`}, {`"give-up":20000000,"worth":1}`, `"give-up":0,"worth":1}`},
 		{`"give-up":20000000,"worth":1}`, `"give-up":"soon","worth":1}`}, {`"give-up":20000000,"worth":1}`, `"worth":1}`},
 		{`"aim":2000000,"give-up":20000000,"worth":1}`, `"give-up":20000000,"worth":1}`},
 		{`"seed":"8c1f30d27a5be964",`, ``}, {`"rules":{"ask-within":1000000,`, `"rules":{`}, {`"name":"once"`, `"name":"render"`},
-	} {
-		cfg := strings.Replace(file, bad.was, bad.is, 1)
+	}
+	var open <-chan response
+	var other *runner // the one that does not have that job
+	var h *runnerRequest
+	for i, change := range bad {
+		cfg := strings.Replace(file, change.was, change.is, 1)
 		if cfg == file {
-			t.Fatalf("nothing to replace by %s", bad.is)
+			t.Fatalf("nothing to replace by %s", change.is)
+		}
+		if i == len(bad)-1 { // a runner has a second to accept a job, in which all the reloads may not fit
+			open = submit(d.job("render", "x1"))
+			other, h = hopAtEither(t, a, b)
 		}
 		errors++
 		reload(strings.Replace(cfg, disc.URL[len("http://"):], "127.0.0.1:1", 1))
@@ -476,12 +484,25 @@
 		t.Errorf("a job of a class that is gone got %+v", got)
 	}
 	h.reply(500, "")
-	h = await(t, b.requests, "second hop of the job that was open, of a class that may be repeated")
+	h = await(t, other.requests, "second hop of the job that was open, of a class that may be repeated")
+	if h.id() != "x1" {
+		t.Errorf("the second hop is of %s", h.id())
+	}
 	h.reply(202, "")
-	d.report(event("x1", b.uid, "done"))
+	d.report(event("x1", other.uid, "done"))
 	if got := await(t, open, "answer"); got.Status != 200 {
 		t.Errorf("answer %+v to the job that was open", got)
 	}
+	d.report(event("x0", a.uid, "failed"))
+	h = await(t, b.requests, "second hop of the job that a runner had accepted, of a class that may be repeated")
+	if h.id() != "x0" {
+		t.Errorf("the second hop is of %s", h.id())
+	}
+	h.reply(202, "")
+	d.report(event("x0", b.uid, "done"))
+	if got := await(t, accepted, "answer"); got.Status != 200 {
+		t.Errorf("answer %+v to the job that a runner had accepted", got)
+	}
 	d.call("PUT", "/api/exclude", `{"host":"s-2"}`)
 	// render is back with a stricter effect, and jobs get one attempt.
 	reloads++
@@ -494,7 +515,7 @@
 		}
 	}
 	f := d.figures()
-	for name, n := range map[string]float64{`completed{lane="render"}`: 1, `failed{lane="render"}`: 1, `upstream_requests{lane="render"}`: 3,
+	for name, n := range map[string]float64{`completed{lane="render"}`: 2, `failed{lane="render"}`: 1, `upstream_requests{lane="render"}`: 5,
 		`failed{lane="new"}`: 0, `failed{lane="release"}`: 1, `members_unavailable`: 2} {
 		if got, ok := f[name]; !ok || got != n {
 			t.Errorf("%s is %v, %t, want %v", name, got, ok, n)
@@ -502,6 +523,20 @@
 	}
 }
 
+// hopAtEither returns the next hop at one of two runners, and which of them does not have it.
+func hopAtEither(t *testing.T, a, b *runner) (other *runner, h *runnerRequest) {
+	t.Helper()
+	select {
+	case h = <-a.requests:
+		return b, h
+	case h = <-b.requests:
+		return a, h
+	case <-time.After(testTimeout):
+		t.Fatal("no hop")
+		panic("unreachable")
+	}
+}
+
 // hearTime is within which the front hears a request to its end; it is told to clients.
 const hearTime = 2750 * time.Millisecond
 
