Doubt an older list after a start from the stored one also where it lacks few

Cause: the roster knew nothing of the version of discovery's list. Only how much a first full list lacks was looked at, not whether it is older than the stored one.

Change: the roster compares the version with the stored one of the same discovery. One that lacks most is doubted until a second confirms it, as before.

Tests: TestOlderListAfterStart, whose case "older" failed without the comparison (2 of 3 runners left); it and the packages pass twice under the race detector. The tests of cmd/frosttide on discovery, state, restarts and reloads pass.

--- a/internal/dispatcher/roster/discovery.go
+++ b/internal/dispatcher/roster/discovery.go
@@ -47,6 +47,7 @@
 // RoutesReplaced takes a full list of discovery's. Before Start it is the platform's list, whose entries are as good
 // as discovery's but show nothing of discovery itself.
 func (r *Roster) RoutesReplaced(routes []core.Route) {
+	older := r.olderThanStored()
 	r.box.Put(func(r *Roster) {
 		if !r.started {
 			for _, route := range routes {
@@ -54,10 +55,19 @@
 			}
 			return
 		}
-		r.applyFull(routes)
+		r.applyFull(routes, older)
 	})
 }
 
+// olderThanStored reports whether discovery's list is older than the stored one.
+func (r *Roster) olderThanStored() bool {
+	if r.stored.version == 0 {
+		return false
+	}
+	discovery, version := r.table.Position()
+	return discovery == r.stored.discovery && version < r.stored.version
+}
+
 // RoutesChanged takes routes that discovery has changed. They have effect at once, also while a full list is in doubt.
 func (r *Roster) RoutesChanged(routes []core.Route) {
 	r.box.Put(func(r *Roster) {
@@ -79,8 +89,9 @@
 	})
 }
 
-// applyFull applies a full list: it replaces what was known or, while it is in doubt, only adds to it.
-func (r *Roster) applyFull(routes []core.Route) {
+// applyFull applies a full list: it replaces what was known or, while it is in doubt, only adds to it. Older says that it is
+// older than the stored one.
+func (r *Roster) applyFull(routes []core.Route, older bool) {
 	listed := map[string]bool{}
 	for _, route := range routes {
 		listed[route.UID] = true
@@ -90,10 +101,13 @@
 		r.confirmListed()
 	}
 	r.lastContact = r.now
-	if r.fullUpdates.Judge(r.now, known, missing) == rosterpolicy.Doubted {
-		r.log.WithFields(logrus.Fields{"listed": len(routes), "known": known, "lacks": missing}).
-			Warn("discovery's list lacks most of what is known; it only adds until it is confirmed")
+	if r.judge(known, missing, older) == rosterpolicy.Doubted {
+		r.log.WithFields(logrus.Fields{"listed": len(routes), "known": known, "lacks": missing, "older": older}).
+			Warn("discovery's list lacks most of what is known, or is older; it only adds until it is confirmed")
 		r.doubtedUIDs, r.refetchAt = listed, r.now+confirmDelay
+		if older {
+			r.refetchAt = r.now + rosterpolicy.OlderListTimeout
+		}
 		r.applyChanges(routes)
 		r.core.RoutesChanged(nil) // shows the core that discovery has responded
 		return
@@ -102,6 +116,14 @@
 	r.removeMissing(listed)
 }
 
+// judge decides on a full list.
+func (r *Roster) judge(known, missing int, older bool) rosterpolicy.Verdict {
+	if older {
+		return r.fullUpdates.JudgeOlder(r.now, known, missing)
+	}
+	return r.fullUpdates.Judge(r.now, known, missing)
+}
+
 // countMissing returns how many runners are known and how many of them a full list lacks. Stored runners that are
 // rejected don't count: nothing is lost with them.
 func (r *Roster) countMissing(listed map[string]bool) (known, missing int) {
--- a/internal/dispatcher/roster/load.go
+++ b/internal/dispatcher/roster/load.go
@@ -26,6 +26,7 @@
 	r.core.Restore(snapshot)
 	stored := r.loadNodes(s, snapshot.Health)
 	r.lastContact, r.lastSnapshot = s.Answered, s
+	r.stored = listPosition{s.Discovery, s.Rev}
 	policy := r.cfg.Policy
 	if downtime := r.now - s.Saved; s.Ended && downtime > 0 { // not above 0 if the wall clock was set back
 		policy.PlannedDowntime = downtime
--- a/internal/dispatcher/roster/roster.go
+++ b/internal/dispatcher/roster/roster.go
@@ -40,6 +40,9 @@
 type Table interface {
 	Snapshot(func(discovery string, list []byte))
 	Fetch()
+	// Position returns discovery's address and the version of its list. It is called on the table's goroutine only, by
+	// methods that take its lists.
+	Position() (discovery string, version uint64)
 }
 
 // Prober probes a runner until a deadline and reports what it has found. Probe does not block.
@@ -86,6 +89,7 @@
 	box         *mailbox.Box[func(*Roster)]
 	startedAt   time.Time
 	wallAtStart time.Duration // the wall clock's time at startedAt, since 1970
+	stored      listPosition  // where the stored list comes from; set before Run
 	status      atomic.Pointer[Status]
 
 	now            time.Duration // since 1970, by the clock method
@@ -107,6 +111,12 @@
 	probing        int                        // probes under way
 }
 
+// listPosition is a version of one discovery's list, zero for none.
+type listPosition struct {
+	discovery string
+	version   uint64
+}
+
 // confirmation is when a runner was last confirmed, and by whom: rosterstore.ByDiscovery or ByRunner.
 type confirmation struct {
 	at time.Duration
--- a/internal/dispatcher/roster/roster_test.go
+++ b/internal/dispatcher/roster/roster_test.go
@@ -215,6 +215,58 @@
 	}
 }
 
+// versionTable is a table whose list has a version of discovery "d".
+type versionTable struct {
+	Table
+	version uint64
+}
+
+func (v *versionTable) Position() (discovery string, version uint64) { return "d", v.version }
+
+// TestOlderListAfterStart guards a runner from being removed after a start from the stored list by a discovery that is behind
+// that list: an older full list that lacked less than half of the runners was taken at once.
+func TestOlderListAfterStart(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	route := func(uid string) core.Route {
+		return core.Route{UID: uid, Addr: uid, Member: decision.Member{State: decision.Ready}}
+	}
+	parse := func(entry []byte) (core.Route, error) { return route(strings.Trim(string(entry), `"`)), nil }
+	for _, tc := range []struct {
+		name      string
+		discovery string // that the stored list is of
+		version   uint64 // of discovery's full list
+		after     time.Duration
+		want      int // runners that are known in the end
+	}{
+		{"older", "d", 41, time.Second, 3},
+		{"older, and still so when discovery had time to catch up", "d", 41, rosterpolicy.OlderListTimeout, 2},
+		{"as old", "d", 42, 0, 2},
+		{"older, of another discovery", "other", 41, 0, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := &versionTable{version: tc.version}
+			cfg := Config{Policy: rosterpolicy.Config{Fresh: time.Hour, Old: time.Hour, Max: time.Hour, MaxMissing: 0.5, DoubtTimeout: time.Hour}}
+			r := New(cfg, &fakeCore{}, table, nil, nil, parse, logrus.NewEntry(log))
+			startedAt := r.clock()
+			stored := &rosterstore.Snapshot{Saved: startedAt, Answered: startedAt, Discovery: tc.discovery, Rev: 42}
+			for _, uid := range []string{"s-1", "s-2", "s-3"} {
+				stored.Nodes = append(stored.Nodes, rosterstore.Node{UID: uid, Entry: json.RawMessage(`"` + uid + `"`), Confirmed: startedAt, By: rosterstore.ByDiscovery})
+			}
+			r.LoadStored(stored, 1)
+			r.Start()
+			for _, at := range []time.Duration{0, tc.after} {
+				r.now = startedAt + at
+				r.RoutesReplaced([]core.Route{route("s-1"), route("s-2")})
+				for _, message := range r.box.Drain(nil) {
+					message(r)
+				}
+			}
+			require.Len(t, r.routes, tc.want)
+		})
+	}
+}
+
 // TestPlannedEndWithEmptyList guards runners from being taken for cold when discovery lists none as a planned shutdown begins.
 func TestPlannedEndWithEmptyList(t *testing.T) {
 	log := logrus.New()
--- a/internal/dispatcher/rosterpolicy/fullupdate.go
+++ b/internal/dispatcher/rosterpolicy/fullupdate.go
@@ -1,6 +1,13 @@
 package rosterpolicy
 
-import "time"
+import (
+	"time"
+
+	"frosttide/decision/freshness"
+)
+
+// OlderListTimeout is how long a discovery that lists less than was stored, in an older version, has to catch up.
+const OlderListTimeout = freshness.NotifiedWithin
 
 // FullUpdatePolicy decides whether a full list of discovery's is accepted. A discovery that returns from an outage may
 // have lost its data, and its list would remove the whole fleet.
@@ -45,8 +52,7 @@
 // first. Changes of single runners are not doubted and don't come here.
 func (p *FullUpdatePolicy) Judge(now time.Duration, known, missing int) Verdict {
 	p.Contacted(now)
-	fewMissing := float64(missing) <= p.cfg.MaxMissing*float64(known)
-	if !p.suspect || fewMissing || p.doubtedSince != 0 {
+	if !p.suspect || p.lacksFew(known, missing) || p.doubtedSince != 0 {
 		p.suspect, p.doubtedSince = false, 0
 		return Accepted
 	}
@@ -54,6 +60,28 @@
 	return Doubted
 }
 
+// JudgeOlder decides on a full list that is older than the stored one. Where it lacks few of the known runners, which is no
+// reason for doubt otherwise, it is doubted until discovery has had the time to catch up.
+func (p *FullUpdatePolicy) JudgeOlder(now time.Duration, known, missing int) Verdict {
+	if missing == 0 || !p.suspect || !p.lacksFew(known, missing) {
+		return p.Judge(now, known, missing)
+	}
+	p.Contacted(now)
+	if p.doubtedSince == 0 {
+		p.doubtedSince = now
+	}
+	if now-p.doubtedSince < OlderListTimeout {
+		return Doubted
+	}
+	p.suspect, p.doubtedSince = false, 0
+	return Accepted
+}
+
+// lacksFew reports whether a list lacks so few of the known runners that it is no reason for doubt.
+func (p *FullUpdatePolicy) lacksFew(known, missing int) bool {
+	return float64(missing) <= p.cfg.MaxMissing*float64(known)
+}
+
 // AcceptAt returns when a doubted full list is to be accepted if no other has come; 0 if none is doubted.
 func (p *FullUpdatePolicy) AcceptAt() time.Duration {
 	if p.doubtedSince == 0 {
--- a/internal/dispatcher/routetable/routetable.go
+++ b/internal/dispatcher/routetable/routetable.go
@@ -199,6 +199,9 @@
 	})
 }
 
+// Position returns discovery's address and the version of the list. It is for the sink, within its methods.
+func (t *Table) Position() (discovery string, version uint64) { return t.addr, t.version }
+
 // Watch has the table watch discovery from now on.
 func (t *Table) Watch() {
 	t.box.Put(func(t *Table) {
