Ask whether a connection was sent without waiting for its write

By reading: socket.isSent and close took the lock that a write of the connection holds, for up to 3 s where a hung newer process reads nothing, so that a transfer could pass its deadline and its client got no response in time.

Change: what was sent is an atomic value, and the copy is closed by a goroutine of its own. The package's tests pass twice under the race detector; the wait itself was not seen in a run.

--- a/internal/dispatcher/handover/link.go
+++ b/internal/dispatcher/handover/link.go
@@ -290,7 +290,7 @@
 		l.log.WithError(err).Warn("a connection could not be handed over")
 		return false
 	}
-	defer s.close()
+	defer func() { go s.close() }() // it waits for a write that is under way
 	result := p.request(message{Client: &client{Request: request, Moved: m}, socket: s}, deadline)
 	return result == taken || result == sent
 }
--- a/internal/dispatcher/handover/peer.go
+++ b/internal/dispatcher/handover/peer.go
@@ -232,7 +232,7 @@
 	defer timer.Stop()
 	tick := time.NewTicker(transferAnswerTimeout)
 	defer tick.Stop()
-	isSent := func() bool { return m.socket != nil && m.socket.isSent() && p.lastContact.Load() > begun }
+	isSent := func() bool { return m.socket != nil && m.socket.sent.Load() && p.lastContact.Load() > begun }
 	for {
 		select {
 		case result := <-answer:
--- a/internal/dispatcher/handover/socket.go
+++ b/internal/dispatcher/handover/socket.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -16,9 +17,10 @@
 // socket is a copy of a connection's descriptor on its way to another process. Its
 // maker closes it.
 type socket struct {
-	mu   sync.Mutex
-	fd   int  // -1 when it is closed
-	sent bool // the other process gets it, unless it ends before it has read it
+	sent atomic.Bool // the other process gets it, unless it ends before it has read it
+
+	mu sync.Mutex // held during a write
+	fd int        // -1 when it is closed
 }
 
 // duplicate makes a copy of a connection's descriptor. The connection may be wrapped.
@@ -60,17 +62,10 @@
 	if err == nil && n < len(line) {
 		_, err = to.Write(line[n:])
 	}
-	s.sent = err == nil
+	s.sent.Store(err == nil)
 	return err
 }
 
-// isSent reports whether the copy was sent.
-func (s *socket) isSent() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.sent
-}
-
 // close closes the copy, which is not sent any more.
 func (s *socket) close() {
 	s.mu.Lock()
