Refuse jobs that come as the listener closes, and close it a moment after the last

Cause: the listener closed as soon as no connection was open.

Change: no connection must have been open for 50 ms before the listener closes. A job on a connection that was pending then is refused with 503 before any runner gets it.

Tests: TestDrainAwaitsReconnect failed before with another form of its check (a client that dials 10 ms after the beginning was refused, five of five); the landed form asks for the 50 ms, as that one would depend on the machine. Three times under the race detector.

--- a/internal/dispatcher/ingress/conn.go
+++ b/internal/dispatcher/ingress/conn.go
@@ -29,6 +29,7 @@
 	listener    *connListener
 	framing     framing
 	transferred *core.MovedRequest // what another process has done for the first request; nil for nothing
+	late        bool               // it was accepted as the listener closed, so that no report on a job of it can come
 	lookahead   lookahead
 
 	// Guarded by the listener's lock.
--- a/internal/dispatcher/ingress/drain.go
+++ b/internal/dispatcher/ingress/drain.go
@@ -9,6 +9,9 @@
 const (
 	// drainQuiet is how long nothing must have come in before the listener closes.
 	drainQuiet = 250 * time.Millisecond
+	// emptyQuiet is how long no connection must have been open before the listener closes:
+	// a client whose request has crossed a close connects anew at once.
+	emptyQuiet = 50 * time.Millisecond
 	// newConnWait is how long new connections have for their first request.
 	newConnWait = drainQuiet / 2
 	// drainPoll is the time between two looks at what is open.
@@ -53,7 +56,8 @@
 //
 // Connections close after each response from here on, and idle ones before their
 // next request is read, so an open one has a request on it or has just been made.
-// Drain ends when none is open, or when none has begun a request for a while.
+// Drain ends when none has been open for a moment, or none has begun a request for a
+// while.
 func (f *Front) Drain(ctx context.Context) error {
 	f.draining.Store(true)
 	tick := time.NewTicker(drainPoll)
@@ -82,15 +86,19 @@
 	return context.WithCancel(ctx)
 }
 
-// awaitQuiet waits until no connection is open, or none has begun a request for a
-// while, or the context ends.
+// awaitQuiet waits until no connection has been open for emptyQuiet, or none has begun
+// a request for drainQuiet, or the context ends.
 func (f *Front) awaitQuiet(ctx context.Context, tick <-chan time.Time) {
-	for lastActive := time.Now(); ; {
+	for lastActive, lastOpen := time.Now(), time.Now(); ; {
 		partial := f.listener.retireIdle(newConnsSince(lastActive))
+		open := f.listener.count()
 		if f.activeRequests.Load() > 0 || partial > 0 {
 			lastActive = time.Now()
 		}
-		if f.listener.count() == 0 || time.Since(lastActive) >= drainQuiet {
+		if open > 0 {
+			lastOpen = time.Now()
+		}
+		if time.Since(lastOpen) >= emptyQuiet || time.Since(lastActive) >= drainQuiet {
 			return
 		}
 		select {
--- a/internal/dispatcher/ingress/jobs.go
+++ b/internal/dispatcher/ingress/jobs.go
@@ -43,6 +43,10 @@
 			return
 		}
 	}
+	if c.late {
+		f.rejectLate(w, job.Class, record)
+		return
+	}
 	if stopBy := f.stopBy.Load(); stopBy != nil && stopBy.Before(job.Deadline) {
 		// A job that the end of the process finds without a response would be lost.
 		job.Deadline, job.ProcessStopping = *stopBy, true
@@ -105,6 +109,15 @@
 	writeRejection(w, crowdedRetryAfter)
 }
 
+// rejectLate rejects a job on whose end no worker can report any more, and ends the
+// connection.
+func (f *Front) rejectLate(w http.ResponseWriter, class int, record *trace.Record) {
+	f.endRecord(record, trace.Refused, "late", http.StatusServiceUnavailable)
+	f.counts.Rejected(class)
+	w.Header().Set("Connection", "close")
+	writeRejection(w, 0)
+}
+
 // takeMovedRequest returns what an older process has done for the job, an empty
 // request if none has begun it. The result carries the record of the job.
 func takeMovedRequest(c *conn, job *core.Job, record *trace.Record) *core.MovedRequest {
--- a/internal/dispatcher/ingress/listener.go
+++ b/internal/dispatcher/ingress/listener.go
@@ -78,7 +78,9 @@
 	l.accepting.Wait()
 	var admitted []*conn
 	for _, c := range pending {
-		admitted = append(admitted, l.admit(c, nil, nil))
+		late := l.admit(c, nil, nil)
+		late.late = true
+		admitted = append(admitted, late)
 	}
 	return admitted
 }
