Read TestUpgrade's figures once the older process has ended

A figure of the newer process was read while it could still be behind: a request to a runner is counted by the goroutine that has written it, after the write, and the runner's answer may be read before that goroutine runs again. 1 of 60 runs, ten at once beside 16 disk writers and four simulators, found upstream_requests 0 where the runner had the job and had accepted it.

The check is the same, with the same figures, and is made some steps later, when the older process has ended: a job that was sent again in between fails it as well.

--- a/cmd/frosttide/daily_test.go
+++ b/cmd/frosttide/daily_test.go
@@ -244,13 +244,13 @@
 			if a := await(t, first, "answer"); a.Status != 200 || a.Close || a.Body != "clip of x0 by s-3" {
 				t.Errorf("answer %+v to the job of the older process, want a result", a)
 			}
-			if f := next.figures(); f[`completed{lane="render"}`] != 1 || f[`upstream_requests{lane="render"}`] != 1 {
-				t.Errorf("the job handed over was sent again, or counts elsewhere: %v", f)
-			}
 			if err := await(t, old.ended, "end"); err != nil {
 				t.Errorf("the older process ended with %v", err)
 			}
 			next.awaitLog("the other process has ended")
+			if f := next.figures(); f[`completed{lane="render"}`] != 1 || f[`upstream_requests{lane="render"}`] != 1 {
+				t.Errorf("the job handed over was sent again, or counts elsewhere: %v", f)
+			}
 			if code := next.report(event("x1", x.uid, "done")); code != 204 {
 				t.Errorf("call-back got %d", code)
 			}
