Tell of runners that an older list lacked before the change that confirms it

Cause: changes that reach the version in force also remove the runners that an older list lacked, and these came behind the changes in one update. The log said "egress target gone" after the change's own line, so that the test took it for that of the next change and sent its job too early. The runners were gone before that change, so that the order was wrong for any reader of the log.

Change: the removals come first. No check is changed.

--- a/internal/dispatcher/routetable/update.go
+++ b/internal/dispatcher/routetable/update.go
@@ -81,7 +81,7 @@
 		t.older = nil
 	} else if !update.Full {
 		missing, removed := t.removeMissing(version, routes)
-		routes, updated = append(routes, missing...), append(updated, removed...)
+		routes, updated = append(missing, routes...), append(removed, updated...) // they were gone before this change
 	}
 	t.version, t.versionKnown = version, true
 	maps.DeleteFunc(t.gossiped, func(_ string, gossip gossipedEntry) bool { return gossip.version <= t.version })
