Bound the connections that are accepted as a listener closes

By reading: clients that connect as fast as they are accepted could have kept closeListener accepting, with the listener's lock held. It accepts 1024 at most. The package's tests pass under the race detector; no test provokes the bound.

--- a/internal/dispatcher/ingress/pending.go
+++ b/internal/dispatcher/ingress/pending.go
@@ -9,6 +9,10 @@
 	"frosttide/internal/dispatcher/neterr"
 )
 
+// maxPending bounds the connections that are accepted as a listener closes: clients may
+// connect as fast as they are accepted.
+const maxPending = 1024
+
 // acceptPending accepts the connections on a listener that nobody has accepted yet.
 // The kernel resets those that are left when the listener closes. A socket that the
 // platform holds keeps them for the next process, and is left alone.
@@ -26,7 +30,7 @@
 	}
 	var pending []net.Conn
 	_ = raw.Control(func(fd uintptr) { // fails only for a closed listener
-		for {
+		for len(pending) < maxPending {
 			c, err := acceptNow(int(fd))
 			if errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.EINTR) {
 				continue // that client has left
