Answer a request at a drain whose first byte came before its connection was idle

A client of a gateway, agent or core machine lost its connection without an answer although a byte of its request had been read.

Cause: net/http reads one byte behind a request until its response is written. Where that byte of the next request came before net/http called the connection idle, the listener took the connection for one that waits, and a drain interrupted it.

TestDrainAwaitsRequestBehindTheLast plays the order of events and failed before.

Change: a background read that has a byte is noted, so the connection counts as one with a begun request when it becomes idle. The tests' servers listen on a port of the kernel's choice, as binaries run side by side met "address already in use".

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// backgroundReadSize is the size of the reads by which net/http looks for the end of the client's side behind a request. All
+// its other reads are larger.
+const backgroundReadSize = 1
+
 // pastDeadline is a deadline that has passed.
 var pastDeadline = time.Unix(1, 0)
 
@@ -17,6 +21,7 @@
 
 	// Guarded by the owner's lock.
 	waiting      bool      // for the first byte of a request
+	nextBegun    bool      // the first byte of the next request was read before the response to the last one had ended
 	interrupted  bool      // reads fail while it waits
 	readDeadline time.Time // that net/http has set last
 }
@@ -25,16 +30,17 @@
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.requestBegun()
+		c.requestBegun(len(p) == backgroundReadSize)
 	}
 	return n, err
 }
 
-// requestBegun notes that a byte of a request was read. The connection goes on, even if it was interrupted meanwhile.
-func (c *connection) requestBegun() {
+// requestBegun notes that a byte of a request was read, behind one that has no response yet or not. The connection goes on,
+// even if it was interrupted meanwhile.
+func (c *connection) requestBegun(behind bool) {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	c.waiting = false
+	c.waiting, c.nextBegun = false, behind
 	if c.interrupted {
 		c.interrupted = false
 		_ = c.Conn.SetReadDeadline(c.readDeadline) // fails only if the connection is closed
@@ -115,11 +121,11 @@
 	}
 }
 
-// requestEnded notes that the connection waits for the next request.
+// requestEnded notes that the connection waits for the next request, unless that has begun already.
 func (c *connection) requestEnded() {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	c.waiting = true
+	c.waiting, c.nextBegun = !c.nextBegun, false
 	if c.owner.draining {
 		c.interrupt()
 	}
--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"frosttide/internal/testkit/connpair"
 	"frosttide/internal/testkit/signalsoak"
 )
 
@@ -27,15 +29,14 @@
 // serveEcho returns a listener whose handler answers with the body of the request, and its address.
 func serveEcho(t *testing.T) (*Listener, string) {
 	t.Helper()
-	address := freeAddress(t)
-	listener, err := Listen(address, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	listener, err := Listen("127.0.0.1:0", &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if body, err := io.ReadAll(r.Body); err == nil {
 			_, _ = w.Write(body)
 		}
 	})})
 	require.NoError(t, err)
 	t.Cleanup(listener.Close)
-	return listener, address
+	return listener, listener.address.Addr().String()
 }
 
 // dial opens a connection that is closed with the test.
@@ -133,6 +134,30 @@
 	}
 }
 
+// TestDrainAwaitsRequestBehindTheLast guards against dropping a request whose first byte net/http has read before it takes the
+// connection for idle.
+func TestDrainAwaitsRequestBehindTheLast(t *testing.T) {
+	l := &Listener{connections: make(map[*connection]struct{}), drained: make(chan struct{})}
+	client, server := connpair.New(t)
+	conn := l.add(server)
+	buffer := make([]byte, len(requestHead))
+	read := func(p []byte) {
+		t.Helper()
+		_, err := io.ReadFull(conn, p)
+		require.NoError(t, err)
+	}
+	send(t, client, requestHead+requestHead[:1])
+	read(buffer)
+	read(buffer[:backgroundReadSize])
+	conn.requestEnded()
+	l.interruptWaiting()
+	send(t, client, requestHead[1:])
+	read(buffer[1:])
+	conn.requestEnded()
+	_, err := conn.Read(buffer)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "a connection without a request ends")
+}
+
 // TestDrainEndsIdleConnections checks that a drain does not wait for connections without a request, nor for a client that
 // has sent none yet, and that nothing is listened on afterwards.
 func TestDrainEndsIdleConnections(t *testing.T) {
