Ask every configured address before the replicated log begins

Three voters that came back with empty disks began a second log beside the one that two followers still had, so what operators had decided was in the followers' log alone and nobody was told that the log is lost.

Cause: before a log begins only the voters were asked directly.

Change: every address of join has to say that it knows of no log, or to refuse connections, and the members known by gossip are looked at again after that. What a member kept apart counts as known. A silent address holds the first start back; the log names it once.

--- a/internal/dispatcher/fleet/cluster/calls.go
+++ b/internal/dispatcher/fleet/cluster/calls.go
@@ -32,6 +32,9 @@
 	mux.HandleFunc("POST /v1/last", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, c.quorum.Last())
 	})
+	mux.HandleFunc("POST /v1/known", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, c.knownIndex())
+	})
 	mux.HandleFunc("POST /v1/compare", c.handleCompare)
 	mux.HandleFunc("POST /v1/facts", c.handleFacts)
 	mux.HandleFunc("POST /v1/fates", c.handleOutcomes)
@@ -134,6 +137,21 @@
 	return last, err
 }
 
+// knownIndex returns the highest index of a log that this member has, or knew of at its start.
+func (c *Cluster) knownIndex() uint64 {
+	known := c.quorum.Last()
+	if c.startWatermark != nil {
+		known = max(known, c.startWatermark.Index)
+	}
+	return known
+}
+
+// knownIndexOf asks a member for the highest index of a log that it has or knows of.
+func (c *Cluster) knownIndexOf(ctx context.Context, addr string) (index uint64, err error) {
+	err = c.call(ctx, addr, "/v1/known", nil, &index)
+	return index, err
+}
+
 // handlePropose writes another member's entry. It responds with 421 if this member does not lead,
 // with 412 if the entry was not written for another reason, and with 503 if it may be committed.
 func (c *Cluster) handlePropose(w http.ResponseWriter, r *http.Request) {
--- a/internal/dispatcher/fleet/cluster/cluster.go
+++ b/internal/dispatcher/fleet/cluster/cluster.go
@@ -162,7 +162,9 @@
 		port.Close()
 		return nil, err
 	}
-	if c.quorum, err = quorum.Open(quorum.Config{Name: cfg.Name, Disk: disk, Voters: cfg.Voters, LastIndex: c.lastIndexOf, InitialEntries: restate, OnInitialEntries: c.removeRestateFile}, port, c.members.Alive, (*logSink)(c), log); err != nil {
+	quorumConfig := quorum.Config{Name: cfg.Name, Disk: disk, Voters: cfg.Voters, Seeds: cfg.Join, KnownIndex: c.knownIndexOf, Refuses: c.refuses,
+		InitialEntries: restate, OnInitialEntries: c.removeRestateFile}
+	if c.quorum, err = quorum.Open(quorumConfig, port, c.members.Alive, (*logSink)(c), log); err != nil {
 		cancel()
 		c.members.Close()
 		port.Close()
--- a/internal/dispatcher/fleet/quorum/bootstrap.go
+++ b/internal/dispatcher/fleet/quorum/bootstrap.go
@@ -5,41 +5,28 @@
 	"errors"
 	"fmt"
 	"slices"
-	"time"
 
 	"github.com/hashicorp/raft"
-	"github.com/sirupsen/logrus"
 
 	"frosttide/internal/dispatcher/fleet/recovery"
 )
 
 // bootstrapIfReady starts the log. Only the first of the configured voters does so, and only while
-// it sees all of them and none has a log. This protects an existing log from a second one: a voter
-// that has lost its disk waits for the others, since it cannot know by itself. Each voter is asked
-// directly, because gossip about it may be older than its log.
+// it sees all of them and no member has a log or knows of one. This protects an existing log from a
+// second one: a voter that has lost its disk waits for the others, since it cannot know by itself.
 func (q *Quorum) bootstrapIfReady(ctx context.Context) {
-	voter := q.disk != nil && slices.Contains(q.cfg.Voters, q.cfg.Name)
 	begun := q.raft.LastIndex() > 0
-	id := ""
-	if q.disk != nil {
-		id = q.disk.id
+	q.sink.LogOpened(q.diskID(), begun)
+	ready := q.assess().State == recovery.MayBootstrap
+	if begun || !ready || q.disk == nil || len(q.cfg.Voters) == 0 || q.cfg.Voters[0] != q.cfg.Name {
+		return
 	}
-	q.sink.LogOpened(id, begun)
-	v := q.assess()
-	if begun || !voter || q.cfg.Voters[0] != q.cfg.Name || v.State != recovery.MayBootstrap {
+	if addr, err := q.findLog(ctx); err != nil {
+		q.logWithheld(addr, err)
 		return
 	}
-	for _, i := range q.alive() {
-		if i.Name == q.cfg.Name || !slices.Contains(q.cfg.Voters, i.Name) {
-			continue
-		}
-		call, cancel := context.WithDeadline(ctx, time.Now().Add(rpcTimeout))
-		last, err := q.cfg.LastIndex(call, i.Addr)
-		cancel()
-		if err != nil || last > 0 {
-			q.log.WithError(err).WithFields(logrus.Fields{"member": i.Name, "last": last}).Info("the log does not begin here: a voter has one, or does not say")
-			return
-		}
+	if q.assess().State != recovery.MayBootstrap { // a member has joined meanwhile
+		return
 	}
 	q.log.Info("the log begins here")
 	if err := q.bootstrap(); err != nil {
@@ -47,6 +34,68 @@
 	}
 }
 
+// diskID returns the ID of the member's disk, empty for none.
+func (q *Quorum) diskID() string {
+	if q.disk == nil {
+		return ""
+	}
+	return q.disk.id
+}
+
+// errLogKnown is the error for a member that knows of a log.
+var errLogKnown = errors.New("a member knows of a log")
+
+// findLog asks the other voters and every configured address for a log, and returns the first
+// address that knows of one, or does not say. Each is asked directly: gossip about a voter may be
+// older than its log, and other members may be alive without being known here yet. An address that
+// refuses connections has no member.
+func (q *Quorum) findLog(ctx context.Context) (addr string, err error) {
+	for _, voter := range q.voterAddrs() {
+		if err := q.askForLog(ctx, voter); err != nil {
+			return voter, err
+		}
+	}
+	for _, seed := range q.cfg.Seeds {
+		if err := q.askForLog(ctx, seed); err != nil && !q.cfg.Refuses(ctx, seed) {
+			return seed, err
+		}
+	}
+	return "", nil
+}
+
+// voterAddrs returns the addresses of the other live voters.
+func (q *Quorum) voterAddrs() (addrs []string) {
+	for _, i := range q.alive() {
+		if i.Name != q.cfg.Name && slices.Contains(q.cfg.Voters, i.Name) {
+			addrs = append(addrs, i.Addr)
+		}
+	}
+	return addrs
+}
+
+// askForLog returns nil if the member at an address says that it knows of no log.
+func (q *Quorum) askForLog(ctx context.Context, addr string) error {
+	call, cancel := context.WithTimeout(ctx, rpcTimeout)
+	defer cancel()
+	index, err := q.cfg.KnownIndex(call, addr)
+	if err != nil {
+		return err
+	}
+	if index > 0 {
+		return fmt.Errorf("%w: entry %d", errLogKnown, index)
+	}
+	return nil
+}
+
+// logWithheld logs why the log does not begin, once for each address in a row.
+func (q *Quorum) logWithheld(addr string, why error) {
+	if q.withheldBy == addr {
+		return
+	}
+	q.withheldBy = addr
+	q.log.WithError(why).WithField("addr", addr).Info("the log does not begin here: a member knows of one, or does not say")
+}
+
 // assess classifies the log by what the live members publish, and records and logs whether it is
 // lost.
 func (q *Quorum) assess() recovery.Verdict {
--- a/internal/dispatcher/fleet/quorum/quorum.go
+++ b/internal/dispatcher/fleet/quorum/quorum.go
@@ -58,7 +58,7 @@
 // The reasons for which an entry is not written.
 var (
 	ErrNoLeader = errors.New("the log has no leader: no majority of its voters is reached")
-	ErrForming  = errors.New("the log has not begun: it needs all of its voters once")
+	ErrForming  = errors.New("the log has not begun: it needs all of its voters once, and an answer or a refusal from each configured address")
 	// ErrLost is wrapped with what is known of the lost log.
 	ErrLost = errors.New("the agreed log is lost")
 )
@@ -76,8 +76,14 @@
 	Name   string
 	Disk   *Disk    // of the member's log; nil for a follower in memory
 	Voters []string // names of the voting members
-	// LastIndex asks another member for the last index of its log, 0 for an empty log.
-	LastIndex func(ctx context.Context, addr string) (last uint64, err error)
+	// Seeds are the configured addresses of members. No log begins while the member at one of them
+	// may know of a log.
+	Seeds []string
+	// KnownIndex asks the member at an address for the highest index of a log that it has or knows
+	// of, 0 for none.
+	KnownIndex func(ctx context.Context, addr string) (index uint64, err error)
+	// Refuses reports whether connections to an address are refused, so that no member runs there.
+	Refuses func(ctx context.Context, addr string) bool
 	// InitialEntries are written first to a log that an operator starts anew here;
 	// OnInitialEntries is called once they are committed.
 	InitialEntries   []ledger.Entry
@@ -108,6 +114,7 @@
 	machine     *machine
 	alive       func() []members.Info
 	absentSince map[raft.ServerID]time.Time // non-voters that are not alive
+	withheldBy  string                      // address for which the log has not begun at the last try
 	lost        atomic.Pointer[string]      // why the log is lost; nil if it is not
 }
 
--- a/internal/dispatcher/fleet/quorum/slowdisk_test.go
+++ b/internal/dispatcher/fleet/quorum/slowdisk_test.go
@@ -90,7 +90,7 @@
 	}
 	for i := range voters {
 		slow := &slowDisk{rng: rand.New(rand.NewPCG(seed, uint64(i))), stalledAt: 20 + 10*i}
-		cfg := Config{Name: names[i], Disk: disks[i], Voters: names, LastIndex: g.lastIndex, wrapStores: slow.through}
+		cfg := Config{Name: names[i], Disk: disks[i], Voters: names, KnownIndex: g.lastIndex, wrapStores: slow.through}
 		q, err := Open(cfg, ports[i], func() []members.Info { return g.infos }, fakeSink{make(chan string, 1024)}, logrus.NewEntry(log))
 		require.NoError(t, err)
 		g.quorums = append(g.quorums, q)
