Count a connection to a runner that was made in time, also if it is noticed late

Seen: TestBusyRestart, eight at once beside four simulators: a client got 502 half a second after the start of a dispatcher, with no signal under way.

Cause: the dialer looks at its timer, not at the socket. A process that runs late on a busy machine finds the time over although the kernel had connected at once.

Change: when the time is over dialNet asks the kernel for the socket's state, and goes on where the connection is made. A runner that does not answer is given up at the deadline as before, with an error of a time limit.

TestConnected and TestDialDeadline are new.

--- a/internal/dispatcher/egress/dial.go
+++ b/internal/dispatcher/egress/dial.go
@@ -5,9 +5,14 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"frosttide/internal/dispatcher/neterr"
 )
 
@@ -15,6 +20,9 @@
 // each.
 const initialBackoff = 5 * time.Millisecond
 
+// tcpEstablished is the kernel's state of a TCP connection that both ends have agreed to.
+const tcpEstablished = 1
+
 var (
 	// errSocketBudget is the error of a dial past the limit of sockets.
 	errSocketBudget = errors.New("the budget of sockets to runners is used up")
@@ -25,10 +33,43 @@
 // Dial opens a connection by a deadline. Tests replace the net package's.
 type Dial func(network, addr string, deadline time.Time) (net.Conn, error)
 
-// dialNet is the Dial of the net package.
+// dialNet is the Dial of the net package. A connection that was made by the deadline counts,
+// also where this process is late to notice.
 func dialNet(network, addr string, deadline time.Time) (net.Conn, error) {
-	d := net.Dialer{Deadline: deadline}
-	return d.Dial(network, addr)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var socket atomic.Value // a syscall.RawConn
+	var expired atomic.Bool
+	timer := time.AfterFunc(time.Until(deadline), func() {
+		if raw, ok := socket.Load().(syscall.RawConn); ok && connected(raw) {
+			return
+		}
+		expired.Store(true)
+		cancel()
+	})
+	defer timer.Stop()
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		socket.Store(raw)
+		return nil
+	}}
+	c, err := dialer.DialContext(ctx, network, addr)
+	if err != nil && expired.Load() {
+		err = &net.OpError{Op: "dial", Net: network, Err: os.ErrDeadlineExceeded}
+	}
+	return c, err
+}
+
+// connected reports whether a socket that was connecting is connected.
+func connected(raw syscall.RawConn) bool {
+	var state uint8
+	if err := raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
+	}); err != nil {
+		return false
+	}
+	return state == tcpEstablished
 }
 
 // dial opens a connection within the limit of sockets. It is bounded by the connect
--- /dev/null
+++ b/internal/dispatcher/egress/dial_test.go
@@ -0,0 +1,56 @@
+package egress
+
+import (
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"frosttide/internal/testkit/connpair"
+)
+
+// TestConnected guards against a dial that fails although the connection was made in time and the process was late to notice.
+func TestConnected(t *testing.T) {
+	client, _ := connpair.New(t)
+	raw, err := client.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.True(t, connected(raw))
+
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	unconnected := os.NewFile(uintptr(socket), "socket")
+	raw, err = unconnected.SyscallConn()
+	require.NoError(t, err)
+	require.False(t, connected(raw))
+
+	require.NoError(t, unconnected.Close())
+	require.False(t, connected(raw))
+}
+
+// TestDialDeadline checks that a dial nobody answers ends at its deadline, with an error of a time limit.
+func TestDialDeadline(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { syscall.Close(socket) })
+	require.NoError(t, syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(socket, 0)) // a backlog of one connection
+	name, err := syscall.Getsockname(socket)
+	require.NoError(t, err)
+	address := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: name.(*syscall.SockaddrInet4).Port}
+	for {
+		begun := time.Now()
+		conn, err := dialNet("tcp", address.String(), begun.Add(timeout))
+		if err == nil { // the backlog is not full yet
+			t.Cleanup(func() { conn.Close() })
+			continue
+		}
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		require.True(t, timedOut(err))
+		require.GreaterOrEqual(t, time.Since(begun), timeout)
+		return
+	}
+}
