Keep the link to an older process whose state comes late

So neither knew the other: reports came to the newer process, and the jobs were at the older one.

Change: the link's reader runs from the beginning. Where the state is late the newer process goes on without it and keeps the link; exclusions in a late state still hold.

--- a/internal/dispatcher/handover/link.go
+++ b/internal/dispatcher/handover/link.go
@@ -29,8 +29,8 @@
 
 const (
 	// dialTimeout is how long the older process may take to accept the link, and
-	// stateTimeout to pass its state: the newer one has to be ready in 6 s, with the
-	// state or without.
+	// stateTimeout is how long the newer one waits for its state: that has to be ready in
+	// 6 s, with the state or without.
 	dialTimeout  = time.Second
 	stateTimeout = 2 * time.Second
 	// transferAnswerTimeout is how long the newer process may take to say whether it
@@ -110,7 +110,8 @@
 
 // Dial calls the older process, if there is one, and takes over its state: the
 // core's part goes to the core, and the whole is returned. It returns nil without an
-// older process, or with one that does not pass its state in time.
+// older process, or with one that does not pass its state in time; with that the link
+// goes on, as jobs and reports have to find their process.
 func (l *Link) Dial() *State {
 	addr, dir, err := address(l.path)
 	if err != nil {
@@ -125,23 +126,34 @@
 		return nil
 	}
 	p := newPeer(l, c.(*net.UnixConn))
-	state, err := p.awaitState(time.Now().Add(stateTimeout))
+	p.awaitsState.Store(true)
+	go p.writeLoop()
+	go p.readLoop()
+	state, err := p.awaitState(stateTimeout)
+	if l.linkTo(p) {
+		l.onProcessCount(2)
+	}
 	if err != nil {
 		l.log.WithError(err).Warn("no state taken over")
-		p.end()
 		return nil
 	}
-	l.core.Restore(state.Core)
-	l.mu.Lock()
-	l.peer = p
-	l.mu.Unlock()
-	l.onProcessCount(2)
-	go p.writeLoop()
-	go p.readLoop()
 	l.log.Info("state of the older process taken over")
 	return state
 }
 
+// linkTo takes a peer, and reports whether its connection was still open.
+func (l *Link) linkTo(p *peer) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-p.done:
+		return false
+	default:
+		l.peer = p
+		return true
+	}
+}
+
 // Serve takes the older process's place at the path, and waits for newer ones in a
 // goroutine that ends with Close.
 func (l *Link) Serve() error {
@@ -219,7 +231,7 @@
 		answers <- struct{}{}
 	})
 	go func() {
-		timer := time.NewTimer(stateTimeout)
+		timer := time.NewTimer(silenceTimeout)
 		defer timer.Stop()
 		for range cap(answers) {
 			select {
--- a/internal/dispatcher/handover/peer.go
+++ b/internal/dispatcher/handover/peer.go
@@ -27,7 +27,7 @@
 )
 
 // errNoState is the error of an older process that does not pass its state.
-var errNoState = errors.New("the older process told no state in time")
+var errNoState = errors.New("the older process told no state in time, or has ended")
 
 // peer is the other process of the dispatcher. Each wait on it is bounded, and
 // whatever it does other than speak in time ends the link.
@@ -42,6 +42,9 @@
 	done        chan struct{}         // closed at the link's end
 	once        sync.Once
 
+	awaitsState atomic.Bool // this process has not gone on without the other's state
+	state       chan *State // takes the state
+
 	mu         sync.Mutex
 	lastNumber uint64
 	pending    map[uint64]chan outcome // requests without a response
@@ -57,6 +60,7 @@
 		scanner: bufio.NewScanner(reader),
 		mailbox: mailbox.New[message](),
 		done:    make(chan struct{}),
+		state:   make(chan *State, 1),
 		pending: map[uint64]chan outcome{},
 	}
 	p.scanner.Buffer(nil, maxMessage)
@@ -141,20 +145,33 @@
 	return m, nil
 }
 
-// awaitState waits for the state, the first message of an older process beside
-// heartbeats.
-func (p *peer) awaitState(deadline time.Time) (*State, error) {
-	for {
-		m, err := p.readMessage(deadline)
-		if err != nil {
-			return nil, err
-		}
-		if m.State != nil {
-			return m.State, nil
-		}
-		if !time.Now().Before(deadline) {
-			return nil, errNoState
-		}
+// awaitState waits for the state of an older process. It fails with errNoState after the
+// timeout; the link goes on then, unless it has ended.
+func (p *peer) awaitState(timeout time.Duration) (*State, error) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case state := <-p.state:
+		return state, nil
+	case <-p.done:
+	case <-timer.C:
+	}
+	if p.awaitsState.CompareAndSwap(true, false) {
+		return nil, errNoState
+	}
+	return <-p.state, nil // it has come meanwhile
+}
+
+// receiveState takes over the state of an older process. What operators have excluded
+// holds also where the state is late.
+func (p *peer) receiveState(state *State) {
+	if p.awaitsState.CompareAndSwap(true, false) {
+		p.link.core.Restore(state.Core)
+		p.state <- state
+		return
+	}
+	for _, uid := range state.Core.Excluded {
+		p.link.core.ApplyExclusion(core.Exclusion{UID: uid, Out: true})
 	}
 }
 
@@ -176,6 +193,8 @@
 // handle handles a message.
 func (p *peer) handle(m message) {
 	switch {
+	case m.State != nil:
+		p.receiveState(m.State)
 	case m.Ready:
 		p.serving.Store(true)
 		p.respond(m, true)
