Take off a drain's grace how late the process runs

Seen: TestBusyRestart, eight at once beside four simulators: processes ended 3.72 to 4.17 s after SIGTERM and would have been killed.

Cause: trial builds logged that SIGTERM was handled 0.09 to 0.62 s after it was sent, and that the hand-over to a newer process that answers a second late took all of the 3.4 s from then on.

Change: package wakedelay measures how late timers fire. The longest delay of the last five seconds, up to a quarter of the grace, counts as part of the grace that is over. On an idle machine it is 0, so drains there are as long as before.

--- a/cmd/frosttide/process.go
+++ b/cmd/frosttide/process.go
@@ -23,6 +23,7 @@
 	"frosttide/internal/dispatcher/roster"
 	"frosttide/internal/dispatcher/routetable"
 	"frosttide/internal/dispatcher/telemetry"
+	"frosttide/internal/dispatcher/wakedelay"
 )
 
 // process is a dispatcher's process: its components in the order in which wire makes
@@ -49,8 +50,9 @@
 	front           *ingress.Front
 	listener        net.Listener // of clients
 
-	ready     atomic.Bool    // the process serves and does not drain
-	grace     atomic.Int64   // time.Duration that the process has after SIGTERM
+	ready     atomic.Bool  // the process serves and does not drain
+	grace     atomic.Int64 // time.Duration that the process has after SIGTERM
+	wakeDelay wakedelay.Monitor
 	telemetry export.Options // in force; owned by the goroutine that reloads
 
 	closers []func()
--- a/cmd/frosttide/serve.go
+++ b/cmd/frosttide/serve.go
@@ -74,16 +74,18 @@
 	served := p.serve()
 	p.grace.Store(int64(shutdownGrace(p.cfg)))
 	go p.reload(src, s.reloads)
+	go p.wakeDelay.Run(ctx)
 	p.announce()
 	select {
 	case err := <-served:
 		return err
 	case sig := <-s.stop:
+		delay := p.signalDelay()
 		p.ready.Store(false)
-		p.log.WithField("signal", sig.String()).Info("frosttide drains")
+		p.log.WithFields(logrus.Fields{"signal": sig.String(), "delay": delay.Round(time.Millisecond).String()}).Info("frosttide drains")
 		p.exporter.FlushNow()
+		return p.drain(ctx, time.Now().Add(time.Duration(p.grace.Load())-delay))
 	}
-	return p.drain(ctx)
 }
 
 // takeOver returns the state of an older process, zero for none.
--- a/cmd/frosttide/shutdown.go
+++ b/cmd/frosttide/shutdown.go
@@ -28,6 +28,9 @@
 	// closeMargin is how long before the last response connections are closed that
 	// clients have not used since a newer process took over.
 	closeMargin = time.Second
+	// maxDelayFraction is the part of the grace that a signal may be taken to be late by: one
+	// in so many.
+	maxDelayFraction = 4
 )
 
 // shutdownGrace returns how long the process has to itself after SIGTERM.
@@ -41,12 +44,18 @@
 	return min(longest, maxGrace) + graceMargin
 }
 
+// signalDelay returns how late a signal that is handled now may be handled: the process
+// runs late on a busy machine, and the platform counts from when it sent the signal. It is
+// bounded, as the drain needs most of the grace.
+func (p *process) signalDelay() time.Duration {
+	return min(p.wakeDelay.Longest(time.Now()), time.Duration(p.grace.Load())/maxDelayFraction)
+}
+
 // drain ends the service: it hands everything over to a newer process, or lets
 // clients find another dispatcher, and returns when every request has its response
-// and the state is stored, shortly before the platform may end the process at the
-// latest. It fails if a request has no response then.
-func (p *process) drain(ctx context.Context) error {
-	end := time.Now().Add(time.Duration(p.grace.Load()))
+// and the state is stored, shortly before the end, at which the platform may end the
+// process, at the latest. It fails if a request has no response then.
+func (p *process) drain(ctx context.Context, end time.Time) error {
 	deadline := end.Add(-answerMargin)
 	if p.peers != nil {
 		p.peers.announceDrain(p.link.Succeeded())
