--- a/internal/dispatcher/egress/acceptance.go
+++ b/internal/dispatcher/egress/acceptance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -11,8 +12,11 @@
 type acceptance struct {
 	conn    *atomic.Pointer[conn]
 	cancel  context.CancelFunc // ends the exchange
-	timer   *time.Timer
-	expired atomic.Bool // the worker has said nothing in time
+	expired atomic.Bool        // the worker has said nothing in time
+
+	mu    sync.Mutex
+	timer *time.Timer
+	ended bool // the exchange is over
 }
 
 // newAcceptance makes an acceptance whose time has not begun.
@@ -23,11 +27,23 @@
 	return a
 }
 
-// begin begins the worker's time, once the request was written.
-func (a *acceptance) begin() { a.timer.Reset(acceptTimeout) }
+// begin begins the worker's time, once the request was written. The transport may say
+// so only after the response.
+func (a *acceptance) begin() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ended {
+		a.timer.Reset(acceptTimeout)
+	}
+}
 
-// end ends it.
-func (a *acceptance) end() { a.timer.Stop() }
+// end ends it with the exchange.
+func (a *acceptance) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+	a.timer.Stop()
+}
 
 // expire ends the exchange if nothing has come from the worker for acceptTimeout.
 func (a *acceptance) expire() {
--- a/internal/dispatcher/egress/acceptance_test.go
+++ b/internal/dispatcher/egress/acceptance_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,3 +92,13 @@
 		require.GreaterOrEqual(t, time.Since(began), acceptTimeout)
 	}
 }
+
+// TestAcceptanceEnds guards against a timer that outlives its exchange, as the transport may report the write of a request after its
+// response: it began anew each second for as long as the connection was used.
+func TestAcceptanceEnds(t *testing.T) {
+	a := newAcceptance(&atomic.Pointer[conn]{}, func() {})
+	a.begin()
+	a.end()
+	a.begin()
+	require.False(t, a.timer.Stop(), "the timer runs")
+}
