Have the core of a drain's test hold its answers until the drain begins

Cause: the test was wrong about time. It waited for eight jobs to be open at once, each of which was answered after 10 to 20 ms, and clients send one job each until the drain; where one client is scheduled that much later the eight are never open together.

Change: jobs are answered 10 to 20 ms after the drain has begun. The test is as strict: the same eight jobs are open when the drain begins, and its checks of the drain are unchanged.

--- a/internal/dispatcher/ingress/drain_test.go
+++ b/internal/dispatcher/ingress/drain_test.go
@@ -201,18 +201,26 @@
 	}
 }
 
-// delayedCore serves each job after a while, so that with a few clients some job is always open.
-type delayedCore struct{ immediateCore }
+// delayedCore serves each job after a while once it has begun, so that with a few clients some job is always open.
+type delayedCore struct {
+	immediateCore
+	begun <-chan struct{}
+}
 
 func (c *delayedCore) Submit(_ *core.Job, in core.Ingress) {
-	time.AfterFunc(drainPoll+rand.N(drainPoll), func() { in.Respond(core.Response{Verdict: core.Served, Result: []byte("result")}) })
+	go func() {
+		<-c.begun
+		time.Sleep(drainPoll + rand.N(drainPoll))
+		in.Respond(core.Response{Verdict: core.Served, Result: []byte("result")})
+	}()
 }
 
 // TestDrainAnswersWhileClientsCome guards the requests of clients that connect anew after each response for as long as the
 // listener is open: the drain ended at its deadline with some of them unanswered.
 func TestDrainAnswersWhileClientsCome(t *testing.T) {
 	front := newDrainFront()
-	front.core = &delayedCore{}
+	begun := make(chan struct{})
+	front.core = &delayedCore{begun: begun}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	served := make(chan error, 1)
@@ -234,6 +242,7 @@
 	require.Eventually(t, func() bool { return front.activeRequests.Load() == 8 }, 10*time.Second, time.Millisecond)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*settleTime)
 	defer cancel()
+	close(begun)
 	require.NoError(t, front.Drain(ctx))
 	require.NoError(t, ctx.Err(), "the drain has taken all its time")
 	require.NoError(t, <-served)
