Count the other process before the link to it can end

The number of processes was set to 2 after the link was taken, and its reader runs by then: where the older process ended in between, 1 was set first and 2 stayed.

Change: 2 is set before the link is taken, and 1 where it can't be.

The package's tests pass under the race detector.

--- a/internal/dispatcher/handover/link.go
+++ b/internal/dispatcher/handover/link.go
@@ -130,8 +130,9 @@
 	go p.writeLoop()
 	go p.readLoop()
 	state, err := p.awaitState(stateTimeout)
-	if l.linkTo(p) {
-		l.onProcessCount(2)
+	l.onProcessCount(2) // before the link, whose end sets it to 1
+	if !l.linkTo(p) {
+		l.onProcessCount(1)
 	}
 	if err != nil {
 		l.log.WithError(err).Warn("no state taken over")
