Write texts in JSON with the escapes of JSON, not those of Go

Cause: fastjson's MarshalTo quotes a text that holds a quotation mark, a backslash or a control character by strconv.AppendQuote. Its escapes \x7f, \a, \v and \U000e0067 are no JSON, so the runner could read nothing of the response.

The agent and the configuration's document use it; MarshalTo is called for numbers and constants only. It works because AppendQuote escapes only what RFC 8259 asks for, and the fuzz properties compare with encoding/json, an independent decoder.

Where texts are written, and whether this cause can reach it: - responses to heartbeats (Start: task, Spec, checkpoint; Stop: task): yes, mended. - items and member names of the configuration, stored, gossiped, and read by GET /v1/config: yes. Such a configuration was refused, though it is valid; it is taken now and reads back equal. Logs: klog quotes for readers, not as JSON; metrics: from the status JSON: no. Settings: TOML, read only. The dispatcher writes JSON by encoding/json alone: no.

--- a/internal/data/agent/heartbeat.go
+++ b/internal/data/agent/heartbeat.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fastjson"
 
+	"frosttide/internal/jsonbody"
 	"frosttide/internal/protocol"
 )
 
@@ -18,10 +19,10 @@
 	return errors.Mark(errors.Newf("heartbeat: "+format, args...), ErrHeartbeat)
 }
 
-// parseHeartbeat parses the JSON body of a heartbeat. id is the ID of the runner, which is part of
+// ParseHeartbeat parses the JSON body of a heartbeat. id is the ID of the runner, which is part of
 // the request's path. Unknown members are ignored; members that are missing or of the wrong type
 // read as the zero value, except for malformed entries of Running and Finished, which are errors.
-func parseHeartbeat(id string, body []byte) (*Heartbeat, error) {
+func ParseHeartbeat(id string, body []byte) (*Heartbeat, error) {
 	v, err := fastjson.ParseBytes(body)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "heartbeat: the body can't be read"), ErrHeartbeat)
@@ -111,8 +112,8 @@
 	return end, nil
 }
 
-// encode returns the JSON body of the response.
-func (r *HeartbeatResponse) encode() []byte {
+// Encode returns the JSON body of the response.
+func (r *HeartbeatResponse) Encode() []byte {
 	out := make([]byte, 0, 256)
 	out = append(out, `{"LastSeen":`...)
 	out = strconv.AppendUint(out, r.Acknowledged, 10)
@@ -124,15 +125,14 @@
 		out = append(out, `,"HoldMs":`...)
 		out = strconv.AppendInt(out, r.RunLease.Milliseconds(), 10)
 	}
-	var arena fastjson.Arena
 	if len(r.Start) > 0 {
 		out = append(out, `,"Start":[`...)
-		out = appendStarts(out, &arena, r.Start)
+		out = appendStarts(out, r.Start)
 		out = append(out, ']')
 	}
 	if len(r.Stop) > 0 {
 		out = append(out, `,"Stop":[`...)
-		out = appendStops(out, &arena, r.Stop)
+		out = appendStops(out, r.Stop)
 		out = append(out, ']')
 	}
 	return append(out, '}')
@@ -140,32 +140,32 @@
 
 // appendStarts appends a JSON array [task, run, spec, checkpoint] for each run to start, separated
 // by commas.
-func appendStarts(out []byte, arena *fastjson.Arena, starts []*protocol.RunOrder) []byte {
+func appendStarts(out []byte, starts []*protocol.RunOrder) []byte {
 	for i, start := range starts {
 		if i > 0 {
 			out = append(out, ',')
 		}
 		out = append(out, '[')
-		out = arena.NewString(start.GetTask()).MarshalTo(out)
+		out = jsonbody.AppendString(out, start.GetTask())
 		out = append(out, ',')
 		out = strconv.AppendUint(out, uint64(start.GetRun()), 10)
 		out = append(out, ',')
-		out = arena.NewString(start.GetSpec()).MarshalTo(out)
+		out = jsonbody.AppendString(out, start.GetSpec())
 		out = append(out, ',')
-		out = arena.NewString(start.GetSaved()).MarshalTo(out)
+		out = jsonbody.AppendString(out, start.GetSaved())
 		out = append(out, ']')
 	}
 	return out
 }
 
 // appendStops appends a JSON array [task, run] for each run to stop, separated by commas.
-func appendStops(out []byte, arena *fastjson.Arena, stops []*protocol.RunRef) []byte {
+func appendStops(out []byte, stops []*protocol.RunRef) []byte {
 	for i, stop := range stops {
 		if i > 0 {
 			out = append(out, ',')
 		}
 		out = append(out, '[')
-		out = arena.NewString(stop.GetTask()).MarshalTo(out)
+		out = jsonbody.AppendString(out, stop.GetTask())
 		out = append(out, ',')
 		out = strconv.AppendUint(out, uint64(stop.GetRun()), 10)
 		out = append(out, ']')
--- a/internal/data/agent/heartbeat_test.go
+++ b/internal/data/agent/heartbeat_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
@@ -15,7 +16,7 @@
 	`"Labels":["a","r1-3"],"Sequence":4,"Running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41]],"Finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]],"New":{"x":1}}`
 
 func TestParseHeartbeat(t *testing.T) {
-	b, err := parseHeartbeat("i1", []byte(sampleHeartbeat))
+	b, err := ParseHeartbeat("i1", []byte(sampleHeartbeat))
 	require.NoError(t, err)
 	require.EqualValues(t, 4, b.Sequence)
 	require.True(t, b.Account.GetDraining())
@@ -37,7 +38,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			_, err := parseHeartbeat("i1", []byte(test.body))
+			_, err := ParseHeartbeat("i1", []byte(test.body))
 			require.True(t, errors.Is(err, ErrHeartbeat), "%v", err)
 		})
 	}
@@ -73,19 +74,63 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var got map[string]any
-			require.NoError(t, json.Unmarshal(test.response.encode(), &got))
+			require.NoError(t, json.Unmarshal(test.response.Encode(), &got))
 			require.Equal(t, test.want, got)
 		})
 	}
 }
 
+// decodedResponse is a response as a runner reads it. Its decoder is independent of the encoder.
+type decodedResponse struct{ Start, Stop [][]any }
+
+// decodeResponse decodes an encoded response.
+func decodeResponse(t *testing.T, body []byte) decodedResponse {
+	t.Helper()
+	var decoded decodedResponse
+	require.NoError(t, json.Unmarshal(body, &decoded), "%s", body)
+	return decoded
+}
+
+// TestRunnerReadsEachText guards against a response that the runner can't read, so that a job whose
+// Spec or checkpoint holds such a text never runs and neither do the other runs of its runner.
+func TestRunnerReadsEachText(t *testing.T) {
+	for _, text := range []string{
+		"title=\"\U0001f3f4\U000e0067\U000e0062\U000e0065\U000e006e\U000e0067\U000e007f\"", // the flag of England
+		"a bell \a, a tab \t, an escape \x1b and a delete \x7f",
+		"C:\\frames\\\U000e0001",
+	} {
+		response := HeartbeatResponse{
+			Start: []*protocol.RunOrder{{Task: "first.0.0.0", Run: 1, Spec: text, Saved: text}, {Task: "second.0.0.0", Run: 1, Spec: "plain"}},
+			Stop:  []*protocol.RunRef{{Task: text, Run: 3}},
+		}
+		decoded := decodeResponse(t, response.Encode())
+		require.Equal(t, [][]any{{"first.0.0.0", 1.0, text, text}, {"second.0.0.0", 1.0, "plain", ""}}, decoded.Start)
+		require.Equal(t, [][]any{{text, 3.0}}, decoded.Stop)
+	}
+}
+
+// FuzzEncodeHeartbeatResponse checks that a runner reads back each text of a response unchanged.
+func FuzzEncodeHeartbeatResponse(f *testing.F) {
+	f.Add("5c0e7a21d94b36f8.0.1.17", "\"\U000e0067\"", "")
+	f.Add("t", "\a\x7f\\", "\u2028\"")
+	f.Fuzz(func(t *testing.T, task, spec, saved string) {
+		if !utf8.ValidString(task) || !utf8.ValidString(spec) || !utf8.ValidString(saved) {
+			return // texts of protocol messages are valid UTF-8
+		}
+		response := HeartbeatResponse{Start: []*protocol.RunOrder{{Task: task, Run: 1, Spec: spec, Saved: saved}}, Stop: []*protocol.RunRef{{Task: task, Run: 2}}}
+		decoded := decodeResponse(t, response.Encode())
+		require.Equal(t, [][]any{{task, 1.0, spec, saved}}, decoded.Start)
+		require.Equal(t, [][]any{{task, 2.0}}, decoded.Stop)
+	})
+}
+
 // FuzzParseHeartbeat checks that no body makes the parser panic, and that each parsed heartbeat has
 // an account.
 func FuzzParseHeartbeat(f *testing.F) {
 	f.Add([]byte(sampleHeartbeat))
 	f.Add([]byte(`{"Running":[[]],"Finished":[["x",1,2,3]]}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		b, err := parseHeartbeat("i1", body)
+		b, err := ParseHeartbeat("i1", body)
 		if err == nil && b.Account == nil {
 			t.Fatal("got a heartbeat without an account")
 		}
--- a/internal/data/agent/server.go
+++ b/internal/data/agent/server.go
@@ -151,7 +151,7 @@
 		http.Error(w, "the body can't be read: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	heartbeat, err := parseHeartbeat(r.PathValue("id"), body)
+	heartbeat, err := ParseHeartbeat(r.PathValue("id"), body)
 	if err != nil {
 		klog.ErrorS(err, "Heartbeat can't be read")
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -162,7 +162,7 @@
 	select {
 	case response := <-result:
 		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write(response.encode()) // fails only if the runner has disconnected
+		_, _ = w.Write(response.Encode()) // fails only if the runner has disconnected
 	case <-r.Context().Done():
 	}
 }
--- a/internal/routeconfig/document.go
+++ b/internal/routeconfig/document.go
@@ -6,9 +6,13 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fastjson"
+
+	"frosttide/internal/jsonbody"
+	"frosttide/internal/protocol"
 )
 
 // ErrInvalid marks every error that rejects a configuration as invalid.
@@ -123,11 +127,8 @@
 func (d *document) parseMember(name string, v *fastjson.Value) error {
 	kind, ok := listKinds[name]
 	if !ok {
-		var arena fastjson.Arena
-		if !json.Valid(arena.NewString(name).MarshalTo(nil)) {
-			return invalidf("%q: %v", name, errUnencodableString)
-		}
-		return d.addItem(MemberKind, name, v)
+		d.addItem(MemberKind, name, v)
+		return nil
 	}
 	entries, err := v.Array()
 	if err != nil {
@@ -140,52 +141,69 @@
 			return invalidf("%s: name %q is missing or stands twice", name, itemName)
 		}
 		names[itemName] = true
-		if err := d.addItem(kind, itemName, entry); err != nil {
-			return err
-		}
+		d.addItem(kind, itemName, entry)
 	}
 	return nil
 }
 
-// errUnencodableString is the reason why an item or member is rejected whose serialization would
-// not be valid JSON: fastjson quotes strings with control characters like Go, with escapes that
-// JSON does not have.
-var errUnencodableString = errors.New("a text has characters that can't be kept")
-
 // addItem adds an item in its serialized form.
-func (d *document) addItem(kind Kind, name string, v *fastjson.Value) error {
-	text := v.MarshalTo(nil)
-	if !json.Valid(text) {
-		return invalidf("%q: %v", name, errUnencodableString)
-	}
-	d.items = append(d.items, documentItem{key: string(kind) + name, json: text})
-	return nil
+func (d *document) addItem(kind Kind, name string, v *fastjson.Value) {
+	d.items = append(d.items, documentItem{key: string(kind) + name, json: jsonbody.AppendValue(nil, v)})
 }
 
 // Document returns the whole configuration as a JSON document, which Apply accepts.
 func (t *Table) Document() []byte {
-	var arena fastjson.Arena
-	top := arena.NewObject()
-	top.Set(versionMember, arena.NewNumberString(strconv.FormatUint(t.Version, 10)))
-	top.Set(routesMember, t.itemArray(&arena, RouteKind))
-	top.Set(servicesMember, t.itemArray(&arena, ServiceKind))
+	out := append([]byte(nil), `{"Version":`...)
+	out = strconv.AppendUint(out, t.Version, 10)
+	out = append(out, `,"Routes":`...)
+	out = t.appendItems(out, RouteKind)
+	out = append(out, `,"Services":`...)
+	out = t.appendItems(out, ServiceKind)
 	for _, key := range t.keys(MemberKind) {
-		if v, err := fastjson.ParseBytes(t.items[key].GetJson()); err == nil {
-			top.Set(strings.TrimPrefix(key, string(MemberKind)), v)
+		name, item := strings.TrimPrefix(key, string(MemberKind)), itemJSON(t.items[key])
+		if item == nil || name == versionMember { // a patch can set an item of that name
+			continue
 		}
+		out = append(out, ',')
+		out = jsonbody.AppendString(out, name)
+		out = append(out, ':')
+		out = append(out, item...)
 	}
-	return top.MarshalTo(nil)
+	return append(out, '}')
 }
 
-// itemArray returns the items of a kind as a JSON array, by position.
-func (t *Table) itemArray(arena *fastjson.Arena, kind Kind) *fastjson.Value {
-	array := arena.NewArray()
-	for i, key := range t.keys(kind) {
-		if v, err := fastjson.ParseBytes(t.items[key].GetJson()); err == nil {
-			array.SetArrayItem(i, v)
+// appendItems appends the items of a kind as a JSON array, by position.
+func (t *Table) appendItems(out []byte, kind Kind) []byte {
+	out = append(out, '[')
+	first := true
+	for _, key := range t.keys(kind) {
+		item := itemJSON(t.items[key])
+		if item == nil {
+			continue
+		}
+		if !first {
+			out = append(out, ',')
 		}
+		first = false
+		out = append(out, item...)
 	}
-	return array
+	return append(out, ']')
+}
+
+// itemJSON returns the JSON of an item. An earlier version of the program may have stored one that is
+// no JSON because of its texts; these are written anew as far as they can be read, nil otherwise.
+func itemJSON(item *protocol.ConfigItem) []byte {
+	if utf8.Valid(item.GetJson()) && json.Valid(item.GetJson()) {
+		return item.GetJson()
+	}
+	v, err := fastjson.ParseBytes(item.GetJson())
+	if err != nil {
+		return nil
+	}
+	if repaired := jsonbody.AppendValue(nil, v); json.Valid(repaired) {
+		return repaired
+	}
+	return nil
 }
 
 // keys returns the keys of the items of a kind, sorted by position. Tombstones are excluded.
--- a/internal/routeconfig/table_test.go
+++ b/internal/routeconfig/table_test.go
@@ -1,12 +1,17 @@
 package routeconfig
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/stretchr/testify/require"
+
+	"frosttide/internal/protocol"
 )
 
 const testDocument = `{"Version":5,"Routes":[{"Name":"b","Host":"H.example","PathPrefix":"/x/","TimeoutMs":3000,"Service":"s","MaxAttempts":2,"Odd":[1]},` +
@@ -35,6 +40,30 @@
 	require.EqualValues(t, 100, table.Limits().MaxBodyBytes)
 }
 
+// TestDocumentKeepsEachText guards against a configuration that is refused, or reads back altered,
+// because of texts that Go quotes with escapes that JSON does not have.
+func TestDocumentKeepsEachText(t *testing.T) {
+	const text = `\"\ud83c\udff4\udb40\udc67\udb40\udc62\u0007\u007f\\ \u2028`
+	body := `{"Version":6,"Routes":[{"Name":"r` + text + `","Host":"h` + text + `","PathPrefix":"/` + text + `/","TimeoutMs":3000,"Service":"s` + text + `","Title":{"` + text + `":["` + text + `"]}}],` +
+		`"Services":[{"Name":"s` + text + `"}],"Other` + text + `":"` + text + `"}`
+	table := applyDocument(t, Empty(), body)
+	require.JSONEq(t, body, string(table.Document()))
+	require.Equal(t, table.Document(), applyDocument(t, Empty(), string(table.Document())).Document())
+}
+
+// TestDocumentOfStoredItems checks that a document is JSON even if an earlier version of the program
+// has stored items that are none: texts that were not UTF-8, and escapes of Go.
+func TestDocumentOfStoredItems(t *testing.T) {
+	table := Load(&protocol.ConfigRecord{Version: 3, Order: 4}, map[string]*protocol.ConfigItem{
+		"route/a":      {Position: 1, Version: 3, Json: []byte(`{"Name":"a","Host":"h` + "\xf3" + `"}`)},
+		"route/b":      {Position: 2, Version: 3, Json: []byte(`{"Name":"b","Title":"\U000e0067\""}`)},
+		"route/c":      {Position: 3, Version: 3, Json: []byte(`{"Name":`)},
+		"service/s":    {Position: 4, Version: 3, Json: []byte(`{"Name":"s"}`)},
+		"member/Other": {Version: 3, Json: []byte(`"\a"`)},
+	})
+	require.JSONEq(t, `{"Version":3,"Routes":[{"Name":"a","Host":"h`+"\ufffd"+`"},{"Name":"b","Title":"\\U000e0067\""}],"Services":[{"Name":"s"}],"Other":"\\a"}`, string(table.Document()))
+}
+
 func TestMatch(t *testing.T) {
 	table := applyDocument(t, Empty(), testDocument)
 	for _, c := range []struct{ name, host, path, want string }{
@@ -158,8 +187,40 @@
 	}
 }
 
+// decodeWithoutDuplicates decodes a document as any reader of JSON does. It returns false if a name
+// stands twice in an object, as readers differ on which of the two counts.
+func decodeWithoutDuplicates(t *testing.T, body []byte) (map[string]any, bool) {
+	t.Helper()
+	if !jsontext.Value(body).IsValid() {
+		return nil, false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.UseNumber()
+	var document map[string]any
+	require.NoError(t, decoder.Decode(&document))
+	for _, list := range []string{routesMember, servicesMember} {
+		if document[list] == nil {
+			document[list] = []any{}
+		}
+	}
+	return document, true
+}
+
+// requireReadsBack checks that the document of a table equals the body that was applied.
+func requireReadsBack(t *testing.T, body []byte, table *Table) {
+	t.Helper()
+	want, unambiguous := decodeWithoutDuplicates(t, body)
+	if !unambiguous {
+		return
+	}
+	got, unambiguous := decodeWithoutDuplicates(t, table.Document())
+	require.True(t, unambiguous, "%s", table.Document())
+	require.Equal(t, want, got)
+}
+
 // FuzzApply checks that Apply either rejects a body with ErrInvalid or leads to a table whose
-// Document, applied to an empty table, reproduces the same configuration.
+// Document equals the body, if that is a document, and, applied to an empty table, reproduces the
+// same configuration.
 func FuzzApply(f *testing.F) {
 	f.Add([]byte(strings.Replace(testDocument, `"Version":5`, `"Version":6`, 1)), false)
 	f.Add([]byte(`{"Version":9,"Upsert":{"Routes":[{"Name":"c","Host":"h.example","PathPrefix":"/c/","TimeoutMs":1,"Service":"s"}]},"Remove":{"Routes":["a","none"]}}`), true)
@@ -168,12 +229,17 @@
 	// A member name that was stored as invalid JSON.
 	f.Add([]byte("{\"Version\":7,\"Upsert\":{\"Route\xb1.\xbe\xbc\\t\":[]}}"), true)
 	f.Add([]byte(`{"Version":9,"Other":{"text":"\u0007"}}`), false)
+	f.Add([]byte(`{"Version":9,"Routes":[],"Services":[{"Name":"\"\udb40\udc67"}],"\"\udb40\udc67":[1.0,"\"\udb40\udc67"]}`), false)
+	f.Add([]byte(`{"Version":9,"Upsert":{"Version":7,"Other":1}}`), true)
 	f.Fuzz(func(t *testing.T, body []byte, patch bool) {
 		change, err := applyDocument(t, Empty(), testDocument).Apply(body, patch)
 		if err != nil {
 			require.True(t, errors.Is(err, ErrInvalid), "%v", err)
 			return
 		}
+		if !patch {
+			requireReadsBack(t, body, change.Table)
+		}
 		reapplied, err := Empty().Apply(change.Table.Document(), Document)
 		require.NoError(t, err, "%s", change.Table.Document())
 		require.JSONEq(t, string(change.Table.Document()), string(reapplied.Table.Document()))
--- a/internal/testkit/simnet/heartbeat.go
+++ b/internal/testkit/simnet/heartbeat.go
@@ -47,13 +47,24 @@
 	return message
 }
 
-// deliverHeartbeat passes a heartbeat to the agent and sends the response back.
+// deliverHeartbeat passes a heartbeat to the agent and sends the response back. A heartbeat that the
+// agent can't read, and a response that the runner can't read, have no effect.
 func (r *runner) deliverHeartbeat(message *agent.Heartbeat, sent time.Duration) {
 	sim, h := r.host.sim, r.host
-	response := h.node.Machine.HandleHeartbeat(sim.clock(h.process), message)
+	received, err := transmitHeartbeat(message)
+	if err != nil {
+		sim.trace("agent of %s can't read a heartbeat: %v", r.id, err)
+		return
+	}
+	response := h.node.Machine.HandleHeartbeat(sim.clock(h.process), received)
 	if message.Account.GetDraining() && r.drainAcknowledgedAt == 0 {
 		r.drainAcknowledgedAt = sim.now
 	}
+	response, err = transmitResponse(response)
+	if err != nil {
+		sim.trace("runner %s can't read a response: %v", r.id, err)
+		return
+	}
 	sim.after(r.localDelay(), func() { r.handleResponse(message.Sequence, sent, response) })
 }
 
--- a/internal/testkit/simnet/job.go
+++ b/internal/testkit/simnet/job.go
@@ -86,7 +86,7 @@
 // newJob draws a job: its queue, one or two steps, and its special properties.
 func (sim *simulation) newJob() *job {
 	j := &job{id: fmt.Sprintf("%016x", sim.rng.Uint64()), occurrences: 1}
-	j.spec = "spec of " + j.id
+	j.spec = "spec of " + j.id + unusualText(j.id)
 	if sim.options.LargeSpecs {
 		j.spec += strings.Repeat(".", largeSpecBytes)
 	}
@@ -101,6 +101,18 @@
 	return j
 }
 
+// unusualTexts are ends of specs with characters that encoders often get wrong: those that Go quotes
+// with escapes that JSON does not have, and line separators.
+var unusualTexts = []string{
+	"",
+	" \"\U0001f3f4\U000e0067\U000e0062\U000e0065\U000e006e\U000e0067\U000e007f\"",
+	" \\ \a\v\x00\x1b\x7f",
+	" \"\u2028\u2029\ufeff\u200d\"",
+}
+
+// unusualText returns the end of the spec of a job by its ID, without drawing a random number.
+func unusualText(id string) string { return unusualTexts[int(id[len(id)-1])%len(unusualTexts)] }
+
 // newStage draws the step of a job with the given number. Each step depends on the one before it.
 func (sim *simulation) newStage(number int) *stage {
 	st := &stage{Stage: &protocol.Stage{Count: uint32(1 + sim.rng.IntN(4)), Cpu: int64(500 + 500*sim.rng.IntN(4)), MemMb: 100, EstimateMs: 500}, seed: sim.rng.Uint64()}
--- a/internal/testkit/simnet/runner.go
+++ b/internal/testkit/simnet/runner.go
@@ -132,7 +132,7 @@
 	delete(r.running, run.task)
 	r.blockedRuns[run.task] = max(r.blockedRuns[run.task], run.number)
 	if run.job != nil && run.job.stage(run.name).Checkpoints && sim.now-run.startedAt > checkpointInterval {
-		run.checkpoint = "saved of " + run.task
+		run.checkpoint = "saved of " + run.task + unusualText(run.job.id)
 	}
 	r.lastEndNumber++
 	e := &protocol.RunEnd{Number: r.lastEndNumber, Task: run.task, Run: run.number, How: outcome, Saved: run.checkpoint}
--- a/internal/testkit/simnet/simnet_test.go
+++ b/internal/testkit/simnet/simnet_test.go
@@ -35,6 +35,31 @@
 	requireNoViolations(t, all)
 }
 
+// TestRunnersReadEachText guards against jobs that never run because the responses to heartbeats that
+// would start them are no JSON: a quarter of the specs and checkpoints hold a flag in quotation marks,
+// another quarter control characters.
+func TestRunnersReadEachText(t *testing.T) {
+	var all []Options
+	for seed := range uint64(4) {
+		o := DefaultOptions(2000 + seed)
+		o.SkipFaults = skipAllFaults()
+		all = append(all, o)
+	}
+	requireNoViolations(t, all)
+}
+
+// maxFaults is more than the faults of any simulation.
+const maxFaults = 1000
+
+// skipAllFaults returns a value of Options.SkipFaults that excludes every fault.
+func skipAllFaults() map[int]bool {
+	skipped := make(map[int]bool, maxFaults)
+	for i := range maxFaults {
+		skipped[i] = true
+	}
+	return skipped
+}
+
 // requireNoViolations runs a simulation for each of the options and checks that none violates a
 // rule.
 func requireNoViolations(t *testing.T, options []Options) {
