Refuse a body whose texts are not Unicode where it enters, and name the text

Cause: json.Valid takes bytes that are not UTF-8 inside of texts, and fastjson keeps them. The name became a part of a store key, which protobuf does not encode: each head that evaluated the order took the error for a failed disk, and its rewrites met the key again.

Change: jsonbody.Parse is the one way in for bodies. It takes JSON whose texts are all Unicode, and answers otherwise with the JSON Pointer of the text, which the 400 shows. An order that an earlier build has taken is still acknowledged, as its digest is looked up first. Why it works: protobuf's only condition on strings is valid UTF-8, which each text of a parsed body is; the fuzz targets check that what is taken can be encoded and reads back equal.

--- a/internal/control/member/compatibility_test.go
+++ b/internal/control/member/compatibility_test.go
@@ -30,6 +30,7 @@
 	tick          = 20 * time.Millisecond
 	startMs       = 1_800_000_000_000 // time of day at the start, in ms since 1970
 	agentAddress  = "10.0.1.1:7380"
+	clientAddress = "10.0.2.1:7380"
 	journalPath   = "testdata/journal.bin"
 	wantStatePath = "testdata/journal.json"
 )
@@ -44,23 +45,36 @@
 	orders         *protocol.RunnerOrders // newest orders sent to the agent
 	lastLeaseRound uint64                 // of the agent's reports
 	lastRequestID  uint64                 // of the client
+	reply          *protocol.ClientReply  // newest reply to the client
 }
 
+// onlyMember returns the identity of the member that newSingleMember runs.
+func onlyMember() *protocol.Member {
+	return &protocol.Member{Id: 7, Number: 1, Address: "10.0.0.1:7380", Control: "10.0.0.1:8144", Zone: "z1"}
+}
+
+// newSingleMember runs the member from its first start until it serves.
 func newSingleMember(t *testing.T) *singleMember {
 	t.Helper()
-	self := &protocol.Member{Id: 7, Number: 1, Address: "10.0.0.1:7380", Control: "10.0.0.1:8144", Zone: "z1"}
+	return runSingleMember(t, replica.FoundingState(onlyMember(), []*protocol.Member{onlyMember()}))
+}
+
+// runSingleMember runs the member from the state on its disk until it serves.
+func runSingleMember(t *testing.T, state journal.State) *singleMember {
+	t.Helper()
+	self := onlyMember()
 	cfg := member.Config{
 		Replica:   replica.Config{Self: self, Incarnation: 1, Contacts: []string{self.GetAddress()}, Seed: 1, Timing: replica.DefaultTiming()},
 		Scheduler: scheduler.Config{Lease: 6 * time.Second, StatusRetention: time.Minute, RackPrefix: "r", RemoteSlowdown: 1.5},
 	}
-	m := &singleMember{t: t, member: member.New(cfg, 0, replica.FoundingState(self, []*protocol.Member{self})), orders: &protocol.RunnerOrders{}}
+	m := &singleMember{t: t, member: member.New(cfg, 0, state), orders: &protocol.RunnerOrders{}}
 	m.advance(2 * time.Second)
 	require.NotNil(t, m.member.Scheduler(), "got no scheduler after 2 s, want the member to serve as the head")
 	return m
 }
 
 // runTurn ends the turn, carries out its writes until none are left, and records the newest orders
-// to the agent.
+// to the agent and the newest reply to the client.
 func (m *singleMember) runTurn() {
 	m.t.Helper()
 	for {
@@ -69,6 +83,9 @@
 			if orders := send.Message.GetRunnerOrders(); orders != nil && send.To == agentAddress {
 				m.orders = orders
 			}
+			if reply := send.Message.GetClientReply(); reply != nil && send.To == clientAddress {
+				m.reply = reply
+			}
 		}
 		if len(out.Writes) == 0 {
 			return
@@ -100,7 +117,7 @@
 	m.t.Helper()
 	m.lastRequestID++
 	r.Id, r.Incarnation, r.Attempt = m.lastRequestID, 5, 1
-	m.member.Receive(m.now, "10.0.2.1:7380", &protocol.Envelope{Body: &protocol.Envelope_ClientRequest{ClientRequest: r}})
+	m.member.Receive(m.now, clientAddress, &protocol.Envelope{Body: &protocol.Envelope_ClientRequest{ClientRequest: r}})
 	m.runTurn()
 	m.advance(tick)
 }
--- a/internal/control/scheduler/requests_test.go
+++ b/internal/control/scheduler/requests_test.go
@@ -50,6 +50,20 @@
 	require.EqualValues(t, 9, h.scheduler.CommittedConfig().Version)
 }
 
+// TestOrderThatIsNotUnicode guards against an order whose texts can't be encoded: it is refused and
+// changes nothing, unless an earlier version of the program has taken it, which is acknowledged.
+func TestOrderThatIsNotUnicode(t *testing.T) {
+	h := newHarness(t)
+	const body = `{"Version":3,"Upsert":{"Routes":[{"Name":"repetici` + "\xf3" + `n","Host":"h","PathPrefix":"/r/","TimeoutMs":3000,"Service":"svc"}]}}`
+	items := h.store.Len()
+	require.EqualValues(t, http.StatusBadRequest, h.configure(1, body))
+	require.Equal(t, items, h.store.Len())
+	require.EqualValues(t, 1, h.scheduler.CommittedConfig().Version)
+	h.scheduler.updates.record(updateDigest(&protocol.ConfigOrder{Patch: true, IfMatch: 1, Body: []byte(body)}), &protocol.ConfigRecord{Version: 2}, h.scheduler.writes)
+	require.EqualValues(t, http.StatusOK, h.configure(1, body))
+	require.EqualValues(t, http.StatusOK, h.configure(1, `{"Version":4}`))
+}
+
 // TestSameOrderTwiceInAnEntry checks that an update that arrives twice before the next entry gets two positive replies.
 func TestSameOrderTwiceInAnEntry(t *testing.T) {
 	h := newHarness(t)
--- a/internal/data/agent/heartbeat.go
+++ b/internal/data/agent/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fastjson"
@@ -23,7 +22,7 @@
 // the request's path. Unknown members are ignored; members that are missing or of the wrong type
 // read as the zero value, except for malformed entries of Running and Finished, which are errors.
 func ParseHeartbeat(id string, body []byte) (*Heartbeat, error) {
-	v, err := fastjson.ParseBytes(body)
+	v, err := jsonbody.Parse(body)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "heartbeat: the body can't be read"), ErrHeartbeat)
 	}
@@ -73,11 +72,8 @@
 	return account
 }
 
-// stringField returns a string member with invalid UTF-8 replaced by "?": strings of protocol
-// messages have to be valid UTF-8.
-func stringField(v *fastjson.Value, name string) string {
-	return strings.ToValidUTF8(string(v.GetStringBytes(name)), "?")
-}
+// stringField returns a string member.
+func stringField(v *fastjson.Value, name string) string { return string(v.GetStringBytes(name)) }
 
 // parseProgress parses an entry [task, run, checkpoint, percent] of Running. The last two elements
 // are optional.
--- a/internal/data/agent/heartbeat_test.go
+++ b/internal/data/agent/heartbeat_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"frosttide/internal/protocol"
 )
@@ -44,6 +45,26 @@
 	}
 }
 
+// TestHeartbeatNamesText guards against a heartbeat whose texts can't be sent on to the head, so that
+// the reports of the agent end and the runner is taken for lost.
+func TestHeartbeatNamesText(t *testing.T) {
+	const bad = "repetici\xf3n"
+	tests := []struct{ name, body, want string }{
+		{"service", `{"Service":"` + bad + `"}`, "/Service: invalid UTF-8"},
+		{"label", `{"Labels":["a","` + bad + `"]}`, "/Labels/1: invalid UTF-8"},
+		{"checkpoint of a run", `{"Running":[["t",1,"` + bad + `",0]]}`, "/Running/0/2: invalid UTF-8"},
+		{"checkpoint of an end", `{"Finished":[[1,"t",1,"done","` + bad + `"]]}`, "/Finished/0/4: invalid UTF-8"},
+		{"surrogate without its other half", `{"Finished":[[1,"t",1,"done","\udcf3"]]}`, "/Finished/0/4"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := ParseHeartbeat("i1", []byte(test.body))
+			require.True(t, errors.Is(err, ErrHeartbeat), "%v", err)
+			require.ErrorContains(t, err, test.want)
+		})
+	}
+}
+
 func TestEncodeHeartbeatResponse(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -125,14 +146,21 @@
 }
 
 // FuzzParseHeartbeat checks that no body makes the parser panic, and that each parsed heartbeat has
-// an account.
+// an account and can be sent to the head.
 func FuzzParseHeartbeat(f *testing.F) {
 	f.Add([]byte(sampleHeartbeat))
 	f.Add([]byte(`{"Running":[[]],"Finished":[["x",1,2,3]]}`))
+	f.Add([]byte(`{"Labels":["repetici` + "\xf3" + `n"]}`))
+	f.Add([]byte(`{"Running":[["t",1,"` + "\xf3" + `",0]],"Finished":[[1,"t",1,"done","` + "\xf3" + `"]]}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		b, err := ParseHeartbeat("i1", body)
-		if err == nil && b.Account == nil {
+		if err != nil {
+			return
+		}
+		if b.Account == nil {
 			t.Fatal("got a heartbeat without an account")
 		}
+		_, err = proto.Marshal(&protocol.RunnerReport{Account: b.Account, Running: b.Running, Ends: b.Finished})
+		require.NoError(t, err)
 	})
 }
--- a/internal/data/gateway/job.go
+++ b/internal/data/gateway/job.go
@@ -4,6 +4,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fastjson"
 
+	"frosttide/internal/jsonbody"
 	"frosttide/internal/protocol"
 )
 
@@ -15,10 +16,10 @@
 	return errors.Mark(errors.Newf("job: "+format, args...), ErrJob)
 }
 
-// parseJob parses a job's JSON body. Unknown members are ignored. It checks only syntax and types;
+// parseJob parses a job's JSON body. Unknown members are ignored. It checks only syntax, texts and types;
 // the control plane validates the job as a whole.
 func parseJob(body []byte) (*protocol.Submit, error) {
-	v, err := fastjson.ParseBytes(body)
+	v, err := jsonbody.Parse(body)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "job: the body can't be read"), ErrJob)
 	}
--- a/internal/data/gateway/job_test.go
+++ b/internal/data/gateway/job_test.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"frosttide/internal/control/jobs"
+	"frosttide/internal/protocol"
 )
 
 const sampleJob = `{"Spec":"text","Stages":[{"Count":4,"Cpu":500,"MemMb":256,"EstimateMs":900,"Affinity":"r1-3"},` +
@@ -40,6 +44,8 @@
 		{"number as flag in the second stage", `{"Stages":[{},{"Gang":1}]}`, "Stages[1]."},
 		{"number out of range", `{"Stages":[{"Cpu":1e300}]}`, "Cpu"},
 		{"text as step", `{"Stages":[{"DependsOn":["a"]}]}`, "DependsOn"},
+		{"text in ISO 8859-1", `{"Stages":[{},{"Affinity":"repetici` + "\xf3" + `n"}]}`, "/Stages/1/Affinity: invalid UTF-8"},
+		{"surrogate without its other half", `{"Spec":"repetici\udcf3n"}`, "/Spec"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -50,15 +56,42 @@
 	}
 }
 
-// FuzzParseJob checks that no body makes the parser or the validation of the control plane panic.
+// specOf returns the Spec of a body as an independent decoder reads it. It returns false if a name
+// stands twice, as readers differ on which of the two counts.
+func specOf(t *testing.T, body []byte) (string, bool) {
+	t.Helper()
+	if !jsontext.Value(body).IsValid() {
+		return "", false
+	}
+	var members map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal(body, &members))
+	var spec string
+	if members["Spec"] != nil {
+		require.NoError(t, json.Unmarshal(members["Spec"], &spec))
+	}
+	return spec, true
+}
+
+// FuzzParseJob checks that no body makes the parser or the validation of the control plane panic, and
+// that each job that is taken can be sent to the control plane, with the Spec that the client sent.
 func FuzzParseJob(f *testing.F) {
 	f.Add([]byte(sampleJob))
 	f.Add([]byte(`{"Stages":[null,1,{"DependsOn":[-1]}]}`))
+	f.Add([]byte(`{"Spec":"repetici` + "\xf3" + `n","Stages":[{"Count":1}]}`))
+	f.Add([]byte(`{"Spec":"\ud83c","Stages":[{"Count":1,"Affinity":"\udcf3"}]}`))
+	f.Add([]byte(`{"Spec":"\"\ud83c\udff4\udb40\udc67\u0007\"","Stages":[{"Count":1}]}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		s, err := parseJob(body)
 		if err != nil {
 			return
 		}
+		encoded, err := proto.Marshal(s)
+		require.NoError(t, err)
+		decoded := &protocol.Submit{}
+		require.NoError(t, proto.Unmarshal(encoded, decoded))
+		if spec, unambiguous := specOf(t, body); unambiguous {
+			require.Equal(t, spec, decoded.GetSpec())
+		}
 		s.Id = "0123456789abcdef"
 		_ = jobs.Validate(s)
 	})
--- a/internal/routeconfig/document.go
+++ b/internal/routeconfig/document.go
@@ -63,13 +63,10 @@
 
 // parse parses a document or a patch. Its errors are marked with ErrInvalid.
 func parse(body []byte, patch bool) (*document, error) {
-	value, err := fastjson.ParseBytes(body)
+	value, err := jsonbody.Parse(body)
 	if err != nil {
 		return nil, invalidf("it can't be read: %v", err)
 	}
-	if !json.Valid(body) { // fastjson validates numbers and strings only when they are read
-		return nil, invalidf("it can't be read: a number or a text in it is none")
-	}
 	top, err := value.Object()
 	if err != nil {
 		return nil, invalidf("it is no object")
--- a/internal/routeconfig/table_test.go
+++ b/internal/routeconfig/table_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json/jsontext"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"frosttide/internal/protocol"
 )
@@ -126,6 +127,31 @@
 	}
 }
 
+// TestApplyNamesText guards against a configuration whose texts can't be stored or read back: the
+// order is refused, and the operator is told which text it is.
+func TestApplyNamesText(t *testing.T) {
+	const bad = "repetici\xf3n"
+	for _, c := range []struct {
+		name, body string
+		patch      bool
+		want       string
+	}{
+		{"name of a route", `{"Version":6,"Routes":[{"Name":"` + bad + `"}]}`, Document, "/Routes/0/Name: invalid UTF-8"},
+		{"name of a service", `{"Version":6,"Services":[{"Name":"s"},{"Name":"` + bad + `"}]}`, Document, "/Services/1/Name: invalid UTF-8"},
+		{"text that is no name", `{"Version":6,"Limits":{"Note":"` + bad + `"}}`, Document, "/Limits/Note: invalid UTF-8"},
+		{"name of a member", `{"Version":6,"Limits":{"` + bad + `":1}}`, Document, "/Limits: invalid UTF-8"},
+		{"item to add", `{"Version":6,"Upsert":{"Routes":[{"Name":"` + bad + `"}]}}`, Patch, "/Upsert/Routes/0/Name: invalid UTF-8"},
+		{"item to remove", `{"Version":6,"Remove":{"Routes":["` + bad + `"]}}`, Patch, "/Remove/Routes/0: invalid UTF-8"},
+		{"surrogate without its other half", `{"Version":6,"Routes":[{"Name":"repetici\udcf3n"}]}`, Document, "/Routes/0/Name: invalid surrogate"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := applyDocument(t, Empty(), testDocument).Apply([]byte(c.body), c.patch)
+			require.True(t, errors.Is(err, ErrInvalid), "%v", err)
+			require.ErrorContains(t, err, c.want)
+		})
+	}
+}
+
 // TestDeltasReproduceTable checks that the delta between any two versions reproduces the newer
 // table, and that a delta to an older version has no effect.
 func TestDeltasReproduceTable(t *testing.T) {
@@ -220,7 +246,7 @@
 
 // FuzzApply checks that Apply either rejects a body with ErrInvalid or leads to a table whose
 // Document equals the body, if that is a document, and, applied to an empty table, reproduces the
-// same configuration.
+// same configuration. What changes has to be encodable for the disk and for other processes.
 func FuzzApply(f *testing.F) {
 	f.Add([]byte(strings.Replace(testDocument, `"Version":5`, `"Version":6`, 1)), false)
 	f.Add([]byte(`{"Version":9,"Upsert":{"Routes":[{"Name":"c","Host":"h.example","PathPrefix":"/c/","TimeoutMs":1,"Service":"s"}]},"Remove":{"Routes":["a","none"]}}`), true)
@@ -231,12 +257,19 @@
 	f.Add([]byte(`{"Version":9,"Other":{"text":"\u0007"}}`), false)
 	f.Add([]byte(`{"Version":9,"Routes":[],"Services":[{"Name":"\"\udb40\udc67"}],"\"\udb40\udc67":[1.0,"\"\udb40\udc67"]}`), false)
 	f.Add([]byte(`{"Version":9,"Upsert":{"Version":7,"Other":1}}`), true)
+	f.Add([]byte(`{"Version":9,"Services":[{"Name":"repetici`+"\xf3"+`n"}]}`), false)
+	f.Add([]byte(`{"Version":9,"Remove":{"Routes":["`+"\xf3"+`"]}}`), true)
+	f.Add([]byte(`{"Version":9,"Limits":{"Note":"repetici`+"\xf3"+`n \udcf3"}}`), false)
 	f.Fuzz(func(t *testing.T, body []byte, patch bool) {
 		change, err := applyDocument(t, Empty(), testDocument).Apply(body, patch)
 		if err != nil {
 			require.True(t, errors.Is(err, ErrInvalid), "%v", err)
 			return
 		}
+		for key, item := range change.Items {
+			_, err := proto.Marshal(&protocol.NamedItem{Key: key, Item: item})
+			require.NoError(t, err, "%q", key)
+		}
 		if !patch {
 			requireReadsBack(t, body, change.Table)
 		}
--- a/internal/testkit/simnet/disk.go
+++ b/internal/testkit/simnet/disk.go
@@ -5,7 +5,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"frosttide/internal/control/journal"
 	"frosttide/internal/control/replica"
 )
 
@@ -27,9 +26,9 @@
 // writeBatch is a batch of writes that are synced together.
 type writeBatch struct {
 	writes      []replica.Write
-	incarnation int  // of the process that issued them
-	failed      bool // none of them was written
-	synced      bool // they survive a power loss once the batch is done; false with NoSync
+	incarnation int   // of the process that issued them
+	failure     error // why none of them was written; nil if all were
+	synced      bool  // they survive a power loss once the batch is done; false with NoSync
 }
 
 // A sync takes from minSyncTime to maxSyncTime on a disk without faults.
@@ -45,11 +44,9 @@
 		return
 	}
 	sim := c.sim
-	b := writeBatch{writes: c.pendingWrites, incarnation: c.incarnation, failed: c.writesFail, synced: sim.options.MissingCheck != NoSync}
+	b := writeBatch{writes: c.pendingWrites, incarnation: c.incarnation, synced: sim.options.MissingCheck != NoSync}
 	c.pendingWrites, c.writing = nil, true
-	if !b.failed {
-		c.write(b.writes)
-	}
+	b.failure = c.write(b.writes)
 	if !b.synced {
 		sim.after(0, func() { c.syncDone(b) })
 		return
@@ -57,27 +54,27 @@
 	sim.after(sim.randomDuration(minSyncTime, maxSyncTime)+c.syncDelay, func() { c.syncDone(b) })
 }
 
-// write applies writes to the file, without a sync.
-func (d *disk) write(writes []replica.Write) {
+// write applies writes to the file, without a sync. It returns an error if writes fail or if an image
+// can't be encoded.
+func (d *disk) write(writes []replica.Write) error {
+	if d.writesFail {
+		return errNoSpace
+	}
 	for _, w := range writes {
 		if w.Image == nil {
 			d.file = append(d.file, w.Data...)
 			continue
 		}
+		encoded, err := w.Image.Encode()
+		if err != nil {
+			return err
+		}
 		if d.replacedFile == nil {
 			d.replacedFile = d.file[:d.synced]
 		}
-		d.file, d.synced = encodeImage(w.Image), 0
+		d.file, d.synced = encoded, 0
 	}
-}
-
-// encodeImage returns the contents of the file for an image of the state.
-func encodeImage(i *journal.Image) []byte {
-	encoded, err := i.Encode()
-	if err != nil {
-		panic(err)
-	}
-	return encoded
+	return nil
 }
 
 // syncDone reports a finished batch to the member and starts the next one. It does nothing if the
@@ -86,16 +83,12 @@
 	if !c.up || c.incarnation != b.incarnation {
 		return
 	}
-	if b.synced && !b.failed {
+	if b.synced && b.failure == nil {
 		c.synced, c.replacedFile = len(c.file), nil
 	}
 	c.sim.execute(c.process, func() {
-		var err error
-		if b.failed {
-			err = errNoSpace
-		}
 		c.writing = false
-		c.member.DiskDone(c.sim.clock(c.process), b.writes[len(b.writes)-1].Sequence, int64(len(c.file)), err)
+		c.member.DiskDone(c.sim.clock(c.process), b.writes[len(b.writes)-1].Sequence, int64(len(c.file)), b.failure)
 		if !c.writing {
 			c.flush()
 		}
--- a/internal/testkit/simnet/network.go
+++ b/internal/testkit/simnet/network.go
@@ -48,12 +48,17 @@
 	return network{partitions: make(map[link]time.Duration), lastArrival: make(map[link]time.Duration), resets: make(map[link]time.Duration), freeAt: make(map[link]time.Duration), connections: make(map[link]*connections)}
 }
 
-// send sends a message to another process, subject to the network faults in force.
+// send sends a message to another process, subject to the network faults in force. A message that
+// can't be encoded is lost.
 func (sim *simulation) send(from *process, to string, e *protocol.Envelope) {
 	target := sim.processes[to]
 	if target == nil {
 		return
 	}
+	if _, err := proto.Marshal(e); err != nil {
+		sim.trace("%s can't send a message: %v", from.address, err)
+		return
+	}
 	l := link{from.address, to}
 	delay := sim.randomDuration(minDelay, maxDelay)
 	if until, partitioned := sim.network.partitions[l]; partitioned && until > sim.now {
--- a/internal/testkit/simnet/operator.go
+++ b/internal/testkit/simnet/operator.go
@@ -1,6 +1,7 @@
 package simnet
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"slices"
@@ -36,7 +37,7 @@
 	version       uint64 // version that it creates
 	body          []byte
 	patch         bool // the body is a patch, not a whole configuration
-	invalid       bool // the body is truncated
+	invalid       bool // the body is no JSON, or holds a text that is not Unicode
 	attempts      int
 	acknowledged  bool
 	indeterminate bool // an attempt had no definite answer
@@ -90,11 +91,27 @@
 		}
 	case 1:
 		order.invalid = true
-		order.body = slices.Clone(order.body[:len(order.body)/2])
+		order.body = invalidate(order.body, order.number)
 	}
 	o.send(order, scheduleNext)
 }
 
+// invalidate returns a body that an operator must get back as invalid, in one of several ways by the
+// number of the order.
+func invalidate(body []byte, number int) []byte {
+	replace := func(text, by string) []byte { return bytes.Replace(body, []byte(text), []byte(by), 1) }
+	switch number % 4 {
+	case 0: // the name of a route in ISO 8859-1, which becomes a part of a key of the store
+		return replace(`"Name":"idle`, `"Name":"repetici`+"\xf3"+`n`)
+	case 1: // a text in ISO 8859-1 that is no name
+		return replace(`"Host":"h"`, `"Host":"h","Title":"repetici`+"\xf3"+`n"`)
+	case 2: // a surrogate without its other half
+		return replace(`"Name":"idle`, `"Name":"repetici\udcf3n`)
+	default:
+		return slices.Clone(body[:len(body)/2])
+	}
+}
+
 // drawChange draws an order that changes the newest version that the operator knows.
 func (o *operator) drawChange() *configOrder {
 	o.changes++
--- a/internal/testkit/simnet/simnet_test.go
+++ b/internal/testkit/simnet/simnet_test.go
@@ -48,6 +48,19 @@
 	requireNoViolations(t, all)
 }
 
+// TestOrdersThatAreNotUnicode guards against an order whose texts can't be encoded and that each head
+// in turn takes for the failure of its disk, until the whole control plane has stopped; no fault is
+// injected.
+func TestOrdersThatAreNotUnicode(t *testing.T) {
+	var all []Options
+	for seed := range uint64(5) { // three to seven cores
+		o := DefaultOptions(3000 + seed)
+		o.SkipFaults, o.FrequentConfigChanges = skipAllFaults(), true
+		all = append(all, o)
+	}
+	requireNoViolations(t, all)
+}
+
 // maxFaults is more than the faults of any simulation.
 const maxFaults = 1000
 
