Leave the answers to bodies that are no JSON as they were

Change: jsonbody.Parse gives fastjson's error, and the text for numbers and texts of a wrong form, as before. Only a text that is not Unicode names its place, with a text that does not depend on the library. The contracts gain such a body, three lines; nothing in them has changed. Tests: the two tests, and those of the packages that parse bodies; FuzzParse for 200,000 inputs.

--- a/internal/jsonbody/read.go
+++ b/internal/jsonbody/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
@@ -27,8 +26,8 @@
 	return e.Field + ": " + e.Problem
 }
 
-// notUnicode is the problem of a text outside a body that CheckText refuses.
-const notUnicode = "invalid UTF-8"
+// notUnicode is the problem of a text that can't be kept as it is.
+const notUnicode = "the text is not Unicode: invalid UTF-8, or half of a surrogate pair"
 
 // CheckText returns an *Error that names the field if a text from outside a body, such as a part of
 // a path, is not valid UTF-8.
@@ -39,49 +38,36 @@
 	return &Error{Field: field, Problem: notUnicode}
 }
 
-// readOptions are those of RFC 8259. That duplicate names are allowed leaves to the callers what
-// they mean.
-var readOptions = jsontext.AllowDuplicateNames(true)
+// notJSON is the problem of a body that has the structure of JSON, but in which a number or a text has
+// a form that JSON does not have.
+const notJSON = "a number or a text in it is none"
 
 // Parse parses a body. It returns an *Error if the body is not JSON, is nested too deeply, or holds a
 // text that is not Unicode: bytes that are not UTF-8, or an escaped surrogate without its other half.
-// Each text of the returned value is valid UTF-8.
+// Only the last is an error of one field. Each text of the returned value is valid UTF-8. What names
+// that stand twice mean is left to the caller.
 func Parse(body []byte) (*fastjson.Value, error) {
-	if !jsontext.Value(body).IsValid(readOptions) {
-		return nil, describe(body)
-	}
 	v, err := fastjson.ParseBytes(body)
 	if err != nil {
 		return nil, &Error{Problem: err.Error()}
 	}
+	if !jsontext.Value(body).IsValid(jsontext.AllowDuplicateNames(true)) {
+		return nil, describe(body)
+	}
 	return v, nil
 }
 
-// errTrailing is the problem of a body with more than one value.
-var errTrailing = errors.New("there is more than one value")
-
-// describe returns the *Error of a body that is not valid.
+// describe returns the *Error of a body that fastjson has parsed, as it checks texts and numbers only
+// in part, and that is not valid.
 func describe(body []byte) error {
-	err := readOnlyValue(jsontext.NewDecoder(bytes.NewReader(body), readOptions))
-	var syntactic *jsontext.SyntacticError
-	if errors.As(err, &syntactic) {
-		return &Error{Field: string(syntactic.JSONPointer), Problem: syntactic.Err.Error()}
+	duplicates := jsontext.AllowDuplicateNames(true)
+	if !jsontext.Value(body).IsValid(duplicates, jsontext.AllowInvalidUTF8(true)) {
+		return &Error{Problem: notJSON}
 	}
-	return &Error{Problem: err.Error()}
-}
-
-// readOnlyValue reads the only value of the input. It returns the reason if there is not exactly one.
-func readOnlyValue(decoder *jsontext.Decoder) error {
-	if _, err := decoder.ReadValue(); err != nil {
-		return err
-	}
-	_, err := decoder.ReadToken()
-	switch {
-	case err == nil:
-		return errTrailing
-	case errors.Is(err, io.EOF):
-		return nil
-	default:
-		return err
+	_, err := jsontext.NewDecoder(bytes.NewReader(body), duplicates).ReadValue()
+	var syntactic *jsontext.SyntacticError
+	if !errors.As(err, &syntactic) {
+		return &Error{Problem: notJSON}
 	}
+	return &Error{Field: string(syntactic.JSONPointer), Problem: notUnicode}
 }
--- a/internal/testkit/compatibility/scheduler/endpoints_test.go
+++ b/internal/testkit/compatibility/scheduler/endpoints_test.go
@@ -257,6 +257,7 @@
 		{"put without If-Match", request{method: http.MethodPut, url: url, body: routes}},
 		{"put with a bad If-Match", request{method: http.MethodPut, url: url, body: routes, headers: match("x")}},
 		{"put of no JSON", request{method: http.MethodPut, url: url, body: "{", headers: match("0")}},
+		{"put of a text that is not UTF-8", request{method: http.MethodPut, url: url, body: `{"Version":1,"Routes":[{"Name":"repetici` + "\xf3" + `n"}]}`, headers: match("0")}},
 		{"put of a mistake", request{method: http.MethodPut, url: url, body: `{"Version":1,"Routes":{}}`, headers: match("0")}},
 		{"put on another version", request{method: http.MethodPut, url: url, body: routes, headers: match("3")}},
 		{"put", request{method: http.MethodPut, url: url, body: routes, headers: match(`"0"`)}},
--- a/internal/testkit/compatibility/scheduler/settings_test.go
+++ b/internal/testkit/compatibility/scheduler/settings_test.go
@@ -152,6 +152,8 @@
 		{"no object", `[]`, false},
 		{"a number that is none", `{"Version":6,"Odd":{"a":00}}`, false},
 		{"a text that is none", `{"Version":6,"Odd":"\q"}`, false},
+		{"a text that is not UTF-8", `{"Version":6,"Routes":[{"Name":"a"},{"Name":"repetici` + "\xf3" + `n"}]}`, false},
+		{"a surrogate without its other half", `{"Version":6,"Odd":"repetici\udcf3n"}`, false},
 		{"no version", `{"Routes":[]}`, false},
 		{"version as a text", `{"Version":"6"}`, false},
 		{"version not above", configuration, false},
