Charge what can't be encoded to its request, not to the disk of each head in turn

Cause: replica.appendEntry applied an entry to the store and then encoded it for the file. An error of the encoder counted as a failed disk, each rewrite met the same key in the store, and as nobody had a reply, the request was sent on to the next head.

Change: an entry is encoded before it is applied; if that fails nothing has changed, and Append says so (ErrUnencodable). jobs.Writes notes a change that can't be encoded, where it panicked or let the key pass. The scheduler answers the request that such a change came with at once with 400, and Entry returns the error. The member then goes on as the head: the other requests of that turn are rejected as not executed, so that their clients send them again, and the scheduler, whose state includes the lost changes, is replaced by one that is loaded from the store once all entries in it are committed. It has the same epoch, so its sessions are numbered on from the old one's, as agents ignore orders of a lower session; it assumes that leases were granted just now, as each new head does. Why it works: the store holds only what was encoded before, so that no rewrite, no state transfer and no other member can meet it.

Tests that looked at Append's flag look at its error, which is as strict.

--- a/internal/control/jobs/records.go
+++ b/internal/control/jobs/records.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -17,19 +18,42 @@
 	taskPrefix   = "t/" // followed by Step.TaskID: protocol.TaskRecord of a task that has been started
 )
 
+// ErrUnencodable marks the errors of changes that the log can't hold: protobuf encodes a key, and the
+// strings of a record, only if they are valid UTF-8.
+var ErrUnencodable = errors.New("jobs: the change can't be encoded")
+
 // Writes collects changes to the store. The newest change of a key replaces earlier ones. The zero
 // value is empty. It is not safe for concurrent use.
 type Writes struct {
 	puts    map[string][]byte
 	deletes map[string]struct{}
+	err     error // of the first change that can't be encoded
+}
+
+// Err returns the error of the first change that can't be encoded, marked with ErrUnencodable, or nil.
+// With such a change, none of the collected ones may be written.
+func (w *Writes) Err() error { return w.err }
+
+// fail records that the change of a key can't be encoded.
+func (w *Writes) fail(key string, err error) {
+	if w.err == nil {
+		w.err = errors.Mark(errors.Wrapf(err, "jobs: encode the item %q", key), ErrUnencodable)
+	}
 }
 
-// Put records that the item with the given key is set to body.
+// errKey is the reason why a key can't be encoded.
+var errKey = errors.New("the key is not valid UTF-8")
+
+// Put records that the item with the given key is set to body. If that can't be encoded, Err returns
+// the reason.
 func (w *Writes) Put(key string, body proto.Message) {
 	value, err := proto.Marshal(body)
+	if err == nil && !utf8.ValidString(key) {
+		err = errKey
+	}
 	if err != nil {
-		// Encoding fails only for invalid UTF-8, which Validate rejects.
-		panic("jobs: encode record: " + err.Error())
+		w.fail(key, err)
+		return
 	}
 	if w.puts == nil {
 		w.puts = make(map[string][]byte)
@@ -38,8 +62,13 @@
 	delete(w.deletes, key)
 }
 
-// Delete records that the item with the given key is removed.
+// Delete records that the item with the given key is removed. If the key can't be encoded, Err returns
+// the reason.
 func (w *Writes) Delete(key string) {
+	if !utf8.ValidString(key) {
+		w.fail(key, errKey)
+		return
+	}
 	if w.deletes == nil {
 		w.deletes = make(map[string]struct{})
 	}
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -39,7 +39,8 @@
 	derived derivedState
 
 	// The placement role.
-	scheduler          *scheduler.Scheduler // nil where this member does not serve as the head
+	scheduler          *scheduler.Scheduler // nil where this member does not serve as the head, and while there is a dropped one
+	droppedScheduler   *scheduler.Scheduler // to be replaced once all entries are committed; nil for none
 	knownClockStep     time.Duration        // last clock jump that was reported to the scheduler
 	knownConfigVersion uint64               // newest version of the configuration that gossip has
 
@@ -179,6 +180,7 @@
 // Turn ends a turn: it appends the scheduler's decisions and returns everything that has to be
 // carried out.
 func (m *Member) Turn(now time.Duration) Output {
+	m.replaceScheduler(now)
 	m.appendEntry(now)
 	m.publishCommitted(now)
 	m.processStatusReads(now)
@@ -209,11 +211,19 @@
 	if m.scheduler == nil || !m.replica.CanAppend() || !m.replica.Accepting(now) {
 		return
 	}
-	e := m.scheduler.Entry(now)
+	e, err := m.scheduler.Entry(now)
+	if err != nil {
+		m.dropScheduler(e, err)
+		return
+	}
 	if e == nil {
 		return
 	}
-	index, actions, _ := m.replica.Append(now, e) // cannot fail after CanAppend
+	index, actions, err := m.replica.Append(now, e)
+	if err != nil { // it can't be encoded, as CanAppend is true
+		m.dropScheduler(e, err)
+		return
+	}
 	m.scheduler.Appended(index)
 	m.perform(now, actions)
 }
@@ -226,15 +236,20 @@
 	}
 	m.out.Events = append(m.out.Events, m.scheduler.TakeEvents()...)
 	m.scheduler.Committed(now, m.replica.Committed())
-	for _, s := range m.scheduler.TakeSends() {
-		m.send(s.To, s.Message)
-	}
+	m.sendScheduled()
 	if table := m.scheduler.CommittedConfig(); table.Version > m.knownConfigVersion {
 		m.knownConfigVersion = table.Version
 		m.gossip.SetConfig(now, table)
 	}
 }
 
+// sendScheduled sends the scheduler's messages.
+func (m *Member) sendScheduled() {
+	for _, s := range m.scheduler.TakeSends() {
+		m.send(s.To, s.Message)
+	}
+}
+
 // propagateView gives gossip and the client the newest view that the replica or gossip knows.
 func (m *Member) propagateView(now time.Duration) {
 	v := m.replica.View()
@@ -271,6 +286,7 @@
 
 // setRole starts the scheduler when this member becomes the head and drops it when it no longer is.
 func (m *Member) setRole(now time.Duration, r replica.RoleChange) {
+	m.droppedScheduler = nil
 	if !r.Serving {
 		m.scheduler = nil
 		return
--- a/internal/control/replica/bounds_test.go
+++ b/internal/control/replica/bounds_test.go
@@ -20,9 +20,9 @@
 		index, appended, reads := old.Index(), 0, 0
 		for range 400 {
 			if old.Accepting(c.now) {
-				_, a, ok := old.Append(c.now, &protocol.Entry{Puts: []*protocol.Put{{Key: "late", Value: []byte("v")}}})
+				_, a, err := old.Append(c.now, &protocol.Entry{Puts: []*protocol.Put{{Key: "late", Value: []byte("v")}}})
 				c.do(old, a)
-				if ok {
+				if err == nil {
 					appended++
 				}
 			}
@@ -54,8 +54,8 @@
 	c.play(time.Second)
 	h := c.head()
 	for i := 0; i < 2*maxUncommitted && h.Accepting(c.now); i++ {
-		_, _, ok := h.Append(c.now, &protocol.Entry{Puts: []*protocol.Put{{Key: "k", Value: []byte("v")}}})
-		require.True(t, ok)
+		_, _, err := h.Append(c.now, &protocol.Entry{Puts: []*protocol.Put{{Key: "k", Value: []byte("v")}}})
+		require.NoError(t, err)
 	}
 	require.EqualValues(t, maxUncommitted, h.Index()-h.Committed())
 }
--- a/internal/control/replica/chain.go
+++ b/internal/control/replica/chain.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gammazero/deque"
 
 	"frosttide/internal/protocol"
@@ -38,17 +39,27 @@
 	nextResendAt     time.Duration     // when messages that may have been lost are repeated
 }
 
-// Append appends an entry at the serving head and returns its index. It returns false if CanAppend does. The machine owns
-// the entry from then on.
-func (m *Machine) Append(now time.Duration, e *protocol.Entry) (uint64, Actions, bool) {
+var (
+	// ErrCannotAppend is the error of Append while CanAppend returns false.
+	ErrCannotAppend = errors.New("replica: this member can't append entries")
+	// ErrUnencodable marks the error of Append for an entry that can't be encoded.
+	ErrUnencodable = errors.New("replica: the entry can't be encoded")
+)
+
+// Append appends an entry at the serving head and returns its index. The machine owns the entry from then on. The error
+// is ErrCannotAppend if CanAppend returns false, and marked with ErrUnencodable for an entry that can't be encoded. With
+// an error nothing has changed.
+func (m *Machine) Append(now time.Duration, e *protocol.Entry) (uint64, Actions, error) {
 	m.now = now
 	if !m.CanAppend() {
-		return 0, m.takeActions(), false
+		return 0, m.takeActions(), ErrCannotAppend
 	}
 	e.Index = m.index + 1
-	m.appendEntry(e)
+	if err := m.appendEntry(e); err != nil {
+		return 0, m.takeActions(), err
+	}
 	m.forwardEntries()
-	return e.GetIndex(), m.takeActions(), true
+	return e.GetIndex(), m.takeActions(), nil
 }
 
 // CanAppend reports whether the member serves as the head, its disk accepts writes and it has not promised a number above
@@ -63,15 +74,20 @@
 	return m.Serving() && now-m.confirmations.confirmedAt <= contactTimeout && m.index-m.chain.committed < maxUncommitted
 }
 
-// appendEntry applies an entry to the store and adds it to the next write and to the log.
-func (m *Machine) appendEntry(e *protocol.Entry) {
+// appendEntry adds an entry to the next write and to the log and applies it to the store. An entry that can't be encoded
+// changes nothing; the error is marked with ErrUnencodable. It must not be applied, as each later copy of the store would
+// include what can't be encoded.
+func (m *Machine) appendEntry(e *protocol.Entry) error {
+	if err := m.recordEntry(e); err != nil {
+		return errors.Mark(err, ErrUnencodable)
+	}
 	if m.index == m.chain.committed {
 		m.chain.commitProgressAt = m.now
 	}
 	m.index = e.GetIndex()
 	m.store.Apply(e.GetPuts(), e.GetDeletes())
-	m.recordEntry(e)
 	m.chain.log.PushBack(e)
+	return nil
 }
 
 // successor returns the next chain member towards the tail, nil at the tail and outside the chain.
@@ -157,8 +173,12 @@
 		return
 	}
 	for _, e := range a.GetEntries() {
-		if e.GetIndex() == m.index+1 {
-			m.appendEntry(e)
+		if e.GetIndex() != m.index+1 {
+			continue
+		}
+		if err := m.appendEntry(e); err != nil { // impossible for an entry that was decoded
+			m.event("Entry can't be encoded, it is not appended", "index", e.GetIndex(), "err", err)
+			return
 		}
 	}
 	m.chain.active = inChain
--- a/internal/control/replica/chain_test.go
+++ b/internal/control/replica/chain_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"frosttide/internal/protocol"
@@ -124,8 +125,8 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c, head, tail := servingChain(t)
-			index, actions, ok := head.Append(c.now, &protocol.Entry{Puts: []*protocol.Put{{Key: "k", Value: []byte("v")}}})
-			require.True(t, ok)
+			index, actions, err := head.Append(c.now, &protocol.Entry{Puts: []*protocol.Put{{Key: "k", Value: []byte("v")}}})
+			require.NoError(t, err)
 			c.finish(head, actions.Writes)
 			require.Less(t, head.Committed(), index)
 			from := "another"
@@ -144,6 +145,28 @@
 	c, head, _ := servingChain(t)
 	require.True(t, head.CanAppend())
 	head.Receive(c.now, proposer, prepareMessage(numberAbove(head)))
-	_, _, ok := head.Append(c.now, &protocol.Entry{})
-	require.False(t, ok, "the head appends an entry in an epoch that it has promised to leave")
+	_, _, err := head.Append(c.now, &protocol.Entry{})
+	require.ErrorIs(t, err, ErrCannotAppend, "the head appends an entry in an epoch that it has promised to leave")
+}
+
+// TestEntryThatCannotBeEncoded guards against a head that takes such an entry for the failure of its disk, so that one
+// request stops one head after the other.
+func TestEntryThatCannotBeEncoded(t *testing.T) {
+	c, head, _ := servingChain(t)
+	for _, e := range []*protocol.Entry{
+		{Puts: []*protocol.Put{{Key: "k", Value: []byte("v")}, {Key: "repetici\xf3n"}}},
+		{Deletes: []string{"repetici\xf3n"}},
+	} {
+		index, items := head.Index(), head.Store().Len()
+		_, actions, err := head.Append(c.now, e)
+		require.True(t, errors.Is(err, ErrUnencodable), "%v", err)
+		c.do(head, actions)
+		require.Equal(t, index, head.Index())
+		require.Equal(t, items, head.Store().Len())
+	}
+	c.awaitWrite(2, time.Second)
+	c.play(2 * time.Second)
+	require.Equal(t, head, c.head(), "another member has become the head")
+	require.False(t, head.Status().DiskFailed)
+	c.requireNoWriteLost()
 }
--- a/internal/control/replica/cluster_test.go
+++ b/internal/control/replica/cluster_test.go
@@ -353,12 +353,12 @@
 	if h == nil {
 		return false
 	}
-	_, a, ok := h.Append(c.now, &protocol.Entry{
+	_, a, err := h.Append(c.now, &protocol.Entry{
 		Puts:    []*protocol.Put{{Key: fmt.Sprintf("k%d", id), Value: []byte{byte(id)}}},
 		Replies: []*protocol.Reply{{Reply: &protocol.ClientReply{Id: id}}},
 	})
 	c.do(h, a)
-	return ok
+	return err == nil
 }
 
 // awaitWrite repeats a write until it has a reply and returns how long that took.
@@ -392,8 +392,8 @@
 			e.Puts = append(e.Puts, &protocol.Put{Key: fmt.Sprintf("item%d", c.itemsWritten), Value: value})
 			written += itemBytes
 		}
-		_, a, ok := h.Append(c.now, e)
-		require.True(c.t, ok)
+		_, a, err := h.Append(c.now, e)
+		require.NoError(c.t, err)
 		c.do(h, a)
 		c.play(20 * time.Millisecond)
 	}
--- a/internal/control/replica/disk.go
+++ b/internal/control/replica/disk.go
@@ -72,18 +72,27 @@
 	return now - d.pending[0].startedAt
 }
 
-// appendRecord adds a record to the next write. While the disk counts as failed it does nothing: the complete state is
-// written once the disk is retried.
+// appendRecord adds a record to the next write. While the disk counts as failed it adds nothing: the complete state is
+// written once the disk is retried. A record that can't be encoded is dropped and makes the disk count as failed, so that
+// the member does not acknowledge it.
 func (m *Machine) appendRecord(kind journal.Kind, body proto.Message) {
+	if err := m.encodeRecord(kind, body); err != nil {
+		m.failDisk(err)
+	}
+}
+
+// encodeRecord adds a record to the next write, or nothing while the disk counts as failed. It returns an error, and adds
+// nothing, if the record can't be encoded.
+func (m *Machine) encodeRecord(kind journal.Kind, body proto.Message) error {
 	if m.disk.failed {
-		return
+		return nil
 	}
 	buffer, err := journal.Append(m.disk.buffer, kind, m.disk.syncedSize, body)
 	if err != nil {
-		m.failDisk(err)
-		return
+		return err
 	}
 	m.disk.buffer = buffer
+	return nil
 }
 
 // afterSync runs a function once everything recorded so far is synced, immediately if it already is. If the disk fails
@@ -224,7 +233,8 @@
 	return m.disk.failed || m.disk.stalled(m.now, m.cfg.Timing.DiskStallTimeout) || m.disk.meanSync > m.cfg.Timing.DiskSlowThreshold
 }
 
-// recordEntry adds an entry to the next write, without its replies, which are needed only while their clients wait.
-func (m *Machine) recordEntry(e *protocol.Entry) {
-	m.appendRecord(journal.KindEntry, &protocol.Entry{Index: e.GetIndex(), Puts: e.GetPuts(), Deletes: e.GetDeletes()})
+// recordEntry adds an entry to the next write, without its replies, which are needed only while their clients wait. The
+// error says that it can't be encoded, which is the entry's fault and not the disk's.
+func (m *Machine) recordEntry(e *protocol.Entry) error {
+	return m.encodeRecord(journal.KindEntry, &protocol.Entry{Index: e.GetIndex(), Puts: e.GetPuts(), Deletes: e.GetDeletes()})
 }
--- a/internal/control/scheduler/harness_test.go
+++ b/internal/control/scheduler/harness_test.go
@@ -72,9 +72,16 @@
 	return h.appendEntry()
 }
 
+// entry returns the next entry, nil if there is none.
+func (h *harness) entry() *protocol.Entry {
+	e, err := h.scheduler.Entry(h.now)
+	require.NoError(h.t, err)
+	return e
+}
+
 // appendEntry appends the next entry without a tick, and reports whether there was one.
 func (h *harness) appendEntry() bool {
-	e := h.scheduler.Entry(h.now)
+	e := h.entry()
 	if e == nil {
 		return false
 	}
--- a/internal/control/scheduler/pass_test.go
+++ b/internal/control/scheduler/pass_test.go
@@ -135,9 +135,9 @@
 	require.Len(t, q.entries, waiting, "steps were started although their rack is full")
 	last := q.entries[waiting-1]
 	last.since -= time.Hour // it has waited long enough to be started in another rack
-	require.Nil(t, h.scheduler.Entry(h.now), "an entry was returned although nothing has changed")
+	require.Nil(t, h.entry(), "an entry was returned although nothing has changed")
 	h.scheduler.fleet.RecordOutcome(h.scheduler.runners["w1"].fleetRunner, "j", placement.Success, h.now)
-	require.NotNil(t, h.scheduler.Entry(h.now), "no entry was returned although the fleet has changed")
+	require.NotNil(t, h.entry(), "no entry was returned although the fleet has changed")
 	require.Equal(t, "w1", h.runnersByTask()[last.step.TaskID(0)])
 	require.Len(t, q.entries, waiting-1)
 }
@@ -194,7 +194,7 @@
 	h.commit()
 	require.Contains(t, h.started("c1"), first+".0.0.0")
 	require.NotContains(t, h.started("c1"), second+".0.0.0")
-	h.scheduler.Entry(h.now)
+	h.entry()
 	require.Equal(t, h.scheduler.fleet.Changes(), h.scheduler.changesAtLastPass)
 	require.False(t, h.scheduler.tickedSincePass)
 	h.report("c1", "i1", ends("done", &protocol.RunEnd{Number: 1, Task: first + ".0.0.0", Run: 1}))
--- a/internal/control/scheduler/requests.go
+++ b/internal/control/scheduler/requests.go
@@ -11,22 +11,30 @@
 
 // HandleRequest evaluates a client's request. The reply becomes part of the next entry, and the tail of the chain sends
 // it once that entry is committed. This also applies to requests that change nothing, so that a head that has been
-// replaced without noticing answers no requests.
+// replaced without noticing answers no requests. A request whose changes can't be encoded is rejected at once.
 func (s *Scheduler) HandleRequest(from string, r *protocol.ClientRequest) {
-	var status int
-	var body string
+	failedBefore := s.encodingError() != nil
+	status, body := s.evaluate(r)
+	if err := s.encodingError(); err != nil && !failedBefore {
+		s.rejectUnencodable(from, r, err)
+		return
+	}
+	reply := &protocol.ClientReply{Id: r.GetId(), Status: uint32(status), Body: []byte(body), ConfigVersion: s.config.Version}
+	s.replies = append(s.replies, &protocol.Reply{Address: from, Incarnation: r.GetIncarnation(), Reply: reply})
+}
+
+// evaluate evaluates a client's request and returns the HTTP status and body of the reply.
+func (s *Scheduler) evaluate(r *protocol.ClientRequest) (int, string) {
 	switch op := r.GetOp().(type) {
 	case *protocol.ClientRequest_Submit:
-		status, body = s.submit(op.Submit)
+		return s.submit(op.Submit)
 	case *protocol.ClientRequest_Cancel:
-		status = s.cancel(op.Cancel)
+		return s.cancel(op.Cancel), ""
 	case *protocol.ClientRequest_Config:
-		status, body = s.updateConfig(op.Config)
+		return s.updateConfig(op.Config)
 	default:
-		status, body = http.StatusBadRequest, "unknown request"
+		return http.StatusBadRequest, "unknown request"
 	}
-	reply := &protocol.ClientReply{Id: r.GetId(), Status: uint32(status), Body: []byte(body), ConfigVersion: s.config.Version}
-	s.replies = append(s.replies, &protocol.Reply{Address: from, Incarnation: r.GetIncarnation(), Reply: reply})
 }
 
 // submit accepts a job and returns the HTTP status and body of the reply.
--- a/internal/control/scheduler/requests_test.go
+++ b/internal/control/scheduler/requests_test.go
@@ -151,7 +151,7 @@
 		for range 3 {
 			h.now += time.Second
 			h.scheduler.Tick(h.now, h.wall()+ahead.Milliseconds(), h.now)
-			h.scheduler.Entry(h.now)
+			h.entry()
 		}
 		return h.scheduler.Jobs().Get(id) != nil
 	}
--- a/internal/control/scheduler/scale_bench_test.go
+++ b/internal/control/scheduler/scale_bench_test.go
@@ -98,14 +98,14 @@
 
 // BenchmarkTurnWithoutChange measures a turn in which nothing has changed.
 func BenchmarkTurnWithoutChange(b *testing.B) {
-	benchmarkSizes(b, func(h *harness, _ fleetSize, _ int) { h.scheduler.Entry(h.now) })
+	benchmarkSizes(b, func(h *harness, _ fleetSize, _ int) { h.entry() })
 }
 
 // BenchmarkTick measures a tick and the following scheduling cycle over all queues.
 func BenchmarkTick(b *testing.B) {
 	benchmarkSizes(b, func(h *harness, _ fleetSize, _ int) {
 		h.scheduler.Tick(h.now, h.wall(), h.now)
-		h.scheduler.Entry(h.now)
+		h.entry()
 	})
 }
 
@@ -114,7 +114,7 @@
 	benchmarkSizes(b, func(h *harness, _ fleetSize, _ int) {
 		h.epoch++
 		h.scheduler.Continue(h.now, h.epoch, h.index)
-		h.scheduler.Entry(h.now)
+		h.entry()
 		h.index++
 		h.scheduler.Appended(h.index)
 		h.scheduler.Committed(h.now, h.index)
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -151,12 +151,17 @@
 }
 
 // Entry runs a scheduling cycle and returns the entry to append to the log, or nil if nothing has changed. The caller
-// appends the entry and calls Appended before it calls Entry again.
-func (s *Scheduler) Entry(now time.Duration) *protocol.Entry {
+// appends the entry and calls Appended before it calls Entry again. It returns an error if a change can't be encoded. The
+// entry then holds only the replies to the requests whose changes are lost, and the caller drops the scheduler, whose
+// state includes the changes, and continues with its Replacement.
+func (s *Scheduler) Entry(now time.Duration) (*protocol.Entry, error) {
 	s.now = now
 	s.schedule()
 	s.stopRuns()
 	s.enqueueFullSyncs()
+	if err := s.encodingError(); err != nil {
+		return &protocol.Entry{Replies: s.replies}, err
+	}
 	e := s.jobs.TakeWrites().Entry()
 	ownWrites := s.writes.Entry()
 	s.writes = &jobs.Writes{}
@@ -164,13 +169,13 @@
 	e.Replies = s.replies
 	s.replies = nil
 	if len(e.Puts) == 0 && len(e.Deletes) == 0 && len(e.Replies) == 0 && s.batch.empty() {
-		return nil
+		return nil, nil
 	}
 	if s.now >= s.nextClockWrite {
 		s.nextClockWrite = s.now + clockWriteInterval
 		e.Puts = append(e.Puts, s.clockItem())
 	}
-	return e
+	return e, nil
 }
 
 // Appended tells the scheduler the index of the entry that Entry returned last. The entry's orders are sent once that
