Refuse IDs in paths that are not UTF-8, and drop only the message that can't be encoded

What callers saw: a client's GET, POST or DELETE of PREFIX/%F3, an operator's of /v1/jobs/%F3, or a runner's PUT of /v1/instances/%F3 ended the link of the process that took it, with all that was queued on it for other callers, and again with each retry, until it was over (503 or 504); a runner's ID did so with each report. Cause: the ID became a string of a message that protobuf does not encode, and the link's writer took that error for one of the connection. Evidence: TestUnencodableMessageIsDropped: with the writer as it was, no message behind such a one arrived within 10 s.

Change: httpserver.PathText and CheckPath apply the rule of jsonbody to parts of paths and answer 400. A message that can't be encoded is dropped by itself and logged; drpc has written nothing of it then, so the stream goes on. Settings were looked at too: go-toml refuses texts that are not UTF-8 and half surrogates (two rows of TestInvalidFiles, a seed and a check in FuzzRead; these passed before).

Tests: TestUnencodableMessageIsDropped, TestPathText, TestPathThatIsNotUTF8; two answers more in the contract of the operator's API, none changed.

--- a/internal/control/server/api.go
+++ b/internal/control/server/api.go
@@ -79,14 +79,20 @@
 // goes to the head, which runs the placement role, whichever member that is.
 func (s *Server) getPlacement(topic string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		read := &protocol.ReadStatus{What: topic, Id: r.PathValue("id")}
+		id, ok := httpserver.PathText(w, r, "id")
+		if !ok {
+			return
+		}
+		read := &protocol.ReadStatus{What: topic, Id: id}
 		s.respond(w, r, &protocol.ClientRequest{Op: &protocol.ClientRequest_ReadStatus{ReadStatus: read}}, chainclient.ToHead)
 	}
 }
 
 // cancelJob cancels the job with the ID in the path, in whichever queue it is.
 func (s *Server) cancelJob(w http.ResponseWriter, r *http.Request) {
-	s.respond(w, r, &protocol.ClientRequest{Op: &protocol.ClientRequest_Cancel{Cancel: &protocol.Cancel{Id: r.PathValue("id")}}}, chainclient.ToHead)
+	if id, ok := httpserver.PathText(w, r, "id"); ok {
+		s.respond(w, r, &protocol.ClientRequest{Op: &protocol.ClientRequest_Cancel{Cancel: &protocol.Cancel{Id: id}}}, chainclient.ToHead)
+	}
 }
 
 // getMemberStatus responds with the status of this member, without asking other members.
--- a/internal/data/agent/server.go
+++ b/internal/data/agent/server.go
@@ -146,12 +146,16 @@
 
 // handleHeartbeat handles PUT /v1/instances/{id}, the heartbeat of a runner.
 func (s *Server) handleHeartbeat(w http.ResponseWriter, r *http.Request) {
+	id, ok := httpserver.PathText(w, r, "id")
+	if !ok {
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxHeartbeatBytes))
 	if err != nil {
 		http.Error(w, "the body can't be read: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	heartbeat, err := ParseHeartbeat(r.PathValue("id"), body)
+	heartbeat, err := ParseHeartbeat(id, body)
 	if err != nil {
 		klog.ErrorS(err, "Heartbeat can't be read")
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -170,7 +174,10 @@
 // handleDeregister handles DELETE /v1/instances/{id}, by which a runner announces that it will
 // exit.
 func (s *Server) handleDeregister(w http.ResponseWriter, r *http.Request) {
-	id := r.PathValue("id")
+	id, ok := httpserver.PathText(w, r, "id")
+	if !ok {
+		return
+	}
 	done := make(chan struct{})
 	s.process.Post(func() {
 		s.node.Machine.Deregister(s.process.Now(), id)
--- a/internal/data/gateway/handler.go
+++ b/internal/data/gateway/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"frosttide/internal/chainclient"
+	"frosttide/internal/httpserver"
 	"frosttide/internal/protocol"
 	"frosttide/internal/routeconfig"
 )
@@ -38,6 +39,9 @@
 		return
 	}
 	id := strings.TrimPrefix(r.URL.Path, route.PathPrefix)
+	if !httpserver.CheckPath(w, id) {
+		return
+	}
 	timeout := requestTimeout(r, route)
 	switch {
 	case r.Method == http.MethodGet && id == "":
--- a/internal/data/gateway/handler_test.go
+++ b/internal/data/gateway/handler_test.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// TestPathThatIsNotUTF8 guards against an ID that the gateway can't send to the control plane, which
+// ended its link to it. The frontend has no gateway: it must not get that far.
+func TestPathThatIsNotUTF8(t *testing.T) {
+	f := newFrontend(nil, time.Second)
+	change, err := routeconfig.Empty().Apply([]byte(`{"Version":1,"Routes":[{"Name":"q","Host":"h","PathPrefix":"/q/","TimeoutMs":3000,"Service":"s"}],"Services":[{"Name":"s"}]}`), routeconfig.Document)
+	require.NoError(t, err)
+	f.table.Store(change.Table)
+	for _, method := range []string{http.MethodGet, http.MethodDelete, http.MethodPost} {
+		w := httptest.NewRecorder()
+		f.clientServer.Handler.ServeHTTP(w, httptest.NewRequest(method, "http://h/q/repetici%F3n", nil))
+		require.Equal(t, http.StatusBadRequest, w.Code, method)
+		require.Contains(t, w.Body.String(), "path: the text is not Unicode", method)
+	}
+}
+
 func TestUnavailableWithoutConfiguration(t *testing.T) {
 	f := newFrontend(nil, time.Second)
 	w := httptest.NewRecorder()
--- a/internal/nodefile/nodefile_test.go
+++ b/internal/nodefile/nodefile_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
@@ -59,6 +60,8 @@
 		{"reversed port range", "Ip = \"10.0.0.1\"\nPortRange = [9, 2]\n", "PortRange"},
 		{"seed", minimal + "Seeds = [\"x\"]\n", "Seeds"},
 		{"control", minimal + "[ListenAddrs]\nControl = \"x\"\n", "ListenAddrs.Control"},
+		{"text in ISO 8859-1", minimal + "Zone = \"repetici\xf3n\"\n", "line 3"},
+		{"surrogate without its other half", minimal + "Zone = \"\\udcf3\"\n", "line 3"},
 		{"negative fault tolerance", minimal + "[FaultTolerance]\nMachines = -1\n", "FaultTolerance.Machines"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -82,11 +85,13 @@
 	require.ErrorContains(t, err, PathVariable)
 }
 
-// FuzzRead checks that any file is either read, or rejected with an error that names it.
+// FuzzRead checks that any file is either read, or rejected with an error that names it. The zone of a
+// file that is read can be sent to other processes.
 func FuzzRead(f *testing.F) {
 	f.Add([]byte(sample))
 	f.Add([]byte("Ip = \"10.0.0.1\"\nPortRange = [1, 2]\n"))
 	f.Add([]byte("PortRange = [9223372036854775807, -1]\n"))
+	f.Add([]byte("Ip = \"10.0.0.1\"\nPortRange = [1, 2]\nZone = \"\xf3\"\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		path := writeFile(t, string(data))
 		settings, err := Read(path)
@@ -96,6 +101,7 @@
 			return
 		}
 		require.NotNil(t, settings)
+		require.True(t, utf8.ValidString(settings.Zone), "%q", settings.Zone)
 		settings.Contacts()
 	})
 }
--- a/internal/testkit/compatibility/scheduler/endpoints_test.go
+++ b/internal/testkit/compatibility/scheduler/endpoints_test.go
@@ -270,6 +270,8 @@
 		{"no jobs", request{method: http.MethodGet, url: core.control + "/v1/jobs"}},
 		{"no such job", request{method: http.MethodGet, url: core.control + "/v1/jobs/00000000000000ff"}},
 		{"no such job canceled", request{method: http.MethodDelete, url: core.control + "/v1/jobs/00000000000000ff"}},
+		{"job whose ID is not UTF-8", request{method: http.MethodGet, url: core.control + "/v1/jobs/repetici%F3n"}},
+		{"job whose ID is not UTF-8 canceled", request{method: http.MethodDelete, url: core.control + "/v1/jobs/repetici%F3n"}},
 		{"no such path", request{method: http.MethodGet, url: core.control + "/v1/none"}},
 	} {
 		s.record(c.name, callWithRetry(t, c.call))
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 	"storj.io/drpc"
 
 	"frosttide/internal/protocol"
@@ -53,7 +56,7 @@
 	defer idle.Stop()
 	for {
 		for _, e := range l.drain() {
-			if err := s.Send(e); err != nil {
+			if err := send(l, s, e); err != nil {
 				return
 			}
 		}
@@ -72,6 +75,17 @@
 	}
 }
 
+// send sends a message on a link's stream. A message that can't be encoded is dropped: it is no fault of
+// the link, and what is queued behind it is sent.
+func send(l *link, s stream, e *protocol.Envelope) error {
+	err := s.Send(e)
+	if errors.Is(err, proto.Error) {
+		klog.ErrorS(err, "Message can't be encoded and is dropped", "to", l.address)
+		return nil
+	}
+	return err
+}
+
 // hello returns the Hello that this process sends as the first message on a link.
 func (t *Transport) hello(l *link) *protocol.Hello {
 	return &protocol.Hello{
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -82,6 +82,26 @@
 	}
 }
 
+// newUnencodableMessage returns a message with a text that is not valid UTF-8.
+func newUnencodableMessage() *protocol.Envelope {
+	read := &protocol.ClientRequest{Op: &protocol.ClientRequest_ReadState{ReadState: &protocol.ReadState{Id: "repetici\xf3n"}}}
+	return &protocol.Envelope{Body: &protocol.Envelope_ClientRequest{ClientRequest: read}}
+}
+
+// TestUnencodableMessageIsDropped guards against a message that can't be encoded and takes with it what
+// is queued behind it on its link, the messages of other clients among them.
+func TestUnencodableMessageIsDropped(t *testing.T) {
+	a, addressA, _ := listen(t, "")
+	_, addressB, gotB := listen(t, "")
+	for i := range uint64(100) {
+		a.Send(addressB, newMessage(i))
+		a.Send(addressB, newUnencodableMessage())
+	}
+	for i := range uint64(100) {
+		require.Equal(t, received{addressA, i}, awaitReceived(t, gotB))
+	}
+}
+
 func TestInOrderBothWays(t *testing.T) {
 	a, addressA, gotA := listen(t, "")
 	b, addressB, gotB := listen(t, "")
