Keep one text that is not UTF-8 from costing a whole batch of spans

What operators saw: with a collector set, spans of up to eight requests, and with them the batch, were dropped as "refused" because of one client's header. Change: a tracestate that is not printable ASCII is dropped, as W3C Trace Context, level 1, 3.3.1 and 4 allow; attributes have such bytes replaced by U+FFFD, as a client's job must not be refused for the sake of telemetry. Looked at and not reached: the other headers of jobs (ID: printable ASCII; key, cookie: hashed; class, tenant: compared), discovery and call-backs (encoding/json), settings (TOML, JSON), Gearman's ids (hashed). The optional parts that are off in service write JSON.

--- a/internal/dispatcher/otlp/attributes.go
+++ b/internal/dispatcher/otlp/attributes.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 
 	commonpb "go.opentelemetry.io/proto/otlp/common/v1"
 )
@@ -75,9 +76,10 @@
 	}
 }
 
-// stringAttribute returns a single string attribute.
+// stringAttribute returns a single string attribute. Bytes that are not UTF-8 are replaced by U+FFFD, as
+// protobuf would encode none of the message.
 func stringAttribute(key, value string) *commonpb.KeyValue {
-	return &commonpb.KeyValue{Key: key, Value: &commonpb.AnyValue{Value: &commonpb.AnyValue_StringValue{StringValue: value}}}
+	return &commonpb.KeyValue{Key: key, Value: &commonpb.AnyValue{Value: &commonpb.AnyValue_StringValue{StringValue: strings.ToValidUTF8(value, "\ufffd")}}}
 }
 
 // stringAttributes returns string attributes sorted by key.
--- a/internal/dispatcher/trace/context.go
+++ b/internal/dispatcher/trace/context.go
@@ -86,7 +86,8 @@
 const maxState = 512
 
 // ParseParent parses the traceparent and tracestate headers and reports whether they identify a
-// trace. If they don't, a new trace begins and the state must be ignored. Versions after 00 are
+// trace. If they don't, a new trace begins and the state must be ignored. A state that is too long or
+// has characters that it must not have is dropped. Versions after 00 are
 // parsed as far as version 00 defines the format. Source: W3C Trace Context, level 1, 3.2 and 3.3.
 func ParseParent(parent, state string) (c Context, ok bool) {
 	const length = 2 + 1 + 32 + 1 + 16 + 1 + 2
@@ -104,12 +105,18 @@
 		return Context{}, false
 	}
 	c.Sampled = flags[0]&1 == 1
-	if len(state) <= maxState {
+	if len(state) <= maxState && isPrintableASCII(state) {
 		c.State = state
 	}
 	return c, true
 }
 
+// isPrintableASCII reports whether a tracestate has only characters that its members and the white
+// space between them may have. Source: W3C Trace Context, level 1, 3.3.1.
+func isPrintableASCII(state string) bool {
+	return !strings.ContainsFunc(state, func(c rune) bool { return c != '\t' && (c < ' ' || c > '~') })
+}
+
 // Parent returns the traceparent header for a request made within the span.
 func (c Context) Parent() string {
 	flags := "00"
--- a/internal/dispatcher/trace/trace_test.go
+++ b/internal/dispatcher/trace/trace_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -34,6 +35,8 @@
 		{"short", validParent[:54], "", false, false, ""},
 		{"empty", "", "a=1", false, false, ""},
 		{"not hexadecimal", strings.Replace(validParent, "4", "g", 1), "", false, false, ""},
+		{"state in ISO 8859-1", validParent, "a=repetici\xf3n", true, true, ""},
+		{"state with a control character", validParent, "a=\x7f", true, true, ""},
 		{"state too long", validParent, strings.Repeat("x", 513), true, true, ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -48,16 +51,20 @@
 	}
 }
 
-// FuzzParseParent checks that an invalid header yields the zero context, and that formatting a
-// valid one and parsing it again yields the same context.
+// FuzzParseParent checks that an invalid header yields the zero context, that formatting a valid one
+// and parsing it again yields the same context, and that its state can be encoded in a span.
 func FuzzParseParent(f *testing.F) {
 	f.Add(validParent, "a=1")
 	f.Add("cc"+validParent[2:]+"-", "")
+	f.Add(validParent, "a=\xf3")
 	f.Fuzz(func(t *testing.T, parent, state string) {
 		c, ok := ParseParent(parent, state)
 		if !ok && c != (Context{}) {
 			t.Errorf("%q is rejected, but the context is %+v, want the zero value", parent, c)
 		}
+		if !utf8.ValidString(c.State) {
+			t.Errorf("the state is %q", c.State)
+		}
 		if reparsed, reparsedOK := ParseParent(c.Parent(), c.State); ok && (!reparsedOK || reparsed != c) {
 			t.Errorf("%q: formatted and parsed again, %+v is %+v", parent, c, reparsed)
 		}
