Send texts that are unusual, and texts that have to be refused, in the soak of signals

Change: the jobs of TestSignalSoak have a Spec with a flag in quotation marks and control characters; a further client sends jobs and IDs that are not Unicode to the gateways on connections that it keeps, and with each change of the configuration a core machine gets one that is not UTF-8, while processes are stopped, killed, paused and restarted in overlapping series. Rules: such a request is answered with 400, or with 503 by a gateway that has no configuration yet; such a configuration is never acknowledged; the others as before.

--- a/cmd/frosttide-control/soak_test.go
+++ b/cmd/frosttide-control/soak_test.go
@@ -50,6 +50,8 @@
 	stallTime = 100 * time.Millisecond
 	// hangupInterval is the time between the signals of a series of SIGHUP.
 	hangupInterval = 15 * time.Millisecond
+	// invalidPause is the time between two requests that have to be refused.
+	invalidPause = 100 * time.Millisecond
 	// terminateInterval is the time between the signals of a series of SIGTERM.
 	terminateInterval = 60 * time.Millisecond
 )
@@ -57,7 +59,8 @@
 // TestSignalSoak runs random, seeded schedules of signals, restarts and configuration changes
 // against the scheduler's processes: members of the control plane, gateways and agents are
 // terminated, killed, suspended, restarted in series and told to reread their settings, several at
-// once, while clients submit jobs on persistent connections. By default one short schedule runs;
+// once, while clients submit jobs on persistent connections, with unusual texts and with texts that
+// have to be refused. By default one short schedule runs;
 // -soak runs as many as fit into a time.
 func TestSignalSoak(t *testing.T) {
 	if *soakFor == 0 {
@@ -107,7 +110,8 @@
 	clientsCtx, stopClients := context.WithCancel(context.Background())
 	var clients, lanes sync.WaitGroup
 	clients.Go(func() { s.stalls.Run(clientsCtx) })
-	counts := make([]map[string]int, size.clients+size.cores)
+	counts := make([]map[string]int, size.clients+size.cores+1)
+	clients.Go(func() { counts[size.clients+size.cores] = s.runInvalidClient(clientsCtx) })
 	for i := range size.clients {
 		clients.Go(func() { counts[i] = s.runClient(clientsCtx, i) })
 	}
@@ -347,6 +351,7 @@
 func (s *soak) changeConfig() {
 	version := int(s.newest.Load())
 	body := patchBody(version+1, 1000+rand.IntN(2000))
+	s.sendInvalidConfig(s.Cores[rand.IntN(len(s.Cores))], version)
 	devcluster.WaitFor(recoveryTime, func() bool {
 		switch patchConfig(s.Cores[rand.IntN(len(s.Cores))].Control(), version, body) {
 		case http.StatusOK:
@@ -360,9 +365,6 @@
 	})
 }
 
-// soakJob is a job of one task.
-const soakJob = `{"Spec":"sleep 50ms","Stages":[{"Count":1,"Cpu":100,"MemMb":10,"EstimateMs":50}]}`
-
 // runClient submits jobs on one connection after the other until the context ends. It returns the
 // number of requests by outcome.
 func (s *soak) runClient(ctx context.Context, number int) map[string]int {
@@ -386,7 +388,7 @@
 		if last != nil {
 			s.checkOutcome(last)
 		}
-		return &signalsoak.Request{ID: id, Text: fmt.Appendf(nil, "POST /previews/%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s", id, devcluster.Host, len(soakJob), soakJob)}
+		return &signalsoak.Request{ID: id, Text: []byte(post("/previews/"+id, soakJob))}
 	}
 	client.Run(ctx)
 	return countOutcomes("", client)
