Let the mutation of the check for gaps replace the text that stands there now

Cause: turned the condition round in which onAppend takes an entry, and TestChecksApply, which was not run before it, found that the mutation's text was gone. Change: the mutation replaces the new text and takes the same check out: entries after a gap are appended. The program is unchanged. Tests: TestChecksApply; with the mutation applied by hand TestEntriesThatAreNotTaken fails, as before.

--- a/internal/testkit/lab/mutate/checks.go
+++ b/internal/testkit/lab/mutate/checks.go
@@ -39,7 +39,7 @@
 	{"entries of another epoch are dropped", chainFile, "if a.GetEpoch() != m.Epoch() || m.promised > a.GetEpoch() {", "if m.promised > a.GetEpoch() {"},
 	{"no entries of an epoch that a member has promised to leave", chainFile, "if a.GetEpoch() != m.Epoch() || m.promised > a.GetEpoch() {", "if a.GetEpoch() != m.Epoch() {"},
 	{"no entries before the state of the view is installed", chainFile, "if inChain && m.installedEpoch != a.GetEpoch() || !inChain && !m.chain.following {", "if !inChain && !m.chain.following {"},
-	{"entries are appended without a gap", chainFile, "if e.GetIndex() == m.index+1 {", "if e.GetIndex() > m.index {"},
+	{"entries are appended without a gap", chainFile, "if e.GetIndex() != m.index+1 {", "if e.GetIndex() <= m.index {"},
 	{"missing entries are requested", chainFile, "if a.GetFirst() > m.index {", "if false {"},
 	{"an entry is synced by the head and all predecessors before it is committed", chainFile, "committed := min(m.prefixDurable(), m.suffixDurable())", "committed := m.suffixDurable()"},
 	{"an entry is synced by all successors before it is committed", chainFile, "committed := min(m.prefixDurable(), m.suffixDurable())", "committed := m.prefixDurable()"},
