Refuse no run while the runner has more ends than a heartbeat lists

Cause: a heartbeat lists the 500 oldest ends. The agent took a run that is neither in Running nor in Finished for one that has never begun, repeated its start for 1.5 s, and reported it as refused; the head records that as an end without a result and starts the task again.

Change: a list of 500 ends is partial. While the newest heartbeat has one, starts and stops go on, but nothing is refused, and a run that was listed as running is not started again. Why it works: a complete list names each end that is not acknowledged, and only ends whose entry is committed are acknowledged; so a run in neither list of such a heartbeat has no end that the head does not know. The attempts to start a run move into the desired run (their own map kept an entry for each run that ended before it was listed).

Related paths, and whether this cause reaches them: - starts without effect: yes, mended (startOrBlock). Stops of dropped runs, of draining runners too: yes, mended (stopBlockedRuns). - a full sync that leaves a run out, or lists it as to be stopped: yes, through the same function. An agent that has just started: yes, it knows only the listed ends. - ends failed: yes, the attempt did not count. A run that never begins beside outstanding ends: still refused, once the list is complete. - the head: declares runs lost by leases and replacements only: no. Reports carry all ends that the agent knows, before the refusals of the same report: no. - ends of a removed runner: never acknowledged, so they count for nothing: no.

--- a/internal/data/agent/head.go
+++ b/internal/data/agent/head.go
@@ -204,6 +204,7 @@
 // updateDesired applies orders to the set of desired runs: a full sync replaces the set, other
 // orders change it.
 func (m *Machine) updateDesired(r *runner, o *protocol.RunnerOrders) {
+	previous := r.desired
 	if o.GetFull() {
 		m.beginFullSync(r, len(o.GetRuns()))
 	}
@@ -212,7 +213,7 @@
 	}
 	for _, order := range o.GetRuns() {
 		if !m.hasPendingEnd(r, order.GetTask(), order.GetRun()) {
-			r.desired[order.GetTask()] = order
+			r.desired[order.GetTask()] = previous[order.GetTask()].replace(order)
 			delete(r.blockedRuns, order.GetTask())
 		}
 	}
@@ -222,11 +223,11 @@
 // runner, so that the runs are blocked unless the full sync lists them again.
 func (m *Machine) beginFullSync(r *runner, runs int) {
 	previous := r.desired
-	r.desired = make(map[string]*protocol.RunOrder, runs)
+	r.desired = make(map[string]*desiredRun, runs)
 	m.fullSyncDone = true
 	clear(r.refused)
-	for task, order := range previous {
-		r.blockedRuns[task] = &blockedRun{run: order.GetRun()}
+	for task, desired := range previous {
+		r.blockedRuns[task] = &blockedRun{run: desired.order.GetRun()}
 	}
 }
 
@@ -239,8 +240,8 @@
 	if r.refused[task] <= run {
 		delete(r.refused, task)
 	}
-	if order := r.desired[task]; order != nil && order.GetRun() <= run {
-		r.blockedRuns[task] = &blockedRun{run: order.GetRun()}
+	if desired := r.desired[task]; desired != nil && desired.order.GetRun() <= run {
+		r.blockedRuns[task] = &blockedRun{run: desired.order.GetRun()}
 		delete(r.desired, task)
 	}
 	if fullSync && !m.hasPendingEnd(r, task, run) {
--- a/internal/data/agent/machine.go
+++ b/internal/data/agent/machine.go
@@ -21,9 +21,16 @@
 	Account  *protocol.RunnerAccount
 	Sequence uint64                  // increases with each heartbeat of a runner
 	Running  []*protocol.RunProgress // runs that are running
-	Finished []*protocol.RunEnd      // ends of runs that were not acknowledged yet
+	Finished []*protocol.RunEnd      // oldest ends of runs that were not acknowledged yet
 }
 
+// maxListedEnds is the number of ends that a heartbeat lists at most.
+const maxListedEnds = 500
+
+// listsAllEnds reports whether the heartbeat lists every end that was not acknowledged yet. If it
+// does not, a run that it does not mention may have ended as well as never have begun.
+func (h *Heartbeat) listsAllEnds() bool { return len(h.Finished) < maxListedEnds }
+
 // HeartbeatResponse is the response to a heartbeat. It tells the runner what to start and to stop
 // and for how long it may continue its runs.
 type HeartbeatResponse struct {
@@ -76,15 +83,15 @@
 	deregistered bool // the runner is about to exit, now or many seconds later
 
 	// Runs by task; a number is the number of the task's run.
-	desired       map[string]*protocol.RunOrder
-	running       map[string]uint32        // listed in the newest heartbeat
-	startAttempts map[string]*startAttempt // starts that were sent while the run was not listed
-	blockedRuns   map[string]*blockedRun   // no longer desired and not listed, but may still start
-	refused       map[string]uint32        // certainly never start; kept until the head acknowledges
+	desired     map[string]*desiredRun
+	running     map[string]uint32      // listed in the newest heartbeat
+	blockedRuns map[string]*blockedRun // no longer desired and not listed, but may still start
+	refused     map[string]uint32      // certainly never start; kept until the head acknowledges
 
 	// Ends of runs by their number.
 	pendingEnds  map[uint64]*protocol.RunEnd // listed by the runner, not acknowledged by the head
 	acknowledged uint64                      // highest number that the head has acknowledged
+	allEndsKnown bool                        // the newest heartbeat has listed all ends that are not acknowledged
 
 	runLeaseExpiry time.Duration // when all run leases have expired even on the slowest clock
 	healthChecks   int           // health checks during the current time-out
@@ -146,13 +153,12 @@
 		m.removed[m.runner.account.GetId()] = m.now
 	}
 	m.runner = &runner{
-		account:       heartbeat.Account,
-		desired:       make(map[string]*protocol.RunOrder),
-		running:       make(map[string]uint32),
-		startAttempts: make(map[string]*startAttempt),
-		blockedRuns:   make(map[string]*blockedRun),
-		refused:       make(map[string]uint32),
-		pendingEnds:   make(map[uint64]*protocol.RunEnd),
+		account:     heartbeat.Account,
+		desired:     make(map[string]*desiredRun),
+		running:     make(map[string]uint32),
+		blockedRuns: make(map[string]*blockedRun),
+		refused:     make(map[string]uint32),
+		pendingEnds: make(map[uint64]*protocol.RunEnd),
 		// An earlier process of this agent may just have granted the longest run lease.
 		runLeaseExpiry: m.now + m.allowForDrift(m.cfg.MaxRunLease),
 	}
@@ -182,9 +188,14 @@
 // updateRuns records which runs the runner lists as running and as ended. New ends make a report
 // due immediately.
 func (m *Machine) updateRuns(r *runner, heartbeat *Heartbeat) {
+	r.allEndsKnown = heartbeat.listsAllEnds()
 	clear(r.running)
 	for _, progress := range heartbeat.Running {
-		r.running[progress.GetTask()] = progress.GetRun()
+		task, run := progress.GetTask(), progress.GetRun()
+		r.running[task] = run
+		if desired := r.desired[task]; desired != nil && desired.order.GetRun() == run {
+			desired.begun, desired.startsSent, desired.stopsSent = true, 0, 0
+		}
 	}
 	for _, end := range heartbeat.Finished {
 		if end.GetNumber() <= r.acknowledged || r.pendingEnds[end.GetNumber()] != nil {
@@ -196,7 +207,7 @@
 		if blocked := r.blockedRuns[task]; blocked != nil && blocked.run <= run {
 			delete(r.blockedRuns, task)
 		}
-		if order := r.desired[task]; order != nil && order.GetRun() <= run {
+		if desired := r.desired[task]; desired != nil && desired.order.GetRun() <= run {
 			delete(r.desired, task)
 		}
 	}
@@ -220,7 +231,7 @@
 	}
 	for _, task := range slices.Sorted(maps.Keys(r.running)) {
 		run := r.running[task]
-		if order := r.desired[task]; order == nil || order.GetRun() != run {
+		if desired := r.desired[task]; desired == nil || desired.order.GetRun() != run {
 			response.Stop = append(response.Stop, &protocol.RunRef{Task: task, Run: run})
 		}
 	}
--- a/internal/data/agent/starts.go
+++ b/internal/data/agent/starts.go
@@ -8,13 +8,32 @@
 	"frosttide/internal/protocol"
 )
 
-// startAttempt tracks the start of a run that the runner does not list yet. Since responses may be
-// lost, the start is repeated in every response until the run is listed or blocked.
-type startAttempt struct {
-	run        uint32
-	since      time.Duration
-	startsSent int // responses that contained the start
-	stopsSent  int // responses that contained a stop, after the starts had no effect
+// desiredRun is a run that the head wants the runner to execute, with the attempts to start it.
+// Since responses may be lost, the start is repeated in every response until the run is listed or
+// blocked.
+type desiredRun struct {
+	order      *protocol.RunOrder
+	begun      bool          // the runner has listed it as running
+	firstStart time.Duration // when a response first contained the start, if startsSent is not 0
+	startsSent int           // responses that contained the start
+	stopsSent  int           // responses that contained a stop, after the starts had no effect
+}
+
+// replace returns the desired run of an order that takes the place of d, which may be nil. Attempts
+// to start the same run still count.
+func (d *desiredRun) replace(order *protocol.RunOrder) *desiredRun {
+	if d == nil || d.order.GetRun() != order.GetRun() {
+		return &desiredRun{order: order}
+	}
+	replaced := *d
+	replaced.order = order
+	return &replaced
+}
+
+// startFailed reports whether enough starts were sent, for long enough, to conclude that further
+// ones have no effect.
+func (d *desiredRun) startFailed(now time.Duration) bool {
+	return d.startsSent >= minStartsSent && now-d.firstStart >= startTimeout
 }
 
 // blockedRun is a run that is no longer desired and that the runner has not listed: its start may
@@ -29,33 +48,32 @@
 // startOrBlock adds the start of a desired run to a response, unless the runner lists the run. If
 // many starts have had no effect, it adds stops instead, and reports the run as refused once it
 // certainly never starts.
-func (m *Machine) startOrBlock(r *runner, order *protocol.RunOrder, response *HeartbeatResponse) {
-	task, run := order.GetTask(), order.GetRun()
-	if r.running[task] == run {
-		delete(r.startAttempts, task)
+//
+// While the runner has more ends than it lists, the run may have ended already, so that nothing is
+// concluded from starts without effect. A run that has begun needs no start: its end will be listed.
+func (m *Machine) startOrBlock(r *runner, desired *desiredRun, response *HeartbeatResponse) {
+	task, run := desired.order.GetTask(), desired.order.GetRun()
+	if r.running[task] == run || desired.begun && !r.allEndsKnown {
 		return
 	}
-	attempt := r.startAttempts[task]
-	if attempt == nil || attempt.run != run {
-		attempt = &startAttempt{run: run, since: m.now}
-		r.startAttempts[task] = attempt
-	}
-	if attempt.startsSent < minStartsSent || m.now-attempt.since < startTimeout {
-		attempt.startsSent++
-		response.Start = append(response.Start, order)
+	if !r.allEndsKnown || !desired.startFailed(m.now) {
+		if desired.startsSent == 0 {
+			desired.firstStart = m.now
+		}
+		desired.startsSent++
+		response.Start = append(response.Start, desired.order)
 		return
 	}
-	attempt.stopsSent++
+	desired.stopsSent++
 	response.Stop = append(response.Stop, &protocol.RunRef{Task: task, Run: run})
-	if attempt.stopsSent > stopsToBlock {
-		delete(r.startAttempts, task)
+	if desired.stopsSent > stopsToBlock {
 		delete(r.desired, task)
 		m.refuseRun(r, task, run)
 	}
 }
 
 // stopBlockedRuns adds stops of the blocked runs to a response. A run is reported as refused once
-// enough stops were sent.
+// enough stops were sent and the runner lists all ends, since it may have ended before them.
 func (m *Machine) stopBlockedRuns(r *runner, response *HeartbeatResponse) {
 	for _, task := range slices.Sorted(maps.Keys(r.blockedRuns)) {
 		blocked := r.blockedRuns[task]
@@ -68,7 +86,7 @@
 		}
 		blocked.stopsSent++
 		response.Stop = append(response.Stop, &protocol.RunRef{Task: task, Run: blocked.run})
-		if blocked.stopsSent > stopsToBlock {
+		if blocked.stopsSent > stopsToBlock && r.allEndsKnown {
 			delete(r.blockedRuns, task)
 			m.refuseRun(r, task, blocked.run)
 		}
--- a/internal/testkit/lab/mutate/checks.go
+++ b/internal/testkit/lab/mutate/checks.go
@@ -79,5 +79,6 @@
 	{"a runner that deregisters has not ended", agentFile, "	m.runner.deregistered = true\n", "	m.removeRunner(m.runner)\n	return\n"},
 	{"a silent runner's run leases have expired", headFile, "if m.now > r.runLeaseExpiry {", "if m.now > r.lastContact+time.Second {"},
 	{"a delayed heartbeat of a runner is ignored", agentFile, "if heartbeat.Sequence < r.sequence {", "if false {"},
+	{"a run that has ended beyond the listed ends is not refused", agentFile, "return len(h.Finished) < maxListedEnds", "return true"},
 	{"one refused health check is not enough", agentFile, "if r.refusedChecks++; r.refusedChecks >= minRefusedChecks {", "if r.refusedChecks++; r.refusedChecks >= 1 {"},
 }
--- a/internal/testkit/simnet/client.go
+++ b/internal/testkit/simnet/client.go
@@ -36,6 +36,7 @@
 		sim.after(sim.randomDuration(20*time.Millisecond, 700*time.Millisecond), next)
 	}
 	sim.after(2*time.Second, next)
+	c.startBulkJobs()
 }
 
 // submit submits a job and retries until it is accepted or maxSubmitAttempts are used up.
@@ -115,7 +116,7 @@
 	if sim.rng.IntN(2) == 0 {
 		other.Spec += " of another"
 	} else {
-		other.Queue = map[string]string{"quick": "batch", "batch": "quick"}[j.queue]
+		other.Queue = map[string]string{"quick": "batch", "batch": "quick", bulkQueue: "quick"}[j.queue]
 	}
 	sim.anyGateway().request(&protocol.ClientRequest{Op: &protocol.ClientRequest_Submit{Submit: other}}, chainclient.ToHead, clientTimeout, func(o chainclient.Outcome) {
 		if o.Reply.GetStatus() == http.StatusOK {
--- a/internal/testkit/simnet/heartbeat.go
+++ b/internal/testkit/simnet/heartbeat.go
@@ -43,7 +43,10 @@
 	for _, run := range r.sortedRuns() {
 		message.Running = append(message.Running, &protocol.RunProgress{Task: run.task, Run: run.number, Saved: run.checkpoint})
 	}
-	message.Finished = append(message.Finished, r.unacknowledgedEnds...)
+	message.Finished = append(message.Finished, r.unacknowledgedEnds[:min(maxListedEnds, len(r.unacknowledgedEnds))]...)
+	if len(r.unacknowledgedEnds) > maxListedEnds {
+		r.host.sim.report.UnlistedEnds = true
+	}
 	return message
 }
 
@@ -51,7 +54,7 @@
 // agent can't read, and a response that the runner can't read, have no effect.
 func (r *runner) deliverHeartbeat(message *agent.Heartbeat, sent time.Duration) {
 	sim, h := r.host.sim, r.host
-	received, err := transmitHeartbeat(message)
+	received, err := r.transmitHeartbeat(message)
 	if err != nil {
 		sim.trace("agent of %s can't read a heartbeat: %v", r.id, err)
 		return
--- a/internal/testkit/simnet/heartbeatbody.go
+++ b/internal/testkit/simnet/heartbeatbody.go
@@ -30,9 +30,14 @@
 }
 
 // transmitHeartbeat returns a heartbeat as the agent receives it. To save time, only those heartbeats
-// are encoded that hold a text for the first time: a runner's first, and those that list ends.
-func transmitHeartbeat(heartbeat *agent.Heartbeat) (*agent.Heartbeat, error) {
-	if heartbeat.Sequence > 1 && len(heartbeat.Finished) == 0 {
+// are encoded that hold a text for the first time: a runner's first, and those that list an end for
+// the first time.
+func (r *runner) transmitHeartbeat(heartbeat *agent.Heartbeat) (*agent.Heartbeat, error) {
+	newest := r.newestTransmittedEnd
+	if ends := heartbeat.Finished; len(ends) > 0 {
+		r.newestTransmittedEnd = max(newest, ends[len(ends)-1].GetNumber())
+	}
+	if heartbeat.Sequence > 1 && r.newestTransmittedEnd == newest {
 		return heartbeat, nil
 	}
 	return agent.ParseHeartbeat(heartbeat.Account.GetId(), encodeHeartbeat(heartbeat))
--- /dev/null
+++ b/internal/testkit/simnet/manytasks.go
@@ -0,0 +1,66 @@
+package simnet
+
+import (
+	"fmt"
+	"time"
+
+	"frosttide/internal/protocol"
+)
+
+// Jobs of many small tasks, which all run on the only runner of their service (Options.ManyTasks).
+// The runner has more runs, and more ends that are not acknowledged, than any other.
+
+const (
+	bulkQueue   = "bulk"
+	bulkService = "pack"
+	// bulkRunnerCPU is the capacity of the runner of bulkService, in thousandths of a core.
+	bulkRunnerCPU = 64000
+	// maxBulkTasks bounds the tasks of a job.
+	maxBulkTasks = 400
+	// maxBulkInterval bounds the time between two jobs.
+	maxBulkInterval = 1500 * time.Millisecond
+)
+
+// bulkRoute is the route of bulkQueue, which firstConfig lacks.
+const bulkRoute = `{"Name":"bulk","Host":"h","PathPrefix":"/m/","TimeoutMs":3000,"TargetLatencyMs":4000,"Priority":1,"Service":"pack","MaxAttempts":2,"Stretch":4},`
+
+// startBulkJobs submits jobs of many small tasks at random intervals until the length of the
+// simulation has passed.
+func (c *client) startBulkJobs() {
+	sim := c.sim
+	if !sim.options.ManyTasks {
+		return
+	}
+	var next func()
+	next = func() {
+		if sim.now > sim.options.Length {
+			return
+		}
+		c.submit(sim.newBulkJob())
+		sim.after(sim.randomDuration(maxBulkInterval/5, maxBulkInterval), next)
+	}
+	sim.after(2*time.Second, next)
+}
+
+// newBulkJob draws a job of many small tasks of the same length.
+func (sim *simulation) newBulkJob() *job {
+	j := &job{id: fmt.Sprintf("%016x", sim.rng.Uint64()), queue: bulkQueue, service: bulkService, occurrences: 1}
+	j.spec = "spec of " + j.id + unusualText(j.id)
+	st := &stage{
+		Stage:    &protocol.Stage{Count: uint32(1 + sim.rng.IntN(maxBulkTasks)), Cpu: 50, MemMb: 10, EstimateMs: 1000},
+		seed:     sim.rng.Uint64(),
+		duration: sim.randomDuration(time.Second, 4*time.Second),
+	}
+	if sim.rng.IntN(4) == 0 {
+		st.failureRate = 0.05
+	}
+	j.stages = []*stage{st}
+	return j
+}
+
+// newBulkRunnerHost adds the machine of the runner of bulkService.
+func (sim *simulation) newBulkRunnerHost() *runnerHost {
+	h := sim.newRunnerHost(sim.options.Runners)
+	h.bulk = true
+	return h
+}
--- /dev/null
+++ b/internal/testkit/simnet/manytasks_test.go
@@ -0,0 +1,21 @@
+package simnet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRunsOnceWithUnlistedEnds guards against tasks that run twice after the head was away while more
+// tasks of a runner ended than a heartbeat lists; the ends that are not listed were taken for refusals.
+func TestRunsOnceWithUnlistedEnds(t *testing.T) {
+	for _, seed := range []uint64{8, 86} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := Run(DefaultOptions(seed))
+			require.Empty(t, r.Violations)
+			require.True(t, r.UnlistedEnds, "no runner had more ends than a heartbeat lists")
+		})
+	}
+}
--- a/internal/testkit/simnet/missingcheck_test.go
+++ b/internal/testkit/simnet/missingcheck_test.go
@@ -32,7 +32,7 @@
 			t.Parallel()
 			for seed := range uint64(maxSeeds) {
 				o := DefaultOptions(seed)
-				o.MissingCheck = tc.missing
+				o.MissingCheck, o.ManyTasks = tc.missing, false // the checks have nothing to do with many tasks
 				if tc.faults != nil {
 					tc.faults(&o)
 				}
--- a/internal/testkit/simnet/operator.go
+++ b/internal/testkit/simnet/operator.go
@@ -52,13 +52,14 @@
 	maxOrderAttempts = 8
 )
 
-// firstConfig is the initial configuration, with a placeholder for its version.
-const firstConfig = `{"Version":%d,"Routes":[{"Name":"quick","Host":"h","PathPrefix":"/q/","TimeoutMs":3000,"TargetLatencyMs":800,"Priority":0,"Service":"cut","MaxAttempts":3,"Stretch":1.5},` +
+// firstConfig is the initial configuration, with placeholders for its version and for further routes
+// and services.
+const firstConfig = `{"Version":%d,"Routes":[%s{"Name":"quick","Host":"h","PathPrefix":"/q/","TimeoutMs":3000,"TargetLatencyMs":800,"Priority":0,"Service":"cut","MaxAttempts":3,"Stretch":1.5},` +
 	`{"Name":"batch","Host":"h","PathPrefix":"/b/","TimeoutMs":3000,"TargetLatencyMs":4000,"Priority":2,"Service":"render","MaxAttempts":2,"Stretch":4}],` +
-	`"Services":[{"Name":"cut"},{"Name":"render"}]}`
+	`"Services":[{"Name":"cut"},{"Name":"render"}%s]}`
 
-// maxAttempts is how often a task may fail, by queue, as set in firstConfig.
-var maxAttempts = map[string]int{"quick": 3, "batch": 2}
+// maxAttempts is how often a task may fail, by queue, as set in firstConfig and bulkRoute.
+var maxAttempts = map[string]int{"quick": 3, "batch": 2, bulkQueue: 2}
 
 // newOperator returns an operator that has sent no orders, for a cluster with an empty
 // configuration.
@@ -68,10 +69,19 @@
 
 // start sends the initial configuration until it is acknowledged, and then starts to change it.
 func (o *operator) start() {
-	first := &configOrder{version: 1, body: fmt.Appendf(nil, firstConfig, 1)}
+	first := &configOrder{version: 1, body: o.firstConfig()}
 	o.send(first, func(bool) { o.sim.after(o.sim.randomDuration(time.Second, 3*time.Second), o.sendNextChange) })
 }
 
+// firstConfig returns the initial configuration.
+func (o *operator) firstConfig() []byte {
+	extraRoutes, extraServices := "", ""
+	if o.sim.options.ManyTasks {
+		extraRoutes, extraServices = bulkRoute, `,{"Name":"`+bulkService+`"}`
+	}
+	return fmt.Appendf(nil, firstConfig, 1, extraRoutes, extraServices)
+}
+
 // sendNextChange sends a change and schedules the next one.
 func (o *operator) sendNextChange() {
 	sim := o.sim
--- a/internal/testkit/simnet/runner.go
+++ b/internal/testkit/simnet/runner.go
@@ -27,8 +27,10 @@
 	blockedRuns        map[string]uint32   // by task, the highest run number that must not start
 	unacknowledgedEnds []*protocol.RunEnd
 	lastEndNumber      uint64
-	runLeaseExpiry     time.Duration // virtual time at which all runs lapse
-	runLeaseTimerSet   bool
+	// newestTransmittedEnd is the highest number of an end that a heartbeat has listed.
+	newestTransmittedEnd uint64
+	runLeaseExpiry       time.Duration // virtual time at which all runs lapse
+	runLeaseTimerSet     bool
 
 	fencingToken         uint64 // highest token received
 	heartbeatSequence    uint64
--- a/internal/testkit/simnet/runnerhost.go
+++ b/internal/testkit/simnet/runnerhost.go
@@ -16,6 +16,7 @@
 	gangTimeout        = 3 * time.Second        // how long a member of a gang waits for the rest
 	responseTimeout    = time.Second            // of a heartbeat
 	checkpointInterval = 2 * time.Second
+	maxListedEnds      = 500 // in a heartbeat
 	remoteSlowdown     = 1.5
 	// maxHeartbeatDelay bounds the delay of heartbeats during the fault delayHeartbeats.
 	maxHeartbeatDelay = 3500 * time.Millisecond
@@ -43,6 +44,7 @@
 	runner            *runner
 	runnerIncarnation int           // increases with each start of the runner
 	lastHealthCheck   time.Duration // when checkRunner last started a check
+	bulk              bool          // the runner is the one of bulkService
 }
 
 // runnerHostAddress returns the address of an agent by its number.
@@ -112,6 +114,9 @@
 		blockedRuns:       make(map[string]uint32),
 		heartbeatInterval: 50 * time.Millisecond,
 	}
+	if h.bulk {
+		h.runner.service, h.runner.cpu = bulkService, bulkRunnerCPU
+	}
 	sim.trace("runner %s starts", h.runner.id)
 	h.runner.sendHeartbeat()
 }
--- a/internal/testkit/simnet/simnet.go
+++ b/internal/testkit/simnet/simnet.go
@@ -35,6 +35,7 @@
 	FrequentConfigChanges bool // the operator changes the configuration many times a second
 	LargeSpecs            bool // jobs have large specs, so that state transfers take many chunks
 	BufferedResets        bool // receivers may handle messages buffered before a reset
+	ManyTasks             bool // one more runner has hundreds of small tasks at a time
 
 	SkipFaults   map[int]bool      // faults that are not injected, by their index in Report.Faults
 	MissingCheck MissingCheck      // the safety check that the simulation runs without
@@ -74,7 +75,9 @@
 	Accepted   int         // jobs whose acceptance was acknowledged to a client
 	Done       int         // accepted jobs that were completed at the end
 	Starts     int         // runs that runners have started
-	Calls      []Call      // of the operator, and reads of job states by clients
+	// UnlistedEnds says that a runner had more ends to report than a heartbeat lists.
+	UnlistedEnds bool
+	Calls        []Call // of the operator, and reads of job states by clients
 }
 
 const (
@@ -104,6 +107,7 @@
 		FrequentConfigChanges: seed%9 == 4,
 		LargeSpecs:            seed%4 == 1,
 		BufferedResets:        seed%2 == 1,
+		ManyTasks:             seed%6 == 2,
 	}
 }
 
--- a/internal/testkit/simnet/simulation.go
+++ b/internal/testkit/simnet/simulation.go
@@ -67,6 +67,11 @@
 		sim.runnerHosts = append(sim.runnerHosts, h)
 		sim.after(sim.randomDuration(0, maxBootDelay), func() { h.boot(); h.startRunner() })
 	}
+	if sim.options.ManyTasks {
+		h := sim.newBulkRunnerHost()
+		sim.runnerHosts = append(sim.runnerHosts, h)
+		sim.after(sim.randomDuration(0, maxBootDelay), func() { h.boot(); h.startRunner() })
+	}
 	sim.after(500*time.Millisecond, sim.operator.start)
 }
 
