Keep the cancellation of an unknown job, so that a late submission is not accepted

Cause: the head kept nothing of the cancellation of an unknown ID, so that a submission behind it was accepted.

Change: the head records such a cancellation as a tombstone in the entry of the answer; a submission with that ID is answered 410 for status_s. Why it works: the entry is committed before the client hears of it, so each later head has the tombstone, and the head is the one place that accepts jobs, whatever gateway sends them. At most 16,384 tombstones are kept; when they are used up, DELETE of an unknown ID is answered 503 and nothing is promised.

Related paths, and whether this cause reaches them: - unknown ID, by a client or an operator, under the same or another queue: yes, mended. IDs that are not valid: no, no job is ever accepted with them. - a job of another queue (answered 410): yes, once that job has ended and expires: it is retained from the cancellation on. A job that has ended (200): likewise. - requests that the gateway repeats, and delayed messages: yes, the same; they pass the head.

Wire and disk: StatusRecord has two new fields; the golden files grow by them and nothing else (older bytes are a prefix).

Tests: TestLateSubmissionIsNotAccepted (the cases of unknown IDs fail with the check taken out), TestTooManyCanceledIDs, TestTombstonesAreKeptAndBounded, TestCanceledAfterItsEnd.

--- a/internal/control/jobs/doc.go
+++ b/internal/control/jobs/doc.go
@@ -22,6 +22,8 @@
 //   - Recording the end of a run is idempotent: it takes effect only for the task's newest run, on
 //     the runner that it was started on, and only if that run has not ended yet. At most one run of
 //     a task is therefore counted as done.
+//   - An ID that was canceled before a job with it was accepted has a tombstone (AddTombstone), so
+//     that no such job is accepted later. At most one of the job and the tombstone exists.
 //   - A job that has ended keeps its records until all of its runs have ended. After that only its
 //     state is kept, until it expires.
 //
--- a/internal/control/jobs/job.go
+++ b/internal/control/jobs/job.go
@@ -88,6 +88,8 @@
 
 	State   State
 	EndedMs int64 // time of day; 0 while the job has not ended
+	// CanceledMs is the time of day of the newest cancellation after the end; 0 if there is none.
+	CanceledMs int64
 
 	occurrences         []*Occurrence // released occurrences, indexed by number
 	finishedOccurrences int           // occurrences with all steps done
@@ -105,6 +107,9 @@
 	return b.String()
 }
 
+// retainedFromMs returns the time of day from which the state of an ended job is retained.
+func (j *Job) retainedFromMs() int64 { return max(j.EndedMs, j.CanceledMs) }
+
 // LiveRuns returns the number of the job's runs that may be in progress.
 func (j *Job) LiveRuns() int { return j.liveRuns }
 
--- a/internal/control/jobs/load.go
+++ b/internal/control/jobs/load.go
@@ -50,20 +50,24 @@
 }
 
 // loadStatuses sets the states of the jobs. It adds a job for a status without a job record: the
-// status is all that is stored of a job that has ended and has no runs left.
+// status is all that is stored of a job that has ended and has no runs left. A tombstone has no job.
 func (t *Table) loadStatuses(statuses map[string]*protocol.StatusRecord) {
 	for id, r := range statuses {
+		if r.GetTombstone() {
+			t.tombstones[id] = r.GetEndedMs()
+			continue
+		}
 		j := t.jobs[id]
 		if j == nil {
 			j = &Job{ID: id, Queue: r.GetQueue()}
 			t.jobs[id] = j
 		}
-		j.State, j.EndedMs, j.ContentDigest = State(r.GetState()), r.GetEndedMs(), r.GetContent()
+		j.State, j.EndedMs, j.ContentDigest, j.CanceledMs = State(r.GetState()), r.GetEndedMs(), r.GetContent(), r.GetCanceledMs()
 		if j.State.Final() {
 			t.ended = append(t.ended, j)
 		}
 	}
-	slices.SortFunc(t.ended, func(a, b *Job) int { return cmp.Compare(a.EndedMs, b.EndedMs) })
+	slices.SortFunc(t.ended, func(a, b *Job) int { return cmp.Compare(a.retainedFromMs(), b.retainedFromMs()) })
 }
 
 // loadTasks restores the tasks that have been started, and creates the occurrences that they belong
--- a/internal/control/jobs/records.go
+++ b/internal/control/jobs/records.go
@@ -88,7 +88,7 @@
 
 // putStatus records the current state of a job.
 func (w *Writes) putStatus(j *Job) {
-	w.Put(statusPrefix+j.ID, &protocol.StatusRecord{State: uint32(j.State), EndedMs: j.EndedMs, Queue: j.Queue, Content: j.ContentDigest})
+	w.Put(statusPrefix+j.ID, &protocol.StatusRecord{State: uint32(j.State), EndedMs: j.EndedMs, Queue: j.Queue, Content: j.ContentDigest, CanceledMs: j.CanceledMs})
 }
 
 // putTask records the current state of the step's task with the given index.
@@ -105,8 +105,9 @@
 
 // StatusItem is the decoded value of the item under StatusKey.
 type StatusItem struct {
-	State State
-	Queue string
+	State     State
+	Queue     string
+	Tombstone bool // there is no job with the ID, see Table.AddTombstone
 }
 
 // ParseStatus decodes the value of the item under StatusKey. It returns an error if the value is
@@ -116,5 +117,5 @@
 	if err := proto.Unmarshal(value, &r); err != nil {
 		return StatusItem{}, errors.Wrap(err, "jobs: decode job status")
 	}
-	return StatusItem{State: State(r.GetState()), Queue: r.GetQueue()}, nil
+	return StatusItem{State: State(r.GetState()), Queue: r.GetQueue(), Tombstone: r.GetTombstone()}, nil
 }
--- a/internal/control/jobs/table.go
+++ b/internal/control/jobs/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 
 	"frosttide/internal/protocol"
 )
@@ -12,7 +13,9 @@
 	jobs     map[string]*Job // by ID
 	sequence uint64          // sequence number of the newest job
 	schedule scheduleHeap    // jobs that may have occurrences to release
-	ended    []*Job          // ended jobs, ordered by the time of their end
+	ended    []*Job          // ended jobs, ordered by Job.retainedFromMs
+
+	tombstones tombstones // IDs that were canceled before a job with them was accepted
 
 	// Output that the caller has not taken yet.
 	Writes *Writes  // changed records
@@ -28,7 +31,9 @@
 }
 
 // NewTable returns a table without jobs.
-func NewTable() *Table { return &Table{jobs: make(map[string]*Job), Writes: &Writes{}} }
+func NewTable() *Table {
+	return &Table{jobs: make(map[string]*Job), tombstones: make(tombstones), Writes: &Writes{}}
+}
 
 // TakeWrites returns the changes since the last call, which the caller writes to the store.
 func (t *Table) TakeWrites() *Writes {
@@ -123,21 +128,38 @@
 	}
 }
 
-// Cancel ends a job as canceled; a job that has already ended is left unchanged. It returns false
-// if the ID is unknown.
+// Cancel ends a job as canceled; the state of a job that has already ended is left unchanged. It
+// returns false if the ID is unknown.
 func (t *Table) Cancel(id string, nowMs int64) bool {
 	j := t.jobs[id]
 	if j == nil {
 		return false
 	}
+	if j.State.Final() {
+		t.Retain(j, nowMs)
+		return true
+	}
 	t.setState(j, Canceled, nowMs)
 	return true
 }
 
-// Expire removes jobs that ended before cutoffMs, in the order of their ends. It removes at most
-// limit jobs and stops at the first of which a run may be in progress.
+// Retain has a job that has ended expire as if it had ended now, so that a submission of its ID that
+// was given up now is not accepted as a new job. It does nothing if the job has not ended.
+func (t *Table) Retain(j *Job, nowMs int64) {
+	if !j.State.Final() {
+		return
+	}
+	j.CanceledMs = nowMs
+	t.ended = slices.DeleteFunc(t.ended, func(other *Job) bool { return other == j })
+	t.ended = append(t.ended, j)
+	t.Writes.putStatus(j)
+}
+
+// Expire removes jobs that ended, and tombstones that were set, before cutoffMs, in this order. It
+// removes at most limit of each and stops at the first job of which a run may be in progress.
 func (t *Table) Expire(cutoffMs int64, limit int) {
-	for ; limit > 0 && len(t.ended) > 0 && t.ended[0].EndedMs < cutoffMs && t.ended[0].liveRuns == 0; limit-- {
+	t.expireTombstones(cutoffMs, limit)
+	for ; limit > 0 && len(t.ended) > 0 && t.ended[0].retainedFromMs() < cutoffMs && t.ended[0].liveRuns == 0; limit-- {
 		j := t.ended[0]
 		t.ended = t.ended[1:]
 		delete(t.jobs, j.ID)
--- a/internal/control/member/reads.go
+++ b/internal/control/member/reads.go
@@ -70,7 +70,7 @@
 		m.failRead(reply, fmt.Sprintf("the state of job %s", r.GetId()), err)
 		return
 	}
-	if r.GetQueue() != item.Queue && m.isConfigured(item.Queue) {
+	if item.Tombstone || r.GetQueue() != item.Queue && m.isConfigured(item.Queue) {
 		reply.Status = http.StatusGone
 		return
 	}
--- a/internal/control/scheduler/harness_test.go
+++ b/internal/control/scheduler/harness_test.go
@@ -137,12 +137,15 @@
 // submit submits a job, requires that it is accepted, and returns its ID.
 func (h *harness) submit(id int, queue string, stages ...*protocol.Stage) string {
 	h.t.Helper()
-	name := fmt.Sprintf("%016x", id)
+	name := jobID(id)
 	reply := h.request(submitRequest(&protocol.Submit{Id: name, Queue: queue, Spec: "s", Stages: stages}))
 	require.EqualValues(h.t, http.StatusOK, reply.GetStatus(), "%s", reply.GetBody())
 	return name
 }
 
+// jobID returns the job ID with a number.
+func jobID(number int) string { return fmt.Sprintf("%016x", number) }
+
 // submitStatus submits a job and returns the status of the reply.
 func (h *harness) submitStatus(s *protocol.Submit) int {
 	h.t.Helper()
--- a/internal/control/scheduler/requests.go
+++ b/internal/control/scheduler/requests.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"frosttide/internal/control/jobs"
 	"frosttide/internal/protocol"
 	"frosttide/internal/routeconfig"
@@ -14,26 +16,37 @@
 // replaced without noticing answers no requests. A request whose changes can't be encoded is rejected at once.
 func (s *Scheduler) HandleRequest(from string, r *protocol.ClientRequest) {
 	failedBefore := s.encodingError() != nil
-	status, body := s.evaluate(r)
+	answer := s.evaluate(r)
 	if err := s.encodingError(); err != nil && !failedBefore {
 		s.rejectUnencodable(from, r, err)
 		return
 	}
-	reply := &protocol.ClientReply{Id: r.GetId(), Status: uint32(status), Body: []byte(body), ConfigVersion: s.config.Version}
+	reply := &protocol.ClientReply{
+		Id: r.GetId(), Status: uint32(answer.status), Body: []byte(answer.body), RetryAfterMs: answer.retryAfterMs, ConfigVersion: s.config.Version,
+	}
 	s.replies = append(s.replies, &protocol.Reply{Address: from, Incarnation: r.GetIncarnation(), Reply: reply})
 }
 
-// evaluate evaluates a client's request and returns the HTTP status and body of the reply.
-func (s *Scheduler) evaluate(r *protocol.ClientRequest) (int, string) {
+// answer is the answer to a client's request.
+type answer struct {
+	status       int // HTTP status
+	body         string
+	retryAfterMs uint32 // when the client should try again; 0 if not stated
+}
+
+// evaluate evaluates a client's request.
+func (s *Scheduler) evaluate(r *protocol.ClientRequest) answer {
 	switch op := r.GetOp().(type) {
 	case *protocol.ClientRequest_Submit:
-		return s.submit(op.Submit)
+		status, body := s.submit(op.Submit)
+		return answer{status: status, body: body}
 	case *protocol.ClientRequest_Cancel:
-		return s.cancel(op.Cancel), ""
+		return s.cancel(op.Cancel)
 	case *protocol.ClientRequest_Config:
-		return s.updateConfig(op.Config)
+		status, body := s.updateConfig(op.Config)
+		return answer{status: status, body: body}
 	default:
-		return http.StatusBadRequest, "unknown request"
+		return answer{status: http.StatusBadRequest, body: "unknown request"}
 	}
 }
 
@@ -42,6 +55,9 @@
 	if j := s.jobs.Get(submission.GetId()); j != nil {
 		return s.resubmit(j, submission)
 	}
+	if s.jobs.HasTombstone(submission.GetId()) {
+		return http.StatusGone, "the job was canceled before it was accepted"
+	}
 	route := s.config.Route(submission.GetQueue())
 	if route == nil {
 		return http.StatusNotFound, ""
@@ -72,16 +88,33 @@
 	return queue == "" || queue == j.Queue || s.config.Route(j.Queue) == nil
 }
 
-// cancel cancels a job and returns the HTTP status of the reply. The reply for a job of another queue is the same as for
-// an unknown job.
-func (s *Scheduler) cancel(c *protocol.Cancel) int {
-	if j := s.jobs.Get(c.GetId()); j != nil && !s.accessibleFrom(j, c.GetQueue()) {
-		return http.StatusGone
+// cancelRetryAfterMs is when a client should repeat a cancellation that could not be recorded.
+const cancelRetryAfterMs = 1000
+
+// cancel cancels a job. The answer for a job of another queue is the same as for an unknown job. After each answer but
+// 503, no submission that the client has given up is accepted for as long as the state of an ended job is retained,
+// however late it arrives.
+func (s *Scheduler) cancel(c *protocol.Cancel) answer {
+	j := s.jobs.Get(c.GetId())
+	switch {
+	case j == nil:
+		return s.cancelUnknown(c)
+	case !s.accessibleFrom(j, c.GetQueue()):
+		s.jobs.Retain(j, s.wallMs)
+		return answer{status: http.StatusGone}
+	default:
+		s.jobs.Cancel(c.GetId(), s.wallMs)
+		return answer{status: http.StatusOK}
 	}
-	if !s.jobs.Cancel(c.GetId(), s.wallMs) {
-		return http.StatusGone
+}
+
+// cancelUnknown cancels a job that is not known, but may be submitted by a request that is on its way.
+func (s *Scheduler) cancelUnknown(c *protocol.Cancel) answer {
+	err := s.jobs.AddTombstone(c.GetId(), c.GetQueue(), s.wallMs)
+	if errors.Is(err, jobs.ErrTooManyTombstones) {
+		return answer{status: http.StatusServiceUnavailable, body: "too many jobs were canceled before they were accepted", retryAfterMs: cancelRetryAfterMs}
 	}
-	return http.StatusOK
+	return answer{status: http.StatusGone}
 }
 
 // updateConfig evaluates an operator's update of the configuration and returns the HTTP status and body of the reply.
--- a/internal/testkit/lab/mutate/checks.go
+++ b/internal/testkit/lab/mutate/checks.go
@@ -68,6 +68,7 @@
 	{"a lost runner's leases have run out", leaseFile, "return expiry + time.Duration(maxClockDrift*float64(s.cfg.Lease)) + leaseMargin", "return expiry - s.cfg.Lease/2"},
 	{"an update that was applied is recognised when it is repeated", requestsFile, "if s.updates.contains(digest) {", "if false {"},
 	{"a job's ID is of one queue and content", requestsFile, "if j := s.jobs.Get(submission.GetId()); j != nil {\n		return s.resubmit(j, submission)", "if j := s.jobs.Get(submission.GetId()); j != nil {\n		return http.StatusOK, \"\""},
+	{"an ID that was canceled before its job was accepted stays canceled", requestsFile, "if s.jobs.HasTombstone(submission.GetId()) {", "if false {"},
 	{"the time of day is agreed on", memberFile, "m.scheduler.Tick(now, m.clock.NowMs(now), m.replica.ConfirmedAt())", "m.scheduler.Tick(now, wallMs, m.replica.ConfirmedAt())"},
 
 	{"orders of an older head are void", headFile, "if o.GetEpoch() < m.epoch || o.GetCompanion() != m.incarnation {", "if o.GetCompanion() != m.incarnation {"},
--- a/internal/testkit/simnet/client.go
+++ b/internal/testkit/simnet/client.go
@@ -44,6 +44,10 @@
 	sim := c.sim
 	c.jobs = append(c.jobs, j)
 	sim.checker.jobs[j.id] = j
+	if j.patience > 0 {
+		c.submitAndGiveUp(j)
+		return
+	}
 	c.attemptSubmit(j)
 }
 
@@ -157,9 +161,11 @@
 	}
 	cancel := &protocol.ClientRequest{Op: &protocol.ClientRequest_Cancel{Cancel: &protocol.Cancel{Id: j.id, Queue: j.queue}}}
 	sim.anyGateway().request(cancel, chainclient.ToHead, clientTimeout, func(o chainclient.Outcome) {
-		if o.Reply.GetStatus() == http.StatusOK && j.cancelAcknowledgedAt == 0 {
+		status := o.Reply.GetStatus()
+		if j.cancelAcknowledgedAt == 0 && (status == http.StatusOK || status == http.StatusGone) {
 			j.cancelAcknowledgedAt = sim.now
-			sim.trace("job %s is canceled", j.id)
+			sim.trace("job %s is canceled: %d", j.id, status)
+			sim.after(cancelTime+stopTime, func() { sim.checker.checkCanceledJob(j) })
 		}
 	})
 	sim.after(clientTimeout, func() { c.cancel(j) })
--- a/internal/testkit/simnet/faults.go
+++ b/internal/testkit/simnet/faults.go
@@ -42,6 +42,9 @@
 	if sim.options.CoreOnly {
 		return core
 	}
+	if sim.options.ImpatientClients {
+		core = append(core, sim.pauseGateway)
+	}
 	return append(core, sim.crashAgent, sim.pauseAgent, sim.partitionAgent, sim.partitionAgentOneWay, sim.crashGateway,
 		sim.crashRunner, sim.restartRunner, sim.drainRunner, sim.deregisterWithoutDraining, sim.delayHeartbeats)
 }
--- a/internal/testkit/simnet/job.go
+++ b/internal/testkit/simnet/job.go
@@ -60,6 +60,7 @@
 	indeterminate   int           // attempts that may have had an effect
 	acceptedAt      time.Duration // 0 for not yet
 
+	patience             time.Duration // after which its client gives it up; 0 for never
 	cancelRequestedAt    time.Duration // 0 for not yet
 	cancelAcknowledgedAt time.Duration // 0 for not yet
 	lastState            string        // state that a client has read; empty for none yet
@@ -98,6 +99,7 @@
 		j.stages = append(j.stages, sim.newStage(i))
 	}
 	sim.specialize(j, kind)
+	sim.drawPatience(j)
 	return j
 }
 
