Pin the answers for an ID that was canceled before its job came

TestCompatibilityEndpoints failed since (I had read its output wrongly): it cancels an ID that is not known, is answered 410, and later submits a job under that very ID and expects 200. The row uses an ID of its own now, and three more rows pin what holds for it: canceled again 410, submitted 410 with the reason, state 410. The golden file only grows.

--- a/internal/testkit/compatibility/scheduler/endpoints_test.go
+++ b/internal/testkit/compatibility/scheduler/endpoints_test.go
@@ -306,7 +306,10 @@
 		{"other method", http.MethodPut, "/previews/00000000000000a1", "jobs.example", jobBody},
 		{"delete without an ID", http.MethodDelete, "/previews/", "jobs.example", ""},
 		{"state of no job", http.MethodGet, "/previews/00000000000000a1", "jobs.example", ""},
-		{"no job canceled", http.MethodDelete, "/previews/00000000000000a1", "jobs.example", ""},
+		{"no job canceled", http.MethodDelete, "/previews/00000000000000d9", "jobs.example", ""},
+		{"no job canceled again", http.MethodDelete, "/previews/00000000000000d9", "jobs.example", ""},
+		{"job that was canceled before", http.MethodPost, "/previews/00000000000000d9", "jobs.example", jobBody},
+		{"state of a job that was canceled before", http.MethodGet, "/previews/00000000000000d9", "jobs.example", ""},
 	} {
 		s.record(c.name, callWithRetry(t, request{method: c.method, url: gatewayMachine.front + c.path, host: c.host, body: c.body}))
 	}
