Bound each message in encoded bytes, and send what is left in the next one

Cause: the starts that were due were put into one response of 4.36 MB; a runner takes 4 MiB. The agent repeated it, refused all runs after 1.5 s, and the head placed all of them together again.

Change: lists in messages end at a bound in encoded bytes. In a response, starts that were sent least often come first, and only sent ones count as attempts, so that each start comes, and none is refused before its turn. Orders wait in an outbox and go on with the agent's acknowledgement; a full sync comes in parts that the agent applies together.

Related messages, and whether this cause reaches them: - starts in responses, with sixfold escapes and checkpoints: yes, 2 MiB as JSON; stops: yes, 1 MiB of their own, so that neither keeps the other out. - orders, drops, full syncs: yes, 1 MiB and one element, 2 MiB not acknowledged (64 MiB ended the link, again and again). An agent of the version before gets full syncs whole. - reports: yes; ends in their order, refusals only behind all ends. Heartbeats: the limit of 4 MiB for what agents read was below what 500 ends may take; 16 MiB. - entries: yes, no further start from 1 MiB on; entries along the chain: yes, several messages. Records on disk: an item or an entry each; image records have a bound. - checkpoints: yes, a single one could exceed any bound: above 64 KiB they are not kept. Those that older versions have stored are not sent. - status of jobs and runners: yes, bounded. Configuration: yes, 24 MiB. Body of a job with a MaxBodyBytes of any size: yes, 16 MiB. Chunks of a state transfer: no, bounded. - open: the entry that ends all runs of a lost runner or gang is not split; it exceeds a link's 64 MiB from about 1,000 runs with the longest checkpoints.

Wire: RunnerOrders has part and parts, RunnerReport has takes_parts; the golden files grow by these only.

In the simulated network a runner takes no response above 4 MiB, a message of more than 2 MiB between processes breaks SIZE, and a quarter of the jobs of many tasks have large specs.

--- a/internal/control/jobs/records.go
+++ b/internal/control/jobs/records.go
@@ -27,6 +27,7 @@
 type Writes struct {
 	puts    map[string][]byte
 	deletes map[string]struct{}
+	bytes   int   // of all changes that were made, replaced ones included
 	err     error // of the first change that can't be encoded
 }
 
@@ -34,6 +35,12 @@
 // With such a change, none of the collected ones may be written.
 func (w *Writes) Err() error { return w.err }
 
+// Bytes returns an upper bound of the encoded size of the changes, in bytes.
+func (w *Writes) Bytes() int { return w.bytes }
+
+// changeOverhead is the most that a change takes in an entry beside its key and value, in bytes.
+const changeOverhead = 16
+
 // fail records that the change of a key can't be encoded.
 func (w *Writes) fail(key string, err error) {
 	if w.err == nil {
@@ -59,6 +66,7 @@
 		w.puts = make(map[string][]byte)
 	}
 	w.puts[key] = value
+	w.bytes += len(key) + len(value) + changeOverhead
 	delete(w.deletes, key)
 }
 
@@ -74,6 +82,7 @@
 	}
 	delete(w.puts, key)
 	w.deletes[key] = struct{}{}
+	w.bytes += len(key) + changeOverhead
 }
 
 // Entry returns the writes as a log entry, sorted by key so that equal writes yield equal entries.
--- a/internal/control/replica/bounds_test.go
+++ b/internal/control/replica/bounds_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"frosttide/internal/protocol"
 )
@@ -86,3 +87,33 @@
 	other := c.memberOutsideChain()
 	require.Len(t, other.ReadAtHead(c.now, 6).ReadsFailed, 1)
 }
+
+// TestAppendMessagesAreBounded guards against a message that no link takes: entries that a successor is missing come in
+// several messages, which follow each other without a gap.
+func TestAppendMessagesAreBounded(t *testing.T) {
+	const count = 30
+	c, head, _ := servingChain(t)
+	before := head.Index()
+	for range count {
+		_, _, err := head.Append(c.now, &protocol.Entry{Puts: []*protocol.Put{{Key: "k", Value: make([]byte, protocol.MaxListBytes/4)}}})
+		require.NoError(t, err)
+	}
+	successor := head.successor().GetAddress()
+	resend := &protocol.Envelope{Body: &protocol.Envelope_AppendAck{AppendAck: &protocol.AppendAck{Epoch: head.Epoch(), Resend: true, Index: before}}}
+	next, messages := before, 0
+	for _, s := range head.Receive(c.now, successor, resend).Sends {
+		a := s.Message.GetAppend()
+		if a == nil {
+			continue
+		}
+		messages++
+		require.Less(t, proto.Size(a), 3*protocol.MaxListBytes/2)
+		require.Equal(t, next, a.GetFirst())
+		for _, e := range a.GetEntries() {
+			next++
+			require.Equal(t, next, e.GetIndex())
+		}
+	}
+	require.Greater(t, messages, 1)
+	require.Equal(t, before+count, next)
+}
--- a/internal/control/replica/chain.go
+++ b/internal/control/replica/chain.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/gammazero/deque"
+	"google.golang.org/protobuf/proto"
 
 	"frosttide/internal/protocol"
 	"frosttide/internal/view"
@@ -125,14 +126,25 @@
 	}
 }
 
-// sendEntries sends the entries after an index. A message without entries still shows the receiver whether it is missing
-// any.
+// sendEntries sends the entries after an index, in messages of a bounded size. A message without entries still shows the
+// receiver whether it is missing any.
 func (m *Machine) sendEntries(address string, after uint64) {
 	a := &protocol.Append{Epoch: m.Epoch(), First: after, Durable: m.prefixDurable()}
+	size := 0
 	for i := range m.chain.log.Len() {
-		if e := m.chain.log.At(i); e.GetIndex() > after {
-			a.Entries = append(a.Entries, e)
+		e := m.chain.log.At(i)
+		if e.GetIndex() <= after {
+			continue
+		}
+		if len(a.Entries) > 0 {
+			size += proto.Size(a.Entries[len(a.Entries)-1])
+		}
+		if size >= protocol.MaxListBytes {
+			m.send(address, &protocol.Envelope{Body: &protocol.Envelope_Append{Append: a}})
+			a = &protocol.Append{Epoch: m.Epoch(), First: e.GetIndex() - 1, Durable: m.prefixDurable()}
+			size = 0
 		}
+		a.Entries = append(a.Entries, e)
 	}
 	m.send(address, &protocol.Envelope{Body: &protocol.Envelope_Append{Append: a}})
 }
--- a/internal/control/scheduler/cycle.go
+++ b/internal/control/scheduler/cycle.go
@@ -6,6 +6,7 @@
 
 	"frosttide/internal/control/jobs"
 	"frosttide/internal/control/placement"
+	"frosttide/internal/protocol"
 )
 
 // schedule runs one scheduling cycle: it queues the steps that have become ready and starts every task that can be
@@ -18,7 +19,8 @@
 	for i, step := range ready {
 		added[i] = s.queue(step.Job.Service).add(s.newWaitingStep(step))
 	}
-	allQueues := s.tickedSincePass || s.fleet.Changes() != s.changesAtLastPass
+	allQueues := s.tickedSincePass || s.passCutShort || s.fleet.Changes() != s.changesAtLastPass
+	s.passCutShort = false
 	for _, service := range slices.Sorted(maps.Keys(s.queues)) {
 		if q := s.queues[service]; allQueues || q.hasNewSteps {
 			s.scheduleQueue(q)
@@ -73,6 +75,16 @@
 	s.batch.addStart(target.ID, task)
 }
 
+// entryFull reports whether the next entry takes no further starts, because of its size. The tasks that are left are
+// started with the next entry.
+func (s *Scheduler) entryFull() bool {
+	if s.jobs.Writes.Bytes() < protocol.MaxListBytes {
+		return false
+	}
+	s.passCutShort = true
+	return true
+}
+
 // countRunning adds delta runs of a step's tasks to the running demand of the priority of the step's job. delta is
 // negative if runs have ended.
 func (s *Scheduler) countRunning(step *jobs.Step, delta int) {
--- a/internal/control/scheduler/ends.go
+++ b/internal/control/scheduler/ends.go
@@ -35,7 +35,7 @@
 	}
 	reason := jobs.EndReason(end.GetHow())
 	first := s.firstFailure(name)
-	result := s.jobs.RecordEnd(jobs.End{Task: name, Run: end.GetRun(), Runner: r.id, Reason: reason, Checkpoint: end.GetSaved()}, s.maxAttempts(name.Job), s.wallMs)
+	result := s.jobs.RecordEnd(jobs.End{Task: name, Run: end.GetRun(), Runner: r.id, Reason: reason, Checkpoint: checkpointOf(end)}, s.maxAttempts(name.Job), s.wallMs)
 	if run, live := r.live[end.GetTask()]; live && run.number == end.GetRun() {
 		s.releaseRun(r, end.GetTask())
 	}
@@ -51,6 +51,15 @@
 	}
 }
 
+// checkpointOf returns the checkpoint that a run has saved at its end, or none if it is too long to be kept. Agents of an
+// earlier version report checkpoints of any length.
+func checkpointOf(end *protocol.RunEnd) string {
+	if len(end.GetSaved()) > protocol.MaxCheckpointBytes {
+		return ""
+	}
+	return end.GetSaved()
+}
+
 // recordRefusals ends the runs that a runner has refused to start, and will never start.
 func (s *Scheduler) recordRefusals(sess *session, refused []*protocol.RunRef) {
 	r := s.runners[sess.runner]
--- a/internal/control/scheduler/fullsync.go
+++ b/internal/control/scheduler/fullsync.go
@@ -23,6 +23,7 @@
 // requestFullSync schedules a full sync for a session.
 func (s *Scheduler) requestFullSync(sess *session) {
 	sess.fullSync = fullSyncNeeded
+	sess.outbox = outbox{}
 	s.anyFullSyncNeeded = true
 }
 
--- a/internal/control/scheduler/jobstatus.go
+++ b/internal/control/scheduler/jobstatus.go
@@ -40,8 +40,13 @@
 // phaseNames holds the names of task phases as shown to operators.
 var phaseNames = map[jobs.Phase]string{jobs.Waiting: "waiting", jobs.Live: "running", jobs.Done: "done", jobs.DoneLive: "done, its own end is not known"}
 
-// maxListedJobs bounds the number of jobs that JobStatuses returns.
-const maxListedJobs = 2000
+const (
+	// maxListedJobs bounds the number of jobs that JobStatuses returns.
+	maxListedJobs = 2000
+	// maxListedSteps bounds the number of steps that JobDetails returns, and maxListedTasks that of their tasks.
+	maxListedSteps = 2000
+	maxListedTasks = 10_000
+)
 
 // JobStatuses returns at most maxListedJobs jobs, without their steps. Jobs that have not ended come first; within each
 // group jobs are in the order of acceptance.
@@ -76,24 +81,31 @@
 	}
 }
 
-// JobDetails returns the state of a job with its steps and the reasons why they wait. It returns false if the ID is not
-// known.
+// JobDetails returns the state of a job with its newest steps and the reasons why they wait. It returns false if the ID is
+// not known.
 func (s *Scheduler) JobDetails(id string) (JobStatus, bool) {
 	j := s.jobs.Get(id)
 	if j == nil {
 		return JobStatus{}, false
 	}
 	out := jobStatus(j)
-	j.EachStep(func(step *jobs.Step) { out.Steps = append(out.Steps, stepStatus(step)) })
+	var steps []*jobs.Step
+	j.EachStep(func(step *jobs.Step) { steps = append(steps, step) })
+	tasks := 0
+	for _, step := range steps[max(0, len(steps)-maxListedSteps):] {
+		status := stepStatus(step, maxListedTasks-tasks)
+		tasks += len(status.Tasks)
+		out.Steps = append(out.Steps, status)
+	}
 	out.Waiting = s.waitingSteps(func(step *jobs.Step) bool { return step.Job == j })
 	return out, true
 }
 
-// stepStatus returns the state of a step and of its tasks that have been started at least once.
-func stepStatus(step *jobs.Step) StepStatus {
+// stepStatus returns the state of a step and of at most maxTasks of its tasks that have been started at least once.
+func stepStatus(step *jobs.Step, maxTasks int) StepStatus {
 	status := StepStatus{Occurrence: step.Occurrence.Number, Step: step.Number, Ready: step.Ready(), Waiting: step.Waiting}
 	for i := range step.Tasks {
-		if t := &step.Tasks[i]; t.Run > 0 {
+		if t := &step.Tasks[i]; t.Run > 0 && len(status.Tasks) < maxTasks {
 			status.Tasks = append(status.Tasks, TaskStatus{Task: step.TaskID(i), Run: t.Run, Runner: t.Runner, Phase: phaseNames[t.Phase], Failures: t.Failures})
 		}
 	}
--- a/internal/control/scheduler/orders.go
+++ b/internal/control/scheduler/orders.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"frosttide/internal/protocol"
 	"frosttide/internal/routeconfig"
@@ -97,34 +96,12 @@
 	}
 }
 
-// runOrder returns the order to start a run.
+// runOrder returns the order to start a run. An earlier version of the program has stored checkpoints of any length; one
+// that is too long is left out, so that the run starts without it.
 func runOrder(task string, run liveRun) *protocol.RunOrder {
-	return &protocol.RunOrder{Task: task, Run: run.number, Spec: run.step.Job.Spec, Saved: run.checkpoint}
-}
-
-// sendOrders sends orders to a session's agent. It replaces them by the complete set of runs if a full sync is ready, and
-// removes the runs from them while a full sync waits for its commit. Orders that change the set of runs take the next
-// sequence number.
-func (s *Scheduler) sendOrders(sess *session, orders *protocol.RunnerOrders) {
-	orders.Epoch, orders.Runner, orders.Companion, orders.Session = s.epoch, sess.runner, sess.incarnation, sess.number
-	orders.RetryMs, orders.ReportMs = heartbeatIntervalMs, uint32(s.reportInterval()/time.Millisecond)
-	if r := s.runners[sess.runner]; r != nil {
-		orders.LastSeen = r.acknowledgedEnd
-	}
-	switch sess.fullSync {
-	case fullSyncReady:
-		s.fillFullSync(s.runners[sess.runner], orders)
-		sess.fullSync = fullSyncSent
-	case fullSyncSent:
-	default:
-		orders.Runs, orders.Drop = nil, nil
-	}
-	if orders.GetFull() || len(orders.Runs) > 0 || len(orders.Drop) > 0 {
-		if sess.appliedSequence >= sess.lastSequence {
-			sess.unappliedSince = s.now
-		}
-		sess.lastSequence++
+	order := &protocol.RunOrder{Task: task, Run: run.number, Spec: run.step.Job.Spec, Saved: run.checkpoint}
+	if len(order.Saved) > protocol.MaxCheckpointBytes {
+		order.Saved = ""
 	}
-	orders.Sequence = sess.lastSequence
-	s.sends = append(s.sends, protocol.Outbound{To: sess.address, Message: &protocol.Envelope{Body: &protocol.Envelope_RunnerOrders{RunnerOrders: orders}}})
+	return order
 }
--- a/internal/control/scheduler/pass.go
+++ b/internal/control/scheduler/pass.go
@@ -46,7 +46,7 @@
 	p.maxFree = p.scheduler.fleet.MaxFree(p.queue.service)
 	entries, kept := p.queue.entries, 0
 	for i := range entries {
-		if e := &entries[i]; e.demand.Fits(p.maxFree) {
+		if e := &entries[i]; e.demand.Fits(p.maxFree) && !p.scheduler.entryFull() {
 			p.scheduleStep(e.waitingStep)
 			if p.queue.updateOrRemove(e.waitingStep) {
 				continue
@@ -92,7 +92,7 @@
 		case taskSkipped:
 			skipped++
 		}
-		if skipped >= maxSkippedTasks || !p.scheduler.preservesHeadroom(p.queue, w) {
+		if skipped >= maxSkippedTasks || p.scheduler.entryFull() || !p.scheduler.preservesHeadroom(p.queue, w) {
 			return
 		}
 	}
--- a/internal/control/scheduler/scheduler.go
+++ b/internal/control/scheduler/scheduler.go
@@ -65,6 +65,7 @@
 	// Whether the next scheduling cycle must visit all queues.
 	changesAtLastPass uint64 // the fleet's change counter at the last cycle over all queues
 	tickedSincePass   bool   // time has passed since that cycle
+	passCutShort      bool   // the last cycle ended because its entry was full
 }
 
 // New returns the scheduler of a member that begins to serve as the head under an epoch. state is the member's replicated
--- a/internal/control/scheduler/sessions.go
+++ b/internal/control/scheduler/sessions.go
@@ -33,6 +33,8 @@
 	appliedSequence uint64        // sequence number of the newest orders that the agent has applied
 	unappliedSince  time.Duration // when the oldest unapplied orders were sent, or when any were last applied
 	fullSync        fullSyncState
+	outbox          outbox
+	takesParts      bool // the agent takes a full sync in parts
 }
 
 // maxPreviousIncarnations bounds the number of earlier incarnations that a session remembers.
@@ -51,6 +53,7 @@
 // acknowledge records the sequence number up to which an agent has applied its orders. Sending newer orders does not
 // extend the time for which the oldest ones may stay unapplied, as an agent that has missed orders applies no later ones.
 func (sess *session) acknowledge(now time.Duration, sequence uint64) {
+	sess.outbox.acknowledge(sequence)
 	if sequence > sess.appliedSequence {
 		sess.appliedSequence, sess.unappliedSince = sequence, now
 	}
@@ -73,6 +76,7 @@
 		s.declareLost(id)
 	}
 	s.registerRunner(sess, report)
+	sess.takesParts = report.GetTakesParts()
 	sess.runnerUnresponsive, sess.hasLease = report.GetSilent(), report.GetHolding()
 	if report.GetEpoch() == s.epoch {
 		sess.acknowledge(now, report.GetOrdersSeen())
--- a/internal/control/scheduler/status.go
+++ b/internal/control/scheduler/status.go
@@ -83,15 +83,22 @@
 	Reason     string              `json:"why"`
 }
 
-// maxListedWaiting bounds the number of waiting steps in a status.
-const maxListedWaiting = 200
+const (
+	// maxListedWaiting bounds the number of waiting steps in a status.
+	maxListedWaiting = 200
+	// maxListedRuns bounds the number of runs in a status, those of all runners together.
+	maxListedRuns = 10_000
+)
 
 // Status returns the state of the placement role.
 func (s *Scheduler) Status() Status {
 	status := Status{Epoch: s.epoch, ConfigVersion: s.config.Version, Jobs: make(map[string]int)}
 	s.jobs.Each(func(j *jobs.Job) { status.Jobs[j.State.String()]++ })
+	runs := 0
 	for _, id := range slices.Sorted(maps.Keys(s.runners)) {
-		status.Runners = append(status.Runners, s.runnerStatus(s.runners[id]))
+		runner := s.runnerStatus(s.runners[id], maxListedRuns-runs)
+		runs += len(runner.Tasks)
+		status.Runners = append(status.Runners, runner)
 	}
 	status.Services = s.serviceStatuses()
 	status.Waiting = s.waitingSteps(func(*jobs.Step) bool { return true })
@@ -113,15 +120,16 @@
 	return out
 }
 
-// runnerStatus returns the state of a runner.
-func (s *Scheduler) runnerStatus(r *runner) RunnerStatus {
+// runnerStatus returns the state of a runner with at most maxRuns of its runs.
+func (s *Scheduler) runnerStatus(r *runner, maxRuns int) RunnerStatus {
 	fleetRunner := r.fleetRunner
 	status := RunnerStatus{
 		ID: r.id, Service: fleetRunner.Service, Agent: r.agent, Rack: fleetRunner.Rack, Labels: fleetRunner.Labels,
 		Usable: fleetRunner.Usable, InSession: r.session != nil, Ejected: fleetRunner.Ejected(s.now),
 		Capacity: fleetRunner.Capacity, Used: fleetRunner.Used(), Runs: fleetRunner.ReservationCount(),
 	}
-	for _, task := range slices.Sorted(maps.Keys(r.live)) {
+	tasks := slices.Sorted(maps.Keys(r.live))
+	for _, task := range tasks[:min(len(tasks), maxRuns)] {
 		status.Tasks = append(status.Tasks, s.runStatus(task, r.live[task]))
 	}
 	if r.session == nil {
--- a/internal/data/agent/head.go
+++ b/internal/data/agent/head.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"frosttide/internal/protocol"
 )
 
@@ -17,7 +19,7 @@
 		return
 	}
 	m.epoch, m.headAddress = epoch, head
-	m.session, m.appliedSequence, m.fullSyncDone = 0, 0, false
+	m.resetSession(0)
 	m.lastHeadContact = now
 	m.nextReport = 0
 }
@@ -99,20 +101,37 @@
 		OrdersSeen:  m.appliedSequence,
 		Epoch:       m.epoch,
 		NoRunner:    m.runner == nil,
+		TakesParts:  true,
 		Gone:        slices.Sorted(maps.Keys(m.removed)),
 	}
 	if r := m.runner; r != nil {
 		report.Account = r.account
 		report.Silent = m.timedOut(r) || r.deregistered
 		report.Holding = !report.Silent
-		for _, number := range slices.Sorted(maps.Keys(r.pendingEnds)) {
-			report.Ends = append(report.Ends, r.pendingEnds[number])
+		m.addEndsAndRefusals(report, r)
+	}
+	m.send(m.headAddress, &protocol.Envelope{Body: &protocol.Envelope_RunnerReport{RunnerReport: report}})
+}
+
+// addEndsAndRefusals adds the pending ends, the oldest first, and then the refused runs to a report, as
+// far as they fit. What does not fit is reported once the head has acknowledged what comes before it.
+// A run may have ended by one of the pending ends, so that no refusal goes before them.
+func (m *Machine) addEndsAndRefusals(report *protocol.RunnerReport, r *runner) {
+	size := 0
+	for _, number := range slices.Sorted(maps.Keys(r.pendingEnds)) {
+		end := r.pendingEnds[number]
+		report.Ends = append(report.Ends, end)
+		if size += proto.Size(end); size >= protocol.MaxListBytes {
+			return
 		}
-		for _, task := range slices.Sorted(maps.Keys(r.refused)) {
-			report.Refused = append(report.Refused, &protocol.RunRef{Task: task, Run: r.refused[task]})
+	}
+	for _, task := range slices.Sorted(maps.Keys(r.refused)) {
+		ref := &protocol.RunRef{Task: task, Run: r.refused[task]}
+		report.Refused = append(report.Refused, ref)
+		if size += proto.Size(ref); size >= protocol.MaxListBytes {
+			return
 		}
 	}
-	m.send(m.headAddress, &protocol.Envelope{Body: &protocol.Envelope_RunnerReport{RunnerReport: report}})
 }
 
 // HandleOrders handles orders of the head, whose internal address is from. It renews the lease, and
@@ -135,10 +154,17 @@
 	m.acknowledgeEnds(r, o.GetLastSeen())
 	if m.shouldApply(o) {
 		m.appliedSequence = o.GetSequence()
-		m.updateDesired(r, o)
+		if complete := m.collectParts(o); complete != nil {
+			m.updateDesired(r, complete)
+		}
 	}
 }
 
+// resetSession begins another session of the head, in which nothing is applied yet.
+func (m *Machine) resetSession(session uint64) {
+	m.session, m.appliedSequence, m.fullSyncDone, m.syncParts = session, 0, false, nil
+}
+
 // renewLease extends the lease. It counts from the time when the request was sent that these orders
 // answer.
 func (m *Machine) renewLease(o *protocol.RunnerOrders) {
@@ -185,7 +211,7 @@
 		return false // the head has ended that session
 	}
 	if o.GetSession() > m.session {
-		m.session, m.appliedSequence, m.fullSyncDone = o.GetSession(), 0, false
+		m.resetSession(o.GetSession())
 	}
 	if !o.GetFull() && len(o.GetRuns()) == 0 && len(o.GetDrop()) == 0 {
 		// The orders only renew the lease. Their sequence is that of the newest orders with
@@ -198,7 +224,7 @@
 	if o.GetSequence() <= m.appliedSequence {
 		return false // a duplicate: these or later orders have been applied
 	}
-	return true
+	return !m.missesPartBefore(o)
 }
 
 // updateDesired applies orders to the set of desired runs: a full sync replaces the set, other
--- a/internal/data/agent/heartbeat.go
+++ b/internal/data/agent/heartbeat.go
@@ -84,11 +84,21 @@
 	}
 	progress := &protocol.RunProgress{Task: string(fields[0].GetStringBytes()), Run: uint32(fields[1].GetUint())}
 	if len(fields) > 3 {
-		progress.Saved, progress.Percent = string(fields[2].GetStringBytes()), uint32(fields[3].GetUint())
+		progress.Saved, progress.Percent = checkpoint(fields[2]), uint32(fields[3].GetUint())
 	}
 	return progress, nil
 }
 
+// checkpoint returns the checkpoint of a run, or none if it is longer than protocol.MaxCheckpointBytes:
+// the task then resumes from an earlier one.
+func checkpoint(v *fastjson.Value) string {
+	text := v.GetStringBytes()
+	if len(text) > protocol.MaxCheckpointBytes {
+		return ""
+	}
+	return string(text)
+}
+
 // parseEnd parses an entry [number, task, run, how, checkpoint] of Finished. The last element is
 // optional.
 func parseEnd(entry *fastjson.Value) (*protocol.RunEnd, error) {
@@ -103,7 +113,7 @@
 		How:    string(fields[3].GetStringBytes()),
 	}
 	if len(fields) > 4 {
-		end.Saved = string(fields[4].GetStringBytes())
+		end.Saved = checkpoint(fields[4])
 	}
 	return end, nil
 }
--- a/internal/data/agent/machine.go
+++ b/internal/data/agent/machine.go
@@ -1,8 +1,6 @@
 package agent
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"frosttide/internal/protocol"
@@ -64,8 +62,9 @@
 	// Orders of the head.
 	incarnation     uint64 // increases with each removed runner, which voids earlier orders
 	session         uint64
-	appliedSequence uint64 // sequence of the newest orders applied in the session
+	appliedSequence uint64 // sequence of the newest orders applied, or collected, in the session
 	fullSyncDone    bool   // a full sync has been applied in the session
+	syncParts       *fullSyncParts
 
 	// Reports, and the lease that the orders in response renew.
 	nextReport       time.Duration
@@ -162,7 +161,7 @@
 		// An earlier process of this agent may just have granted the longest run lease.
 		runLeaseExpiry: m.now + m.allowForDrift(m.cfg.MaxRunLease),
 	}
-	m.fullSyncDone = false
+	m.fullSyncDone, m.syncParts = false, nil
 	delete(m.removed, heartbeat.Account.GetId())
 	m.nextReport = 0
 	return m.runner
@@ -224,18 +223,12 @@
 	}
 	response.RunLease = min(m.cfg.MaxRunLease, remaining)
 	r.runLeaseExpiry = max(r.runLeaseExpiry, m.now+m.allowForDrift(response.RunLease))
+	builder := newResponseBuilder(&response)
 	if !r.account.GetDraining() && !r.deregistered {
-		for _, task := range slices.Sorted(maps.Keys(r.desired)) {
-			m.startOrBlock(r, r.desired[task], &response)
-		}
-	}
-	for _, task := range slices.Sorted(maps.Keys(r.running)) {
-		run := r.running[task]
-		if desired := r.desired[task]; desired == nil || desired.order.GetRun() != run {
-			response.Stop = append(response.Stop, &protocol.RunRef{Task: task, Run: run})
-		}
+		m.startDesiredRuns(r, builder)
 	}
-	m.stopBlockedRuns(r, &response)
+	m.stopUndesiredRuns(r, builder)
+	m.stopBlockedRuns(r, builder)
 	return response
 }
 
@@ -301,6 +294,6 @@
 	m.removed[r.account.GetId()] = m.now
 	m.runner = nil
 	m.incarnation++
-	m.session, m.appliedSequence, m.fullSyncDone = 0, 0, false
+	m.resetSession(0)
 	m.nextReport = 0
 }
--- a/internal/data/agent/server.go
+++ b/internal/data/agent/server.go
@@ -21,8 +21,9 @@
 const (
 	// tickInterval is the interval between ticks of the state machines.
 	tickInterval = 50 * time.Millisecond
-	// maxHeartbeatBytes limits the size of a heartbeat's body; runners list up to 500 ends at once.
-	maxHeartbeatBytes = 4 << 20
+	// maxHeartbeatBytes limits the size of a heartbeat's body. Runners list up to 500 ends at once, each
+	// with a checkpoint, and all their runs.
+	maxHeartbeatBytes = 16 << 20
 	// readTimeout limits how long a heartbeat may take to arrive.
 	readTimeout = 3 * time.Second
 	// drainTimeout limits how long a process that shuts down waits for open requests, which are
--- a/internal/data/agent/starts.go
+++ b/internal/data/agent/starts.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -17,6 +18,7 @@
 	firstStart time.Duration // when a response first contained the start, if startsSent is not 0
 	startsSent int           // responses that contained the start
 	stopsSent  int           // responses that contained a stop, after the starts had no effect
+	startBytes int           // encoded size of the start; 0 if it is not known yet
 }
 
 // replace returns the desired run of an order that takes the place of d, which may be nil. Attempts
@@ -26,7 +28,7 @@
 		return &desiredRun{order: order}
 	}
 	replaced := *d
-	replaced.order = order
+	replaced.order, replaced.startBytes = order, 0
 	return &replaced
 }
 
@@ -45,47 +47,82 @@
 	stopsSent int // responses that contained the stop
 }
 
-// startOrBlock adds the start of a desired run to a response, unless the runner lists the run. If
-// many starts have had no effect, it adds stops instead, and reports the run as refused once it
-// certainly never starts.
-//
-// While the runner has more ends than it lists, the run may have ended already, so that nothing is
-// concluded from starts without effect. A run that has begun needs no start: its end will be listed.
-func (m *Machine) startOrBlock(r *runner, desired *desiredRun, response *HeartbeatResponse) {
-	task, run := desired.order.GetTask(), desired.order.GetRun()
-	if r.running[task] == run || desired.begun && !r.allEndsKnown {
-		return
+// startDesiredRuns adds the starts of the desired runs that the runner does not list to a response. If
+// not all of them fit, those that were sent least often come first, so that each one comes.
+func (m *Machine) startDesiredRuns(r *runner, builder *responseBuilder) {
+	var due []*desiredRun
+	size := 0
+	for _, task := range slices.Sorted(maps.Keys(r.desired)) {
+		desired := r.desired[task]
+		switch {
+		case !m.needsStart(r, desired):
+		case r.allEndsKnown && desired.startFailed(m.now):
+			m.blockFailedStart(r, desired, builder)
+		default:
+			due = append(due, desired)
+			size += desired.encodedBytes()
+		}
+	}
+	if size > builder.startsLeft {
+		slices.SortStableFunc(due, func(a, b *desiredRun) int { return cmp.Compare(a.startsSent, b.startsSent) })
 	}
-	if !r.allEndsKnown || !desired.startFailed(m.now) {
+	for _, desired := range due {
+		if !builder.start(desired) {
+			return
+		}
 		if desired.startsSent == 0 {
 			desired.firstStart = m.now
 		}
 		desired.startsSent++
-		response.Start = append(response.Start, desired.order)
+	}
+}
+
+// needsStart reports whether the start of a desired run may have to be sent: the runner does not list
+// the run. While the runner has more ends than it lists, the run may have ended already, so that nothing
+// is concluded from starts without effect. A run that has begun needs no start: its end will be listed.
+func (m *Machine) needsStart(r *runner, desired *desiredRun) bool {
+	return r.running[desired.order.GetTask()] != desired.order.GetRun() && (!desired.begun || r.allEndsKnown)
+}
+
+// blockFailedStart adds a stop of a run whose starts have had no effect to a response, and reports the
+// run as refused once it certainly never starts.
+func (m *Machine) blockFailedStart(r *runner, desired *desiredRun, builder *responseBuilder) {
+	task, run := desired.order.GetTask(), desired.order.GetRun()
+	if !builder.stop(task, run) {
 		return
 	}
 	desired.stopsSent++
-	response.Stop = append(response.Stop, &protocol.RunRef{Task: task, Run: run})
 	if desired.stopsSent > stopsToBlock {
 		delete(r.desired, task)
 		m.refuseRun(r, task, run)
 	}
 }
 
+// stopUndesiredRuns adds stops of the runs that the runner lists and that are not desired to a response.
+func (m *Machine) stopUndesiredRuns(r *runner, builder *responseBuilder) {
+	for _, task := range slices.Sorted(maps.Keys(r.running)) {
+		run := r.running[task]
+		if desired := r.desired[task]; desired == nil || desired.order.GetRun() != run {
+			builder.stop(task, run)
+		}
+	}
+}
+
 // stopBlockedRuns adds stops of the blocked runs to a response. A run is reported as refused once
 // enough stops were sent and the runner lists all ends, since it may have ended before them.
-func (m *Machine) stopBlockedRuns(r *runner, response *HeartbeatResponse) {
+func (m *Machine) stopBlockedRuns(r *runner, builder *responseBuilder) {
 	for _, task := range slices.Sorted(maps.Keys(r.blockedRuns)) {
 		blocked := r.blockedRuns[task]
 		if running := r.running[task]; running != 0 {
 			if running >= blocked.run {
-				// respond stops it like any run that is not desired, and the runner lists its end.
+				// It is stopped like any run that is not desired, and the runner lists its end.
 				delete(r.blockedRuns, task)
 			}
 			continue
 		}
-		blocked.stopsSent++
-		response.Stop = append(response.Stop, &protocol.RunRef{Task: task, Run: blocked.run})
+		if blocked.stopsSent <= stopsToBlock && builder.stop(task, blocked.run) {
+			blocked.stopsSent++
+		}
 		if blocked.stopsSent > stopsToBlock && r.allEndsKnown {
 			delete(r.blockedRuns, task)
 			m.refuseRun(r, task, blocked.run)
--- a/internal/data/gateway/handler.go
+++ b/internal/data/gateway/handler.go
@@ -21,6 +21,8 @@
 	responseMargin = 60 * time.Millisecond
 	// defaultMaxBodyBytes limits the size of a request body if the configuration sets no limit.
 	defaultMaxBodyBytes = 256 << 10
+	// maxJobBytes is what a job may take in messages and records, whatever the configuration says.
+	maxJobBytes = 16 << 20
 	// retryAfterSeconds is the Retry-After header of requests that were certainly not executed or
 	// are read-only.
 	retryAfterSeconds = "1"
@@ -82,10 +84,11 @@
 	return &protocol.ClientRequest{Op: &protocol.ClientRequest_Submit{Submit: submit}}
 }
 
-// maxBodyBytes returns the maximum size of a job's body.
+// maxBodyBytes returns the maximum size of a job's body. A greater limit of the configuration than
+// maxJobBytes has no effect.
 func maxBodyBytes(table *routeconfig.Table) int64 {
 	if limit := table.Limits().MaxBodyBytes; limit > 0 {
-		return limit
+		return min(limit, maxJobBytes)
 	}
 	return defaultMaxBodyBytes
 }
--- a/internal/data/gateway/handler_test.go
+++ b/internal/data/gateway/handler_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -85,3 +86,12 @@
 	f.readinessServer.Handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/ready", nil))
 	require.Equal(t, http.StatusServiceUnavailable, w.Code)
 }
+
+// TestJobBodyIsBounded checks that a limit of the configuration can't let a job in that no message takes.
+func TestJobBodyIsBounded(t *testing.T) {
+	for _, test := range []struct{ configured, want int64 }{{0, defaultMaxBodyBytes}, {1000, 1000}, {1 << 40, maxJobBytes}} {
+		change, err := routeconfig.Empty().Apply(fmt.Appendf(nil, `{"Version":1,"Limits":{"MaxBodyBytes":%d}}`, test.configured), routeconfig.Document)
+		require.NoError(t, err)
+		require.Equal(t, test.want, maxBodyBytes(change.Table))
+	}
+}
--- a/internal/routeconfig/table.go
+++ b/internal/routeconfig/table.go
@@ -106,8 +106,23 @@
 // Limits returns the configured bounds on client requests.
 func (t *Table) Limits() Limits { return t.limits }
 
+// maxTableBytes bounds the keys and the JSON of all items of a table, which are sent in one message to processes without
+// a configuration. The body of a single update is always smaller.
+const maxTableBytes = 24 << 20
+
+// bytes returns the size of the keys and the JSON of all items.
+func (t *Table) bytes() (size int) {
+	for key, item := range t.items {
+		size += len(key) + len(item.GetJson())
+	}
+	return size
+}
+
 // validate returns the reason why the table is not a valid configuration, nil if it is valid.
 func (t *Table) validate() error {
+	if size := t.bytes(); size > maxTableBytes {
+		return invalidf("the configuration has %d bytes, %d are taken", size, maxTableBytes)
+	}
 	routesByLocation := make(map[string]string, len(t.routes))
 	for name, r := range t.routes {
 		if isTombstone(t.items[string(ServiceKind)+r.Service]) {
--- a/internal/routeconfig/table_test.go
+++ b/internal/routeconfig/table_test.go
@@ -278,3 +278,20 @@
 		require.JSONEq(t, string(change.Table.Document()), string(reapplied.Table.Document()))
 	})
 }
+
+// TestTableIsBounded guards against a configuration that updates make larger than any message between processes may be.
+func TestTableIsBounded(t *testing.T) {
+	table := Empty()
+	update := func(version uint64, name string) error {
+		body := fmt.Appendf(nil, `{"Version":%d,"Upsert":{"Services":[{"Name":"%s","Note":"%s"}]}}`, version, name, strings.Repeat("x", 10<<20))
+		change, err := table.Apply(body, Patch)
+		if err == nil {
+			table = change.Table
+		}
+		return err
+	}
+	require.NoError(t, update(1, "a"))
+	require.NoError(t, update(2, "b"))
+	require.True(t, errors.Is(update(3, "c"), ErrInvalid))
+	require.NoError(t, update(3, "b"), "an update that makes it no larger")
+}
--- a/internal/testkit/lab/mutate/checks.go
+++ b/internal/testkit/lab/mutate/checks.go
@@ -14,6 +14,7 @@
 	requestsFile  = "internal/control/scheduler/requests.go"
 	agentFile     = "internal/data/agent/machine.go"
 	headFile      = "internal/data/agent/head.go"
+	sizeFile      = "internal/data/agent/responsesize.go"
 	memberFile    = "internal/control/member/member.go"
 )
 
@@ -81,5 +82,6 @@
 	{"a silent runner's run leases have expired", headFile, "if m.now > r.runLeaseExpiry {", "if m.now > r.lastContact+time.Second {"},
 	{"a delayed heartbeat of a runner is ignored", agentFile, "if heartbeat.Sequence < r.sequence {", "if false {"},
 	{"a run that has ended beyond the listed ends is not refused", agentFile, "return len(h.Finished) < maxListedEnds", "return true"},
+	{"starts in a response have a bound", sizeFile, "maxStartsBytes = 2 << 20", "maxStartsBytes = 1 << 40"},
 	{"one refused health check is not enough", agentFile, "if r.refusedChecks++; r.refusedChecks >= minRefusedChecks {", "if r.refusedChecks++; r.refusedChecks >= 1 {"},
 }
--- a/internal/testkit/simnet/heartbeatbody.go
+++ b/internal/testkit/simnet/heartbeatbody.go
@@ -49,7 +49,11 @@
 	if len(response.Start) == 0 && len(response.Stop) == 0 {
 		return response, nil
 	}
-	return decodeResponse(response.Encode())
+	body := response.Encode()
+	if len(body) > maxResponseBytes {
+		return agent.HeartbeatResponse{}, errors.Newf("response of %d bytes", len(body))
+	}
+	return decodeResponse(body)
 }
 
 // encodeHeartbeat returns the body of a heartbeat.
--- a/internal/testkit/simnet/manytasks.go
+++ b/internal/testkit/simnet/manytasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"frosttide/internal/protocol"
@@ -17,6 +18,9 @@
 	bulkRunnerCPU = 64000
 	// maxBulkTasks bounds the tasks of a job.
 	maxBulkTasks = 400
+	// bulkSpecsOneIn is the share of the jobs with a spec of the largest size that JSON makes six times as
+	// long, as 1 in bulkSpecsOneIn. The starts of their tasks exceed maxResponseBytes together.
+	bulkSpecsOneIn = 4
 	// maxBulkInterval bounds the time between two jobs.
 	maxBulkInterval = 1500 * time.Millisecond
 )
@@ -46,6 +50,9 @@
 func (sim *simulation) newBulkJob() *job {
 	j := &job{id: fmt.Sprintf("%016x", sim.rng.Uint64()), queue: bulkQueue, service: bulkService, occurrences: 1}
 	j.spec = "spec of " + j.id + unusualText(j.id)
+	if sim.rng.IntN(bulkSpecsOneIn) == 0 {
+		j.spec += strings.Repeat("\x01", largeSpecBytes)
+	}
 	st := &stage{
 		Stage:    &protocol.Stage{Count: uint32(1 + sim.rng.IntN(maxBulkTasks)), Cpu: 50, MemMb: 10, EstimateMs: 1000},
 		seed:     sim.rng.Uint64(),
@@ -64,3 +71,13 @@
 	h.bulk = true
 	return h
 }
+
+// maxMessageBytes is more than any message between processes may take, in encoded bytes.
+const maxMessageBytes = 2 * protocol.MaxListBytes
+
+// checkMessageSize checks the encoded size of a message between processes.
+func (c *checker) checkMessageSize(from, to string, size int, e *protocol.Envelope) {
+	if size > maxMessageBytes {
+		c.sim.violation("SIZE", "%s sends %s a message of %d bytes: %T", from, to, size, e.GetBody())
+	}
+}
--- a/internal/testkit/simnet/network.go
+++ b/internal/testkit/simnet/network.go
@@ -55,10 +55,12 @@
 	if target == nil {
 		return
 	}
-	if _, err := proto.Marshal(e); err != nil {
+	encoded, err := proto.Marshal(e)
+	if err != nil {
 		sim.trace("%s can't send a message: %v", from.address, err)
 		return
 	}
+	sim.checker.checkMessageSize(from.address, to, len(encoded), e)
 	l := link{from.address, to}
 	delay := sim.randomDuration(minDelay, maxDelay)
 	if until, partitioned := sim.network.partitions[l]; partitioned && until > sim.now {
--- a/internal/testkit/simnet/runnerhost.go
+++ b/internal/testkit/simnet/runnerhost.go
@@ -16,7 +16,8 @@
 	gangTimeout        = 3 * time.Second        // how long a member of a gang waits for the rest
 	responseTimeout    = time.Second            // of a heartbeat
 	checkpointInterval = 2 * time.Second
-	maxListedEnds      = 500 // in a heartbeat
+	maxListedEnds      = 500     // in a heartbeat
+	maxResponseBytes   = 4 << 20 // which a runner takes in response to a heartbeat
 	remoteSlowdown     = 1.5
 	// maxHeartbeatDelay bounds the delay of heartbeats during the fault delayHeartbeats.
 	maxHeartbeatDelay = 3500 * time.Millisecond
