Estimate the sizes of orders instead of encoding them, and test more stops

The outbox called proto.Size for each element and message. An upper bound from the lengths of the texts does, and is kept with the message.

--- a/internal/control/scheduler/outbox.go
+++ b/internal/control/scheduler/outbox.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"frosttide/internal/protocol"
 )
 
@@ -14,62 +12,59 @@
 
 // outbox holds the orders of a session that change the set of runs, in messages of a bounded size.
 type outbox struct {
-	queued    []*protocol.RunnerOrders // not sent yet
-	unapplied []sentOrders             // sent and not acknowledged, in the order of their sequence numbers
+	queued         []orderMessage // not sent yet
+	unapplied      []orderMessage // sent and not acknowledged, in the order of their sequence numbers
+	unappliedBytes int
 }
 
-// sentOrders is a message that was sent.
-type sentOrders struct {
-	sequence uint64
-	bytes    int
+// orderMessage is a message with changes of the set of runs.
+type orderMessage struct {
+	orders *protocol.RunnerOrders
+	bytes  int // upper bound of the encoded size of its runs and drops
 }
 
 // acknowledge forgets the messages up to a sequence number.
 func (o *outbox) acknowledge(sequence uint64) {
-	for len(o.unapplied) > 0 && o.unapplied[0].sequence <= sequence {
+	for len(o.unapplied) > 0 && o.unapplied[0].orders.GetSequence() <= sequence {
+		o.unappliedBytes -= o.unapplied[0].bytes
 		o.unapplied = o.unapplied[1:]
 	}
 }
 
 // maySend reports whether the next queued message may be sent now. A single message is always sent.
 func (o *outbox) maySend() bool {
-	if len(o.queued) == 0 {
-		return false
-	}
-	bytes := proto.Size(o.queued[0])
-	for _, sent := range o.unapplied {
-		bytes += sent.bytes
-	}
-	return len(o.unapplied) == 0 || bytes <= maxUnappliedBytes
+	return len(o.queued) > 0 && (len(o.unapplied) == 0 || o.unappliedBytes+o.queued[0].bytes <= maxUnappliedBytes)
 }
 
-// take removes the next queued message, which is sent under a sequence number.
-func (o *outbox) take(sequence uint64) *protocol.RunnerOrders {
+// take removes the next queued message, which is sent.
+func (o *outbox) take() *protocol.RunnerOrders {
 	next := o.queued[0]
 	o.queued = o.queued[1:]
-	o.unapplied = append(o.unapplied, sentOrders{sequence: sequence, bytes: proto.Size(next)})
-	return next
+	o.unapplied = append(o.unapplied, next)
+	o.unappliedBytes += next.bytes
+	return next.orders
 }
 
+// elementOverhead is the most that a run or drop takes in a message beside its texts, in bytes.
+const elementOverhead = 32
+
 // splitOrders returns the given changes of the set of runs in messages of a bounded size, drops first. There are none for
 // no changes.
-func splitOrders(orders *protocol.RunnerOrders) (messages []*protocol.RunnerOrders) {
-	var current *protocol.RunnerOrders
-	size := 0
-	add := func(element proto.Message) *protocol.RunnerOrders {
-		if current == nil || size >= protocol.MaxListBytes {
-			current, size = &protocol.RunnerOrders{}, 0
-			messages = append(messages, current)
+func splitOrders(orders *protocol.RunnerOrders) (messages []orderMessage) {
+	add := func(bytes int) *protocol.RunnerOrders {
+		if len(messages) == 0 || messages[len(messages)-1].bytes >= protocol.MaxListBytes {
+			messages = append(messages, orderMessage{orders: &protocol.RunnerOrders{}})
 		}
-		size += proto.Size(element)
-		return current
+		last := &messages[len(messages)-1]
+		last.bytes += bytes + elementOverhead
+		return last.orders
 	}
 	for _, ref := range orders.GetDrop() {
-		message := add(ref)
+		message := add(len(ref.GetTask()))
 		message.Drop = append(message.Drop, ref)
 	}
 	for _, run := range orders.GetRuns() {
-		message := add(run)
+		message := add(len(run.GetTask()) + len(run.GetSpec()) + len(run.GetSaved()))
 		message.Runs = append(message.Runs, run)
 	}
 	return messages
@@ -77,15 +72,13 @@
 
 // splitFullSync returns a full sync in parts of a bounded size, of which there is at least one. An agent of an earlier
 // version takes it only as a whole.
-func splitFullSync(orders *protocol.RunnerOrders, takesParts bool) []*protocol.RunnerOrders {
-	if !takesParts {
-		return []*protocol.RunnerOrders{orders}
-	}
+func splitFullSync(orders *protocol.RunnerOrders, takesParts bool) []orderMessage {
 	parts := splitOrders(orders)
-	if len(parts) <= 1 {
-		return []*protocol.RunnerOrders{orders}
+	if len(parts) <= 1 || !takesParts {
+		return []orderMessage{{orders: orders}}
 	}
-	for i, part := range parts {
+	for i := range parts {
+		part := parts[i].orders
 		part.Full, part.Part, part.Parts = true, uint32(i), uint32(len(parts))
 	}
 	return parts
@@ -105,9 +98,8 @@
 		sess.outbox.queued = append(sess.outbox.queued, splitOrders(orders)...)
 	default:
 	}
-	lease := &protocol.RunnerOrders{LeaseRound: orders.GetLeaseRound(), LeaseMs: orders.GetLeaseMs()}
 	if !sess.outbox.maySend() {
-		s.send(sess, lease)
+		s.send(sess, &protocol.RunnerOrders{LeaseRound: orders.GetLeaseRound(), LeaseMs: orders.GetLeaseMs()})
 		return
 	}
 	for sess.outbox.maySend() {
@@ -115,8 +107,8 @@
 			sess.unappliedSince = s.now
 		}
 		sess.lastSequence++
-		changes := sess.outbox.take(sess.lastSequence)
-		changes.LeaseRound, changes.LeaseMs = lease.GetLeaseRound(), lease.GetLeaseMs()
+		changes := sess.outbox.take()
+		changes.LeaseRound, changes.LeaseMs = orders.GetLeaseRound(), orders.GetLeaseMs()
 		s.send(sess, changes)
 	}
 }
--- a/internal/data/agent/messagesize_test.go
+++ b/internal/data/agent/messagesize_test.go
@@ -71,7 +71,7 @@
 // TestStopsAreBounded guards against stops that make a response too large, or that leave no room for a
 // start: all runs are stopped in the end.
 func TestStopsAreBounded(t *testing.T) {
-	const count = 60_000
+	const count = 150_000
 	h := newSyncedHarness(t)
 	name := func(i int) string { return fmt.Sprintf("0123456789abcdef.0.0.%06d", i) }
 	var runs []*protocol.RunProgress
