Decide by room alone what fits on a runner, and let tokens only order the runners

Cause: each task takes at least one token, and only runners with enough free tokens were considered, so that for tasks below 50 thousandths of a core the count of tokens was the limit.

Change: fits and slotsFor go by the exact account of the resources. Runners without free tokens come behind the others of equal rank, by the share of their tokens in use. The pool's list of available runners holds those with free CPU; a task without CPU is offered to all usable ones. Why it works: the account is exact and was checked before, too, so capacity is kept; with free tokens everywhere the choice is what it was.

Related paths, and whether this cause reaches them: - a single task, all members of a gang, one rack: yes, mended (fits, slotsFor, candidates). A demand of nothing fits any number of times, which overflowed a sum: bounded. - MaxFree, which steps a pass looks at: yes, also for steps without CPU on runners whose CPU is full. Explain, what operators see: yes. - headroom, blockages, locality, health: by resources or rules of their own: no. Runs taken over by a new head, changes of capacity: they overdrew tokens before: no. - Slots of runners: not used for tasks. Tokens of the dispatcher: slots that its runners name: no.

--- a/internal/control/placement/doc.go
+++ b/internal/control/placement/doc.go
@@ -15,7 +15,9 @@
 // GPUs would not be fragmented needlessly. Between runners of equal rank the tokens decide. Each
 // runner has tokens in proportion to its processors. Free tokens form a ring in the order in which
 // they became free (package bucket), and the runner with the token that has been free longest is
-// picked. Equal runners thus take turns in proportion to their sizes, without a random choice.
+// picked. Equal runners thus take turns in proportion to their sizes, without a random choice. Tokens
+// are no limit: a runner without free ones, on which many small tasks run, comes after the others of
+// equal rank as long as it has room.
 //
 // Health is outlier detection by the outcomes of runs: a runner that fails its tasks is ejected for
 // some time and then readmitted on probation, one task at a time (health.go). Headroom keeps
--- a/internal/control/placement/feasible.go
+++ b/internal/control/placement/feasible.go
@@ -18,7 +18,7 @@
 
 // fits reports whether the runner can take a task now, regardless of its health.
 func (r *Runner) fits(req *Request) bool {
-	return r.Usable && r.tokens.Free >= r.tokensFor(req.Demand) && req.Demand.Fits(r.Free()) &&
+	return r.Usable && req.Demand.Fits(r.Free()) &&
 		r.satisfies(req.Requirement) &&
 		(req.Rack == "" || r.Rack == req.Rack) &&
 		(req.AntiAffinity == 0 || r.groups[req.Group] < req.AntiAffinity)
@@ -34,10 +34,10 @@
 	return requirement == "" || slices.Contains(r.Labels, requirement)
 }
 
-// slotsFor returns how many tasks of a request the runner can take now, provided that it fits at
-// least one.
-func (r *Runner) slotsFor(req *Request) int {
-	slots := min(r.tokens.Free/r.tokensFor(req.Demand), req.Demand.timesIn(r.Free()))
+// slotsFor returns how many tasks of a request the runner can take now, up to limit, provided that it
+// fits at least one.
+func (r *Runner) slotsFor(req *Request, limit int) int {
+	slots := min(limit, req.Demand.timesIn(r.Free()))
 	if req.AntiAffinity > 0 {
 		slots = min(slots, req.AntiAffinity-r.groups[req.Group])
 	}
--- a/internal/control/placement/gang.go
+++ b/internal/control/placement/gang.go
@@ -61,9 +61,9 @@
 	}
 	enforceEjection := f.ejectionApplies(req, now)
 	slots := 0
-	for _, r := range p.available {
+	for _, r := range p.candidates(req.Demand) {
 		if r.fits(req) && (!enforceEjection || r.healthyFor(req, now)) {
-			slots += r.slotsFor(req)
+			slots += r.slotsFor(req, count)
 		}
 		if slots >= count {
 			return true
--- a/internal/control/placement/pool.go
+++ b/internal/control/placement/pool.go
@@ -3,11 +3,11 @@
 import "slices"
 
 // pool holds the runners of a service. It also keeps the totals and the available runners up to
-// date, so that the cost of a choice depends on the number of runners with free tokens, not on the
-// number of all runners, unless one of them is degraded.
+// date, so that the cost of a choice depends on the number of runners with free CPU, not on the number
+// of all runners, unless one of them is degraded or a task needs no CPU.
 type pool struct {
 	runners   []*Runner
-	available []*Runner // usable runners with free tokens, in no particular order
+	available []*Runner // usable runners with free CPU, in no particular order
 	free      Resources // sum over the usable runners
 	degraded  int       // number of degraded runners, see health.degraded
 }
@@ -15,6 +15,14 @@
 // notAvailable is the availableIndex of a runner that is not in pool.available.
 const notAvailable = -1
 
+// candidates returns the runners that may have room for a demand.
+func (p *pool) candidates(demand Resources) []*Runner {
+	if demand.CPU > 0 {
+		return p.available
+	}
+	return p.runners
+}
+
 // update applies a change to a runner and updates the totals of its pool. Every change of a value
 // that the totals are computed from must go through it.
 func (f *Fleet) update(r *Runner, mutate func()) {
@@ -45,7 +53,7 @@
 	r.availableIndex = notAvailable
 }
 
-// addToTotals adds a runner to the totals of its pool and, if it has free tokens, to the available
+// addToTotals adds a runner to the totals of its pool and, if it has free CPU, to the available
 // runners.
 func (f *Fleet) addToTotals(r *Runner) {
 	p := f.pools[r.Service]
@@ -58,7 +66,7 @@
 	if r.health.degraded() {
 		p.degraded++
 	}
-	if r.Usable && r.tokens.Free > 0 {
+	if r.Usable && r.Free().CPU > 0 {
 		r.availableIndex = len(p.available)
 		p.available = append(p.available, r)
 	}
@@ -105,15 +113,17 @@
 	return Resources{}
 }
 
-// MaxFree returns for each resource separately the most that any single runner of a service has
-// free. It considers the usable runners with free tokens.
-func (f *Fleet) MaxFree(service string) (largest Resources) {
+// MaxFree returns for each resource separately the most that any single usable runner of a service has
+// free. It considers the runners that may have room for a demand: those with free CPU if it needs any.
+func (f *Fleet) MaxFree(service string, demand Resources) (largest Resources) {
 	p := f.pools[service]
 	if p == nil {
 		return Resources{}
 	}
-	for _, r := range p.available {
-		largest = largest.Max(r.Free())
+	for _, r := range p.candidates(demand) {
+		if r.Usable {
+			largest = largest.Max(r.Free())
+		}
 	}
 	return largest
 }
--- a/internal/control/placement/pool_test.go
+++ b/internal/control/placement/pool_test.go
@@ -26,7 +26,7 @@
 		if r.Usable {
 			p.free = p.free.Plus(r.Free())
 		}
-		if r.Usable && r.tokens.Free > 0 {
+		if r.Usable && r.Free().CPU > 0 {
 			p.available = append(p.available, r)
 		}
 		if r.health.degraded() {
--- a/internal/control/placement/rank.go
+++ b/internal/control/placement/rank.go
@@ -63,8 +63,22 @@
 	}
 }
 
+// compareTokens orders runners of equal rank: first those with free tokens, by the time since when the
+// oldest one is free, and then the others by the share of their tokens that is in use, which is above 1
+// where many small tasks run. It returns a negative number if r comes first.
+func (r *Runner) compareTokens(o *Runner) int {
+	switch rFree, oFree := r.tokens.Free > 0, o.tokens.Free > 0; {
+	case rFree && oFree:
+		return cmp.Compare(r.tokens.OldestPosition(), o.tokens.OldestPosition())
+	case rFree || oFree:
+		return compareBool(!rFree, !oFree)
+	default:
+		return cmp.Or(cmp.Compare(r.tokens.InUse*o.tokens.Limit, o.tokens.InUse*r.tokens.Limit), cmp.Compare(r.ID, o.ID))
+	}
+}
+
 // Pick returns the best feasible runner for a task, or nil if no runner is feasible. Among runners
-// of equal rank it returns the one with the token that has been free longest. It reserves nothing.
+// of equal rank it returns the first by compareTokens. It reserves nothing.
 func (f *Fleet) Pick(req *Request, now time.Duration) *Runner {
 	p := f.pools[req.Service]
 	if p == nil {
@@ -73,12 +87,12 @@
 	var best *Runner
 	var bestRank candidateRank
 	enforceEjection := f.ejectionApplies(req, now)
-	for _, r := range p.available {
+	for _, r := range p.candidates(req.Demand) {
 		if !r.fits(req) || enforceEjection && !r.healthyFor(req, now) {
 			continue
 		}
 		rank := r.rank(req, now)
-		if best != nil && cmp.Or(rank.compare(bestRank), cmp.Compare(r.tokens.OldestPosition(), best.tokens.OldestPosition())) >= 0 {
+		if best != nil && cmp.Or(rank.compare(bestRank), r.compareTokens(best)) >= 0 {
 			continue
 		}
 		best, bestRank = r, rank
--- a/internal/control/placement/runner.go
+++ b/internal/control/placement/runner.go
@@ -63,8 +63,7 @@
 func (r *Runner) Ejected(now time.Duration) bool { return r.health.ejected(now) }
 
 const (
-	// tokenCPU is the amount of CPU that a token stands for, in thousandths of a core. It is less
-	// than the smallest tasks ask for, so that rounding wastes nothing.
+	// tokenCPU is the amount of CPU that a token stands for, in thousandths of a core.
 	tokenCPU = 50
 	// minTokens and maxTokens bound the number of tokens of a runner.
 	minTokens = 8
@@ -75,9 +74,8 @@
 func tokensOf(c Resources) int { return int(min(max(c.CPU/tokenCPU, minTokens), maxTokens)) }
 
 // tokensFor returns how many of the runner's tokens a demand takes: at least 1, otherwise by its
-// CPU demand, rounded down, and at most all. Memory and GPUs are accounted for separately and
-// exactly. If tokens counted them too, a task that needs much of one resource and a task that needs
-// much of another would keep each other off a runner that has enough of both.
+// CPU demand, rounded down, and at most all. Tokens only order the runners: what fits is decided by the
+// exact account of all resources, so that more tokens than the limit may be in use.
 func (r *Runner) tokensFor(demand Resources) int {
 	return min(max(1, int(demand.CPU/tokenCPU)), max(1, r.tokens.Limit))
 }
--- a/internal/control/scheduler/blockage.go
+++ b/internal/control/scheduler/blockage.go
@@ -48,5 +48,5 @@
 // with.
 func (p *pass) recordBlockage(b blockage) {
 	p.blockages = append(p.blockages, b)
-	p.maxFree = p.scheduler.fleet.MaxFree(p.queue.service)
+	p.updateMaxFree()
 }
--- a/internal/control/scheduler/pass.go
+++ b/internal/control/scheduler/pass.go
@@ -43,7 +43,7 @@
 // run schedules the steps of the queue in order and removes those that have no task left to start. Steps whose demand
 // exceeds the free capacity of every runner are skipped by a look at their entries alone.
 func (p *pass) run() {
-	p.maxFree = p.scheduler.fleet.MaxFree(p.queue.service)
+	p.updateMaxFree()
 	entries, kept := p.queue.entries, 0
 	for i := range entries {
 		if e := &entries[i]; e.demand.Fits(p.maxFree) && !p.scheduler.entryFull() {
@@ -61,6 +61,16 @@
 	p.queue.entries = entries[:kept]
 }
 
+// updateMaxFree updates the free capacity that the demands of entries are compared with. Runners without free CPU count
+// only if a task may fit there.
+func (p *pass) updateMaxFree() {
+	leastDemand := placement.Resources{CPU: 1}
+	if p.queue.stepsWithoutCPU > 0 {
+		leastDemand.CPU = 0
+	}
+	p.maxFree = p.scheduler.fleet.MaxFree(p.queue.service, leastDemand)
+}
+
 // scheduleStep starts as many of a step's waiting tasks as fit.
 func (p *pass) scheduleStep(w *waitingStep) {
 	w.request.Rack, w.request.LastAttempt = "", false
--- a/internal/control/scheduler/queue.go
+++ b/internal/control/scheduler/queue.go
@@ -16,6 +16,8 @@
 	steps       map[*jobs.Step]*waitingStep // the same steps, for lookup
 	hasNewSteps bool                        // steps were added since the last pass
 
+	stepsWithoutCPU int // number of steps whose tasks need no CPU
+
 	// Totals, kept up to date by recount and Scheduler.countRunning.
 	waitingTasks  int
 	waitingDemand map[int]placement.Resources // of waiting tasks, by priority
@@ -93,6 +95,9 @@
 		return q.recount(existing)
 	}
 	q.steps[w.step] = w
+	if w.request.Demand.CPU == 0 {
+		q.stepsWithoutCPU++
+	}
 	e := entry{demand: w.request.Demand, waitingStep: w}
 	at, _ := slices.BinarySearchFunc(q.entries, e, compareEntries)
 	q.entries = slices.Insert(q.entries, at, e)
@@ -123,6 +128,9 @@
 		return false
 	}
 	delete(q.steps, w.step)
+	if w.request.Demand.CPU == 0 {
+		q.stepsWithoutCPU--
+	}
 	return true
 }
 
--- a/internal/testkit/lab/mutate/checks.go
+++ b/internal/testkit/lab/mutate/checks.go
@@ -12,6 +12,7 @@
 	schedulerFile = "internal/control/scheduler/scheduler.go"
 	leaseFile     = "internal/control/scheduler/lease.go"
 	requestsFile  = "internal/control/scheduler/requests.go"
+	feasibleFile  = "internal/control/placement/feasible.go"
 	agentFile     = "internal/data/agent/machine.go"
 	headFile      = "internal/data/agent/head.go"
 	sizeFile      = "internal/data/agent/responsesize.go"
@@ -70,6 +71,7 @@
 	{"an update that was applied is recognised when it is repeated", requestsFile, "if s.updates.contains(digest) {", "if false {"},
 	{"a job's ID is of one queue and content", requestsFile, "if j := s.jobs.Get(submission.GetId()); j != nil {\n		return s.resubmit(j, submission)", "if j := s.jobs.Get(submission.GetId()); j != nil {\n		return http.StatusOK, \"\""},
 	{"an ID that was canceled before its job was accepted stays canceled", requestsFile, "if s.jobs.HasTombstone(submission.GetId()) {", "if false {"},
+	{"room decides what fits, not tokens", feasibleFile, "return r.Usable && req.Demand.Fits(r.Free()) &&", "return r.Usable && r.tokens.Free >= r.tokensFor(req.Demand) && req.Demand.Fits(r.Free()) &&"},
 	{"the time of day is agreed on", memberFile, "m.scheduler.Tick(now, m.clock.NowMs(now), m.replica.ConfirmedAt())", "m.scheduler.Tick(now, wallMs, m.replica.ConfirmedAt())"},
 
 	{"orders of an older head are void", headFile, "if o.GetEpoch() < m.epoch || o.GetCompanion() != m.incarnation {", "if o.GetCompanion() != m.incarnation {"},
--- a/internal/testkit/simnet/client.go
+++ b/internal/testkit/simnet/client.go
@@ -107,6 +107,9 @@
 	if sim.rng.IntN(15) == 0 {
 		sim.after(sim.randomDuration(0, 5*time.Second), func() { c.submitConflicting(j) })
 	}
+	if j.neverCanceled {
+		return
+	}
 	if j.longRunning() || sim.rng.IntN(12) == 0 {
 		sim.after(sim.randomDuration(500*time.Millisecond, 8*time.Second), func() { c.cancel(j) })
 	}
--- a/internal/testkit/simnet/job.go
+++ b/internal/testkit/simnet/job.go
@@ -60,6 +60,7 @@
 	indeterminate   int           // attempts that may have had an effect
 	acceptedAt      time.Duration // 0 for not yet
 
+	neverCanceled        bool          // its client does not cancel it, though it is long-running
 	patience             time.Duration // after which its client gives it up; 0 for never
 	cancelRequestedAt    time.Duration // 0 for not yet
 	cancelAcknowledgedAt time.Duration // 0 for not yet
--- a/internal/testkit/simnet/runnerhost.go
+++ b/internal/testkit/simnet/runnerhost.go
@@ -116,7 +116,7 @@
 		heartbeatInterval: 50 * time.Millisecond,
 	}
 	if h.bulk {
-		h.runner.service, h.runner.cpu = bulkService, bulkRunnerCPU
+		h.runner.service, h.runner.cpu = bulkService, sim.bulkSize().runnerCPU
 	}
 	sim.trace("runner %s starts", h.runner.id)
 	h.runner.sendHeartbeat()
--- a/internal/testkit/simnet/simnet.go
+++ b/internal/testkit/simnet/simnet.go
@@ -36,6 +36,7 @@
 	LargeSpecs            bool // jobs have large specs, so that state transfers take many chunks
 	BufferedResets        bool // receivers may handle messages buffered before a reset
 	ManyTasks             bool // one more runner has hundreds of small tasks at a time
+	LastingTasks          bool // with ManyTasks, a long-running job has more tasks than that runner has tokens
 	ImpatientClients      bool // clients cancel some jobs before they have an answer
 
 	SkipFaults   map[int]bool      // faults that are not injected, by their index in Report.Faults
@@ -109,6 +110,7 @@
 		LargeSpecs:            seed%4 == 1,
 		BufferedResets:        seed%2 == 1,
 		ManyTasks:             seed%6 == 2,
+		LastingTasks:          seed%12 == 8,
 		ImpatientClients:      seed%3 == 0,
 	}
 }
